--- /dev/null
+++ b/cmake/hemlockdeal.cmake
@@ -0,0 +1,31 @@
+# Helper functions, so that each folder's CMakeLists.txt names only its
+# library and what it links to. Sources are globbed: a class a file.
+
+function(hemlockdeal_library name)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp
+         ${CMAKE_CURRENT_SOURCE_DIR}/generated/*.cc)
+    list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
+    add_library(hemlockdeal_${name} STATIC ${sources})
+    target_include_directories(hemlockdeal_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+    target_link_libraries(hemlockdeal_${name} PUBLIC ${ARGN})
+endfunction()
+
+function(hemlockdeal_program name)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+    add_executable(${name} ${sources})
+    target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
+    target_link_libraries(${name} PRIVATE ${ARGN})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+# One test program per folder below tests/.
+function(hemlockdeal_test folder)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${folder}/*.cpp)
+    add_executable(test_${folder} ${sources})
+    target_include_directories(test_${folder} PRIVATE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/tests)
+    target_link_libraries(test_${folder} PRIVATE ${ARGN} GTest::gmock GTest::gtest GTest::gtest_main rapidcheck)
+    set_target_properties(test_${folder} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+    add_test(NAME ${folder} COMMAND test_${folder})
+    # Fixed seeds: the same cases, and so the same verdict, on every run.
+    set_tests_properties(${folder} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=2000")
+endfunction()
--- /dev/null
+++ b/src/core/timeline_event.hpp
@@ -0,0 +1,42 @@
+// One entry of the time line of events over all processes.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace hemlockdeal
+{
+
+// Hybrid logical clock: wall time in microseconds and a counter that orders
+// events of equal wall time. Stamps never fall, also when wall time does.
+struct hybrid_timestamp
+{
+    std::int64_t wall_us = 0;
+    std::uint32_t logical = 0;
+
+    friend constexpr auto operator<=>(const hybrid_timestamp&,
+                                      const hybrid_timestamp&) = default;
+};
+
+// Ids that do not apply are empty. The core fills all but stamp, vm and
+// thread, which the recording process adds.
+struct timeline_event
+{
+    hybrid_timestamp stamp;
+    std::string vm;
+    std::string thread;
+    std::string kind; // for example "task.start", "lease.lost"
+    std::string job;
+    std::int64_t task = -1;
+    std::uint64_t attempt = 0;
+    std::string worker;
+    std::string request;
+    std::string shard;
+    std::uint64_t epoch = 0;
+    std::string zone;
+    std::int64_t duration_us = 0; // 0 for an instant
+    std::string text;
+};
+
+} // namespace hemlockdeal
