--- /dev/null
+++ b/src/platform/membership_client.cpp
@@ -0,0 +1,99 @@
+// Client of the platform's membership list: the only file that knows its
+// protocol.
+#include "platform/membership_client.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/answer.hpp"
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+namespace json = boost::json;
+const std::string service_name = "membership";
+
+member_kind kind_of(const std::string& text)
+{
+    if (text == "entry")
+    {
+        return member_kind::entry_vm;
+    }
+    if (text == "worker")
+    {
+        return member_kind::worker;
+    }
+    if (text != "endpoint")
+    {
+        json_fields::fail("kind", "entry, worker or endpoint");
+    }
+    return member_kind::endpoint;
+}
+
+member_state state_of(const std::string& text)
+{
+    if (text != "live" && text != "leaving")
+    {
+        json_fields::fail("state", "live or leaving");
+    }
+    return text == "live" ? member_state::live : member_state::leaving;
+}
+
+member decode_member(const json::object& vm)
+{
+    member out;
+    out.id = json_fields::text(vm, "id");
+    out.kind = kind_of(json_fields::text(vm, "kind"));
+    out.state = state_of(json_fields::text(vm, "state"));
+    out.zone = availability_zone_id(json_fields::text(vm, "zone"));
+    out.region = region_id(json_fields::text(vm, "region"));
+    out.rack = rack_id(json_fields::text_or_empty(vm, "rack"));
+    out.address = json_fields::text(vm, "address");
+    out.service = service_id(json_fields::text_or_empty(vm, "service"));
+    out.slots =
+        static_cast<std::uint32_t>(json_fields::count_or(vm, "slots", 0));
+    out.connections =
+        static_cast<std::uint32_t>(json_fields::count_or(vm, "connections", 0));
+    out.size = {{json_fields::integer_or(vm, "processors_milli", 0)},
+                {json_fields::integer_or(vm, "memory_mb", 0)},
+                {json_fields::integer_or(vm, "accelerators", 0)}};
+    return out;
+}
+
+membership_list decode_list(const json::object& answer)
+{
+    membership_list list;
+    list.version = json_fields::count(answer, "version");
+    const auto& vms = json_fields::array(answer, "vms");
+    std::ranges::for_each(vms, [&](const json::value& vm) {
+        list.members.push_back(decode_member(json_fields::object(vm, "vms")));
+    });
+    return list;
+}
+
+} // namespace
+
+membership_client::membership_client(std::string address, http_limits limits)
+    : address_(std::move(address)), http_(limits)
+{}
+
+void membership_client::fetch(const membership_callback& done)
+{
+    const auto sent = http_.get(
+        service_url(address_, "/membership"),
+        [done](const http_answer& answer) {
+            done(answer.status != 200
+                     ? result<membership_list>(no_answer(service_name, answer))
+                     : decode_answer<membership_list>(service_name, answer,
+                                                      decode_list));
+        });
+    if (!sent)
+    {
+        http_.post_action([done] { done(too_many_calls(service_name)); });
+    }
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/platform/membership_client.hpp
@@ -0,0 +1,31 @@
+// Client of the platform's membership list.
+#pragma once
+
+#include <string>
+
+#include "platform/concepts.hpp"
+#include "platform/http_caller.hpp"
+
+namespace hemlockdeal
+{
+
+class membership_client
+{
+public:
+    // `address` is the service's "http://ip:port".
+    explicit membership_client(std::string address, http_limits limits = {});
+
+    // Passes the whole list, or an error when any entry is malformed: a list
+    // with entries left out would look like VMs that are gone.
+    void fetch(const membership_callback& done);
+
+    const traffic& bytes() const { return http_.bytes(); }
+
+private:
+    std::string address_;
+    http_caller http_;
+};
+
+static_assert(membership_service<membership_client>);
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/platform/table_client.hpp
@@ -0,0 +1,42 @@
+// Client of the platform's transactional table service.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "platform/concepts.hpp"
+#include "platform/http_caller.hpp"
+
+namespace hemlockdeal
+{
+
+class table_client
+{
+public:
+    // `address` is the service's "http://ip:port".
+    explicit table_client(std::string address, http_limits limits = {});
+
+    // The outcome is unknown unless the table's own answer says otherwise. An
+    // error that is returned means that nothing was sent; then `done` is not
+    // called.
+    [[nodiscard]] std::optional<error> commit(const table_commit& commit,
+                                              commit_callback done);
+
+    // Passes an empty optional when the row is absent.
+    void read_row(const std::string& key, const row_callback& done);
+
+    // Rows whose key starts with `prefix` and follows `after`, in order.
+    void read_rows(const std::string& prefix, const std::string& after,
+                   std::size_t limit, const page_callback& done);
+
+    const traffic& bytes() const { return http_.bytes(); }
+
+private:
+    std::string address_;
+    http_caller http_;
+};
+
+static_assert(table_service<table_client>);
+
+} // namespace hemlockdeal
