Add the stand-ins of table, membership and workers

One program serves them over real sockets with faults that are switched on at run time, and keeps a record of its own.

--- /dev/null
+++ b/src/standin/membership_standin.cpp
@@ -0,0 +1,67 @@
+// Stand-in of the membership list, held in memory and shown with a lag.
+#include "standin/membership_standin.hpp"
+
+#include <algorithm>
+
+#include "platform/json_fields.hpp"
+
+namespace hemlockdeal
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+void add(membership_standin::vms& to, const json::object& message,
+         const char* member)
+{
+    const auto& vms = json_fields::array(message, member);
+    std::ranges::for_each(vms, [&](const json::value& item) {
+        const auto& vm = json_fields::object(item, member);
+        to[json_fields::text(vm, "id")] = vm;
+    });
+}
+
+} // namespace
+
+void membership_standin::change(const json::object& message, standin_time now)
+{
+    auto next = history_.back().second;
+    ++next.first;
+    if (json_fields::find(message, "vms") != nullptr)
+    {
+        next.second.clear();
+        add(next.second, message, "vms");
+    }
+    if (json_fields::find(message, "set") != nullptr)
+    {
+        add(next.second, message, "set");
+    }
+    if (json_fields::find(message, "remove") != nullptr)
+    {
+        const auto& ids = json_fields::array(message, "remove");
+        std::ranges::for_each(ids, [&](const json::value& id) {
+            next.second.erase(std::string(id.as_string()));
+        });
+    }
+    lag_ = std::chrono::milliseconds(
+        json_fields::integer_or(message, "lag_ms", lag_.count()));
+    history_.emplace_back(now, std::move(next));
+}
+
+std::string membership_standin::shown(standin_time now)
+{
+    while (history_.size() > 1 && history_[1].first + lag_ <= now)
+    {
+        history_.pop_front();
+    }
+    const auto& [number, members] = history_.front().second;
+    json::array out;
+    std::ranges::for_each(
+        members, [&](const auto& entry) { out.push_back(entry.second); });
+    return json::serialize(
+        json::object{{"version", number}, {"vms", std::move(out)}});
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/standin/platform_standin.hpp
@@ -0,0 +1,106 @@
+// The stand-ins of table, membership and workers behind one port, with the
+// faults and the record.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <QObject>
+#include <QTimer>
+
+#include <boost/json.hpp>
+
+#include "standin/fault_set.hpp"
+#include "standin/http_server.hpp"
+#include "standin/membership_standin.hpp"
+#include "standin/run_record.hpp"
+#include "standin/table_standin.hpp"
+#include "standin/worker_standin.hpp"
+
+namespace hemlockdeal
+{
+
+struct standin_settings
+{
+    std::uint16_t port = 0;
+    std::uint64_t seed = 1;
+    worker_settings workers;
+    // A port for each worker instead of a path below the common port.
+    bool worker_ports = false;
+};
+
+// Paths of the common port: those of the design page, and POST /membership,
+// POST /faults and GET /record, which no fault affects. A worker runs as long
+// as the current list names it; it is reached at the address in the list.
+class platform_standin
+{
+public:
+    explicit platform_standin(standin_settings settings = {});
+
+    // "127.0.0.1:port" of the common port.
+    std::string address() const { return server_.address(); }
+    const http_server& server() const { return server_; }
+
+    run_record& record() { return record_; }
+
+    // As POST /faults.
+    void set_fault(const boost::json::object& message);
+    void set_fault(const std::string& target, const std::string& id, fault f);
+
+    // As POST /membership. A worker without "address" gets one.
+    void change_membership(boost::json::object message,
+                           standin_time now = standin_clock::now());
+
+    // Called with each entry of the list that is an endpoint and that is new;
+    // the result replaces the entry.
+    using endpoint_starter =
+        std::function<boost::json::object(const boost::json::object&)>;
+    void start_endpoints_with(endpoint_starter starter);
+
+private:
+    // One request to a service that faults can affect.
+    struct call
+    {
+        std::string target; // as in POST /faults
+        std::string id;
+        std::function<http_reply()> effect;
+        http_exchange exchange;
+    };
+    struct worker_place
+    {
+        worker_standin worker;
+        std::unique_ptr<http_server> server; // null on the common port
+    };
+
+    void serve(const http_request& request, const http_exchange& exchange);
+    bool serve_control(const http_request& request,
+                       const http_exchange& exchange);
+    void serve_worker(const std::string& id, const http_request& request,
+                      const http_exchange& exchange);
+    void dispatch(call c);
+    void dispatch_slow(call c, std::chrono::milliseconds delay);
+    void release_held();
+    boost::json::object with_address(const boost::json::object& vm);
+    void fill_addresses(boost::json::object& message, const char* member);
+    void drop_lost_workers();
+
+    standin_settings settings_;
+    run_record record_;
+    checkpoint_store checkpoints_;
+    fault_set faults_;
+    table_standin table_{record_};
+    membership_standin membership_;
+    worker_surroundings surroundings_;
+    std::map<std::string, worker_place> workers_;
+    endpoint_starter endpoint_starter_;
+    std::vector<call> held_; // by the fault "pause"
+    http_server server_;
+    QTimer timer_;
+    QObject context_; // of delayed answers
+};
+
+} // namespace hemlockdeal
