--- /dev/null
+++ b/src/request/request_policy.hpp
@@ -0,0 +1,54 @@
+// The rules of the request core that the guarantees rest on. They are a
+// template parameter, so that tests can break one rule at a time and see that
+// the check of its guarantee fails.
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+
+namespace hemlockdeal
+{
+
+struct standard_request_policy
+{
+    // A request that may have run is sent again only when running it twice
+    // is harmless.
+    static constexpr bool may_send_again(bool bytes_sent, bool idempotent)
+    {
+        return !bytes_sent || idempotent;
+    }
+
+    static constexpr bool may_report_not_run(bool bytes_sent,
+                                             bool endpoint_said_so)
+    {
+        return !bytes_sent || endpoint_said_so;
+    }
+
+    static constexpr bool has_slot(std::uint32_t in_flight, std::uint32_t share)
+    {
+        return in_flight < share;
+    }
+
+    static constexpr bool may_retry(bool budget_has_room)
+    {
+        return budget_has_room;
+    }
+
+    static constexpr bool may_receive(bool leaving) { return !leaving; }
+
+    // A claim whose commit got no response is not held until the table shows
+    // it.
+    static constexpr bool holds_unresolved_claim() { return false; }
+};
+
+template <typename Policy>
+concept request_policy = requires {
+    { Policy::may_send_again(true, true) } -> std::same_as<bool>;
+    { Policy::may_report_not_run(true, true) } -> std::same_as<bool>;
+    { Policy::has_slot(1U, 1U) } -> std::same_as<bool>;
+    { Policy::may_retry(true) } -> std::same_as<bool>;
+    { Policy::may_receive(true) } -> std::same_as<bool>;
+    { Policy::holds_unresolved_claim() } -> std::same_as<bool>;
+};
+
+} // namespace hemlockdeal
