--- /dev/null
+++ b/src/proxy/caller_connection.cpp
@@ -0,0 +1,471 @@
+// Implements reading of requests and writing of responses on one connection.
+#include "proxy/caller_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "proxy/socket_options.hpp"
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+// Largest piece that is read from the socket at a time.
+constexpr qint64 read_piece = 64LL * 1024;
+
+bool is_bodyless(unsigned status, http::verb method)
+{
+    return method == http::verb::head || status == 204 || status == 304;
+}
+
+} // namespace
+
+caller_connection::caller_connection(std::uint64_t id, QTcpSocket* socket,
+                                     const proxy_limits& limits,
+                                     const caller_handlers& handlers)
+    : id_(id), socket_(socket), limits_(limits), handlers_(handlers),
+      phase_started_(monotonic_now()), last_activity_(phase_started_)
+{
+    set_connection_options(*socket_);
+    socket_->setReadBufferSize(static_cast<qint64>(limits_.window));
+    QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
+                     [this] { read(); });
+    QObject::connect(socket_, &QTcpSocket::bytesWritten, socket_, [this] {
+        last_activity_ = monotonic_now();
+        if (phase_ == phase::in_progress && response_has_room())
+        {
+            handlers_.response_room(*this);
+        }
+    });
+    QObject::connect(socket_, &QTcpSocket::disconnected, socket_,
+                     [this] { end(); });
+}
+
+caller_connection::~caller_connection()
+{
+    socket_->disconnect();
+    socket_->abort();
+    socket_->deleteLater();
+}
+
+std::string_view caller_connection::body_after(std::uint64_t offset) const
+{
+    return std::string_view(body_).substr(
+        static_cast<std::size_t>(offset - discarded_));
+}
+
+std::optional<std::uint64_t> caller_connection::known_length() const
+{
+    return body_complete_ ? discarded_ + body_.size() : length_;
+}
+
+void caller_connection::discard_body(std::uint64_t up_to)
+{
+    const std::size_t count = static_cast<std::size_t>(up_to - discarded_);
+    // Moving the rest for a few bytes would cost more than it frees.
+    if (count == 0 || (count < limits_.window / 4 && count < body_.size()))
+    {
+        return;
+    }
+    body_.erase(0, count);
+    discarded_ = up_to;
+    if (!body_complete_ && !parsing_)
+    {
+        read();
+    }
+}
+
+bool caller_connection::body_window_full() const
+{
+    return body_.size() >= limits_.window;
+}
+
+void caller_connection::read()
+{
+    if (phase_ == phase::lingering)
+    {
+        socket_->skip(socket_->bytesAvailable());
+        return;
+    }
+    // Bytes after a complete request wait in the socket, whose buffer is
+    // bounded, until its response is finished.
+    const bool wants_input = phase_ == phase::idle ||
+                             phase_ == phase::reading ||
+                             (phase_ == phase::in_progress && !body_complete_);
+    if (wants_input)
+    {
+        parse();
+    }
+}
+
+void caller_connection::parse()
+{
+    if (parsing_)
+    {
+        return;
+    }
+    parsing_ = true;
+    while (parse_once())
+    {}
+    parsing_ = false;
+    if (phase_ == phase::in_progress && head_taken_)
+    {
+        handlers_.body_arrived(*this);
+    }
+}
+
+// Returns whether there may be more to parse.
+bool caller_connection::parse_once()
+{
+    const bool done_reading = phase_ == phase::lingering ||
+                              phase_ == phase::ended ||
+                              (phase_ == phase::in_progress && body_complete_);
+    if (done_reading || body_window_full())
+    {
+        return false;
+    }
+    if (socket_->bytesAvailable() > 0)
+    {
+        input_.erase(0, input_offset_);
+        input_offset_ = 0;
+        const std::size_t before = input_.size();
+        input_.resize(before + static_cast<std::size_t>(std::min(
+                                   read_piece, socket_->bytesAvailable())));
+        const qint64 got =
+            socket_->read(input_.data() + before,
+                          static_cast<qint64>(input_.size() - before));
+        input_.resize(before + static_cast<std::size_t>(std::max(got, 0LL)));
+        last_activity_ = monotonic_now();
+    }
+    if (unparsed() == 0)
+    {
+        return false;
+    }
+    if (phase_ == phase::idle)
+    {
+        phase_ = phase::reading;
+        phase_started_ = last_activity_;
+    }
+    if (!parser_)
+    {
+        parser_.emplace();
+        parser_->header_limit(limits_.header_bytes);
+        parser_->body_limit(limits_.body_bytes);
+    }
+    boost::beast::error_code error;
+    const std::size_t used = parser_->put(
+        boost::asio::const_buffer(input_.data() + input_offset_, unparsed()),
+        error);
+    input_offset_ += used;
+    if (error && error != http::error::need_more)
+    {
+        reject_parse_error(error);
+        return false;
+    }
+    if (!head_taken_ && parser_->is_header_done())
+    {
+        take_head();
+    }
+    else if (head_taken_)
+    {
+        take_body();
+    }
+    return (used > 0 && phase_ != phase::lingering) ||
+           socket_->bytesAvailable() > 0;
+}
+
+void caller_connection::take_head()
+{
+    head_taken_ = true;
+    keep_alive_ = parser_->keep_alive();
+    length_.reset();
+    if (!parser_->chunked())
+    {
+        const auto stated = parser_->content_length();
+        length_ = stated ? *stated : 0;
+    }
+    head_ = std::move(parser_->get().base());
+    if (head_.method() == http::verb::connect)
+    {
+        reject(501, "method CONNECT is not supported");
+        return;
+    }
+    write_continue_if_expected();
+    take_body();
+}
+
+void caller_connection::write_continue_if_expected()
+{
+    const bool expects =
+        boost::beast::iequals(head_[http::field::expect], "100-continue");
+    head_.erase(http::field::expect);
+    if (expects && !parser_->is_done())
+    {
+        socket_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void caller_connection::take_body()
+{
+    std::string& parsed = parser_->get().body();
+    body_.append(parsed);
+    parsed.clear();
+    body_complete_ = parser_->is_done();
+    // A request is handed over when its body is complete or fills the window,
+    // so that a slow sender of a small body holds no slot of an endpoint.
+    if (phase_ == phase::reading && (body_complete_ || body_window_full()))
+    {
+        report_ready();
+    }
+}
+
+void caller_connection::report_ready()
+{
+    phase_ = phase::in_progress;
+    phase_started_ = last_activity_;
+    if (!answer_directly())
+    {
+        handlers_.request_ready(*this);
+    }
+}
+
+bool caller_connection::answer_directly()
+{
+    if (path_of(to_view(head_.target())) != "/healthz")
+    {
+        return false;
+    }
+    http::response_header<> response;
+    response.result(handlers_.draining() ? 503U : 200U);
+    respond(std::move(response), {});
+    return true;
+}
+
+void caller_connection::begin_response(http::response_header<>&& head,
+                                       std::optional<std::uint64_t> length)
+{
+    const unsigned status = head.result_int();
+    response_bodyless_ = is_bodyless(status, head_.method());
+    const bool old_caller = head_.version() < 11;
+    // A caller of HTTP/1.0 cannot read chunks; the end of the connection
+    // marks the end of its response.
+    keep_alive_ = keep_alive_ && !handlers_.draining() && body_complete_ &&
+                  (!old_caller || length || response_bodyless_);
+    head.version(11);
+    if (old_caller && !length)
+    {
+        head.erase(http::field::transfer_encoding);
+    }
+    else if (!response_bodyless_ || length)
+    {
+        set_framing(head, length);
+    }
+    if (status == 204 || status == 304)
+    {
+        head.erase(http::field::transfer_encoding);
+    }
+    if (!keep_alive_)
+    {
+        head.set(http::field::connection, "close");
+    }
+    else if (old_caller)
+    {
+        head.set(http::field::connection, "keep-alive");
+    }
+    response_started_ = true;
+    writer_.begin(std::move(head), *socket_);
+}
+
+void caller_connection::write_response(std::string_view piece)
+{
+    if (!response_bodyless_)
+    {
+        writer_.write_body(piece, *socket_);
+    }
+}
+
+bool caller_connection::response_has_room() const
+{
+    return socket_->bytesToWrite() < static_cast<qint64>(limits_.window);
+}
+
+bool caller_connection::has_unsent_bytes() const
+{
+    return phase_ != phase::ended && socket_->bytesToWrite() > 0;
+}
+
+void caller_connection::finish_response()
+{
+    // A response without a body has no last chunk either.
+    if (!response_bodyless_)
+    {
+        writer_.finish(*socket_);
+    }
+    if (!keep_alive_ || !body_complete_)
+    {
+        close_when_sent();
+        return;
+    }
+    socket_->flush();
+    start_next_request();
+}
+
+void caller_connection::start_next_request()
+{
+    phase_ = phase::idle;
+    last_activity_ = monotonic_now();
+    parser_.reset();
+    head_taken_ = false;
+    head_ = {};
+    length_.reset();
+    body_ = {};
+    discarded_ = 0;
+    body_complete_ = false;
+    response_started_ = false;
+    if (unparsed() == 0)
+    {
+        input_ = {};
+        input_offset_ = 0;
+    }
+    parse();
+}
+
+void caller_connection::respond(http::response_header<>&& head,
+                                std::string_view body)
+{
+    begin_response(std::move(head), body.size());
+    write_response(body);
+    finish_response();
+}
+
+void caller_connection::respond_outcome(unsigned status,
+                                        std::string_view outcome,
+                                        std::string_view reason)
+{
+    http::response_header<> head;
+    head.result(status);
+    head.set("Hemlockdeal-Outcome", {outcome.data(), outcome.size()});
+    head.set(http::field::content_type, "application/json");
+    respond(std::move(head), outcome_body(outcome, reason));
+}
+
+void caller_connection::reject_parse_error(
+    const boost::beast::error_code& error)
+{
+    if (error == http::error::header_limit)
+    {
+        reject(431, "headers exceed the limit");
+        return;
+    }
+    if (error == http::error::body_limit)
+    {
+        reject(413, "body exceeds the limit");
+        return;
+    }
+    reject(400, "malformed request: " + error.message());
+}
+
+// Ends the connection with an error response, unless a response has begun.
+void caller_connection::reject(unsigned status, std::string_view reason)
+{
+    const bool was_in_progress = phase_ == phase::in_progress;
+    if (was_in_progress)
+    {
+        handlers_.request_failed(*this);
+    }
+    if (response_started_)
+    {
+        abort();
+        return;
+    }
+    phase_ = phase::in_progress;
+    keep_alive_ = false;
+    // A request that was handed over may have reached an endpoint.
+    respond_outcome(status, was_in_progress ? "unknown" : "not-run", reason);
+}
+
+void caller_connection::close_when_sent()
+{
+    if (phase_ == phase::ended || phase_ == phase::lingering)
+    {
+        return;
+    }
+    const bool unread = !body_complete_ && phase_ != phase::idle;
+    phase_ = phase::lingering;
+    phase_started_ = monotonic_now();
+    socket_->flush();
+    if (!unread)
+    {
+        socket_->disconnectFromHost();
+        return;
+    }
+    socket_->skip(socket_->bytesAvailable());
+}
+
+void caller_connection::abort()
+{
+    if (phase_ == phase::ended)
+    {
+        return;
+    }
+    reset_on_close(*socket_);
+    socket_->abort();
+    end();
+}
+
+void caller_connection::end()
+{
+    if (phase_ == phase::ended)
+    {
+        return;
+    }
+    phase_ = phase::ended;
+    handlers_.gone(*this);
+}
+
+void caller_connection::check_time(time_point now)
+{
+    switch (phase_)
+    {
+    case phase::idle:
+        if (now - last_activity_ > limits_.idle_time)
+        {
+            close_when_sent();
+        }
+        break;
+    case phase::reading:
+        if (!head_taken_ ? now - phase_started_ > limits_.header_time
+                         : now - last_activity_ > limits_.body_stall)
+        {
+            reject(408, "the request was not received in time");
+        }
+        break;
+    case phase::in_progress:
+        if (!body_complete_ && !body_window_full() &&
+            now - last_activity_ > limits_.body_stall)
+        {
+            reject(408, "the request's body was not received in time");
+        }
+        else if (socket_->bytesToWrite() > 0 &&
+                 now - last_activity_ > limits_.idle_time)
+        {
+            abort();
+        }
+        break;
+    case phase::lingering:
+        if (now - phase_started_ > limits_.linger_time &&
+            (socket_->bytesToWrite() == 0 ||
+             now - last_activity_ > limits_.idle_time))
+        {
+            socket_->abort();
+            end();
+        }
+        break;
+    case phase::ended:
+        break;
+    }
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/proxy/caller_listener.hpp
@@ -0,0 +1,64 @@
+// Accepts callers' connections up to the limit and owns them.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <QTcpServer>
+
+#include "core/core.hpp"
+#include "proxy/caller_connection.hpp"
+#include "proxy/proxy_limits.hpp"
+
+namespace hemlockdeal
+{
+
+class caller_listener
+{
+public:
+    // `handlers.gone` is called before the listener lets go of a connection.
+    caller_listener(const proxy_limits& limits, caller_handlers handlers);
+
+    caller_listener(const caller_listener&) = delete;
+    caller_listener& operator=(const caller_listener&) = delete;
+
+    // Port 0 selects a free port. Returns false when the address is in use.
+    bool listen(const std::string& ip, std::uint16_t port);
+    std::uint16_t port() const { return server_.serverPort(); }
+    // Accepts no more connections; open ones stay.
+    void close() { server_.close(); }
+
+    // Nothing when the connection has ended.
+    caller_connection* find(std::uint64_t id);
+    std::size_t size() const { return connections_.size(); }
+    // Connections that were closed at once, because the limit was reached.
+    std::uint64_t refused() const { return refused_; }
+
+    void check_time(time_point now);
+    // Closes connections on which nothing happened since `quiet_since`.
+    void close_idle(time_point quiet_since);
+    // True when a response is not yet handed to the kernel.
+    bool has_unsent_bytes() const;
+
+private:
+    void accept();
+    void forget(caller_connection& connection);
+
+    using connection_map =
+        std::unordered_map<std::uint64_t, std::unique_ptr<caller_connection>>;
+
+    const proxy_limits& limits_;
+    caller_handlers owner_;
+    caller_handlers handlers_;
+    QTcpServer server_;
+    connection_map connections_;
+    // Ended connections, which may still be on the call stack.
+    std::vector<std::unique_ptr<caller_connection>> ended_;
+    std::uint64_t next_id_ = 0;
+    std::uint64_t refused_ = 0;
+};
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/proxy/endpoint_connection.cpp
@@ -0,0 +1,327 @@
+// Implements requests, probes and responses on one connection to an endpoint.
+#include "proxy/endpoint_connection.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <QHostAddress>
+
+#include "proxy/socket_options.hpp"
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+// Largest piece that is read from the socket at a time.
+constexpr std::size_t read_piece = 64ULL * 1024;
+
+} // namespace
+
+endpoint_connection::endpoint_connection(instance_id instance,
+                                         const std::string& address,
+                                         const proxy_limits& limits,
+                                         const endpoint_handlers& handlers)
+    : instance_(std::move(instance)), address_(address), limits_(limits),
+      handlers_(handlers), socket_(new QTcpSocket),
+      phase_started_(monotonic_now())
+{
+    socket_->setReadBufferSize(static_cast<qint64>(limits_.window));
+    QObject::connect(socket_, &QTcpSocket::connected, socket_, [this] {
+        set_connection_options(*socket_);
+        enter(phase::idle);
+        handlers_.connected(*this);
+    });
+    QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
+                     [this] { read(); });
+    QObject::connect(socket_, &QTcpSocket::bytesWritten, socket_, [this] {
+        if (phase_ == phase::busy && !request_finished_ && request_has_room())
+        {
+            handlers_.request_room(*this);
+        }
+    });
+    QObject::connect(socket_, &QTcpSocket::errorOccurred, socket_, [this] {
+        if (phase_ == phase::connecting)
+        {
+            fail("cannot connect: " + socket_->errorString().toStdString());
+        }
+    });
+    QObject::connect(socket_, &QTcpSocket::disconnected, socket_, [this] {
+        remote_closed_ = true;
+        process();
+    });
+    const QString text = QString::fromStdString(address_);
+    socket_->connectToHost(QHostAddress(text.section(':', 0, -2)),
+                           text.section(':', -1).toUShort());
+}
+
+endpoint_connection::~endpoint_connection()
+{
+    socket_->disconnect();
+    socket_->abort();
+    socket_->deleteLater();
+}
+
+void endpoint_connection::enter(phase next)
+{
+    phase_ = next;
+    phase_started_ = monotonic_now();
+}
+
+bool endpoint_connection::is_ready() const
+{
+    return phase_ == phase::idle && is_quiet(*socket_);
+}
+
+void endpoint_connection::start_parser(bool bodyless)
+{
+    bodyless_ = bodyless;
+    head_taken_ = false;
+    parser_.emplace();
+    parser_->header_limit(limits_.header_bytes);
+    parser_->body_limit(boost::none);
+    parser_->eager(true);
+    parser_->skip(bodyless);
+}
+
+void endpoint_connection::begin_request(http::request_header<>&& head,
+                                        std::optional<std::uint64_t> length)
+{
+    enter(phase::busy);
+    request_finished_ = false;
+    reusable_ = false;
+    paused_ = false;
+    start_parser(head.method() == http::verb::head);
+    head.version(11);
+    // A request without a body states no length, unless its method suggests
+    // that it has one.
+    const bool bodyless = length == std::uint64_t{0} &&
+                          head.find(http::field::content_length) == head.end();
+    if (bodyless)
+    {
+        head.erase(http::field::transfer_encoding);
+    }
+    else
+    {
+        set_framing(head, length);
+    }
+    writer_.begin(std::move(head), *socket_);
+}
+
+void endpoint_connection::write_request(std::string_view piece)
+{
+    writer_.write_body(piece, *socket_);
+}
+
+bool endpoint_connection::request_has_room() const
+{
+    return socket_->bytesToWrite() < static_cast<qint64>(limits_.window);
+}
+
+void endpoint_connection::finish_request()
+{
+    request_finished_ = true;
+    writer_.finish(*socket_);
+    socket_->flush();
+}
+
+void endpoint_connection::probe()
+{
+    enter(phase::probing);
+    request_finished_ = true;
+    reusable_ = false;
+    paused_ = false;
+    start_parser(true);
+    const std::string request =
+        "HEAD /healthz HTTP/1.1\r\nHost: " + address_ + "\r\n\r\n";
+    socket_->write(request.data(), static_cast<qint64>(request.size()));
+    socket_->flush();
+}
+
+void endpoint_connection::resume()
+{
+    if (std::exchange(paused_, false))
+    {
+        process();
+    }
+}
+
+void endpoint_connection::read()
+{
+    if (phase_ == phase::idle)
+    {
+        fail("the endpoint sent bytes without a request");
+        return;
+    }
+    process();
+}
+
+// Parses what was received, as far as the owner takes it.
+void endpoint_connection::process()
+{
+    if (processing_)
+    {
+        return;
+    }
+    processing_ = true;
+    thread_local std::array<char, read_piece> scratch;
+    while ((phase_ == phase::busy || phase_ == phase::probing) && !paused_)
+    {
+        const qint64 got = socket_->read(scratch.data(), scratch.size());
+        const std::size_t count = static_cast<std::size_t>(std::max(got, 0LL));
+        std::size_t used = 0;
+        if (input_.empty())
+        {
+            const std::string_view view(scratch.data(), count);
+            if (!parse_once(view, used))
+            {
+                break;
+            }
+            input_.assign(view.substr(used));
+        }
+        else
+        {
+            std::string joined = std::move(input_);
+            input_.clear();
+            joined.append(scratch.data(), count);
+            if (!parse_once(joined, used))
+            {
+                break;
+            }
+            input_.assign(joined, used);
+        }
+        if (count == 0 && used == 0)
+        {
+            break;
+        }
+    }
+    processing_ = false;
+    if (remote_closed_ && !paused_ && phase_ != phase::closed)
+    {
+        fail("the endpoint closed the connection");
+    }
+}
+
+// Returns false when the message ended, completely or not.
+bool endpoint_connection::parse_once(std::string_view input, std::size_t& used)
+{
+    if (input.empty())
+    {
+        return true;
+    }
+    boost::beast::error_code error;
+    used = parser_->put(boost::asio::const_buffer(input.data(), input.size()),
+                        error);
+    if (error && error != http::error::need_more)
+    {
+        fail("malformed response: " + error.message());
+        return false;
+    }
+    if (!head_taken_ && parser_->is_header_done())
+    {
+        if (parser_->get().result_int() < 200)
+        {
+            // An interim response; the final one follows.
+            start_parser(bodyless_);
+            return true;
+        }
+        if (!take_head())
+        {
+            return false;
+        }
+    }
+    if (head_taken_)
+    {
+        take_body();
+    }
+    if (phase_ != phase::busy && phase_ != phase::probing)
+    {
+        return false;
+    }
+    if (!parser_->is_done())
+    {
+        return true;
+    }
+    complete(used < input.size() || socket_->bytesAvailable() > 0);
+    return false;
+}
+
+bool endpoint_connection::take_head()
+{
+    head_taken_ = true;
+    if (phase_ == phase::probing)
+    {
+        return true;
+    }
+    // The end of the connection does not show that a response is complete: a
+    // crashed endpoint closes it as well.
+    if (parser_->need_eof())
+    {
+        fail("the response states no length");
+        return false;
+    }
+    handlers_.head(*this, std::move(parser_->get().base()));
+    return phase_ == phase::busy;
+}
+
+void endpoint_connection::take_body()
+{
+    if (phase_ != phase::busy)
+    {
+        return;
+    }
+    std::string& parsed = parser_->get().body();
+    if (!parsed.empty())
+    {
+        handlers_.body(*this, parsed);
+        parsed.clear();
+    }
+}
+
+void endpoint_connection::complete(bool more_input)
+{
+    const bool was_probe = phase_ == phase::probing;
+    // Bytes after the response belong to no request.
+    reusable_ = parser_->keep_alive() && request_finished_ && !more_input &&
+                !remote_closed_;
+    const bool healthy = parser_->get().result_int() / 100 == 2;
+    input_ = {};
+    parser_.reset();
+    enter(phase::idle);
+    if (was_probe)
+    {
+        handlers_.probed(*this, healthy);
+        return;
+    }
+    handlers_.done(*this);
+}
+
+void endpoint_connection::fail(const std::string& reason)
+{
+    const phase ended = phase_;
+    if (ended == phase::closed)
+    {
+        return;
+    }
+    close();
+    if (ended == phase::busy)
+    {
+        handlers_.broken(*this, reason);
+        return;
+    }
+    handlers_.lost(*this, reason);
+}
+
+void endpoint_connection::close()
+{
+    if (phase_ == phase::closed)
+    {
+        return;
+    }
+    enter(phase::closed);
+    socket_->abort();
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/proxy/endpoint_pool.cpp
@@ -0,0 +1,234 @@
+// Implements reuse, probing and retirement of connections to endpoints.
+#include "proxy/endpoint_pool.hpp"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+#include "proxy/socket_options.hpp"
+
+namespace hemlockdeal
+{
+
+endpoint_pool::endpoint_pool(const proxy_limits& limits, pool_handlers handlers,
+                             endpoint_handlers exchange)
+    : limits_(limits), owner_(std::move(handlers)),
+      handlers_(std::move(exchange))
+{
+    handlers_.connected = [this](endpoint_connection& c) { on_connected(c); };
+    handlers_.lost = [this](endpoint_connection& c, const std::string& reason) {
+        on_lost(c, reason);
+    };
+    handlers_.probed = [this](endpoint_connection& c, bool healthy) {
+        on_probed(c, healthy);
+    };
+}
+
+endpoint_pool::~endpoint_pool() = default;
+
+void endpoint_pool::acquire(lease_number lease, const instance_id& instance,
+                            const std::string& address, std::uint32_t limit)
+{
+    // Looked up each time: retiring the last connection removes the instance.
+    while (!instances_[instance].idle.empty())
+    {
+        std::vector<endpoint_connection*>& idle = instances_[instance].idle;
+        endpoint_connection& c = *idle.back();
+        idle.pop_back();
+        if (!c.is_ready() || c.address() != address)
+        {
+            retire(c);
+            continue;
+        }
+        entry& e = connections_.at(&c);
+        e.use = purpose::lease;
+        e.reused = true;
+        e.handed_over = false;
+        c.set_lease(lease);
+        if (monotonic_now() - c.phase_started() > limits_.probe_after_idle)
+        {
+            c.probe();
+            return;
+        }
+        hand_over(c);
+        return;
+    }
+    if (instances_[instance].open >= limit)
+    {
+        owner_.failed(lease, "the share of the instance's connections is used");
+        return;
+    }
+    open(instance, address, purpose::lease, lease);
+}
+
+void endpoint_pool::open(const instance_id& instance,
+                         const std::string& address, purpose use,
+                         lease_number lease)
+{
+    ++instances_[instance].open;
+    entry e;
+    e.connection = std::make_unique<endpoint_connection>(instance, address,
+                                                         limits_, handlers_);
+    e.use = use;
+    e.connection->set_lease(lease);
+    endpoint_connection* key = e.connection.get();
+    connections_.emplace(key, std::move(e));
+}
+
+void endpoint_pool::hand_over(endpoint_connection& connection)
+{
+    connections_.at(&connection).handed_over = true;
+    owner_.ready(connection.lease(), connection);
+}
+
+void endpoint_pool::cancel(lease_number lease)
+{
+    const auto found = std::ranges::find_if(connections_, [&](const auto& c) {
+        return c.second.use == purpose::lease && c.first->lease() == lease;
+    });
+    if (found != connections_.end())
+    {
+        retire(*found->first);
+    }
+}
+
+void endpoint_pool::release(endpoint_connection& connection)
+{
+    if (!connection.is_reusable())
+    {
+        retire(connection);
+        return;
+    }
+    connection.set_lease(0);
+    connections_.at(&connection).use = purpose::none;
+    instances_[connection.instance()].idle.push_back(&connection);
+}
+
+void endpoint_pool::retire(endpoint_connection& connection)
+{
+    connection.close();
+    remove(connection);
+}
+
+endpoint_pool::entry endpoint_pool::remove(endpoint_connection& connection)
+{
+    const auto found = connections_.find(&connection);
+    if (found == connections_.end())
+    {
+        return {};
+    }
+    entry removed = std::move(found->second);
+    connections_.erase(found);
+    const auto instance = instances_.find(connection.instance());
+    std::erase(instance->second.idle, &connection);
+    if (--instance->second.open == 0)
+    {
+        instances_.erase(instance);
+    }
+    ended_.push_back(std::move(removed.connection));
+    return removed;
+}
+
+void endpoint_pool::on_connected(endpoint_connection& connection)
+{
+    if (connections_.at(&connection).use == purpose::probe)
+    {
+        connection.probe();
+        return;
+    }
+    hand_over(connection);
+}
+
+void endpoint_pool::on_lost(endpoint_connection& connection,
+                            const std::string& reason)
+{
+    const entry e = remove(connection);
+    if (e.use == purpose::probe)
+    {
+        owner_.probed(connection.instance(), false);
+        return;
+    }
+    if (e.use != purpose::lease)
+    {
+        return;
+    }
+    if (e.reused && !e.handed_over)
+    {
+        open(connection.instance(), connection.address(), purpose::lease,
+             connection.lease());
+        return;
+    }
+    owner_.failed(connection.lease(), reason);
+}
+
+void endpoint_pool::on_probed(endpoint_connection& connection, bool healthy)
+{
+    if (connections_.at(&connection).use == purpose::probe)
+    {
+        retire(connection);
+        owner_.probed(connection.instance(), healthy);
+        return;
+    }
+    // Any response shows that the connection works.
+    if (!connection.is_reusable())
+    {
+        connection.close();
+        on_lost(connection, "the endpoint closed the connection");
+        return;
+    }
+    hand_over(connection);
+}
+
+void endpoint_pool::probe(const instance_id& instance,
+                          const std::string& address)
+{
+    open(instance, address, purpose::probe, 0);
+}
+
+void endpoint_pool::keep_only(const membership_list& list)
+{
+    std::unordered_set<std::string> listed;
+    std::ranges::for_each(list.members, [&](const member& m) {
+        if (m.kind == member_kind::endpoint)
+        {
+            listed.insert(m.id);
+        }
+    });
+    std::vector<endpoint_connection*> unlisted;
+    std::ranges::for_each(connections_, [&](const auto& c) {
+        if (c.second.use == purpose::none &&
+            !listed.contains(c.first->instance().value()))
+        {
+            unlisted.push_back(c.first);
+        }
+    });
+    std::ranges::for_each(unlisted, [&](auto* c) { retire(*c); });
+}
+
+void endpoint_pool::check_time(time_point now)
+{
+    ended_.clear();
+    std::vector<endpoint_connection*> late;
+    std::ranges::for_each(connections_, [&](const auto& c) {
+        const duration age = now - c.first->phase_started();
+        const bool unused = c.second.use == purpose::none;
+        if ((c.first->is_connecting() && age > limits_.connect_time) ||
+            (c.first->is_probing() && age > limits_.probe_time) ||
+            (unused && age > limits_.endpoint_idle_time))
+        {
+            late.push_back(c.first);
+        }
+    });
+    std::ranges::for_each(late, [this](endpoint_connection* c) {
+        c->close();
+        on_lost(*c, "the endpoint did not respond in time");
+    });
+}
+
+std::size_t endpoint_pool::connections(const instance_id& instance) const
+{
+    const auto found = instances_.find(instance);
+    return found == instances_.end() ? 0 : found->second.open;
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/proxy/exchange.cpp
@@ -0,0 +1,53 @@
+// Implements the translation between HTTP headers and the request core.
+#include "proxy/exchange.hpp"
+
+#include <charconv>
+
+#include <boost/range/algorithm/for_each.hpp>
+
+namespace hemlockdeal
+{
+
+attempt_head summary_of(const http::response_header<>& head)
+{
+    attempt_head summary;
+    summary.status = head.result_int();
+    summary.leaving = head["Hemlockdeal-Leaving"] == "1";
+    summary.not_run = head["Hemlockdeal-Outcome"] == "not-run";
+    return summary;
+}
+
+std::optional<std::uint64_t> make_forwardable(http::response_header<>& head)
+{
+    erase_connection_headers(head);
+    head.erase("Hemlockdeal-Leaving");
+    const std::string_view text = to_view(head[http::field::content_length]);
+    std::uint64_t length = 0;
+    const auto parsed =
+        std::from_chars(text.data(), text.data() + text.size(), length);
+    const bool stated = !text.empty() && parsed.ec == std::errc{};
+    return stated ? std::optional(length) : std::nullopt;
+}
+
+stored_answer start_of_stored(const http::response_header<>& head)
+{
+    stored_answer answer;
+    answer.status = head.result_int();
+    boost::for_each(head, [&](const auto& field) {
+        answer.headers.emplace_back(to_view(field.name_string()),
+                                    to_view(field.value()));
+    });
+    return answer;
+}
+
+http::response_header<> head_of(const stored_answer& answer)
+{
+    http::response_header<> head;
+    head.result(answer.status);
+    boost::for_each(answer.headers, [&](const auto& field) {
+        head.insert(field.first, field.second);
+    });
+    return head;
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/proxy/http_codec.hpp
@@ -0,0 +1,170 @@
+// Boost.Beast's parser and serializer as they are used by the proxy: bodies
+// are passed on in pieces, and connection-level headers are not forwarded.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <QTcpSocket>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/optional.hpp>
+
+namespace hemlockdeal
+{
+
+namespace http = boost::beast::http;
+
+// Body type whose parsed bytes are appended to a string that the owner empties
+// as it forwards them. string_body would reserve the whole stated length.
+struct stream_body
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template <bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields>&, value_type& body) : body_(body)
+        {}
+
+        void init(const boost::optional<std::uint64_t>&,
+                  boost::beast::error_code& error)
+        {
+            error = {};
+        }
+
+        template <typename Buffers>
+        std::size_t put(const Buffers& buffers, boost::beast::error_code& error)
+        {
+            error = {};
+            std::size_t total = 0;
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers))
+            {
+                body_.append(static_cast<const char*>(buffer.data()),
+                             buffer.size());
+                total += buffer.size();
+            }
+            return total;
+        }
+
+        void finish(boost::beast::error_code& error) { error = {}; }
+
+    private:
+        value_type& body_;
+    };
+};
+
+using request_parser = http::request_parser<stream_body>;
+using response_parser = http::response_parser<stream_body>;
+
+// Writes one message to a socket: its head first, then the body in pieces.
+template <bool IsRequest>
+class message_writer
+{
+public:
+    // A new message; the writer holds nothing of the previous one.
+    void begin(http::header<IsRequest>&& head, QTcpSocket& socket)
+    {
+        serializer_.reset();
+        message_.emplace(std::move(head));
+        message_->body().data = nullptr;
+        message_->body().more = true;
+        serializer_.emplace(*message_);
+        serializer_->split(true);
+        while (!serializer_->is_header_done())
+        {
+            write_next(socket);
+        }
+    }
+
+    void write_body(std::string_view piece, QTcpSocket& socket)
+    {
+        if (piece.empty())
+        {
+            return;
+        }
+        // The serializer only reads the piece; buffer_body is mutable because
+        // it also serves parsers.
+        message_->body().data = const_cast<char*>(piece.data());
+        message_->body().size = piece.size();
+        message_->body().more = true;
+        while (write_next(socket))
+        {}
+    }
+
+    void finish(QTcpSocket& socket)
+    {
+        message_->body().data = nullptr;
+        message_->body().more = false;
+        while (!serializer_->is_done() && write_next(socket))
+        {}
+        serializer_.reset();
+        message_.reset();
+    }
+
+private:
+    using message_type = http::message<IsRequest, http::buffer_body>;
+
+    // Returns false when the serializer needs the next piece of the body.
+    bool write_next(QTcpSocket& socket)
+    {
+        boost::beast::error_code error;
+        serializer_->next(error, [&](boost::beast::error_code& inner,
+                                     const auto& buffers) {
+            inner = {};
+            std::size_t total = 0;
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers))
+            {
+                socket.write(static_cast<const char*>(buffer.data()),
+                             static_cast<qint64>(buffer.size()));
+                total += buffer.size();
+            }
+            written_ = total;
+        });
+        if (error)
+        {
+            return false;
+        }
+        serializer_->consume(written_);
+        return true;
+    }
+
+    std::optional<message_type> message_;
+    std::optional<http::serializer<IsRequest, http::buffer_body>> serializer_;
+    std::size_t written_ = 0;
+};
+
+// Removes the headers that apply to one connection only, among them those
+// that the Connection header names.
+void erase_connection_headers(http::fields& fields);
+
+// Sets how the body's end is marked: by its length, or by chunks when the
+// length is not known.
+template <bool IsRequest>
+void set_framing(http::header<IsRequest>& head,
+                 std::optional<std::uint64_t> length)
+{
+    head.erase(http::field::transfer_encoding);
+    if (length)
+    {
+        head.set(http::field::content_length, std::to_string(*length));
+        return;
+    }
+    head.erase(http::field::content_length);
+    head.set(http::field::transfer_encoding, "chunked");
+}
+
+std::string_view to_view(boost::beast::string_view text);
+
+// Path of a request target, without the query.
+std::string path_of(std::string_view target);
+
+// JSON body of a response that the daemon gives itself.
+std::string outcome_body(std::string_view outcome, std::string_view reason);
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/proxy/proxy_server_actions.hpp
@@ -0,0 +1,222 @@
+// The actions of the request core, as proxy_server carries them out; included
+// by proxy_server_impl.hpp only.
+#pragma once
+
+namespace hemlockdeal
+{
+
+template <request_engine Core>
+void proxy_server<Core>::perform(start_attempt& action)
+{
+    const auto found = exchanges_.find(action.request.value());
+    if (found == exchanges_.end())
+    {
+        core_.on_attempt_event(action.request, action.number,
+                               attempt_failed_unsent{"the caller is gone"},
+                               monotonic_now());
+        return;
+    }
+    const lease_number lease = ++last_lease_;
+    request_attempt& a = attempts_[lease];
+    a.request = action.request;
+    a.number = action.number;
+    a.keep_answer = action.keep_answer;
+    found->second.attempts.push_back(lease);
+    pool_.acquire(lease, action.instance, action.address,
+                  core_.connection_share(action.instance, monotonic_now()));
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(abandon_attempt& action)
+{
+    const auto lease = lease_of(action.request, action.number);
+    if (!lease)
+    {
+        return;
+    }
+    request_attempt& a = attempts_.at(*lease);
+    if (a.connection != nullptr)
+    {
+        pool_.retire(*a.connection);
+    }
+    else if (!a.sending)
+    {
+        pool_.cancel(*lease);
+    }
+    attempts_.erase(*lease);
+    exchange& e = exchanges_.at(action.request.value());
+    std::erase(e.attempts, *lease);
+    if (e.forwarded == lease)
+    {
+        e.forwarded.reset();
+    }
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(forward_answer& action)
+{
+    const auto lease = lease_of(action.request, action.number);
+    if (!lease || !attempts_.at(*lease).head)
+    {
+        return;
+    }
+    exchanges_.at(action.request.value()).forwarded = lease;
+    pump_response(action.request);
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(abort_answer& action)
+{
+    answer(action.request, [](caller_connection& c) { c.abort(); });
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(answer_not_run& action)
+{
+    answer(action.request, [&](caller_connection& c) {
+        c.respond_outcome(action.status, "not-run", action.reason);
+    });
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(answer_unknown& action)
+{
+    answer(action.request, [&](caller_connection& c) {
+        c.respond_outcome(action.status, "unknown", action.reason);
+    });
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(answer_stored& action)
+{
+    answer(action.request, [&](caller_connection& c) {
+        c.respond(head_of(action.answer), action.answer.body);
+    });
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(probe_instance& action)
+{
+    pool_.probe(action.instance, action.address);
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(finish_request& action)
+{
+    if (outputs_.finished)
+    {
+        outputs_.finished(action);
+    }
+    const auto found = exchanges_.find(action.request.value());
+    if (found != exchanges_.end())
+    {
+        found->second.finished = true;
+        erase_if_over(action.request);
+    }
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(send_commit& action)
+{
+    // Order is kept: a commit does not overtake one that waits.
+    if (!unsent_commits_.empty() || !outputs_.commit(action))
+    {
+        unsent_commits_.push_back(std::move(action));
+    }
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(read_row& action)
+{
+    if (!outputs_.read(action))
+    {
+        core_.on_row(action.number,
+                     error{error_code::overloaded, "the queue is full"},
+                     monotonic_now());
+    }
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(send_to_peer& action)
+{
+    outputs_.to_peer(std::move(action));
+}
+
+template <request_engine Core>
+void proxy_server<Core>::perform(record_event& action)
+{
+    outputs_.event(std::move(action));
+}
+
+// Gives the caller a response of the daemon's own, or ends its connection.
+template <request_engine Core>
+template <typename Respond>
+void proxy_server<Core>::answer(request_id id, Respond&& respond)
+{
+    const auto found = exchanges_.find(id.value());
+    if (found == exchanges_.end())
+    {
+        return;
+    }
+    caller_connection* caller = caller_of(id);
+    found->second.answered = true;
+    found->second.caller = 0;
+    erase_if_over(id);
+    if (caller != nullptr)
+    {
+        caller->set_request(request_id{});
+        respond(*caller);
+    }
+}
+
+template <request_engine Core>
+void proxy_server<Core>::erase_if_over(request_id id)
+{
+    const auto found = exchanges_.find(id.value());
+    if (found == exchanges_.end() || !found->second.finished ||
+        !found->second.answered)
+    {
+        return;
+    }
+    std::ranges::for_each(found->second.attempts, [this](lease_number lease) {
+        const auto a = attempts_.find(lease);
+        if (a == attempts_.end())
+        {
+            return;
+        }
+        if (a->second.connection != nullptr)
+        {
+            pool_.retire(*a->second.connection);
+        }
+        attempts_.erase(a);
+    });
+    exchanges_.erase(found);
+}
+
+template <request_engine Core>
+std::optional<lease_number> proxy_server<Core>::lease_of(request_id id,
+                                                         attempt number) const
+{
+    const auto found = exchanges_.find(id.value());
+    if (found == exchanges_.end())
+    {
+        return std::nullopt;
+    }
+    const auto& leases = found->second.attempts;
+    const auto lease =
+        std::ranges::find_if(leases, [&](lease_number candidate) {
+            return attempts_.at(candidate).number == number;
+        });
+    return lease == leases.end() ? std::nullopt : std::optional(*lease);
+}
+
+template <request_engine Core>
+caller_connection* proxy_server<Core>::caller_of(request_id id)
+{
+    const auto found = exchanges_.find(id.value());
+    return found == exchanges_.end() || found->second.caller == 0
+               ? nullptr
+               : listener_.find(found->second.caller);
+}
+
+} // namespace hemlockdeal
