Test the platform's clients against the stand-ins, start endpoints

The stand-ins have a clock that tests move forward, so that no test waits for a lease. Found on the way: reading a reply that was aborted prints a warning of Qt.

--- a/src/platform/http_caller.cpp
+++ b/src/platform/http_caller.cpp
@@ -167,7 +167,10 @@
 {
     http_answer answer;
     answer.timed_out = timed_out;
-    answer.body = reply.readAll();
+    if (reply.isOpen()) // Qt closes a reply that was aborted
+    {
+        answer.body = reply.readAll();
+    }
     bytes_.received += static_cast<std::uint64_t>(answer_header_bytes(reply) +
                                                   answer.body.size());
     if (timed_out || too_large || !is_complete(reply.error()))
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -1,5 +1,5 @@
-// Program of the stand-ins: serves the table, the membership list and the
-// workers of a topology until it is ended.
+// Program of the stand-ins: serves the table, the membership list, the workers
+// and the endpoints of a topology until it is ended.
 #include <csignal>
 #include <exception>
 #include <fstream>
@@ -69,9 +69,7 @@
     if (!topology.getValue().empty())
     {
         const auto list = json_fields::parse(read_file(topology.getValue()));
-        // Shown from the start, whatever the lag is.
-        platform.change_membership(json_fields::object(list, "topology"),
-                                   standin_time::min());
+        platform.start_with_membership(json_fields::object(list, "topology"));
     }
     std::cout << "stand-ins listen on " << platform.address() << std::endl;
     return QCoreApplication::exec();
--- a/src/standin/platform_standin.hpp
+++ b/src/standin/platform_standin.hpp
@@ -1,5 +1,5 @@
-// The stand-ins of table, membership and workers behind one port, with the
-// faults and the record.
+// The stand-ins of table, membership and workers behind one port, those of
+// endpoints at their own ports, with the faults and the record.
 #pragma once
 
 #include <cstdint>
@@ -14,6 +14,7 @@
 
 #include <boost/json.hpp>
 
+#include "standin/endpoint_farm.hpp"
 #include "standin/fault_set.hpp"
 #include "standin/http_server.hpp"
 #include "standin/membership_standin.hpp"
@@ -34,7 +35,8 @@
 };
 
 // Paths of the common port: those of the design page, and POST /membership,
-// POST /faults and GET /record, which no fault affects. A worker runs as long
+// POST /faults, GET /record and POST /record (runs of requests, see
+// endpoint_farm), which no fault affects. A worker or an endpoint runs as long
 // as the current list names it; it is reached at the address in the list.
 class platform_standin
 {
@@ -51,15 +53,15 @@
     void set_fault(const boost::json::object& message);
     void set_fault(const std::string& target, const std::string& id, fault f);
 
-    // As POST /membership. A worker without "address" gets one.
-    void change_membership(boost::json::object message,
-                           standin_time now = standin_clock::now());
+    // As POST /membership. The addresses of workers and endpoints are filled
+    // in.
+    void change_membership(boost::json::object message);
+    // The same, as if it had been so all along, whatever the lag is.
+    void start_with_membership(boost::json::object message);
 
-    // Called with each entry of the list that is an endpoint and that is new;
-    // the result replaces the entry.
-    using endpoint_starter =
-        std::function<boost::json::object(const boost::json::object&)>;
-    void start_endpoints_with(endpoint_starter starter);
+    // Moves the clock of list and workers forward, so that tests of leases,
+    // tokens and lags need not wait.
+    void skip(std::chrono::milliseconds time);
 
 private:
     // One request to a service that faults can affect.
@@ -79,6 +81,8 @@
     void serve(const http_request& request, const http_exchange& exchange);
     bool serve_control(const http_request& request,
                        const http_exchange& exchange);
+    boost::json::object change_by_message(const std::string& path,
+                                          const boost::json::object& message);
     void serve_worker(const std::string& id, const http_request& request,
                       const http_exchange& exchange);
     void dispatch(call c);
@@ -86,7 +90,10 @@
     void release_held();
     boost::json::object with_address(const boost::json::object& vm);
     void fill_addresses(boost::json::object& message, const char* member);
-    void drop_lost_workers();
+    void drop_lost_vms();
+    void advance_workers();
+    standin_time now() const { return standin_clock::now() + skipped_; }
+    void apply_membership(boost::json::object message, standin_time when);
 
     standin_settings settings_;
     run_record record_;
@@ -96,7 +103,8 @@
     membership_standin membership_;
     worker_surroundings surroundings_;
     std::map<std::string, worker_place> workers_;
-    endpoint_starter endpoint_starter_;
+    endpoint_farm endpoints_;
+    std::chrono::milliseconds skipped_{0};
     std::vector<call> held_; // by the fault "pause"
     http_server server_;
     QTimer timer_;
--- a/src/standin/run_record.cpp
+++ b/src/standin/run_record.cpp
@@ -151,10 +151,6 @@
             {"accelerators", count.size.accelerators.value},
             {"times_exceeded", count.times_exceeded}};
     });
-    json::object requests;
-    std::ranges::for_each(requests_, [&](const auto& entry) {
-        requests[entry.first] = entry.second;
-    });
     json::array seconds;
     std::ranges::for_each(table_, [&](const auto& entry) {
         seconds.push_back({{"at_ms", entry.first * 1000},
@@ -170,13 +166,10 @@
                           {"worker", entry.worker},
                           {"zone", entry.zone}});
     });
-    return {{"tasks", std::move(tasks)},
-            {"overlaps", overlaps()},
-            {"workers", std::move(workers)},
-            {"requests", std::move(requests)},
-            {"table_seconds", std::move(seconds)},
-            {"table_conflicts", conflicts_},
-            {"starts", std::move(starts)}};
+    return {
+        {"tasks", std::move(tasks)},     {"overlaps", overlaps()},
+        {"workers", std::move(workers)}, {"table_seconds", std::move(seconds)},
+        {"table_conflicts", conflicts_}, {"starts", std::move(starts)}};
 }
 
 } // namespace hemlockdeal
--- a/src/standin/standin.hpp
+++ b/src/standin/standin.hpp
@@ -3,6 +3,8 @@
 // happened that does not depend on what the daemons report.
 #pragma once
 
+#include "standin/endpoint_farm.hpp"
+#include "standin/endpoint_standin.hpp"
 #include "standin/fault_set.hpp"
 #include "standin/http_server.hpp"
 #include "standin/membership_standin.hpp"
--- /dev/null
+++ b/tests/platform/event_loop.hpp
@@ -0,0 +1,57 @@
+// Helpers that run a Qt event loop in a test until something has happened.
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QEventLoop>
+#include <QTimer>
+
+namespace hemlockdeal::test
+{
+
+// The application object that Qt's sockets and timers need.
+inline QCoreApplication& application()
+{
+    static int count = 1;
+    static char name[] = "test";
+    static char* arguments[] = {name, nullptr};
+    static QCoreApplication instance(count, arguments);
+    return instance;
+}
+
+// False when the condition does not hold within the time.
+template <typename Condition>
+bool run_until(Condition condition,
+               std::chrono::milliseconds time = std::chrono::seconds(10))
+{
+    application();
+    QElapsedTimer clock;
+    clock.start();
+    // Wakes the loop, so that the time is up also when nothing happens.
+    QTimer wake;
+    wake.start(10);
+    while (!condition() && clock.elapsed() < time.count())
+    {
+        QCoreApplication::processEvents(QEventLoop::AllEvents |
+                                        QEventLoop::WaitForMoreEvents);
+    }
+    return condition();
+}
+
+// Calls `start` with a callback and returns what the callback is given.
+// Throws std::bad_optional_access when it is not called within 10 s.
+template <typename T, typename Start>
+T await(Start start)
+{
+    const auto answer = std::make_shared<std::optional<T>>();
+    start([answer](T value) { *answer = std::move(value); });
+    run_until([&] { return answer->has_value(); });
+    return std::move(answer->value());
+}
+
+} // namespace hemlockdeal::test
