Use new connections after a call timed out

Cause: after all open connections to the table went silent for good, 6 calls in a row were lost, one on each connection of Qt's pool: 12 s at a timeout of 2 s, while a lease must be renewed within 5 s.

Change: after a timeout, calls to that host use a new set of connections, at most every 10 s. Qt keeps sets apart by the name for TLS verification.

--- a/src/platform/http_caller.cpp
+++ b/src/platform/http_caller.cpp
@@ -49,6 +49,19 @@
            fault >= QNetworkReply::InternalServerError;
 }
 
+// A service that is only slow makes calls time out on healthy connections too.
+// Qt closes these after 2 minutes without use, so this interval bounds their
+// number.
+constexpr std::chrono::seconds replace_interval{10};
+// Hosts that come and go must not fill the memory.
+constexpr std::size_t replaced_hosts_limit = 1000;
+
+// Qt keeps connections apart by this name, and uses it only here without TLS.
+QString name_of_set(std::uint64_t number)
+{
+    return number == 0 ? QString() : QString::number(number);
+}
+
 // What is known about a call while it is outstanding.
 struct call_state
 {
@@ -84,11 +97,37 @@
                          QNetworkRequest::Manual);
     request.setAttribute(QNetworkRequest::CookieSaveControlAttribute,
                          QNetworkRequest::Manual);
+    const auto replaced = replaced_.find(url.authority());
+    if (replaced != replaced_.end())
+    {
+        request.setPeerVerifyName(name_of_set(replaced->second.number));
+    }
     request.setRawHeader("User-Agent", "hemlockdeal");
     request.setRawHeader("Accept-Encoding", "identity");
     return request;
 }
 
+// Makes later calls to the host use new connections, unless that has been done
+// since the call began.
+void http_caller::replace_connections(const QNetworkRequest& timed_out)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (replaced_.size() > replaced_hosts_limit)
+    {
+        replaced_.clear();
+    }
+    const auto [entry, added] =
+        replaced_.try_emplace(timed_out.url().authority(), connection_set{});
+    auto& set = entry->second;
+    if (timed_out.peerVerifyName() != name_of_set(set.number) ||
+        (!added && now < set.replaced_at + replace_interval))
+    {
+        return;
+    }
+    ++set.number;
+    set.replaced_at = now;
+}
+
 bool http_caller::get(const QUrl& url, callback done)
 {
     if (!admit())
@@ -141,8 +180,9 @@
     const auto state = std::make_shared<call_state>();
     // Qt's own transfer timeout starts anew with each byte; this one bounds
     // the whole call.
-    QTimer::singleShot(limits_.timeout, reply, [reply, state] {
+    QTimer::singleShot(limits_.timeout, reply, [this, reply, state] {
         state->timed_out = true;
+        replace_connections(reply->request());
         reply->abort();
     });
     QObject::connect(reply, &QNetworkReply::downloadProgress, &context_,
--- a/src/platform/http_caller.hpp
+++ b/src/platform/http_caller.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 
 #include <QByteArray>
@@ -45,8 +46,9 @@
     std::uint64_t received = 0;
 };
 
-// Opens at most 6 connections to a host, which is Qt's own limit. Calls back
-// from the event loop, never from within get() or post().
+// Opens at most 6 connections to a host, which is Qt's own limit, and 6 new
+// ones after a call timed out, since the open ones may be silent for good.
+// Calls back from the event loop, never from within get() or post().
 class http_caller
 {
 public:
@@ -72,8 +74,16 @@
     std::uint64_t refused() const { return refused_; }
 
 private:
+    // The connections to a host that calls use at present.
+    struct connection_set
+    {
+        std::uint64_t number = 0;
+        std::chrono::steady_clock::time_point replaced_at{};
+    };
+
     bool admit();
     QNetworkRequest request_for(const QUrl& url) const;
+    void replace_connections(const QNetworkRequest& timed_out);
     void watch(QNetworkReply* reply, callback done);
     http_answer finish(QNetworkReply& reply, bool timed_out, bool too_large);
     void count_sent(const QUrl& url, qint64 body_size);
@@ -83,6 +93,7 @@
     std::size_t outstanding_ = 0; // replies that have not called back
     std::uint64_t refused_ = 0;
     traffic bytes_;
+    std::map<QString, connection_set> replaced_; // by ip:port
     // Destroyed before manager_, so that no reply calls back afterwards.
     QObject context_;
 };
--- a/src/standin/fault_set.cpp
+++ b/src/standin/fault_set.cpp
@@ -48,6 +48,7 @@
             return entry.first.first == target;
         });
     }
+    f.since = std::chrono::steady_clock::now();
     faults_[{target, id}] = f;
 }
 
--- a/src/standin/http_server.cpp
+++ b/src/standin/http_server.cpp
@@ -33,6 +33,10 @@
     void send(const http_reply& reply, bool cut_off);
     void close();
     void silence() { silent_ = true; }
+    std::chrono::steady_clock::time_point opened_at() const
+    {
+        return opened_at_;
+    }
 
 private:
     void serve_complete_requests();
@@ -47,6 +51,8 @@
     bool waiting_ = false; // a request has no answer yet
     bool serving_ = false; // serve_complete_requests() is running
     bool silent_ = false;
+    std::chrono::steady_clock::time_point opened_at_ =
+        std::chrono::steady_clock::now();
 };
 
 void http_connection::read()
@@ -177,6 +183,13 @@
     }
 }
 
+bool http_exchange::opened_before(
+    std::chrono::steady_clock::time_point time) const
+{
+    const auto connection = connection_.lock();
+    return connection && connection->opened_at() < time;
+}
+
 http_server::http_server(std::uint16_t port, handler serve)
     : serve_(std::move(serve))
 {
--- a/src/standin/http_server.hpp
+++ b/src/standin/http_server.hpp
@@ -2,6 +2,7 @@
 // QHttpServer always answers, so it cannot stand in for a faulty service.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -41,6 +42,7 @@
     void close() const;
     // Keeps the connection open and ignores whatever arrives on it.
     void silence() const;
+    bool opened_before(std::chrono::steady_clock::time_point time) const;
 
 private:
     std::weak_ptr<http_connection> connection_;
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -292,8 +292,12 @@
         held_.push_back(std::move(c));
         return;
     case fault_mode::silent:
-        c.exchange.silence();
-        return;
+        if (c.exchange.opened_before(f.since))
+        {
+            c.exchange.silence();
+            return;
+        }
+        break;
     case fault_mode::truncate:
         c.exchange.answer_cut_off(guarded(c.effect));
         return;
