Add the transport of messages between daemons

ROUTER sockets receive, one DEALER socket for each peer sends, both with CURVE keys and heartbeats (1 s, 3 s). A ZAP handler admits known keys only, and a message counts only when its sender owns the key that it came with, also after the key was withdrawn. Nothing is queued for a peer that is not connected: a lost message costs only time, an old one would mislead.

--- /dev/null
+++ b/tests/peer/transport_test.cpp
@@ -0,0 +1,444 @@
+// Guards against messages from strangers, against a port that a stranger can
+// break, and against peers that are silent and still count as connected.
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+
+#include <arpa/inet.h>
+#include <gmock/gmock.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peer/peer.hpp"
+#include "random_message.hpp"
+
+using namespace hemlockdeal;
+using namespace hemlockdeal::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+// One daemon's transport and what its handlers were given.
+class node
+{
+public:
+    explicit node(std::string id) : id_(std::move(id)) {}
+
+    void start(std::vector<peer_address> known = {},
+               milliseconds heartbeat = milliseconds(1000))
+    {
+        peer_transport_settings settings;
+        settings.listen = "127.0.0.1:0";
+        settings.public_key = keys.public_key;
+        settings.secret_key = keys.secret_key;
+        settings.known = std::move(known);
+        settings.heartbeat_interval = heartbeat;
+        settings.heartbeat_timeout = 3 * heartbeat;
+        transport = std::make_unique<peer_transport>(
+            settings,
+            peer_handlers{[this](peer_message m) {
+                              update([&] { received.push_back(std::move(m)); });
+                          },
+                          [this](const vm_id& peer, bool up) {
+                              update([&] { connected[peer.value()] = up; });
+                          },
+                          [this](const std::string& reason) {
+                              update([&] { refusals.push_back(reason); });
+                          }});
+    }
+
+    // Where this node says it is; another address or key may be given.
+    peer_address contact(const std::string& address = {}) const
+    {
+        return {vm_id(id_), address.empty() ? transport->address() : address,
+                keys.public_key};
+    }
+
+    template <typename Condition>
+    bool wait_for(Condition condition, milliseconds time = seconds(10))
+    {
+        std::unique_lock lock(mutex_);
+        return changed_.wait_for(lock, time, [&] { return condition(*this); });
+    }
+
+    bool wait_for_connection(const std::string& peer, bool up)
+    {
+        return wait_for([&](node& n) {
+            const auto state = n.connected.find(peer);
+            return state != n.connected.end() && state->second == up;
+        });
+    }
+
+    std::size_t received_count()
+    {
+        const std::lock_guard lock(mutex_);
+        return received.size();
+    }
+
+    curve_key_pair keys = make_curve_key_pair();
+    std::vector<peer_message> received;
+    std::map<std::string, bool> connected;
+    std::vector<std::string> refusals;
+
+private:
+    template <typename Change>
+    void update(Change change)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            change();
+        }
+        changed_.notify_all();
+    }
+
+    std::mutex mutex_; // of the three lists, while the transport runs
+    std::condition_variable changed_;
+    std::string id_;
+
+public:
+    // Last, so that its thread has ended before anything else is destroyed.
+    std::unique_ptr<peer_transport> transport;
+};
+
+peer_message message_of(const std::string& sender, std::uint64_t number)
+{
+    return {vm_id(sender), incarnation(1), {}, confirm_request{number}};
+}
+
+bool has_received(node& n, std::size_t count)
+{
+    return n.received.size() >= count;
+}
+
+struct transport_test : testing::Test
+{
+    // Both know each other from here on.
+    void introduce()
+    {
+        a.start();
+        b.start();
+        a.transport->add_peer(b.contact());
+        b.transport->add_peer(a.contact());
+        ASSERT_TRUE(a.wait_for_connection("b", true));
+        ASSERT_TRUE(b.wait_for_connection("a", true));
+    }
+
+    node a{"a"};
+    node b{"b"};
+};
+
+int connect_to(const std::string& address)
+{
+    const auto colon = address.find(':');
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port =
+        htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    EXPECT_EQ(connect(descriptor, reinterpret_cast<sockaddr*>(&to), sizeof to),
+              0);
+    return descriptor;
+}
+
+// Passes bytes between a client and a target until it is silenced; then it
+// keeps the connection and passes nothing.
+class silent_link
+{
+public:
+    explicit silent_link(std::string target) : target_(std::move(target))
+    {
+        sockaddr_in own{};
+        own.sin_family = AF_INET;
+        own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof own;
+        listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&own), size), 0);
+        EXPECT_EQ(listen(listener_, 8), 0);
+        getsockname(listener_, reinterpret_cast<sockaddr*>(&own), &size);
+        address_ = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~silent_link()
+    {
+        stopping_ = true;
+        thread_.join();
+        std::ranges::for_each(pairs_, [](const auto& pair) {
+            close(pair.first);
+            close(pair.second);
+        });
+        close(listener_);
+    }
+
+    const std::string& address() const { return address_; }
+    // Connections that are open now are silent for good, new ones work.
+    void silence() { silenced_ = true; }
+
+private:
+    void run()
+    {
+        while (!stopping_)
+        {
+            if (silenced_.exchange(false))
+            {
+                first_passing_ = pairs_.size();
+            }
+            std::vector<pollfd> polled{{listener_, POLLIN, 0}};
+            for (auto i = first_passing_; i < pairs_.size(); ++i)
+            {
+                polled.push_back({pairs_[i].first, POLLIN, 0});
+                polled.push_back({pairs_[i].second, POLLIN, 0});
+            }
+            poll(polled.data(), polled.size(), 20);
+            for (std::size_t i = 1; i < polled.size() && !silenced_; ++i)
+            {
+                const auto& pair = pairs_[first_passing_ + (i - 1) / 2];
+                pass(polled[i], i % 2 == 1 ? pair.second : pair.first);
+            }
+            if (polled[0].revents != 0)
+            {
+                pairs_.emplace_back(accept(listener_, nullptr, nullptr),
+                                    connect_to(target_));
+            }
+        }
+    }
+
+    static void pass(const pollfd& from, int to)
+    {
+        std::array<char, 4096> bytes{};
+        if (from.revents == 0)
+        {
+            return;
+        }
+        const auto size = recv(from.fd, bytes.data(), bytes.size(), 0);
+        if (size <= 0)
+        {
+            shutdown(to, SHUT_WR);
+            return;
+        }
+        send(to, bytes.data(), static_cast<std::size_t>(size), MSG_NOSIGNAL);
+    }
+
+    std::string target_;
+    std::string address_;
+    int listener_ = -1;
+    std::vector<std::pair<int, int>> pairs_;
+    std::size_t first_passing_ = 0;
+    std::atomic<bool> silenced_ = false;
+    std::atomic<bool> stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace
+
+// Failure: some kind of message does not arrive, or in another order.
+TEST_F(transport_test, each_body_arrives)
+{
+    introduce();
+    EXPECT_TRUE(rc::check([&] {
+        std::vector<peer_message> sent;
+        for (std::size_t i = 0; i < std::variant_size_v<peer_body>; ++i)
+        {
+            sent.push_back(any_message(i, "a"));
+        }
+        const auto before = b.received_count();
+        for (const auto& message : sent)
+        {
+            RC_ASSERT(a.transport->send(vm_id("b"), message));
+        }
+        RC_ASSERT(b.wait_for(
+            [&](node& n) { return has_received(n, before + sent.size()); }));
+        for (std::size_t i = 0; i < sent.size(); ++i)
+        {
+            RC_ASSERT(equal(b.received.at(before + i), sent[i]));
+        }
+    }));
+    EXPECT_GT(a.transport->bytes().at(vm_id("b")).bytes_sent, 0U);
+    EXPECT_EQ(a.transport->bytes().at(vm_id("b")).bytes_sent,
+              b.transport->bytes().at(vm_id("a")).bytes_received);
+}
+
+// Failure: a message to all reaches one only, or a reply finds no way back.
+TEST_F(transport_test, message_to_all_reaches_all)
+{
+    introduce();
+    node c{"c"};
+    c.start({a.contact(), b.contact()});
+    a.transport->add_peer(c.contact());
+    b.transport->add_peer(c.contact());
+    ASSERT_TRUE(c.wait_for_connection("a", true));
+    ASSERT_TRUE(c.wait_for_connection("b", true));
+    ASSERT_TRUE(c.transport->send_to_all(message_of("c", 1)));
+    EXPECT_TRUE(a.wait_for([](node& n) { return has_received(n, 1); }));
+    EXPECT_TRUE(b.wait_for([](node& n) { return has_received(n, 1); }));
+    ASSERT_TRUE(a.wait_for_connection("c", true));
+    ASSERT_TRUE(a.transport->send(vm_id("c"), message_of("a", 1)));
+    EXPECT_TRUE(c.wait_for([](node& n) { return has_received(n, 1); }));
+}
+
+// Failure: a daemon with a key that nobody knows takes part.
+TEST_F(transport_test, unknown_key_is_refused)
+{
+    introduce();
+    node stranger{"a"};
+    stranger.start({b.contact()});
+    EXPECT_TRUE(b.wait_for([&](node& n) {
+        return std::ranges::any_of(n.refusals, [&](const auto& reason) {
+            return reason.find(stranger.keys.public_key) != std::string::npos;
+        });
+    }));
+    stranger.transport->send(vm_id("b"), message_of("a", 666));
+    ASSERT_TRUE(a.transport->send(vm_id("b"), message_of("a", 1)));
+    EXPECT_TRUE(b.wait_for([](node& n) { return has_received(n, 1); }));
+    EXPECT_EQ(std::get<confirm_request>(b.received.at(0).body).number, 1U);
+    EXPECT_EQ(b.received_count(), 1U);
+    EXPECT_GT(b.transport->refused(), 0U);
+    EXPECT_FALSE(stranger.connected["b"]);
+}
+
+// Failure: a daemon speaks in another one's name.
+TEST_F(transport_test, sender_must_own_the_key)
+{
+    introduce();
+    a.transport->send(vm_id("b"), message_of("c", 666));
+    EXPECT_TRUE(b.wait_for([](node& n) { return !n.refusals.empty(); }));
+    EXPECT_EQ(b.received_count(), 0U);
+}
+
+// Failure: a daemon sends its messages to someone who only took the address.
+TEST_F(transport_test, listener_with_another_key_gets_nothing)
+{
+    a.start();
+    b.start();
+    b.transport->add_peer(a.contact());
+    auto wrong = b.contact();
+    wrong.public_key = make_curve_key_pair().public_key;
+    a.transport->add_peer(wrong);
+    EXPECT_FALSE(a.wait_for([](node& n) { return n.connected["b"]; },
+                            milliseconds(500)));
+    a.transport->send(vm_id("b"), message_of("a", 1));
+    a.transport->add_peer(b.contact());
+    ASSERT_TRUE(a.wait_for_connection("b", true));
+    a.transport->send(vm_id("b"), message_of("a", 2));
+    ASSERT_TRUE(b.wait_for([](node& n) { return has_received(n, 1); }));
+    EXPECT_EQ(std::get<confirm_request>(b.received.at(0).body).number, 2U);
+}
+
+// Failure: a peer that was removed goes on being heard on its connection.
+TEST_F(transport_test, removed_peer_is_not_heard)
+{
+    introduce();
+    b.transport->remove_peer(vm_id("a"));
+    ASSERT_TRUE(b.wait_for_connection("a", false));
+    a.transport->send(vm_id("b"), message_of("a", 1));
+    EXPECT_TRUE(b.wait_for([](node& n) { return !n.refusals.empty(); }));
+    EXPECT_EQ(b.received_count(), 0U);
+}
+
+// Failure: bytes of a stranger break the port for everybody.
+TEST_F(transport_test, random_bytes_leave_the_port_working)
+{
+    introduce();
+    std::mt19937 random(7);
+    for (int i = 0; i < 50; ++i)
+    {
+        const int stranger = connect_to(b.transport->address());
+        std::string noise(random() % 2000, '\0');
+        std::ranges::generate(noise,
+                              [&] { return static_cast<char>(random()); });
+        if (i % 2 == 0)
+        {
+            // A valid greeting of ZMTP 3.1 before the noise.
+            std::string greeting("\xff\0\0\0\0\0\0\0\1\x7f\3\1CURVE", 17);
+            greeting.resize(64, '\0');
+            noise.insert(0, greeting);
+        }
+        send(stranger, noise.data(), noise.size(), MSG_NOSIGNAL);
+        close(stranger);
+    }
+    ASSERT_TRUE(a.transport->send(vm_id("b"), message_of("a", 1)));
+    EXPECT_TRUE(b.wait_for([](node& n) { return has_received(n, 1); }));
+    EXPECT_EQ(b.received_count(), 1U);
+    node late{"late"};
+    b.transport->add_peer({vm_id("late"), "127.0.0.1:1", late.keys.public_key});
+    late.start({b.contact()});
+    EXPECT_TRUE(late.wait_for_connection("b", true));
+}
+
+// Failure: a connection that went silent for good counts as connected, and no
+// new one is made.
+TEST_F(transport_test, silent_peer_is_detected_and_reached_again)
+{
+    const milliseconds heartbeat(100);
+    a.start({}, heartbeat);
+    b.start({}, heartbeat);
+    silent_link link(b.transport->address());
+    b.transport->add_peer(a.contact());
+    a.transport->add_peer(b.contact(link.address()));
+    ASSERT_TRUE(a.wait_for_connection("b", true));
+    const auto start = std::chrono::steady_clock::now();
+    link.silence();
+    ASSERT_TRUE(a.wait_for_connection("b", false));
+    EXPECT_GE(std::chrono::steady_clock::now() - start, 2 * heartbeat);
+    ASSERT_TRUE(a.wait_for_connection("b", true));
+    ASSERT_TRUE(a.transport->send(vm_id("b"), message_of("a", 1)));
+    EXPECT_TRUE(b.wait_for([](node& n) { return has_received(n, 1); }));
+}
+
+// Failure: messages to a peer that is away pile up and arrive much later, or
+// stopping waits for them.
+TEST_F(transport_test, messages_to_an_absent_peer_are_dropped)
+{
+    a.start({{vm_id("b"), "127.0.0.1:1", b.keys.public_key}});
+    for (std::uint64_t i = 0; i < 100; ++i)
+    {
+        a.transport->send(vm_id("b"), message_of("a", i));
+    }
+    a.transport->send(vm_id("nobody"), message_of("a", 1));
+    const auto dropped = [&] {
+        const auto bytes = a.transport->bytes();
+        const auto nobody = bytes.find(vm_id("nobody"));
+        return nobody != bytes.end() && nobody->second.dropped == 1;
+    };
+    for (int i = 0; i < 1000 && !dropped(); ++i)
+    {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    EXPECT_TRUE(dropped());
+    EXPECT_EQ(a.transport->bytes().at(vm_id("b")).dropped, 100U);
+    const auto start = std::chrono::steady_clock::now();
+    a.transport.reset();
+    EXPECT_LT(std::chrono::steady_clock::now() - start, seconds(1));
+}
+
+// Failure: a peer with an unusable address or key keeps others from being
+// added.
+TEST_F(transport_test, unusable_peer_is_reported_and_others_are_added)
+{
+    a.start();
+    b.start({a.contact()});
+    a.transport->add_peer({vm_id("c"), "nowhere", b.keys.public_key});
+    a.transport->add_peer({vm_id("d"), "127.0.0.1:1", "short"});
+    a.transport->add_peer(b.contact());
+    EXPECT_TRUE(a.wait_for_connection("b", true));
+    EXPECT_TRUE(a.wait_for([](node& n) { return n.refusals.size() == 2; }));
+}
+
+// Failure: a transport with settings that cannot work starts silently.
+TEST_F(transport_test, unusable_settings_are_reported)
+{
+    a.start();
+    peer_transport_settings settings;
+    settings.listen = a.transport->address();
+    settings.public_key = b.keys.public_key;
+    settings.secret_key = b.keys.secret_key;
+    EXPECT_THROW(peer_transport(settings, {}), std::runtime_error);
+    settings.listen = "127.0.0.1:0";
+    settings.secret_key = "short";
+    EXPECT_THROW(peer_transport(settings, {}), std::runtime_error);
+}
