--- a/src/core/action.hpp
+++ b/src/core/action.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/ids.hpp"
+#include "core/operator_message.hpp"
 #include "core/peer_message.hpp"
 #include "core/table.hpp"
 #include "core/timeline_event.hpp"
@@ -66,4 +67,11 @@
     timeline_event event;
 };
 
+// Answers the operator request with this number.
+struct operator_answer
+{
+    std::uint64_t number = 0;
+    operator_reply reply;
+};
+
 } // namespace hemlockdeal
--- a/src/core/configuration_state.hpp
+++ b/src/core/configuration_state.hpp
@@ -46,6 +46,9 @@
     // held is known to exist.
     std::optional<configuration_version> missing_version() const;
 
+    // The highest version known to exist; at confirmed_at() no higher one did.
+    configuration_version newest_known() const { return newest_known_; }
+
     std::optional<time_point> confirmed_at() const { return confirmed_at_; }
 
     // True when a task may start now in `zone` with a start token that was
--- /dev/null
+++ b/tests/control/configuration_keeper_test.cpp
@@ -0,0 +1,351 @@
+// Guards against configurations that revert, that are accepted twice under
+// one version, or that do not reach a daemon that can be reached.
+#include <deque>
+#include <memory>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "control/control.hpp"
+#include "support/fake_table.hpp"
+
+using namespace hemlockdeal;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Accepts every text; the content does not matter to the keeper.
+struct any_declaration
+{
+    result<declaration> operator()(const std::string&) const
+    {
+        return declaration{};
+    }
+};
+
+using keeper = configuration_keeper<any_declaration>;
+
+const availability_zone_id zone("zone-a");
+
+struct node
+{
+    std::unique_ptr<keeper> daemon;
+    bool table_cut = false;
+    bool peers_cut = false;
+    std::uint64_t highest_seen = 0;
+};
+
+// Daemons over one table, with messages that take effect at once unless a
+// random fault says otherwise.
+class cluster
+{
+public:
+    explicit cluster(std::size_t size) : nodes_(size)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+        {
+            restart(i);
+        }
+    }
+
+    test::fake_table table;
+    time_point now{100s};
+    // Versions accepted, by change id, as the operators were told.
+    std::map<std::string, std::uint64_t> accepted;
+    std::vector<std::string> violations;
+    // Percentage of table messages lost before or after their effect.
+    int loss_percent = 0;
+    std::function<int()> random_percent = [] { return 100; };
+
+    std::vector<node>& nodes() { return nodes_; }
+
+    void restart(std::size_t i)
+    {
+        nodes_[i].daemon = std::make_unique<keeper>(
+            vm_id("entry-" + std::to_string(i)), zone, any_declaration{});
+        nodes_[i].highest_seen = 0;
+    }
+
+    void change(std::size_t i, const std::string& id)
+    {
+        configuration_change c;
+        c.id = id;
+        c.author = id;
+        c.based_on = nodes_[i].daemon->state().version();
+        const auto number = ++last_request_;
+        requests_[number] = id;
+        nodes_[i].daemon->on_operator(number, c, now, unix_ms());
+        run_actions();
+    }
+
+    void step(duration d)
+    {
+        now += d;
+        for (auto& n : nodes_)
+        {
+            n.daemon->on_tick(now, unix_ms(), {});
+        }
+        run_actions();
+        check();
+    }
+
+private:
+    std::int64_t unix_ms() const
+    {
+        return now.time_since_epoch().count() / 1000;
+    }
+
+    bool lost() { return random_percent() < loss_percent; }
+
+    void run_actions()
+    {
+        for (bool busy = true; busy;)
+        {
+            busy = false;
+            for (std::size_t i = 0; i < nodes_.size(); ++i)
+            {
+                for (auto& action : nodes_[i].daemon->take_actions())
+                {
+                    busy = true;
+                    carry_out(i, action);
+                }
+            }
+        }
+    }
+
+    void carry_out(std::size_t i, const control_action& action)
+    {
+        auto& n = nodes_[i];
+        if (const auto* read = std::get_if<read_row>(&action))
+        {
+            if (n.table_cut || lost())
+            {
+                n.daemon->on_row(read->number,
+                                 error{error_code::unavailable, "cut"}, now,
+                                 unix_ms());
+                return;
+            }
+            n.daemon->on_row(read->number, table.row(read->key), now,
+                             unix_ms());
+        }
+        else if (const auto* send = std::get_if<send_commit>(&action))
+        {
+            commit_outcome outcome = commit_unknown{"cut"};
+            if (!n.table_cut && !lost())
+            {
+                outcome = table.commit(send->commit);
+                if (lost())
+                {
+                    outcome = commit_unknown{"answer lost"};
+                }
+            }
+            n.daemon->on_outcome(send->commit.id, outcome, now, unix_ms());
+        }
+        else if (const auto* peer = std::get_if<send_to_peer>(&action))
+        {
+            deliver(i, *peer);
+        }
+        else if (const auto* reply = std::get_if<operator_answer>(&action))
+        {
+            note(*reply);
+        }
+    }
+
+    void deliver(std::size_t from, const send_to_peer& message)
+    {
+        for (std::size_t to = 0; to < nodes_.size(); ++to)
+        {
+            const vm_id receiver("entry-" + std::to_string(to));
+            if (to == from || (message.to && *message.to != receiver) ||
+                nodes_[from].peers_cut || nodes_[to].peers_cut)
+            {
+                continue;
+            }
+            peer_message m;
+            m.sender = vm_id("entry-" + std::to_string(from));
+            m.body = message.body;
+            nodes_[to].daemon->on_peer(m, now, unix_ms());
+        }
+    }
+
+    void note(const operator_answer& reply)
+    {
+        const auto* done = std::get_if<change_accepted>(&reply.reply);
+        if (done == nullptr)
+        {
+            return;
+        }
+        const auto& id = requests_[reply.number];
+        const auto twice =
+            std::ranges::any_of(accepted, [&](const auto& other) {
+                return other.second == done->version.value() &&
+                       other.first != id;
+            });
+        if (twice)
+        {
+            violations.push_back("two changes were accepted as version " +
+                                 std::to_string(done->version.value()));
+        }
+        accepted[id] = done->version.value();
+    }
+
+    void check()
+    {
+        for (auto& n : nodes_)
+        {
+            const auto version = n.daemon->state().version().value();
+            if (version < n.highest_seen)
+            {
+                violations.emplace_back("a version fell");
+            }
+            n.highest_seen = version;
+        }
+        for (const auto& [id, version] : accepted)
+        {
+            const auto row =
+                table.row(configuration_key(configuration_version(version)));
+            if (!row ||
+                value_of(parse_configuration_row(row->value)).change != id)
+            {
+                violations.push_back("accepted change " + id + " was undone");
+            }
+        }
+    }
+
+    std::vector<node> nodes_;
+    std::map<std::uint64_t, std::string> requests_;
+    std::uint64_t last_request_ = 0;
+};
+
+// Drives random changes and faults; returns what the checks found.
+std::vector<std::string> run_random(cluster& c, int steps)
+{
+    const auto count = static_cast<int>(c.nodes().size());
+    c.loss_percent = *rc::gen::inRange(0, 40);
+    c.random_percent = [] { return *rc::gen::inRange(0, 100); };
+    for (int i = 0; i < steps; ++i)
+    {
+        const auto which =
+            static_cast<std::size_t>(*rc::gen::inRange(0, count));
+        auto& n = c.nodes()[which];
+        switch (*rc::gen::inRange(0, 8))
+        {
+        case 0:
+            n.table_cut = !n.table_cut;
+            break;
+        case 1:
+            n.peers_cut = !n.peers_cut;
+            break;
+        case 2:
+            c.restart(which);
+            break;
+        case 3:
+        case 4:
+            c.change(which, "change-" + std::to_string(i));
+            break;
+        default:
+            break;
+        }
+        c.step(std::chrono::milliseconds(*rc::gen::inRange(10, 1200)));
+    }
+    return c.violations;
+}
+
+} // namespace
+
+// Failure: versions fall, or an accepted change is undone or doubled, under
+// lost answers, restarts, partitions and two writers.
+RC_GTEST_PROP(configuration_keeper, accepted_changes_stay, ())
+{
+    cluster c(4);
+    RC_ASSERT(run_random(c, 30).empty());
+}
+
+// Failure: an accepted version does not reach a daemon that only a neighbour
+// can reach, or later than the stated 3 s.
+RC_GTEST_PROP(configuration_keeper, reaches_all_within_three_seconds, ())
+{
+    cluster c(4);
+    run_random(c, 20);
+    c.loss_percent = 0;
+    for (auto& n : c.nodes())
+    {
+        n.peers_cut = false;
+        n.table_cut = true;
+    }
+    c.nodes()[0].table_cut = false;
+    for (int i = 0; i < 100; ++i)
+    {
+        c.step(100ms);
+    }
+    c.change(0, "last");
+    RC_ASSERT(c.accepted.contains("last"));
+    for (int i = 0; i < 30; ++i)
+    {
+        c.step(100ms);
+    }
+    for (const auto& n : c.nodes())
+    {
+        RC_ASSERT(n.daemon->state().version().value() == c.accepted["last"]);
+        RC_ASSERT(n.daemon->state().is_fresh(c.now));
+    }
+}
+
+// Shows that the checks can fail: a table that ignores what a write expects
+// lets two operators both win.
+TEST(configuration_keeper, deliberate_break_is_caught)
+{
+    cluster c(2);
+    c.table.ignores_expectations = true;
+    c.step(500ms);
+    c.nodes()[0].peers_cut = true;
+    c.random_percent = [] { return 100; };
+    c.change(0, "first");
+    c.nodes()[1].daemon =
+        std::make_unique<keeper>(vm_id("entry-1"), zone, any_declaration{});
+    // The head is hidden from the second writer, as by a stale read.
+    c.table.commit({commit_id("x"),
+                    {},
+                    {{configuration_head_key, expect_any{}, std::nullopt}}});
+    c.change(1, "second");
+    c.step(100ms);
+    EXPECT_FALSE(c.violations.empty());
+}
+
+// Failure: the loser of a race is not told who won.
+TEST(configuration_keeper, loser_of_a_race_is_told_the_winner)
+{
+    test::fake_table table;
+    keeper daemon(vm_id("entry-1"), zone, any_declaration{});
+    const configuration_row won{
+        configuration_version(1), "", {}, "ana", 0, "other"};
+    table.commit(
+        {commit_id("w"),
+         {},
+         {{configuration_key(won.version), expect_absent{}, to_text(won)},
+          {configuration_head_key, expect_absent{}, head_text(won.version)}}});
+    configuration_change change;
+    change.id = "mine";
+    change.author = "bento";
+    daemon.on_operator(7, change, time_point(1s), 1000);
+    std::optional<change_lost_race> lost;
+    for (int round = 0; round < 3; ++round)
+    {
+        for (const auto& action : daemon.take_actions())
+        {
+            if (const auto* read = std::get_if<read_row>(&action))
+            {
+                daemon.on_row(read->number, table.row(read->key),
+                              time_point(1s), 1000);
+            }
+            else if (const auto* reply = std::get_if<operator_answer>(&action))
+            {
+                lost = std::get<change_lost_race>(reply->reply);
+            }
+        }
+    }
+    ASSERT_TRUE(lost);
+    EXPECT_EQ(lost->author, "ana");
+    EXPECT_EQ(lost->version, configuration_version(1));
+}
