Read map entries without structured bindings in lambdas

Cause: clang 14 rejects a lambda that captures a structured binding, which the linter reported. Change: the entry's members are named. Behaviour unchanged.

--- a/src/control/configuration_keeper.ipp
+++ b/src/control/configuration_keeper.ipp
@@ -505,7 +505,8 @@
 {
     std::vector<std::uint64_t> finished;
     std::ranges::for_each(changes_, [&](auto& entry) {
-        auto& [number, pending] = entry;
+        const auto number = entry.first;
+        auto& pending = entry.second;
         const auto read_outstanding =
             std::ranges::any_of(reads_, [&](const auto& read) {
                 return read.second.request == number;
