Add the settings library and samples of both deployments

Cause: daemons and the tool need checked settings and declarations, and a user should learn of all mistakes in a document at once. Change: parse_settings and parse_declaration check the whole document and return a value or all findings with file, line and column. Parsing goes on after a syntax error without the line at fault; a misspelt key is one finding with the nearest known key. Conclusion: latency-critical classes must state 'idempotent', since a wrong default would run requests twice; empty declarations are refused.

--- /dev/null
+++ b/src/settings/finding_list.cpp
@@ -0,0 +1,137 @@
+// Collects findings, and parses documents with recovery after syntax errors.
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <tuple>
+#include <utility>
+
+#include "settings/table_reader.hpp"
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+// Each round parses the whole document again; a file with more syntax errors
+// than this is not worth the time.
+constexpr int max_syntax_findings = 20;
+
+struct line_bounds
+{
+    std::size_t begin = 0;
+    std::size_t end = 0;
+};
+
+line_bounds bounds_of_line(const std::string& text, std::uint32_t line)
+{
+    line_bounds bounds;
+    for (std::uint32_t i = 1; i < line; ++i)
+    {
+        const auto newline = text.find('\n', bounds.begin);
+        if (newline == std::string::npos)
+        {
+            break;
+        }
+        bounds.begin = newline + 1;
+    }
+    bounds.end = std::min(text.find('\n', bounds.begin), text.size());
+    return bounds;
+}
+
+bool is_header(const std::string& text, const line_bounds& line)
+{
+    const auto first = text.find_first_not_of(" \t", line.begin);
+    return first < line.end && text[first] == '[';
+}
+
+// Overwrites a line with spaces. The lines below a faulty table header go
+// too, since they would be read as keys of the table above.
+bool blank_line(std::string& text, std::uint32_t number)
+{
+    line_bounds line = bounds_of_line(text, number);
+    const bool header = is_header(text, line);
+    bool changed = false;
+    do
+    {
+        const auto begin =
+            text.begin() + static_cast<std::ptrdiff_t>(line.begin);
+        const auto end = text.begin() + static_cast<std::ptrdiff_t>(line.end);
+        changed =
+            changed || std::any_of(begin, end, [](char c) { return c != ' '; });
+        std::fill(begin, end, ' ');
+        ++number;
+        if (line.end >= text.size())
+        {
+            break;
+        }
+        line.begin = line.end + 1;
+        line.end = std::min(text.find('\n', line.begin), text.size());
+    } while (header && !is_header(text, line));
+    return changed;
+}
+
+} // namespace
+
+void finding_list::add(const toml::source_position& place, std::string message)
+{
+    // A document or a table without a place of its own begins at the top.
+    const auto line = std::max<std::uint32_t>(place.line, 1);
+    const auto column = std::max<std::uint32_t>(place.column, 1);
+    findings_.push_back({{file_, line, column}, std::move(message)});
+}
+
+void finding_list::add_missing(const toml::source_position& place,
+                               std::string message)
+{
+    if (!incomplete_)
+    {
+        add(place, std::move(message));
+    }
+}
+
+findings finding_list::take()
+{
+    std::ranges::stable_sort(findings_, {}, [](const finding& f) {
+        return std::tuple(f.place.line, f.place.column);
+    });
+    return std::exchange(findings_, {});
+}
+
+toml::table parse_document(std::string_view text, finding_list& found)
+{
+    std::string remaining(text);
+    for (int i = 0; i < max_syntax_findings; ++i)
+    {
+        toml::parse_result parsed = toml::parse(std::string_view(remaining));
+        if (parsed)
+        {
+            return std::move(parsed).table();
+        }
+        const toml::parse_error& error = parsed.error();
+        const toml::source_position place = error.source().begin;
+        found.add(place, "syntax error: " + std::string(error.description()));
+        found.set_incomplete();
+        if (!blank_line(remaining, std::max<std::uint32_t>(place.line, 1)))
+        {
+            break;
+        }
+    }
+    return {};
+}
+
+std::optional<std::string> read_file(const std::string& path,
+                                     finding_list& found)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream content;
+    // An empty file sets the fail bit of `content`, which is no error.
+    if (!stream || !(content << stream.rdbuf(), stream) || stream.bad())
+    {
+        found.add({}, "the file cannot be read");
+        return std::nullopt;
+    }
+    return std::move(content).str();
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/tests/settings/settings_test.cpp
@@ -0,0 +1,265 @@
+// Checks of settings and declarations: each mistake is found with its place,
+// and one mistake does not hide another.
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <string>
+
+#include <boost/json.hpp>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "settings/settings.hpp"
+
+using namespace hemlockdeal;
+using namespace std::chrono_literals;
+using testing::ElementsAre;
+using testing::HasSubstr;
+
+namespace
+{
+
+// "line:column: message" of each finding.
+template <typename Result>
+std::vector<std::string> found_in(const Result& parsed)
+{
+    std::vector<std::string> texts;
+    if (const auto* list = std::get_if<findings>(&parsed))
+    {
+        std::ranges::transform(*list, std::back_inserter(texts),
+                               [](const finding& f) { return to_text(f); });
+    }
+    return texts;
+}
+
+const std::string valid_declaration = R"([[zone]]
+id = "zone-a"
+region = "region-1"
+
+[[class]]
+id = "receipt"
+kind = "latency_critical"
+target = "800 ms"
+idempotent = false
+
+[[service]]
+id = "orders"
+instances = 50
+processors_milli = 2000
+memory_mb = 4096
+routes = [ { path_prefix = "/receipt", class = "receipt" } ]
+
+[[team]]
+id = "billing"
+quota_percent = 20
+)";
+
+const std::string valid_settings = R"([vm]
+id = "entry-1"
+availability_zone = "zone-a"
+region = "region-1"
+[callers]
+listen = "127.0.0.1:8080"
+[operators]
+listen = "127.0.0.1:8081"
+token = "secret"
+[peers]
+listen = "127.0.0.1:8082"
+public_key = "Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLV{hID"
+secret_key = "D:)Q[IlAW!ahhC2ac:9*A}h:p?([4%wOTJ%JR%cs"
+[platform]
+table = "http://127.0.0.1:9000"
+membership = "http://127.0.0.1:9000"
+)";
+
+std::string with(std::string text, const std::string& old_part,
+                 const std::string& new_part)
+{
+    const auto place = text.find(old_part);
+    EXPECT_NE(place, std::string::npos) << old_part;
+    return text.replace(place, old_part.size(), new_part);
+}
+
+} // namespace
+
+TEST(declaration, reads_every_value)
+{
+    const auto parsed = parse_declaration(valid_declaration, "d.toml");
+    ASSERT_THAT(found_in(parsed), ElementsAre());
+    const auto& d = std::get<declaration>(parsed);
+    EXPECT_EQ(d.zones.at(0).region, region_id("region-1"));
+    EXPECT_EQ(d.classes.at(0).target, 800ms);
+    EXPECT_DOUBLE_EQ(d.classes.at(0).percentile, 0.99);
+    EXPECT_FALSE(d.classes.at(0).idempotent);
+    EXPECT_EQ(d.services.at(0).slots, 8U);
+    EXPECT_EQ(d.services.at(0).routes.at(0).work_class, class_id("receipt"));
+    EXPECT_EQ(d.link.bits_per_second, 30'000'000U);
+}
+
+// Guards against checks that stop at the first mistake.
+TEST(declaration, three_mistakes_give_three_findings_with_places)
+{
+    auto text = with(valid_declaration, "region =", "regoin =");
+    text = with(text, "\"800 ms\"", "800");
+    text = with(text, "quota_percent = 20", "quota_percent = 120.5");
+    EXPECT_THAT(
+        found_in(parse_declaration(text, "d.toml")),
+        ElementsAre("d.toml:3:1: unknown key 'zone.regoin'; did you mean "
+                    "'region'?",
+                    "d.toml:8:10: 'class.target' is an integer, not a text",
+                    "d.toml:20:17: 'team.quota_percent' is 120.5, not between "
+                    "0 and 100"));
+}
+
+// Guards against a parser that reports syntax errors one run at a time.
+TEST(declaration, syntax_errors_do_not_hide_other_mistakes)
+{
+    auto text = with(valid_declaration, "region = ", "region == ");
+    text = with(text, "[[team]]", "[[team]");
+    text = with(text, "instances = 50", "instances = 0");
+    const auto found = found_in(parse_declaration(text, "d.toml"));
+    EXPECT_THAT(found,
+                ElementsAre(HasSubstr("d.toml:3:9: syntax error"),
+                            HasSubstr("d.toml:13:13: 'service.instances' is 0"),
+                            HasSubstr("d.toml:18:8: syntax error")));
+}
+
+TEST(declaration, names_that_are_declared_twice_or_unknown_are_found)
+{
+    auto text =
+        with(valid_declaration, "class = \"receipt\"", "class = \"reciept\"");
+    text += "[[zone]]\nid = \"zone-a\"\nregion = \"region-2\"\n"
+            "[[team]]\nid = \"billing\"\nquota_percent = 81\n";
+    EXPECT_THAT(
+        found_in(parse_declaration(text, "d.toml")),
+        ElementsAre("d.toml:16:48: the route names the unknown class "
+                    "'reciept'; did you mean 'receipt'?",
+                    "d.toml:22:6: the zone 'zone-a' is declared twice",
+                    "d.toml:25:6: the team 'billing' is declared twice",
+                    "d.toml:26:17: the quotas of the teams sum up to more "
+                    "than 100% from here on"));
+}
+
+TEST(declaration, an_empty_document_is_refused)
+{
+    EXPECT_EQ(found_in(parse_declaration("", "d.toml")).size(), 2U);
+}
+
+TEST(settings, reads_every_value)
+{
+    const auto parsed = parse_settings(valid_settings, "s.toml");
+    ASSERT_THAT(found_in(parsed), ElementsAre());
+    const auto& settings = std::get<daemon_settings>(parsed);
+    EXPECT_EQ(settings.operators.listen, (socket_address{"127.0.0.1", 8081}));
+    EXPECT_EQ(settings.shards_per_zone, 4U);
+    EXPECT_TRUE(settings.workers_fence);
+}
+
+TEST(settings, bad_addresses_keys_and_tables_are_found)
+{
+    auto text = with(valid_settings, "\"127.0.0.1:8080\"", "\"host:8080\"");
+    text = with(text, "Yne@", "Yne|");
+    text = with(text, "http://127.0.0.1:9000", "https://127.0.0.1:9000");
+    text += "[shard]\nper_zone = 8\n[limits]\nworkers_fence = 1\n";
+    EXPECT_THAT(
+        found_in(parse_settings(text, "s.toml")),
+        ElementsAre(HasSubstr("s.toml:6:10: 'callers.listen' is not an IP"),
+                    HasSubstr("s.toml:12:14: 'peers.public_key' is not a"),
+                    HasSubstr("s.toml:15:9: 'platform.table' is not of"),
+                    HasSubstr("s.toml:17:2: unknown key 'shard'; did you mean "
+                              "'shards'?"),
+                    HasSubstr("s.toml:20:17: 'limits.workers_fence' is an "
+                              "integer")));
+}
+
+TEST(settings, a_file_that_cannot_be_read_is_a_finding)
+{
+    EXPECT_EQ(found_in(load_settings("no/such/file.toml")).size(), 1U);
+}
+
+TEST(settings, durations_have_a_unit)
+{
+    EXPECT_EQ(parse_duration("800 ms"), duration(800ms));
+    EXPECT_EQ(parse_duration("2s"), duration(2s));
+    EXPECT_EQ(parse_duration("1.5 min"), duration(90s));
+    EXPECT_EQ(parse_duration("6 h"), duration(6h));
+    for (const char* text : {"", "800", "-1 s", "s", "1 week", "1  s", "1 s ",
+                             "nan s", "inf s", "1e3 s", "99999999999 d"})
+    {
+        EXPECT_EQ(parse_duration(text), std::nullopt) << text;
+    }
+}
+
+// Guards against samples that no longer match the checks.
+TEST(samples, load_without_findings)
+{
+    for (const std::string name : {"deployment-a", "deployment-b"})
+    {
+        const std::string folder = HEMLOCKDEAL_SAMPLES "/" + name;
+        EXPECT_THAT(found_in(load_declaration(folder + "/declaration.toml")),
+                    ElementsAre());
+        EXPECT_THAT(found_in(load_settings(folder + "/daemon.toml")),
+                    ElementsAre());
+    }
+}
+
+// Guards against membership samples that disagree with the declaration or
+// with the sizes on the design page.
+TEST(samples, members_match_the_declaration)
+{
+    const std::map<std::string, std::size_t> workers = {{"deployment-a", 50},
+                                                        {"deployment-b", 65}};
+    for (const auto& [name, count] : workers)
+    {
+        const std::string folder = HEMLOCKDEAL_SAMPLES "/" + name;
+        const auto d = std::get<declaration>(
+            load_declaration(folder + "/declaration.toml"));
+        std::ifstream stream(folder + "/workers.json");
+        const std::string text(std::istreambuf_iterator<char>(stream), {});
+        const auto document = boost::json::parse(text);
+        std::map<std::string, std::size_t> by_kind;
+        for (const auto& vm : document.at("vms").as_array())
+        {
+            const std::string zone(vm.at("zone").as_string());
+            const std::string region(vm.at("region").as_string());
+            EXPECT_EQ(region_of(d, availability_zone_id(zone)),
+                      region_id(region));
+            ++by_kind[std::string(vm.at("kind").as_string())];
+        }
+        EXPECT_EQ(by_kind["worker"], count);
+        EXPECT_EQ(by_kind["endpoint"], d.services.at(0).instances);
+        EXPECT_GE(by_kind["entry"], 7U);
+    }
+}
+
+// Guards against crashes and endless loops on arbitrary input.
+RC_GTEST_PROP(settings, any_bytes_give_a_value_or_findings,
+              (const std::string& text))
+{
+    const auto settings = parse_settings(text, "s.toml");
+    RC_ASSERT(std::holds_alternative<findings>(settings));
+    (void)parse_declaration(text, "d.toml");
+}
+
+// The same with documents that are nearly right, so that more of the checks
+// run than on random bytes.
+RC_GTEST_PROP(settings, any_edit_gives_a_value_or_findings, ())
+{
+    std::string text = valid_declaration;
+    const auto edits = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < edits; ++i)
+    {
+        const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+        const auto length = *rc::gen::inRange<std::size_t>(0, 12);
+        text.replace(place, length, *rc::gen::arbitrary<std::string>());
+    }
+    const auto parsed = parse_declaration(text, "d.toml");
+    if (const auto* found = std::get_if<findings>(&parsed))
+    {
+        RC_ASSERT(!found->empty());
+        RC_ASSERT(std::ranges::all_of(
+            *found, [](const finding& f) { return f.place.line > 0; }));
+    }
+}
