Implement the request core

Adds classification, admission by deadline, routing by two random choices with ejection, slot floors and loans, the retry budget, batched claims of idempotency keys and the request state machine.

--- /dev/null
+++ b/src/request/claim_row.cpp
@@ -0,0 +1,139 @@
+// JSON form of claim rows. Bodies and header values are bytes, so each byte is
+// written as the character of the same number, which JSON can hold.
+#include "request/claim_row.hpp"
+
+#include <boost/json.hpp>
+
+namespace hemlockdeal
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+std::string characters_of(std::string_view bytes)
+{
+    std::string text;
+    text.reserve(bytes.size());
+    for (const char c : bytes)
+    {
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte < 0x80U)
+        {
+            text.push_back(c);
+            continue;
+        }
+        text.push_back(static_cast<char>(0xc0U | (byte >> 6U)));
+        text.push_back(static_cast<char>(0x80U | (byte & 0x3fU)));
+    }
+    return text;
+}
+
+std::string bytes_of(std::string_view text)
+{
+    std::string bytes;
+    bytes.reserve(text.size());
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        const auto byte = static_cast<unsigned char>(text[i]);
+        if (byte < 0x80U || i + 1 == text.size())
+        {
+            bytes.push_back(text[i]);
+            continue;
+        }
+        ++i;
+        const auto second = static_cast<unsigned char>(text[i]);
+        bytes.push_back(
+            static_cast<char>(((byte & 0x03U) << 6U) | (second & 0x3fU)));
+    }
+    return bytes;
+}
+
+json::object to_json(const stored_answer& answer)
+{
+    json::array headers;
+    for (const auto& [name, value] : answer.headers)
+    {
+        headers.push_back(
+            json::array{characters_of(name), characters_of(value)});
+    }
+    return {{"status", answer.status},
+            {"headers", std::move(headers)},
+            {"body", characters_of(answer.body)}};
+}
+
+std::string_view view_of(const json::value& value)
+{
+    const json::string& text = value.as_string();
+    return {text.data(), text.size()};
+}
+
+// Throws what Boost.JSON throws for values of the wrong kind.
+stored_answer answer_from(const json::object& object)
+{
+    stored_answer answer;
+    answer.status = object.at("status").to_number<unsigned>();
+    for (const json::value& header : object.at("headers").as_array())
+    {
+        answer.headers.emplace_back(bytes_of(view_of(header.at(0))),
+                                    bytes_of(view_of(header.at(1))));
+    }
+    answer.body = bytes_of(view_of(object.at("body")));
+    return answer;
+}
+
+claim_row row_from(const json::object& object)
+{
+    claim_row row;
+    row.claim = commit_id(std::string(view_of(object.at("claim"))));
+    row.commit = commit_id(std::string(view_of(object.at("commit"))));
+    row.fingerprint = view_of(object.at("fingerprint"));
+    row.finished = object.at("finished").as_bool();
+    if (const json::value* answer = object.if_contains("answer"))
+    {
+        row.answer = answer_from(answer->as_object());
+    }
+    return row;
+}
+
+} // namespace
+
+std::string claim_row_key(const request_key& key)
+{
+    return "request/" + key.value();
+}
+
+std::string to_text(const claim_row& row)
+{
+    json::object object{{"claim", row.claim.value()},
+                        {"commit", row.commit.value()},
+                        {"fingerprint", row.fingerprint},
+                        {"finished", row.finished}};
+    if (row.answer)
+    {
+        object["answer"] = to_json(*row.answer);
+    }
+    return json::serialize(object);
+}
+
+std::optional<claim_row> parse_claim_row(std::string_view text)
+{
+    boost::system::error_code code;
+    const json::value value =
+        json::parse(json::string_view(text.data(), text.size()), code);
+    if (code || !value.is_object())
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        return row_from(value.as_object());
+    }
+    catch (const std::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/request/claim_writer.hpp
@@ -0,0 +1,67 @@
+// Writes results of claimed requests and deletes released claims, in batches.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "core/core.hpp"
+#include "request/claim_row.hpp"
+#include "request/commit_ids.hpp"
+#include "request/request_settings.hpp"
+
+namespace hemlockdeal
+{
+
+// Every write expects the version that this daemon wrote before, so a write
+// that was delayed or sent twice changes nothing.
+class claim_writer
+{
+public:
+    struct write
+    {
+        request_key key;
+        row_version expected;
+        // Nothing deletes the row.
+        std::optional<claim_row> row;
+    };
+
+    explicit claim_writer(const request_settings& settings);
+
+    // Returns false when too much waits already; the row stays claimed.
+    bool push(write w);
+
+    // Returns false when the commit is not one of this class.
+    bool on_commit_outcome(const commit_id& id, const commit_outcome& outcome,
+                           time_point now);
+    void run(time_point now);
+    std::optional<time_point> next_run() const;
+
+    std::vector<send_commit> take_commits();
+    // Keys whose writes took effect or will never take effect.
+    std::vector<request_key> take_settled();
+
+private:
+    struct batch
+    {
+        table_commit commit;
+        std::vector<write> writes;
+        unsigned sends = 1;
+    };
+
+    void settle_conflict(const commit_conflict& conflict);
+    void settle_all();
+
+    duration spacing_;
+    commit_ids ids_;
+    std::deque<write> queue_;
+    std::optional<batch> in_flight_;
+    // Set while the batch in flight waits to be sent again.
+    bool resends_ = false;
+    time_point next_send_{};
+    std::vector<send_commit> commits_;
+    std::vector<request_key> settled_;
+};
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/request/ejector.cpp
@@ -0,0 +1,205 @@
+// Implementation of ejection and probing.
+#include "request/ejector.hpp"
+
+#include <algorithm>
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+constexpr unsigned failures_to_eject = 3;
+constexpr unsigned error_statuses_to_eject = 5;
+// An instance is slow at this multiple of the median of its service.
+constexpr int slow_factor = 4;
+constexpr std::uint64_t samples_to_judge = 5;
+constexpr std::size_t instances_to_compare = 3;
+// Differences below this are not worth an ejection.
+constexpr duration smallest_slowness = std::chrono::milliseconds(5);
+// An instance that announced that it is leaving and is still listed as live
+// after this time is probed: it may have started again under its old id.
+constexpr duration leaving_until_probe = std::chrono::seconds(60);
+
+} // namespace
+
+ejector::ejector(endpoint_directory& directory, bool enabled)
+    : directory_(directory), enabled_(enabled)
+{}
+
+void ejector::record_response(instance_index i, duration elapsed)
+{
+    directory_.at(i).health.add_response(elapsed);
+}
+
+void ejector::record_failure(instance_index i, time_point now)
+{
+    if (directory_.at(i).health.add_failure() >= failures_to_eject)
+    {
+        eject(i, "consecutive failures", now);
+    }
+}
+
+void ejector::record_error_status(instance_index i, time_point now)
+{
+    if (directory_.at(i).health.add_failure() >= error_statuses_to_eject)
+    {
+        eject(i, "consecutive error statuses", now);
+    }
+}
+
+void ejector::record_refusal(instance_index i, time_point now)
+{
+    directory_.at(i).health.add_failure();
+    eject(i, "refuses requests", now);
+}
+
+void ejector::record_leaving(instance_index i, time_point now)
+{
+    endpoint_instance& e = directory_.at(i);
+    if (!e.announced_leaving)
+    {
+        record(e, "endpoint.leaving", "announced by the instance");
+    }
+    e.announced_leaving = now;
+}
+
+void ejector::on_probe_result(instance_index i, bool healthy, time_point now)
+{
+    endpoint_instance& e = directory_.at(i);
+    if (e.announced_leaving && now - *e.announced_leaving > leaving_until_probe)
+    {
+        e.announced_leaving =
+            healthy ? std::nullopt : std::optional<time_point>(now);
+        return;
+    }
+    if (!e.health.is_ejected())
+    {
+        if (!healthy)
+        {
+            record_failure(i, now);
+        }
+        return;
+    }
+    if (!healthy)
+    {
+        e.health.eject(now);
+        return;
+    }
+    e.health.reinstate();
+    record(e, "endpoint.reinstated", "probe succeeded");
+}
+
+std::vector<instance_index> ejector::run(time_point now)
+{
+    std::vector<instance_index> probes;
+    if (now < next_run_)
+    {
+        return probes;
+    }
+    next_run_ = now + run_spacing;
+    for (service_index s = 0; s < directory_.service_count(); ++s)
+    {
+        eject_slow_instances(s, now);
+    }
+    for (instance_index i = 0; i < directory_.size(); ++i)
+    {
+        endpoint_instance& e = directory_.at(i);
+        if (!e.listed || e.listed_leaving)
+        {
+            continue;
+        }
+        const bool leaving_check =
+            e.announced_leaving &&
+            now - *e.announced_leaving > leaving_until_probe;
+        if (e.health.take_probe(now) || leaving_check)
+        {
+            probes.push_back(i);
+        }
+    }
+    return probes;
+}
+
+void ejector::eject(instance_index i, const std::string& reason, time_point now)
+{
+    endpoint_instance& e = directory_.at(i);
+    if (!enabled_ || e.health.is_ejected() || !may_eject(e))
+    {
+        return;
+    }
+    e.health.eject(now);
+    record(e, "endpoint.ejected", reason);
+}
+
+bool ejector::may_eject(const endpoint_instance& e) const
+{
+    std::size_t ejected = 0;
+    std::size_t all = 0;
+    for (const auto& tier : directory_.service(e.service).tiers)
+    {
+        all += tier.size();
+        ejected += static_cast<std::size_t>(
+            std::ranges::count_if(tier, [&](instance_index i) {
+                return directory_.at(i).health.is_ejected();
+            }));
+    }
+    return 2 * (ejected + 1) <= all;
+}
+
+void ejector::eject_slow_instances(service_index s, time_point now)
+{
+    std::vector<duration> means;
+    const auto is_judged = [&](instance_index i) {
+        const endpoint_instance& e = directory_.at(i);
+        return !e.health.is_ejected() &&
+               e.health.responses().samples() >= samples_to_judge;
+    };
+    const auto& tiers = directory_.service(s).tiers;
+    for (const auto& tier : tiers)
+    {
+        for (const instance_index i : tier)
+        {
+            if (is_judged(i))
+            {
+                means.push_back(directory_.at(i).health.responses().mean());
+            }
+        }
+    }
+    if (means.size() < instances_to_compare)
+    {
+        return;
+    }
+    const auto middle =
+        means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
+    std::ranges::nth_element(means, middle);
+    const duration limit =
+        std::max(*middle * slow_factor, *middle + smallest_slowness);
+    for (const auto& tier : tiers)
+    {
+        for (const instance_index i : tier)
+        {
+            if (is_judged(i) &&
+                directory_.at(i).health.responses().mean() > limit)
+            {
+                eject(i, "much slower than the service's median", now);
+            }
+        }
+    }
+}
+
+void ejector::record(const endpoint_instance& e, const std::string& kind,
+                     const std::string& text)
+{
+    timeline_event event;
+    event.kind = kind;
+    event.zone = e.zone.value();
+    event.text = e.id.value() + ": " + text;
+    events_.push_back({std::move(event)});
+}
+
+std::vector<record_event> ejector::take_events()
+{
+    return std::exchange(events_, {});
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/request/link_bucket.hpp
@@ -0,0 +1,34 @@
+// This daemon's share of the link between regions, as a token bucket.
+#pragma once
+
+#include <cstdint>
+
+#include "core/core.hpp"
+
+namespace hemlockdeal
+{
+
+// Control traffic is counted and never refused, so the balance may be
+// negative; interactive requests may use what is above zero, and batch
+// requests the upper half.
+class link_bucket
+{
+public:
+    // Shares `bits_per_second` among the region's entry VMs; 20% stay free for
+    // traffic that is not counted, such as TCP's own.
+    void set_rate(std::uint64_t bits_per_second, std::size_t entry_vms);
+
+    bool has_room(std::uint64_t bytes, bool can_wait, time_point now);
+    void use(std::uint64_t bytes, time_point now);
+
+private:
+    void refill(time_point now);
+
+    double bytes_per_second_ = 0.0;
+    // Invariant: at most bytes_per_second_, that is one second of traffic.
+    double balance_ = 0.0;
+    time_point refilled_at_{};
+    bool started_ = false;
+};
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/request/power_of_two_choices.hpp
@@ -0,0 +1,75 @@
+// The standard route choice: the better of two random candidates. Two random
+// choices keep many daemons from choosing the same instance.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <random>
+
+namespace hemlockdeal
+{
+
+class power_of_two_choices
+{
+public:
+    // Index of the chosen candidate, or nothing when none is usable.
+    template <typename Candidates>
+    std::optional<std::size_t> choose(const Candidates& candidates,
+                                      std::mt19937_64& generator)
+    {
+        const std::size_t count = candidates.size();
+        if (count == 0)
+        {
+            return std::nullopt;
+        }
+        std::optional<std::size_t> first;
+        for (std::size_t i = 0; i < random_tries; ++i)
+        {
+            const std::size_t candidate = generator() % count;
+            if (candidate == first || !candidates.is_usable(candidate))
+            {
+                continue;
+            }
+            if (first)
+            {
+                return better(candidates, *first, candidate);
+            }
+            first = candidate;
+        }
+        return search(candidates, first, generator() % count);
+    }
+
+private:
+    // Few usable candidates: looks at all, from a random place.
+    template <typename Candidates>
+    std::optional<std::size_t> search(const Candidates& candidates,
+                                      std::optional<std::size_t> first,
+                                      std::size_t start)
+    {
+        for (std::size_t i = 0; i < candidates.size(); ++i)
+        {
+            const std::size_t candidate = (start + i) % candidates.size();
+            if (candidate == first || !candidates.is_usable(candidate))
+            {
+                continue;
+            }
+            if (first)
+            {
+                return better(candidates, *first, candidate);
+            }
+            first = candidate;
+        }
+        return first;
+    }
+
+    template <typename Candidates>
+    static std::size_t better(const Candidates& candidates, std::size_t a,
+                              std::size_t b)
+    {
+        return candidates.load(b) < candidates.load(a) ? b : a;
+    }
+
+    static constexpr std::size_t random_tries = 6;
+};
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/request/request_attempts.ipp
@@ -0,0 +1,476 @@
+// Definitions of the request core: attempts, retries and outcomes.
+#pragma once
+
+#include <algorithm>
+
+namespace hemlockdeal
+{
+
+template <request_policy Policy>
+request_record* request_core<Policy>::find(request_id request)
+{
+    const auto found = records_.find(request.value());
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+template <request_policy Policy>
+request_record* request_core<Policy>::find_running(request_id request,
+                                                   attempt number)
+{
+    request_record* r = find(request);
+    const bool runs = r != nullptr && r->phase == request_phase::running &&
+                      r->attempts == number.value();
+    return runs ? r : nullptr;
+}
+
+template <request_policy Policy>
+void request_core<Policy>::start(request_record& r, instance_index instance,
+                                 time_point now)
+{
+    const endpoint_instance& e = directory_.at(instance);
+    r.phase = request_phase::running;
+    if (r.attempts == 0)
+    {
+        budget_.count_request();
+    }
+    ++r.attempts;
+    r.instance = instance;
+    r.attempt_started = now;
+    r.sending = false;
+    r.may_have_run_before = r.may_have_run;
+    r.suspected = false;
+    r.head_seen = false;
+    const auto wanted =
+        duration(static_cast<long>(static_cast<double>(r.rule->target.count()) *
+                                   settings_.timeout_targets));
+    r.deadline = now + std::clamp(wanted, settings_.shortest_timeout,
+                                  std::max(request_limits::longest_timeout,
+                                           settings_.shortest_timeout));
+    directory_.add_in_flight(instance, r.id, now);
+    set_wakeup(r, std::min(r.deadline, now + request_limits::connect));
+    if (e.tier == far_tier)
+    {
+        const bool sized = r.body_bytes != unknown_body_size;
+        link_out_.use(request_limits::head_bytes +
+                          (sized ? r.body_bytes : request_limits::usual_body),
+                      now);
+    }
+    actions_.emplace_back(start_attempt{r.id, attempt(r.attempts), e.id,
+                                        e.address, r.deadline,
+                                        r.claim.has_value()});
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_attempt_event(request_id request, attempt number,
+                                            const attempt_event& event,
+                                            time_point now)
+{
+    request_record* r = find_running(request, number);
+    if (r == nullptr)
+    {
+        return;
+    }
+    const service_index service = r->service;
+    std::visit([&](const auto& e) { on_event(*r, e, now); }, event);
+    dispatch(service, now);
+    collect(now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_event(request_record& r,
+                                    const attempt_failed_unsent& event,
+                                    time_point now)
+{
+    ejector_.record_failure(r.instance, now);
+    end_attempt(r);
+    retry_or_finish(r, event.reason, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_event(request_record& r,
+                                    const attempt_sending& /*event*/,
+                                    time_point now)
+{
+    // The instance may have started to leave while the connection was made.
+    if (!Policy::may_receive(directory_.at(r.instance).is_leaving()))
+    {
+        abandon(r);
+        retry_or_finish(r, "the instance is leaving", now);
+        return;
+    }
+    r.sending = true;
+    r.may_have_run = true;
+    // Tells whether the response takes three times the usual tail.
+    const response_estimate& own = directory_.at(r.instance).health.responses();
+    const response_estimate& all = directory_.service(r.service).responses;
+    const duration high = own.samples() > 20 ? own.high() : all.high();
+    const duration silence =
+        std::max(3 * high, request_limits::shortest_suspicion);
+    const bool known = own.samples() + all.samples() > 20;
+    set_wakeup(r, known ? std::min(r.deadline, now + silence) : r.deadline);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_event(request_record& r,
+                                    const attempt_head& event, time_point now)
+{
+    if (event.leaving)
+    {
+        ejector_.record_leaving(r.instance, now);
+    }
+    if (r.forwarded || r.head_seen)
+    {
+        return;
+    }
+    r.head_seen = true;
+    r.status = event.status;
+    if (event.not_run)
+    {
+        on_refusal(r, now);
+        return;
+    }
+    const bool failed = event.status >= 500;
+    if (failed)
+    {
+        ejector_.record_error_status(r.instance, now);
+    }
+    else
+    {
+        const duration elapsed = now - r.attempt_started;
+        ejector_.record_response(r.instance, elapsed);
+        directory_.service(r.service).responses.add(elapsed);
+    }
+    if (failed && r.rule->idempotent && may_try_again(r, now) &&
+        try_elsewhere(r, now))
+    {
+        return;
+    }
+    r.forwarded = true;
+    // The proxy's idle limit applies from here on.
+    r.wake_at.reset();
+    if (!r.caller_gone)
+    {
+        actions_.emplace_back(forward_answer{r.id, attempt(r.attempts)});
+    }
+}
+
+// The endpoint stated that it did not run the request.
+template <request_policy Policy>
+void request_core<Policy>::on_refusal(request_record& r, time_point now)
+{
+    if (!directory_.at(r.instance).announced_leaving)
+    {
+        ejector_.record_refusal(r.instance, now);
+    }
+    // A non-idempotent request is not sent again even now: the statement may
+    // be wrong, and running twice is worse than not running.
+    r.may_have_run = r.may_have_run_before;
+    if (r.rule->idempotent && may_try_again(r, now) && try_elsewhere(r, now))
+    {
+        return;
+    }
+    abandon(r);
+    if (Policy::may_report_not_run(true, !r.may_have_run))
+    {
+        finish_not_run(r, 503, "the endpoint did not run the request", now);
+        return;
+    }
+    finish_unknown(r, 504, "the endpoint did not run the last attempt", now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_event(request_record& r,
+                                    const attempt_done& event, time_point now)
+{
+    if (!r.forwarded)
+    {
+        on_event(r, attempt_broken{"the response had no head"}, now);
+        return;
+    }
+    directory_.service(r.service).occupancy.add(now - r.attempt_started);
+    if (directory_.at(r.instance).tier == far_tier)
+    {
+        link_in_.use(request_limits::head_bytes + event.response_bytes, now);
+    }
+    end_attempt(r);
+    if (r.claim)
+    {
+        claims_.store_result(*r.claim, event.answer);
+        r.claim.reset();
+    }
+    finish(r, request_outcome::done, r.status, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_event(request_record& r,
+                                    const attempt_broken& event, time_point now)
+{
+    ejector_.record_failure(r.instance, now);
+    end_attempt(r);
+    if (r.forwarded)
+    {
+        if (!r.caller_gone)
+        {
+            actions_.emplace_back(abort_answer{r.id, event.reason});
+        }
+        finish(r, request_outcome::unknown, r.status, now);
+        return;
+    }
+    retry_or_finish(r, event.reason, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::end_attempt(request_record& r)
+{
+    directory_.remove_in_flight(r.instance, r.id);
+    r.phase = request_phase::arrived;
+    r.excluded = r.instance;
+    r.wake_at.reset();
+}
+
+template <request_policy Policy>
+void request_core<Policy>::abandon(request_record& r)
+{
+    actions_.emplace_back(abandon_attempt{r.id, attempt(r.attempts)});
+    end_attempt(r);
+}
+
+template <request_policy Policy>
+bool request_core<Policy>::may_try_again(const request_record& r,
+                                         time_point now)
+{
+    const bool replayable = !r.sending || r.body_bytes <= max_replayed_body;
+    return !r.caller_gone && replayable &&
+           r.attempts < settings_.max_attempts &&
+           Policy::may_send_again(r.may_have_run, r.rule->idempotent) &&
+           Policy::may_retry(budget_.has_room(now));
+}
+
+// Moves the running request to another instance that has a free slot.
+template <request_policy Policy>
+bool request_core<Policy>::try_elsewhere(request_record& r, time_point now)
+{
+    const auto before = std::exchange(r.excluded, r.instance);
+    const auto instance = choose(r, now);
+    if (!instance)
+    {
+        r.excluded = before;
+        return false;
+    }
+    budget_.take();
+    abandon(r);
+    start(r, *instance, now);
+    return true;
+}
+
+// The attempt has ended with no response.
+template <request_policy Policy>
+void request_core<Policy>::retry_or_finish(request_record& r,
+                                           const std::string& reason,
+                                           time_point now)
+{
+    if (!may_try_again(r, now))
+    {
+        finish_without_answer(r, 503, reason, now);
+        return;
+    }
+    budget_.take();
+    const auto instance = choose(r, now);
+    if (instance)
+    {
+        start(r, *instance, now);
+        return;
+    }
+    r.start_by = std::max(r.start_by, now + r.rule->target / 4);
+    enqueue(r, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_caller_gone(request_id request, time_point now)
+{
+    request_record* r = find(request);
+    if (r == nullptr)
+    {
+        return;
+    }
+    r->caller_gone = true;
+    const service_index service = r->service;
+    const bool runs = r->phase == request_phase::running;
+    if (runs && r->claim && r->sending)
+    {
+        return;
+    }
+    if (runs)
+    {
+        abandon(*r);
+    }
+    finish(*r, request_outcome::caller_gone, 0, now);
+    dispatch(service, now);
+    collect(now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::wake(request_record& r, time_point now)
+{
+    const service_index service = r.service;
+    switch (r.phase)
+    {
+    case request_phase::claiming:
+        finish_not_run(r, 503, "the key was not claimed in time", now);
+        break;
+    case request_phase::queued:
+        finish_without_answer(
+            r, r.attempts == 0 ? 429 : 503,
+            r.attempts == 0 ? "overload" : "no other instance is free", now);
+        break;
+    case request_phase::running:
+        wake_running(r, now);
+        break;
+    case request_phase::arrived:
+        break;
+    }
+    dispatch(service, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::wake_running(request_record& r, time_point now)
+{
+    if (!r.sending)
+    {
+        ejector_.record_failure(r.instance, now);
+        abandon(r);
+        retry_or_finish(r, "no connection to the instance", now);
+        return;
+    }
+    if (now >= r.deadline)
+    {
+        ejector_.record_failure(r.instance, now);
+        abandon(r);
+        finish_without_answer(r, 503, "no response before the deadline", now);
+        return;
+    }
+    r.suspected = true;
+    set_wakeup(r, r.deadline);
+    probe(r.instance);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_probe_result(const instance_id& instance,
+                                           bool healthy, time_point now)
+{
+    const auto i = directory_.find(instance);
+    if (!i)
+    {
+        return;
+    }
+    // Silent requests: their connection is suspect when the instance responds
+    // on another one, and the instance is when it does not.
+    const auto in_flight = directory_.at(*i).in_flight;
+    for (const auto& [since, request] : in_flight)
+    {
+        request_record* r = find(request);
+        if (r != nullptr && r->suspected && !r->head_seen &&
+            r->rule->idempotent && may_try_again(*r, now))
+        {
+            r->suspected = false;
+            try_elsewhere(*r, now);
+        }
+    }
+    ejector_.on_probe_result(*i, healthy, now);
+    directory_.refresh_capacity(now);
+    dispatch(directory_.at(*i).service, now);
+    collect(now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::set_wakeup(request_record& r, time_point at)
+{
+    r.wake_at = at;
+    if (!r.entered_at || at < *r.entered_at)
+    {
+        r.entered_at = at;
+        wakeups_.push(at, r.id);
+    }
+}
+
+template <request_policy Policy>
+void request_core<Policy>::probe(instance_index instance)
+{
+    const endpoint_instance& e = directory_.at(instance);
+    actions_.emplace_back(probe_instance{e.id, e.address});
+}
+
+template <request_policy Policy>
+void request_core<Policy>::finish_without_answer(request_record& r,
+                                                 unsigned status,
+                                                 const std::string& reason,
+                                                 time_point now)
+{
+    if (Policy::may_report_not_run(r.may_have_run, false))
+    {
+        finish_not_run(r, status, reason, now);
+        return;
+    }
+    finish_unknown(r, 504, reason, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::finish_not_run(request_record& r, unsigned status,
+                                          const std::string& reason,
+                                          time_point now)
+{
+    if (!r.caller_gone)
+    {
+        actions_.emplace_back(answer_not_run{r.id, status, reason});
+    }
+    if (r.claim)
+    {
+        claims_.release(*r.claim);
+        r.claim.reset();
+    }
+    finish(r, request_outcome::not_run, status, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::finish_unknown(request_record& r, unsigned status,
+                                          const std::string& reason,
+                                          time_point now)
+{
+    if (!r.caller_gone)
+    {
+        actions_.emplace_back(answer_unknown{r.id, status, reason});
+    }
+    timeline_event event;
+    event.kind = "request.unknown";
+    event.request = std::to_string(r.id.value());
+    event.attempt = r.attempts;
+    event.text = reason;
+    actions_.emplace_back(record_event{std::move(event)});
+    finish(r, request_outcome::unknown, status, now);
+}
+
+// Ends the request. A claim that is still set was neither released nor
+// answered: it is deleted when no byte was sent and stays otherwise.
+template <request_policy Policy>
+void request_core<Policy>::finish(request_record& r, request_outcome outcome,
+                                  unsigned status, time_point now)
+{
+    if (r.phase == request_phase::queued)
+    {
+        queues_[r.service].remove(*r.rule, {r.start_by, r.id});
+    }
+    if (r.claim && r.may_have_run)
+    {
+        claims_.forget(*r.claim);
+    }
+    else if (r.claim)
+    {
+        claims_.release(*r.claim);
+    }
+    actions_.emplace_back(finish_request{r.id, r.rule->work_class, outcome,
+                                         r.caller_gone ? 0 : status,
+                                         now - r.arrived, r.attempts});
+    records_.erase(r.id.value());
+}
+
+} // namespace hemlockdeal
--- a/src/request/request_core.hpp
+++ b/src/request/request_core.hpp
@@ -4,14 +4,29 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/core.hpp"
+#include "request/admission_queue.hpp"
+#include "request/claim_table.hpp"
+#include "request/ejector.hpp"
+#include "request/endpoint_directory.hpp"
+#include "request/link_bucket.hpp"
+#include "request/path_classifier.hpp"
 #include "request/request_action.hpp"
 #include "request/request_event.hpp"
 #include "request/request_policy.hpp"
+#include "request/request_record.hpp"
 #include "request/request_settings.hpp"
+#include "request/retry_budget.hpp"
+#include "request/router.hpp"
+#include "request/slot_ledger.hpp"
+#include "request/wakeup_queue.hpp"
 
 namespace hemlockdeal
 {
@@ -23,12 +38,17 @@
 {
 public:
     explicit request_core(request_settings settings);
+    // Parts refer to each other.
+    request_core(const request_core&) = delete;
+    request_core& operator=(const request_core&) = delete;
 
     void on_configuration(const configuration& c);
     void on_membership(const membership_list& list, time_point now);
 
     void on_request(const request_head& head, time_point now);
-    // The caller closed its connection; there is nobody to answer.
+    // The caller closed its connection; there is nobody to answer. A claimed
+    // request that was already sent goes on without forward_answer, so that its
+    // response can be stored for repeats; any other attempt is abandoned.
     void on_caller_gone(request_id request, time_point now);
     void on_attempt_event(request_id request, attempt number,
                           const attempt_event& event, time_point now);
@@ -57,8 +77,87 @@
     // The proxy's share of the instance's connections.
     std::uint32_t connection_share(const instance_id& instance,
                                    time_point now) const;
-    std::size_t requests() const;
+    std::size_t requests() const { return records_.size(); }
     std::size_t waiting() const;
+    const endpoint_directory& endpoints() const { return directory_; }
+
+private:
+    using records = std::unordered_map<std::uint64_t, request_record>;
+
+    request_record* find(request_id request);
+    // The record, when the attempt is the one that runs.
+    request_record* find_running(request_id request, attempt number);
+
+    void share_link();
+    void admit(request_record& r, time_point now);
+    time_point latest_start(const request_record& r) const;
+    bool has_instances(const request_record& r) const;
+    bool can_start_in_time(const request_record& r, time_point now) const;
+    void enqueue(request_record& r, time_point now);
+    void apply_verdicts(time_point now);
+
+    void dispatch(service_index service, time_point now);
+    bool dispatch_lane(admission_queue& queue, admission_queue::lane& lane,
+                       time_point now);
+    bool keeps_reserve(const request_record& r) const;
+    std::optional<instance_index> choose(const request_record& r,
+                                         time_point now);
+    void start(request_record& r, instance_index instance, time_point now);
+
+    void on_event(request_record& r, const attempt_failed_unsent& event,
+                  time_point now);
+    void on_event(request_record& r, const attempt_sending& event,
+                  time_point now);
+    void on_event(request_record& r, const attempt_head& event, time_point now);
+    void on_event(request_record& r, const attempt_done& event, time_point now);
+    void on_event(request_record& r, const attempt_broken& event,
+                  time_point now);
+    void on_refusal(request_record& r, time_point now);
+    void end_attempt(request_record& r);
+    void abandon(request_record& r);
+
+    bool may_try_again(const request_record& r, time_point now);
+    bool try_elsewhere(request_record& r, time_point now);
+    void retry_or_finish(request_record& r, const std::string& reason,
+                         time_point now);
+
+    void wake(request_record& r, time_point now);
+    void wake_running(request_record& r, time_point now);
+    void set_wakeup(request_record& r, time_point at);
+    void probe(instance_index instance);
+
+    void finish_without_answer(request_record& r, unsigned status,
+                               const std::string& reason, time_point now);
+    void finish_not_run(request_record& r, unsigned status,
+                        const std::string& reason, time_point now);
+    void finish_unknown(request_record& r, unsigned status,
+                        const std::string& reason, time_point now);
+    void finish(request_record& r, request_outcome outcome, unsigned status,
+                time_point now);
+    void collect(time_point now);
+
+    request_settings settings_;
+    bool configured_ = false;
+    path_classifier classifier_;
+    endpoint_directory directory_;
+    slot_ledger ledger_;
+    ejector ejector_;
+    router<Policy> router_;
+    retry_budget budget_;
+    claim_table claims_;
+    // What this daemon sends to other regions and what it receives from them.
+    link_bucket link_out_;
+    link_bucket link_in_;
+    std::uint64_t link_bits_per_second_ = 0;
+    records records_;
+    // By service index.
+    std::vector<admission_queue> queues_;
+    wakeup_queue wakeups_;
+    std::vector<request_action> actions_;
+    std::optional<time_point> drain_started_;
+    bool drained_ = false;
 };
 
 } // namespace hemlockdeal
+
+#include "request/request_core.ipp"
--- /dev/null
+++ b/src/request/request_core.ipp
@@ -0,0 +1,482 @@
+// Definitions of the request core: events from outside, admission and
+// dispatch. Attempts and outcomes are in request_attempts.ipp.
+#pragma once
+
+#include <algorithm>
+
+namespace hemlockdeal
+{
+
+namespace request_limits
+{
+
+// A connection that is not established by then counts as failed; no byte was
+// sent, so the request may go elsewhere.
+inline constexpr duration connect = std::chrono::seconds(1);
+inline constexpr duration longest_timeout = std::chrono::minutes(5);
+// Longest time in the queue, whatever the target is.
+inline constexpr duration longest_wait = std::chrono::seconds(30);
+// Shortest silence that makes an attempt suspect.
+inline constexpr duration shortest_suspicion = std::chrono::milliseconds(100);
+// A drain waits this long for results that cannot be written.
+inline constexpr duration drain_writes = std::chrono::seconds(10);
+// Share of the slots that classes that can wait leave free.
+inline constexpr std::uint32_t reserve_divisor = 10;
+// Size of a head, and of a body whose size is not known, on the link.
+inline constexpr std::uint64_t head_bytes = 1024;
+inline constexpr std::uint64_t usual_body = 64ULL * 1024;
+
+} // namespace request_limits
+
+template <request_policy Policy>
+request_core<Policy>::request_core(request_settings settings)
+    : settings_(std::move(settings)),
+      directory_(settings_.vm, settings_.zone, settings_.region,
+                 settings_.floor_share),
+      ledger_(directory_, settings_.process),
+      ejector_(directory_, Policy::ejects_instances()), router_(settings_.seed),
+      budget_(settings_.retry_share, settings_.retries_per_second),
+      claims_(settings_, Policy::holds_unresolved_claim())
+{}
+
+template <request_policy Policy>
+void request_core<Policy>::on_configuration(const configuration& c)
+{
+    configured_ = true;
+    classifier_.adopt(c.content);
+    directory_.set_zones_out(c.zones_out);
+    link_bits_per_second_ = c.content.link.bits_per_second;
+    share_link();
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_membership(const membership_list& list,
+                                         time_point now)
+{
+    directory_.apply(list, now);
+    share_link();
+    queues_.resize(directory_.service_count());
+    for (service_index s = 0; s < queues_.size(); ++s)
+    {
+        dispatch(s, now);
+    }
+    collect(now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::share_link()
+{
+    const std::size_t sharers = directory_.entry_vms_in_region();
+    link_out_.set_rate(link_bits_per_second_, sharers);
+    link_in_.set_rate(link_bits_per_second_, sharers);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_request(const request_head& head, time_point now)
+{
+    const auto rule = classifier_.classify(head.path);
+    if (!rule)
+    {
+        const bool ready = configured_;
+        actions_.emplace_back(answer_not_run{
+            head.id, ready ? 404U : 503U,
+            ready ? "no route matches the path"
+                  : "the daemon has received no configuration yet"});
+        actions_.emplace_back(finish_request{
+            head.id, {}, request_outcome::not_run, ready ? 404U : 503U, {}, 0});
+        return;
+    }
+    request_record& r = records_[head.id.value()];
+    r.id = head.id;
+    r.rule = rule;
+    r.service = directory_.service_of(rule->service);
+    queues_.resize(directory_.service_count());
+    r.body_bytes = head.body_bytes;
+    r.arrived = now;
+    r.start_by = latest_start(r);
+    if (!rule->idempotent)
+    {
+        r.claim = head.key;
+    }
+    if (head.key && r.claim)
+    {
+        const std::string fingerprint =
+            std::to_string(stable_hash(head.method + " " + head.path));
+        if (can_start_in_time(r, now))
+        {
+            r.phase = request_phase::claiming;
+            set_wakeup(r, r.start_by);
+            claims_.begin(r.id, *r.claim, fingerprint);
+            collect(now);
+            return;
+        }
+    }
+    admit(r, now);
+    collect(now);
+}
+
+// The endpoint needs the rest of the target, so a class whose responses take
+// long waits less.
+template <request_policy Policy>
+time_point request_core<Policy>::latest_start(const request_record& r) const
+{
+    const duration target = r.rule->target;
+    const duration most = std::min(
+        duration(static_cast<long>(static_cast<double>(target.count()) *
+                                   settings_.queue_share)),
+        request_limits::longest_wait);
+    const duration left =
+        target - directory_.service(r.service).responses.high();
+    return r.arrived + std::clamp(left, std::min(most, target / 10), most);
+}
+
+template <request_policy Policy>
+bool request_core<Policy>::has_instances(const request_record& r) const
+{
+    const auto& tiers = directory_.service(r.service).tiers;
+    const std::size_t reachable = r.rule->cross_region ? tier_count : far_tier;
+    return std::any_of(
+        tiers.begin(), tiers.begin() + static_cast<std::ptrdiff_t>(reachable),
+        [&](const auto& tier) {
+            return std::ranges::any_of(tier, [&](instance_index i) {
+                return !directory_.at(i).is_leaving();
+            });
+        });
+}
+
+template <request_policy Policy>
+bool request_core<Policy>::can_start_in_time(const request_record& r,
+                                             time_point now) const
+{
+    const service_instances& s = directory_.service(r.service);
+    const admission_queue& queue = queues_[r.service];
+    if (s.in_flight < s.capacity && queue.size() == 0)
+    {
+        return true;
+    }
+    const std::size_t ahead = queue.ahead(*r.rule, r.start_by);
+    const auto wait =
+        duration(static_cast<long>(ahead + 1) * s.occupancy.mean().count() /
+                 static_cast<long>(std::max(1U, s.capacity)));
+    return now + wait <= r.start_by;
+}
+
+// Starts the request, queues it, or refuses it at once when it cannot be
+// answered in time. Requests with longer targets give way first.
+template <request_policy Policy>
+void request_core<Policy>::admit(request_record& r, time_point now)
+{
+    if (!has_instances(r))
+    {
+        finish_without_answer(r, 503, "no instance of the service is live",
+                              now);
+        return;
+    }
+    while (Policy::limits_waiting() && !can_start_in_time(r, now))
+    {
+        const auto victim = queues_[r.service].make_way(*r.rule, r.start_by);
+        if (!victim)
+        {
+            finish_without_answer(r, 429, "overload", now);
+            return;
+        }
+        request_record& other = *find(*victim);
+        other.phase = request_phase::arrived;
+        finish_without_answer(other, 429, "overload", now);
+    }
+    if (waiting() >= settings_.max_waiting)
+    {
+        finish_without_answer(r, 429, "too many requests wait", now);
+        return;
+    }
+    enqueue(r, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::enqueue(request_record& r, time_point now)
+{
+    r.phase = request_phase::queued;
+    queues_[r.service].push(*r.rule, {r.start_by, r.id});
+    const service_index service = r.service;
+    if (Policy::limits_waiting())
+    {
+        set_wakeup(r, r.start_by);
+    }
+    // The record may be gone after this.
+    dispatch(service, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::apply_verdicts(time_point now)
+{
+    for (claim_verdict& v : claims_.take_verdicts())
+    {
+        request_record* r = find(v.request);
+        if (r == nullptr || r->phase != request_phase::claiming)
+        {
+            continue;
+        }
+        if (std::holds_alternative<claim_held>(v.verdict))
+        {
+            enqueue(*r, now);
+            continue;
+        }
+        // The key is not this request's.
+        r->claim.reset();
+        if (const auto* not_run = std::get_if<claim_not_run>(&v.verdict))
+        {
+            finish_not_run(*r, not_run->status, not_run->reason, now);
+        }
+        else if (const auto* unknown = std::get_if<claim_unknown>(&v.verdict))
+        {
+            finish_unknown(*r, 409, unknown->reason, now);
+        }
+        else
+        {
+            auto& answer = std::get<stored_answer>(v.verdict);
+            const unsigned status = answer.status;
+            actions_.emplace_back(answer_stored{r->id, std::move(answer)});
+            finish(*r, request_outcome::done, status, now);
+        }
+    }
+}
+
+template <request_policy Policy>
+void request_core<Policy>::dispatch(service_index service, time_point now)
+{
+    admission_queue& queue = queues_[service];
+    bool started = true;
+    while (started && queue.size() > 0)
+    {
+        const auto lanes = queue.ready_lanes();
+        started = std::ranges::any_of(lanes, [&](auto* lane) {
+            return dispatch_lane(queue, *lane, now);
+        });
+    }
+}
+
+template <request_policy Policy>
+bool request_core<Policy>::dispatch_lane(admission_queue& queue,
+                                         admission_queue::lane& lane,
+                                         time_point now)
+{
+    request_record& r = *find(lane.items.front().request);
+    if (keeps_reserve(r))
+    {
+        return false;
+    }
+    const auto instance = choose(r, now);
+    if (!instance)
+    {
+        return false;
+    }
+    queue.pop_front(lane);
+    start(r, *instance, now);
+    return true;
+}
+
+template <request_policy Policy>
+bool request_core<Policy>::keeps_reserve(const request_record& r) const
+{
+    const service_instances& s = directory_.service(r.service);
+    const std::uint32_t reserve = s.capacity / request_limits::reserve_divisor;
+    return r.rule->can_wait && s.in_flight + reserve >= s.capacity &&
+           s.capacity > 1;
+}
+
+template <request_policy Policy>
+std::optional<instance_index>
+request_core<Policy>::choose(const request_record& r, time_point now)
+{
+    const std::uint64_t bytes =
+        request_limits::head_bytes + (r.body_bytes == unknown_body_size
+                                          ? request_limits::usual_body
+                                          : r.body_bytes);
+    const bool link_has_room =
+        r.rule->cross_region &&
+        link_out_.has_room(bytes, r.rule->can_wait, now) &&
+        link_in_.has_room(0, r.rule->can_wait, now);
+    return router_.choose(directory_, r.service, *r.rule, link_has_room,
+                          r.excluded, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_commit_outcome(const commit_id& id,
+                                             const commit_outcome& outcome,
+                                             time_point now)
+{
+    claims_.on_commit_outcome(id, outcome, now);
+    collect(now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_row(std::uint64_t number, const row_reply& reply,
+                                  time_point now)
+{
+    claims_.on_row(number, reply, now);
+    collect(now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_peer(const vm_id& sender, const peer_body& body,
+                                   time_point now)
+{
+    if (const auto* request = std::get_if<slot_request>(&body))
+    {
+        ledger_.on_request(sender, *request, now);
+    }
+    else if (const auto* grant = std::get_if<slot_grant>(&body))
+    {
+        ledger_.on_grant(*grant);
+        const auto instance = directory_.find(grant->instance);
+        if (instance)
+        {
+            dispatch(directory_.at(*instance).service, now);
+        }
+    }
+    collect(now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_link_use(std::uint64_t bytes, time_point now)
+{
+    link_out_.use(bytes, now);
+}
+
+template <request_policy Policy>
+void request_core<Policy>::start_drain(time_point now)
+{
+    if (!drain_started_)
+    {
+        drain_started_ = now;
+    }
+    collect(now);
+}
+
+template <request_policy Policy>
+bool request_core<Policy>::is_draining() const
+{
+    return drain_started_.has_value();
+}
+
+template <request_policy Policy>
+bool request_core<Policy>::is_drained() const
+{
+    return drained_;
+}
+
+template <request_policy Policy>
+void request_core<Policy>::on_tick(time_point now)
+{
+    while (const auto due = wakeups_.pop_due(now))
+    {
+        request_record* r = find(due->second);
+        if (r == nullptr || r->entered_at != due->first)
+        {
+            continue;
+        }
+        r->entered_at.reset();
+        if (r->wake_at && *r->wake_at <= now)
+        {
+            r->wake_at.reset();
+            wake(*r, now);
+        }
+        else if (r->wake_at)
+        {
+            set_wakeup(*r, *r->wake_at);
+        }
+    }
+    for (const instance_index i : ejector_.run(now))
+    {
+        probe(i);
+    }
+    if (now >= ledger_.next_round())
+    {
+        std::vector<std::size_t> counts;
+        std::ranges::transform(queues_, std::back_inserter(counts),
+                               &admission_queue::size);
+        ledger_.run_round(counts, router_.generator(), now);
+        directory_.refresh_capacity(now);
+        for (service_index s = 0; s < queues_.size(); ++s)
+        {
+            dispatch(s, now);
+        }
+    }
+    collect(now);
+}
+
+template <request_policy Policy>
+std::optional<time_point> request_core<Policy>::next_wakeup() const
+{
+    time_point next = std::min(ledger_.next_round(), ejector_.next_run());
+    for (const auto other : {wakeups_.next(), claims_.next_run()})
+    {
+        next = other ? std::min(next, *other) : next;
+    }
+    return next;
+}
+
+template <request_policy Policy>
+std::vector<request_action> request_core<Policy>::take_actions()
+{
+    return std::exchange(actions_, {});
+}
+
+// Takes over what the parts decided in this event.
+template <request_policy Policy>
+void request_core<Policy>::collect(time_point now)
+{
+    claims_.run(now);
+    apply_verdicts(now);
+    // A verdict may have released a claim or stored a result.
+    claims_.run(now);
+    for (auto& action : claims_.take_actions())
+    {
+        std::visit([&](auto& a) { actions_.emplace_back(std::move(a)); },
+                   action);
+    }
+    if (drain_started_ && !drained_ && records_.empty() &&
+        (claims_.is_idle() ||
+         now - *drain_started_ > request_limits::drain_writes))
+    {
+        ledger_.release_all(now);
+        drained_ = true;
+    }
+    for (send_to_peer& message : ledger_.take_messages())
+    {
+        actions_.emplace_back(std::move(message));
+    }
+    for (record_event& event : ejector_.take_events())
+    {
+        actions_.emplace_back(std::move(event));
+    }
+}
+
+template <request_policy Policy>
+std::uint32_t
+request_core<Policy>::connection_share(const instance_id& instance,
+                                       time_point now) const
+{
+    const auto i = directory_.find(instance);
+    if (!i || directory_.at(*i).slots == 0)
+    {
+        return 0;
+    }
+    const endpoint_instance& e = directory_.at(*i);
+    return e.connections * e.share.usable(now) / e.slots;
+}
+
+template <request_policy Policy>
+std::size_t request_core<Policy>::waiting() const
+{
+    std::size_t count = 0;
+    for (const admission_queue& q : queues_)
+    {
+        count += q.size();
+    }
+    return count;
+}
+
+} // namespace hemlockdeal
+
+#include "request/request_attempts.ipp"
--- a/src/request/request_event.hpp
+++ b/src/request/request_event.hpp
@@ -86,9 +86,8 @@
 
 // Exactly one of failed_unsent, done and broken ends an attempt that was not
 // abandoned. Events of attempts that have ended are ignored.
-using attempt_event =
-    std::variant<attempt_failed_unsent, attempt_sending, attempt_head,
-                 attempt_done, attempt_broken>;
+using attempt_event = std::variant<attempt_failed_unsent, attempt_sending,
+                                   attempt_head, attempt_done, attempt_broken>;
 
 // Reply to read_row: the row, nothing when it is absent, or an error when the
 // table gave no response.
--- a/src/request/request_policy.hpp
+++ b/src/request/request_policy.hpp
@@ -6,11 +6,21 @@
 #include <concepts>
 #include <cstdint>
 
+#include "request/power_of_two_choices.hpp"
+
 namespace hemlockdeal
 {
 
 struct standard_request_policy
 {
+    using route_choice = power_of_two_choices;
+
+    // Instances that fail or are slow are taken out of routing for a while.
+    static constexpr bool ejects_instances() { return true; }
+
+    // Requests that would be answered too late are refused at once.
+    static constexpr bool limits_waiting() { return true; }
+
     // A request that may have run is sent again only when running it twice
     // is harmless.
     static constexpr bool may_send_again(bool bytes_sent, bool idempotent)
@@ -42,13 +52,33 @@
 };
 
 template <typename Policy>
-concept request_policy = requires {
-    { Policy::may_send_again(true, true) } -> std::same_as<bool>;
-    { Policy::may_report_not_run(true, true) } -> std::same_as<bool>;
-    { Policy::has_slot(1U, 1U) } -> std::same_as<bool>;
-    { Policy::may_retry(true) } -> std::same_as<bool>;
-    { Policy::may_receive(true) } -> std::same_as<bool>;
-    { Policy::holds_unresolved_claim() } -> std::same_as<bool>;
+concept request_policy = requires
+{
+    typename Policy::route_choice;
+    {
+        Policy::ejects_instances()
+        } -> std::same_as<bool>;
+    {
+        Policy::limits_waiting()
+        } -> std::same_as<bool>;
+    {
+        Policy::may_send_again(true, true)
+        } -> std::same_as<bool>;
+    {
+        Policy::may_report_not_run(true, true)
+        } -> std::same_as<bool>;
+    {
+        Policy::has_slot(1U, 1U)
+        } -> std::same_as<bool>;
+    {
+        Policy::may_retry(true)
+        } -> std::same_as<bool>;
+    {
+        Policy::may_receive(true)
+        } -> std::same_as<bool>;
+    {
+        Policy::holds_unresolved_claim()
+        } -> std::same_as<bool>;
 };
 
 } // namespace hemlockdeal
--- a/src/request/request_settings.hpp
+++ b/src/request/request_settings.hpp
@@ -35,7 +35,6 @@
 
     // Share of an instance's slots that floors divide.
     double floor_share = 0.75;
-    duration loan = std::chrono::seconds(2);
 
     // Shortest time between two commits of claims: 50 a second from each
     // daemon fit into what the table accepts.
--- /dev/null
+++ b/src/request/slot_ledger.hpp
@@ -0,0 +1,51 @@
+// Borrows slots for this daemon and lends slots of the instances that it
+// coordinates.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include "core/core.hpp"
+#include "request/endpoint_directory.hpp"
+
+namespace hemlockdeal
+{
+
+class slot_ledger
+{
+public:
+    // The numbers of questions continue above those of earlier processes of
+    // the same VM.
+    slot_ledger(endpoint_directory& directory, incarnation process);
+
+    // Asks for what each instance lacks, at most once each `round_spacing`.
+    // `waiting` holds the requests in the queue, by service.
+    void run_round(const std::vector<std::size_t>& waiting,
+                   std::mt19937_64& generator, time_point now);
+    time_point next_round() const { return next_round_; }
+
+    void on_request(const vm_id& sender, const slot_request& request,
+                    time_point now);
+    void on_grant(const slot_grant& grant);
+
+    // Returns all loans to their coordinators.
+    void release_all(time_point now);
+
+    std::vector<send_to_peer> take_messages();
+
+    static constexpr duration round_spacing = std::chrono::milliseconds(250);
+
+private:
+    void ask_for_own_use(instance_index i, std::size_t waiting, time_point now);
+    void ask_further_away(service_index s, std::size_t waiting,
+                          std::mt19937_64& generator, time_point now);
+    void ask(instance_index i, std::uint32_t wanted, time_point now);
+
+    endpoint_directory& directory_;
+    std::uint64_t last_number_;
+    time_point next_round_{};
+    std::vector<send_to_peer> messages_;
+};
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/request/slot_share.hpp
@@ -0,0 +1,100 @@
+// This daemon's share of the slots of one instance: a floor, a loan from the
+// instance's coordinator, and, on the coordinator, the loans given out.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "core/core.hpp"
+
+namespace hemlockdeal
+{
+
+// How the slots are divided, as the membership list gives it.
+struct slot_terms
+{
+    std::uint32_t floor = 0;
+    std::uint32_t pool = 0;
+    vm_id coordinator; // empty when the zone has no live entry VM
+
+    friend bool operator==(const slot_terms&, const slot_terms&) = default;
+};
+
+class slot_share
+{
+public:
+    // A new coordinator lends nothing until the loans of the previous one
+    // must have expired.
+    void set_terms(const slot_terms& terms, time_point now);
+    const slot_terms& terms() const { return terms_; }
+
+    std::uint32_t usable(time_point now) const
+    {
+        return terms_.floor + loan(now);
+    }
+    std::uint32_t loan(time_point now) const
+    {
+        return now < loan_expires_ ? loan_ : 0;
+    }
+    duration loan_left(time_point now) const
+    {
+        return std::max(duration{}, duration(loan_expires_ - now));
+    }
+
+    // Borrower: notes a question sent now under a number that only rises.
+    void ask(std::uint64_t number, time_point now);
+    // Borrower: takes a grant; grants of forgotten questions are ignored.
+    void accept(const slot_grant& grant);
+    // Borrower: uses the loan no longer.
+    void give_up(std::uint64_t number);
+
+    // Coordinator: lends to a daemon. A request for 0 slots ends its loans.
+    slot_grant lend(const vm_id& borrower, const slot_request& request,
+                    time_point now);
+    // Coordinator: the sum that borrowers may be using.
+    std::uint32_t lent(time_point now) const;
+
+    static constexpr duration loan_length = std::chrono::seconds(2);
+    // Time a list may lag behind another daemon's list.
+    static constexpr duration list_lag = std::chrono::seconds(2);
+
+private:
+    struct question
+    {
+        std::uint64_t number = 0;
+        time_point sent_at;
+    };
+    struct loan_given
+    {
+        std::uint32_t slots = 0;
+        time_point expires;
+    };
+    // A borrower may use any unexpired loan, because a later and smaller one
+    // can be lost on its way.
+    struct borrower_loans
+    {
+        vm_id vm;
+        std::uint64_t newest_number = 0;
+        time_point asked_at;
+        std::vector<loan_given> loans;
+
+        std::uint32_t charged(time_point now) const;
+    };
+
+    borrower_loans& find_borrower(const vm_id& borrower);
+    std::uint32_t fair_part(time_point now) const;
+
+    slot_terms terms_;
+    // Borrower's side.
+    std::uint32_t loan_ = 0;
+    time_point loan_expires_{};
+    std::uint64_t accepted_number_ = 0;
+    std::vector<question> questions_;
+    // Coordinator's side.
+    std::vector<borrower_loans> borrowers_;
+    time_point lends_from_{};
+};
+
+} // namespace hemlockdeal
