Test the guarantees of the request core

Cause: the three outcomes, at most once, slot shares, leaving instances and the retry budget had no check. Change: property tests over several daemons with one lossy table and failing endpoints, and a deliberate break for each guarantee. Instances that leave stay in their tier, so that one rule alone decides whether they get requests.

--- a/src/request/ejector.cpp
+++ b/src/request/ejector.cpp
@@ -137,11 +137,12 @@
     std::size_t all = 0;
     for (const auto& tier : directory_.service(e.service).tiers)
     {
-        all += tier.size();
-        ejected += static_cast<std::size_t>(
-            std::ranges::count_if(tier, [&](instance_index i) {
-                return directory_.at(i).health.is_ejected();
-            }));
+        for (const instance_index i : tier)
+        {
+            const endpoint_instance& other = directory_.at(i);
+            all += other.is_leaving() ? 0 : 1;
+            ejected += !other.is_leaving() && other.health.is_ejected() ? 1 : 0;
+        }
     }
     return 2 * (ejected + 1) <= all;
 }
--- a/src/request/endpoint_directory.cpp
+++ b/src/request/endpoint_directory.cpp
@@ -160,7 +160,7 @@
     for (instance_index i = 0; i < instances_.size(); ++i)
     {
         const endpoint_instance& e = instances_[i];
-        if (e.listed && !e.listed_leaving)
+        if (e.listed)
         {
             services_[e.service].tiers[e.tier].push_back(i);
         }
--- a/src/request/endpoint_directory.hpp
+++ b/src/request/endpoint_directory.hpp
@@ -58,6 +58,7 @@
 struct service_instances
 {
     service_id id;
+    // All listed instances, also those that leave.
     std::array<std::vector<instance_index>, tier_count> tiers;
     // Time that a request occupies a slot, over all instances.
     response_estimate occupancy{0.02};
--- a/src/request/request_core.ipp
+++ b/src/request/request_core.ipp
@@ -33,7 +33,7 @@
     : settings_(std::move(settings)),
       directory_(settings_.vm, settings_.zone, settings_.region,
                  settings_.floor_share),
-      ledger_(directory_, settings_.process),
+      ledger_(directory_, settings_.process, Policy::counts_loans()),
       ejector_(directory_, Policy::ejects_instances()), router_(settings_.seed),
       budget_(settings_.retry_share, settings_.retries_per_second),
       claims_(settings_, Policy::holds_unresolved_claim())
--- a/src/request/request_policy.hpp
+++ b/src/request/request_policy.hpp
@@ -49,6 +49,9 @@
     // A claim whose commit got no response is not held until the table shows
     // it.
     static constexpr bool holds_unresolved_claim() { return false; }
+
+    // A coordinator lends only what it has not lent to another daemon.
+    static constexpr bool counts_loans() { return true; }
 };
 
 template <typename Policy>
--- a/src/request/slot_ledger.cpp
+++ b/src/request/slot_ledger.cpp
@@ -18,8 +18,10 @@
 
 } // namespace
 
-slot_ledger::slot_ledger(endpoint_directory& directory, incarnation process)
-    : directory_(directory), last_number_(process.value() << 32U)
+slot_ledger::slot_ledger(endpoint_directory& directory, incarnation process,
+                         bool counts_loans)
+    : directory_(directory), counts_loans_(counts_loans),
+      last_number_(process.value() << 32U)
 {}
 
 void slot_ledger::run_round(const std::vector<std::size_t>& waiting,
@@ -108,7 +110,7 @@
     e.share.ask(request.number, now);
     if (terms.coordinator == directory_.self())
     {
-        e.share.accept(e.share.lend(directory_.self(), request, now));
+        e.share.accept(lend(e, directory_.self(), request, now));
         return;
     }
     messages_.push_back({terms.coordinator, request});
@@ -123,7 +125,18 @@
         return;
     }
     messages_.push_back(
-        {sender, directory_.at(*i).share.lend(sender, request, now)});
+        {sender, lend(directory_.at(*i), sender, request, now)});
+}
+
+slot_grant slot_ledger::lend(endpoint_instance& instance, const vm_id& borrower,
+                             const slot_request& request, time_point now)
+{
+    slot_grant grant = instance.share.lend(borrower, request, now);
+    if (!counts_loans_ && instance.share.may_lend(now))
+    {
+        grant.granted = std::min(request.wanted, instance.share.terms().pool);
+    }
+    return grant;
 }
 
 void slot_ledger::on_grant(const slot_grant& grant)
--- a/src/request/slot_ledger.hpp
+++ b/src/request/slot_ledger.hpp
@@ -16,8 +16,10 @@
 {
 public:
     // The numbers of questions continue above those of earlier processes of
-    // the same VM.
-    slot_ledger(endpoint_directory& directory, incarnation process);
+    // the same VM. `counts_loans` is false only to break the guarantee in
+    // tests.
+    slot_ledger(endpoint_directory& directory, incarnation process,
+                bool counts_loans);
 
     // Asks for what each instance lacks, at most once each `round_spacing`.
     // `waiting` holds the requests in the queue, by service.
@@ -41,8 +43,11 @@
     void ask_further_away(service_index s, std::size_t waiting,
                           std::mt19937_64& generator, time_point now);
     void ask(instance_index i, std::uint32_t wanted, time_point now);
+    slot_grant lend(endpoint_instance& instance, const vm_id& borrower,
+                    const slot_request& request, time_point now);
 
     endpoint_directory& directory_;
+    bool counts_loans_;
     std::uint64_t last_number_;
     time_point next_round_{};
     std::vector<send_to_peer> messages_;
--- a/src/request/slot_share.cpp
+++ b/src/request/slot_share.cpp
@@ -69,7 +69,7 @@
 {
     slot_grant grant{request.number, request.instance, 0, loan_length};
     borrower_loans& b = find_borrower(borrower);
-    if (now < lends_from_ || request.number <= b.newest_number)
+    if (!may_lend(now) || request.number <= b.newest_number)
     {
         return grant;
     }
--- a/src/request/slot_share.hpp
+++ b/src/request/slot_share.hpp
@@ -53,6 +53,7 @@
     // Coordinator: lends to a daemon. A request for 0 slots ends its loans.
     slot_grant lend(const vm_id& borrower, const slot_request& request,
                     time_point now);
+    bool may_lend(time_point now) const { return now >= lends_from_; }
     // Coordinator: the sum that borrowers may be using.
     std::uint32_t lent(time_point now) const;
 
--- /dev/null
+++ b/tests/request/request_core_test.cpp
@@ -0,0 +1,236 @@
+// Guards the guarantees of the request path with several daemons, random
+// faults and one table that loses requests and responses. Each guarantee has
+// a policy that breaks its rule, and a test that the check notices it.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "world.hpp"
+
+using namespace hemlockdeal;
+using testing::Contains;
+
+namespace
+{
+
+double chance(double most)
+{
+    return *rc::gen::inRange(0, 101) / 100.0 * most;
+}
+
+template <typename Policy>
+void check(std::uint64_t seed, const world_shape& shape,
+           const world_faults& faults)
+{
+    world<Policy> w(seed, shape, faults);
+    RC_ASSERT(w.run());
+    RC_ASSERT(w.violations() == std::vector<std::string>());
+}
+
+world_faults table_faults(double lost)
+{
+    world_faults f;
+    f.commit_lost = lost;
+    f.response_lost = lost;
+    f.breaks = lost / 4;
+    f.refuses = lost / 4;
+    f.caller_leaves = lost / 4;
+    f.connect_fails = lost / 4;
+    return f;
+}
+
+world_faults endpoint_faults(double rate)
+{
+    world_faults f;
+    f.connect_fails = rate;
+    f.connect_hangs = rate / 10;
+    f.breaks = rate / 2;
+    f.silent = rate / 10;
+    f.refuses = rate / 2;
+    f.error_status = rate / 2;
+    f.caller_leaves = rate / 4;
+    return f;
+}
+
+world_faults heavy_load()
+{
+    world_faults f;
+    f.request_spacing_us = 500;
+    f.requests = 300;
+    f.message_lost = 0.2;
+    return f;
+}
+
+// Runs worlds with increasing seeds until the violation is found.
+template <typename Policy>
+std::vector<std::string> find_violation(const world_shape& shape,
+                                        const world_faults& faults)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        world<Policy> w(seed, shape, faults);
+        w.run();
+        if (!w.violations().empty())
+        {
+            return w.violations();
+        }
+    }
+    return {};
+}
+
+struct sends_again : standard_request_policy
+{
+    static constexpr bool may_send_again(bool, bool) { return true; }
+};
+
+struct reports_not_run : standard_request_policy
+{
+    static constexpr bool may_report_not_run(bool, bool) { return true; }
+};
+
+struct ignores_share : standard_request_policy
+{
+    static constexpr bool has_slot(std::uint32_t, std::uint32_t)
+    {
+        return true;
+    }
+};
+
+struct retries_always : standard_request_policy
+{
+    static constexpr bool may_retry(bool) { return true; }
+};
+
+struct sends_to_leaving : standard_request_policy
+{
+    static constexpr bool may_receive(bool) { return true; }
+};
+
+struct holds_unresolved : standard_request_policy
+{
+    static constexpr bool holds_unresolved_claim() { return true; }
+};
+
+struct lends_twice : standard_request_policy
+{
+    static constexpr bool counts_loans() { return false; }
+};
+
+} // namespace
+
+// Failure: a request runs twice, has no outcome or a wrong one, when the table
+// loses requests and responses and callers repeat keys at two daemons.
+RC_GTEST_PROP(request_core, claims_hold_with_a_lossy_table,
+              (std::uint64_t seed))
+{
+    check<standard_request_policy>(seed, {}, table_faults(chance(0.5)));
+}
+
+// Failure: a wrong outcome or a second run when endpoints fail in all ways.
+RC_GTEST_PROP(request_core, outcomes_hold_with_failing_endpoints,
+              (std::uint64_t seed))
+{
+    check<standard_request_policy>(seed, {}, endpoint_faults(chance(0.6)));
+}
+
+// Failure: more requests in flight than slots under load and lost messages.
+RC_GTEST_PROP(request_core, shares_hold_under_load, (std::uint64_t seed))
+{
+    world_faults f = heavy_load();
+    f.message_lost = chance(0.9);
+    f.requests = 60;
+    f.breaks = chance(0.1);
+    check<standard_request_policy>(seed, {3, 2, 8, *rc::gen::arbitrary<bool>()},
+                                   f);
+}
+
+// Failure: a leaving instance still gets requests.
+RC_GTEST_PROP(request_core, leaving_instance_gets_nothing_new,
+              (std::uint64_t seed, bool announces))
+{
+    world_faults f;
+    f.instance_leaves = true;
+    f.announces = announces;
+    f.requests = 100;
+    f.request_spacing_us = 40'000;
+    check<standard_request_policy>(seed, {}, f);
+}
+
+// Failure: the faults of the properties above never lead to some outcome, so
+// that its rule is not tested.
+TEST(request_core, faults_lead_to_every_outcome)
+{
+    std::map<std::string, int> all;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        world<standard_request_policy> w(seed, {}, table_faults(0.3));
+        w.run();
+        for (const auto& [outcome, count] : w.outcomes())
+        {
+            all[outcome] += count;
+        }
+    }
+    for (const char* outcome : {"done", "not run", "unknown", "gone", "stored"})
+    {
+        EXPECT_GT(all[outcome], 20) << outcome;
+    }
+}
+
+// Failure: requests are refused though nothing is wrong.
+TEST(request_core, everything_is_done_without_faults)
+{
+    world_faults f;
+    f.repeats = 0.0;
+    world<standard_request_policy> w(1, {}, f);
+    w.run();
+    EXPECT_EQ(w.outcomes(), (std::map<std::string, int>{{"done", 120}}));
+}
+
+TEST(broken_policy, second_send_is_noticed)
+{
+    EXPECT_THAT(find_violation<sends_again>({}, endpoint_faults(0.5)),
+                Contains("a non-idempotent request was sent twice"));
+}
+
+TEST(broken_policy, wrong_not_run_is_noticed)
+{
+    EXPECT_THAT(find_violation<reports_not_run>({}, endpoint_faults(0.5)),
+                Contains("not run, but bytes were sent"));
+}
+
+TEST(broken_policy, exceeded_share_is_noticed)
+{
+    EXPECT_THAT(find_violation<ignores_share>({3, 2, 8}, heavy_load()),
+                Contains("in flight above the daemon's share"));
+}
+
+TEST(broken_policy, retries_above_the_budget_are_noticed)
+{
+    world_faults f = endpoint_faults(0.9);
+    f.requests = 600;
+    f.request_spacing_us = 1'000;
+    EXPECT_THAT(find_violation<retries_always>({2, 20, 8}, f),
+                Contains("more retries than the budget"));
+}
+
+TEST(broken_policy, request_to_a_leaving_instance_is_noticed)
+{
+    world_faults f;
+    f.instance_leaves = true;
+    f.requests = 100;
+    f.request_spacing_us = 40'000;
+    EXPECT_THAT(find_violation<sends_to_leaving>({}, f),
+                Contains("a leaving instance gets a request"));
+}
+
+TEST(broken_policy, unresolved_claim_is_noticed)
+{
+    EXPECT_THAT(find_violation<holds_unresolved>({}, table_faults(0.5)),
+                Contains("a key ran twice"));
+}
+
+TEST(broken_policy, slots_lent_twice_are_noticed)
+{
+    EXPECT_THAT(find_violation<lends_twice>({3, 2, 8}, heavy_load()),
+                Contains("the daemons' shares exceed the slots"));
+}
--- /dev/null
+++ b/tests/request/world.hpp
@@ -0,0 +1,588 @@
+// Several request cores with one table and a few endpoints, in simulated time
+// and with random faults. It counts itself what was sent, and lists every
+// violation of a guarantee.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "fake_table.hpp"
+#include "request/request.hpp"
+
+namespace hemlockdeal
+{
+
+// Probabilities of faults, each per attempt, commit or message.
+struct world_faults
+{
+    double connect_fails = 0.0;
+    double connect_hangs = 0.0;
+    double breaks = 0.0;
+    double silent = 0.0;
+    double refuses = 0.0;
+    double error_status = 0.0;
+    double commit_lost = 0.0;
+    double response_lost = 0.0;
+    double message_lost = 0.0;
+    double caller_leaves = 0.0;
+    double repeats = 0.5;
+    // Time between two requests of one daemon.
+    int request_spacing_us = 10'000;
+    int requests = 60;
+    bool instance_leaves = false;
+    bool announces = false;
+};
+
+struct world_shape
+{
+    int daemons = 2;
+    int instances = 3;
+    std::uint32_t slots = 8;
+    // One more daemon in another zone of the region.
+    bool far_daemon = false;
+};
+
+template <typename Policy>
+class world
+{
+public:
+    using core = request_core<Policy>;
+
+    world(std::uint64_t seed, world_shape shape, world_faults faults)
+        : random_(seed), shape_(shape), faults_(faults)
+    {
+        const int all = shape.daemons + (shape.far_daemon ? 1 : 0);
+        for (int d = 0; d < all; ++d)
+        {
+            request_settings s;
+            s.vm = vm_id("entry-" + std::to_string(d));
+            s.zone = zone_of(d);
+            s.region = region_id("region");
+            s.process = incarnation(1);
+            s.seed = random_();
+            daemons_.push_back(std::make_unique<core>(s));
+            daemons_.back()->on_configuration(make_configuration());
+        }
+        for (std::size_t d = 0; d < daemons_.size(); ++d)
+        {
+            daemons_[d]->on_membership(list(), now_);
+        }
+    }
+
+    // Runs until all requests have an outcome; false when some never get one.
+    bool run()
+    {
+        // Coordinators lend nothing at first.
+        advance_to(time_point(std::chrono::seconds(5)));
+        for (std::size_t d = 0; d < daemons_.size(); ++d)
+        {
+            for (int i = 0; i < faults_.requests; ++i)
+            {
+                at(now_ + duration(i * faults_.request_spacing_us),
+                   [this, d] { send_request(d); });
+            }
+        }
+        if (faults_.instance_leaves)
+        {
+            const auto span = faults_.requests * faults_.request_spacing_us;
+            at(now_ + duration(span / 3), [this] { leave(); });
+        }
+        advance_to(now_ + std::chrono::seconds(40));
+        return open_.empty();
+    }
+
+    const std::vector<std::string>& violations() const { return violations_; }
+    // Requests by outcome, and "stored" for repeats.
+    const std::map<std::string, int>& outcomes() const { return outcomes_; }
+    core& daemon(std::size_t d) { return *daemons_[d]; }
+
+    void at(time_point when, std::function<void()> event)
+    {
+        events_.emplace(when, std::move(event));
+    }
+
+    void advance_to(time_point end)
+    {
+        while (now_ < end)
+        {
+            time_point next = end;
+            if (!events_.empty())
+            {
+                next = std::min(next, events_.begin()->first);
+            }
+            for (const auto& d : daemons_)
+            {
+                next = std::min(next, d->next_wakeup().value_or(end));
+            }
+            now_ = std::max(now_, next);
+            while (!events_.empty() && events_.begin()->first <= now_)
+            {
+                const auto event = std::move(events_.begin()->second);
+                events_.erase(events_.begin());
+                event();
+            }
+            for (std::size_t d = 0; d < daemons_.size(); ++d)
+            {
+                daemons_[d]->on_tick(now_);
+                carry_out(d);
+            }
+            check_shares();
+        }
+    }
+
+private:
+    struct running_attempt
+    {
+        std::size_t instance = 0;
+        bool sent = false;
+        bool keep = false;
+    };
+    struct open_request
+    {
+        std::string path;
+        std::optional<request_key> key;
+        int sent = 0;    // attempts that sent bytes
+        int refused = 0; // of those, refused by the endpoint
+        bool gone = false;
+    };
+    using attempt_key = std::tuple<std::size_t, std::uint64_t, std::uint64_t>;
+
+    availability_zone_id zone_of(int daemon) const
+    {
+        return availability_zone_id(daemon < shape_.daemons ? "near" : "far");
+    }
+
+    bool happens(double probability)
+    {
+        return std::uniform_real_distribution<>(0.0, 1.0)(random_) <
+               probability;
+    }
+
+    duration between(int from_us, int to_us)
+    {
+        return duration(
+            std::uniform_int_distribution<>(from_us, to_us)(random_));
+    }
+
+    static configuration make_configuration()
+    {
+        configuration c;
+        c.version = configuration_version(1);
+        work_class once;
+        once.id = class_id("once");
+        once.kind = class_kind::latency_critical;
+        once.target = std::chrono::milliseconds(400);
+        once.idempotent = false;
+        work_class any = once;
+        any.id = class_id("any");
+        any.idempotent = true;
+        service s;
+        s.id = service_id("orders");
+        s.routes = {{"/once", once.id}, {"/any", any.id}};
+        c.content.classes = {once, any};
+        c.content.services = {s};
+        return c;
+    }
+
+    membership_list list() const
+    {
+        membership_list l;
+        for (std::size_t d = 0; d < daemons_.size(); ++d)
+        {
+            member m;
+            m.id = "entry-" + std::to_string(d);
+            m.kind = member_kind::entry_vm;
+            m.zone = zone_of(static_cast<int>(d));
+            m.region = region_id("region");
+            l.members.push_back(m);
+        }
+        for (int i = 0; i < shape_.instances; ++i)
+        {
+            member m;
+            m.id = "instance-" + std::to_string(i);
+            m.kind = member_kind::endpoint;
+            m.zone = zone_of(0);
+            m.region = region_id("region");
+            m.service = service_id("orders");
+            m.slots = shape_.slots;
+            m.connections = 64;
+            m.state = i == 0 && listed_leaving_ ? member_state::leaving
+                                                : member_state::live;
+            l.members.push_back(m);
+        }
+        return l;
+    }
+
+    // Instance 0 leaves. Daemons learn of it from lists that lag by up to
+    // 1.5 s, or from its responses.
+    void leave()
+    {
+        left_at_ = now_;
+        if (faults_.announces)
+        {
+            return;
+        }
+        listed_leaving_ = true;
+        for (std::size_t d = 0; d < daemons_.size(); ++d)
+        {
+            at(now_ + between(0, 1'500'000), [this, d] {
+                daemons_[d]->on_membership(list(), now_);
+                carry_out(d);
+            });
+        }
+    }
+
+    void send_request(std::size_t d)
+    {
+        request_head head;
+        head.id = request_id(++last_request_);
+        head.method = "POST";
+        head.path = happens(0.5) ? "/any" : "/once";
+        if (head.path == "/once" && happens(0.8))
+        {
+            const bool repeat = last_key_ > 0 && happens(faults_.repeats);
+            last_key_ += repeat ? 0 : 1;
+            head.key = request_key("key-" + std::to_string(last_key_));
+        }
+        open_[head.id.value()] = {head.path, head.key, 0, 0, false};
+        daemons_[d]->on_request(head, now_);
+        if (happens(faults_.caller_leaves))
+        {
+            at(now_ + between(0, 50'000), [this, d, id = head.id] {
+                const auto found = open_.find(id.value());
+                if (found != open_.end())
+                {
+                    found->second.gone = true;
+                    daemons_[d]->on_caller_gone(id, now_);
+                    carry_out(d);
+                }
+            });
+        }
+        carry_out(d);
+    }
+
+    void carry_out(std::size_t d)
+    {
+        auto actions = daemons_[d]->take_actions();
+        while (!actions.empty())
+        {
+            for (auto& action : actions)
+            {
+                std::visit([&](auto& a) { act(d, a); }, action);
+            }
+            actions = daemons_[d]->take_actions();
+        }
+    }
+
+    void report(std::size_t d, std::uint64_t request, std::uint64_t number,
+                const attempt_event& event)
+    {
+        daemons_[d]->on_attempt_event(request_id(request), attempt(number),
+                                      event, now_);
+        carry_out(d);
+    }
+
+    void act(std::size_t d, const start_attempt& a)
+    {
+        const std::size_t instance = std::stoul(a.instance.value().substr(9));
+        const attempt_key key{d, a.request.value(), a.number.value()};
+        check_start(d, a, instance);
+        attempts_[key] = {instance, false, a.keep_answer};
+        if (happens(faults_.connect_hangs))
+        {
+            return;
+        }
+        const bool fails = happens(faults_.connect_fails);
+        at(now_ + between(500, 2'000), [this, key, fails] {
+            if (!attempts_.contains(key))
+            {
+                return;
+            }
+            if (fails)
+            {
+                attempts_.erase(key);
+                report(std::get<0>(key), std::get<1>(key), std::get<2>(key),
+                       attempt_failed_unsent{"refused"});
+                return;
+            }
+            send_bytes(key);
+        });
+    }
+
+    void check_start(std::size_t d, const start_attempt& a,
+                     std::size_t instance)
+    {
+        std::uint32_t in_flight = 1;
+        for (const auto& [key, running] : attempts_)
+        {
+            in_flight +=
+                std::get<0>(key) == d && running.instance == instance ? 1 : 0;
+        }
+        const auto& directory = daemons_[d]->endpoints();
+        const auto index = directory.find(a.instance);
+        if (in_flight > directory.at(*index).share.usable(now_))
+        {
+            violate("in flight above the daemon's share");
+        }
+        const duration bound = std::chrono::milliseconds(1500);
+        if (instance == 0 && left_at_ && now_ - *left_at_ > bound &&
+            (!faults_.announces || told_leaving_.contains(d)))
+        {
+            violate("a leaving instance gets a request");
+        }
+        retries_[d] += a.number.value() > 1 ? 1 : 0;
+        firsts_[d] += a.number.value() == 1 ? 1 : 0;
+        const double seconds =
+            std::chrono::duration<double>(now_.time_since_epoch()).count();
+        // The budget starts with one retry at the first request, after 5 s.
+        if (retries_[d] > 1.0 + 0.1 * firsts_[d] + 3.0 * (seconds - 5.0) + 0.01)
+        {
+            violate("more retries than the budget");
+        }
+    }
+
+    void send_bytes(const attempt_key& key)
+    {
+        const auto [d, request, number] = key;
+        report(d, request, number, attempt_sending{});
+        const auto running = attempts_.find(key);
+        if (running == attempts_.end())
+        {
+            return;
+        }
+        running->second.sent = true;
+        open_request& r = open_.at(request);
+        ++r.sent;
+        if (r.path == "/once" && r.sent > 1)
+        {
+            violate("a non-idempotent request was sent twice");
+        }
+        const bool refuses = happens(faults_.refuses);
+        if (r.key && !refuses && ++runs_[r.key->value()] > 1)
+        {
+            violate("a key ran twice");
+        }
+        const duration work = between(2'000, 30'000);
+        if (happens(faults_.silent))
+        {
+            return;
+        }
+        if (happens(faults_.breaks) && !refuses)
+        {
+            at(now_ + work, [this, key] { end(key, attempt_broken{"reset"}); });
+            return;
+        }
+        at(now_ + work, [this, key, refuses] { respond(key, refuses); });
+    }
+
+    void respond(const attempt_key& key, bool refuses)
+    {
+        const auto found = attempts_.find(key);
+        if (found == attempts_.end())
+        {
+            return;
+        }
+        const auto [d, request, number] = key;
+        attempt_head head{happens(faults_.error_status) ? 500U : 200U, false,
+                          refuses};
+        if (refuses)
+        {
+            head.status = 503;
+            ++open_.at(request).refused;
+        }
+        if (found->second.instance == 0 && left_at_ && faults_.announces)
+        {
+            head.leaving = true;
+            told_leaving_.insert(d);
+        }
+        const unsigned status = head.status;
+        report(d, request, number, head);
+        at(now_ + between(0, 2'000), [this, key, status] {
+            const auto running = attempts_.find(key);
+            if (running == attempts_.end())
+            {
+                return;
+            }
+            attempt_done done;
+            if (running->second.keep)
+            {
+                done.answer =
+                    stored_answer{status, {}, std::to_string(std::get<1>(key))};
+                answers_[open_.at(std::get<1>(key)).key->value()] =
+                    done.answer->body;
+            }
+            end(key, done);
+        });
+    }
+
+    void end(const attempt_key& key, const attempt_event& event)
+    {
+        if (attempts_.erase(key) > 0)
+        {
+            report(std::get<0>(key), std::get<1>(key), std::get<2>(key), event);
+        }
+    }
+
+    void act(std::size_t d, const abandon_attempt& a)
+    {
+        attempts_.erase({d, a.request.value(), a.number.value()});
+    }
+
+    void act(std::size_t, const forward_answer&) {}
+    void act(std::size_t, const abort_answer&) {}
+    void act(std::size_t, const answer_unknown&) {}
+    void act(std::size_t, const record_event&) {}
+
+    void act(std::size_t, const answer_not_run& a)
+    {
+        const open_request& r = open_.at(a.request.value());
+        if (r.sent > r.refused)
+        {
+            violate("not run, but bytes were sent");
+        }
+    }
+
+    void act(std::size_t, const answer_stored& a)
+    {
+        ++outcomes_["stored"];
+        const auto& key = open_.at(a.request.value()).key;
+        if (answers_[key->value()] != a.answer.body)
+        {
+            violate("the stored response is not that of the key");
+        }
+    }
+
+    void act(std::size_t d, const probe_instance& a)
+    {
+        at(now_ + between(500, 2'000), [this, d, instance = a.instance] {
+            daemons_[d]->on_probe_result(instance, true, now_);
+            carry_out(d);
+        });
+    }
+
+    void act(std::size_t, const finish_request& a)
+    {
+        if (open_.erase(a.request.value()) == 0)
+        {
+            violate("a request has two outcomes");
+        }
+        const char* names[] = {"done", "not run", "unknown", "gone"};
+        ++outcomes_[names[static_cast<std::size_t>(a.outcome)]];
+    }
+
+    void act(std::size_t d, const send_commit& a)
+    {
+        const commit_id id = a.commit.id;
+        if (happens(faults_.commit_lost))
+        {
+            // It may still take effect after the daemon gave up.
+            at(now_ + between(1'000, 400'000),
+               [this, commit = a.commit, late = happens(0.5)] {
+                   if (late)
+                   {
+                       table_.apply(commit);
+                   }
+               });
+            at(now_ + between(5'000, 100'000), [this, d, id] {
+                answer_commit(d, id, commit_unknown{"timeout"});
+            });
+            return;
+        }
+        const bool lost = happens(faults_.response_lost);
+        at(now_ + between(1'000, 20'000), [this, d, lost, commit = a.commit] {
+            commit_outcome outcome = table_.apply(commit);
+            if (lost)
+            {
+                outcome = commit_unknown{"lost"};
+            }
+            at(now_ + between(1'000, 5'000),
+               [this, d, id = commit.id, outcome] {
+                   answer_commit(d, id, outcome);
+               });
+        });
+    }
+
+    void answer_commit(std::size_t d, const commit_id& id,
+                       const commit_outcome& outcome)
+    {
+        daemons_[d]->on_commit_outcome(id, outcome, now_);
+        carry_out(d);
+    }
+
+    void act(std::size_t d, const read_row& a)
+    {
+        at(now_ + between(1'000, 10'000), [this, d, a] {
+            row_reply reply = table_.read(a.key);
+            if (happens(faults_.response_lost))
+            {
+                reply = error{error_code::timeout, "timeout"};
+            }
+            daemons_[d]->on_row(a.number, reply, now_);
+            carry_out(d);
+        });
+    }
+
+    void act(std::size_t d, const send_to_peer& a)
+    {
+        if (happens(faults_.message_lost))
+        {
+            return;
+        }
+        const std::size_t to = std::stoul(a.to->value().substr(6));
+        at(now_ + between(500, 300'000), [this, d, to, body = a.body] {
+            daemons_[to]->on_peer(vm_id("entry-" + std::to_string(d)), body,
+                                  now_);
+            carry_out(to);
+        });
+    }
+
+    // The list does not change here, so no lag excuses a sum above the slots.
+    void check_shares()
+    {
+        for (int i = 0; i < shape_.instances; ++i)
+        {
+            const instance_id id("instance-" + std::to_string(i));
+            std::uint32_t sum = 0;
+            for (const auto& d : daemons_)
+            {
+                const auto index = d->endpoints().find(id);
+                sum += d->endpoints().at(*index).share.usable(now_);
+            }
+            if (sum > shape_.slots)
+            {
+                violate("the daemons' shares exceed the slots");
+            }
+        }
+    }
+
+    void violate(const std::string& what) { violations_.push_back(what); }
+
+    std::mt19937_64 random_;
+    world_shape shape_;
+    world_faults faults_;
+    time_point now_{};
+    std::multimap<time_point, std::function<void()>> events_;
+    std::vector<std::unique_ptr<core>> daemons_;
+    fake_table table_;
+    std::map<attempt_key, running_attempt> attempts_;
+    std::map<std::uint64_t, open_request> open_;
+    std::map<std::string, int> runs_;
+    std::map<std::string, std::string> answers_;
+    std::map<std::size_t, double> retries_;
+    std::map<std::size_t, double> firsts_;
+    std::optional<time_point> left_at_;
+    bool listed_leaving_ = false;
+    std::set<std::size_t> told_leaving_;
+    std::uint64_t last_request_ = 0;
+    int last_key_ = 0;
+    std::map<std::string, int> outcomes_;
+    std::vector<std::string> violations_;
+};
+
+} // namespace hemlockdeal
