--- /dev/null
+++ b/bench/request/queue_model.hpp
@@ -0,0 +1,394 @@
+// A small queue model of instances for the benchmarks of the request core:
+// each instance works on `slots` requests at a time and queues the rest. It
+// models no network but a constant latency.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "request/request.hpp"
+
+namespace hemlockdeal
+{
+
+struct model_shape
+{
+    std::size_t daemons = 3;
+    std::size_t instances = 50;
+    std::uint32_t slots = 8;
+    double mean_ms = 20.0;
+    // Offered load as a share of the capacity.
+    double load = 0.5;
+    // Share of requests of the class that can wait.
+    double can_wait_share = 0.0;
+    std::size_t slow_instances = 0;
+    std::size_t failing_instances = 0;
+    double seconds = 30.0;
+    // Faults begin, and figures count, from here on; loans are settled.
+    double from_second = 10.0;
+};
+
+struct class_result
+{
+    std::uint64_t requests = 0;
+    std::uint64_t done = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t within_target = 0;
+    std::vector<duration> times;
+
+    double percentile_ms(double p)
+    {
+        if (times.empty())
+        {
+            return 0.0;
+        }
+        const auto at =
+            times.begin() + static_cast<std::ptrdiff_t>(
+                                p * static_cast<double>(times.size() - 1));
+        std::ranges::nth_element(times, at);
+        return static_cast<double>(at->count()) / 1000.0;
+    }
+};
+
+template <typename Policy>
+class queue_model
+{
+public:
+    static constexpr duration latency = std::chrono::microseconds(500);
+    static constexpr std::array<duration, 2> targets = {
+        std::chrono::milliseconds(200), std::chrono::seconds(5)};
+
+    queue_model(const model_shape& shape, std::uint64_t seed)
+        : shape_(shape), random_(seed), instances_(shape.instances)
+    {
+        for (std::size_t d = 0; d < shape.daemons; ++d)
+        {
+            request_settings s;
+            s.vm = vm_id("entry-" + std::to_string(d));
+            s.zone = availability_zone_id("zone");
+            s.region = region_id("region");
+            s.process = incarnation(1);
+            s.seed = random_();
+            daemons_.push_back(std::make_unique<request_core<Policy>>(s));
+            daemons_.back()->on_configuration(make_configuration());
+            daemons_.back()->on_membership(list(), now_);
+            carry_out(d);
+            schedule_arrival(d);
+            schedule_tick(d);
+        }
+    }
+
+    // Result of the interactive class and of the class that can wait.
+    std::array<class_result, 2>& run()
+    {
+        const time_point end = at_second(shape_.seconds);
+        while (!events_.empty() && events_.top().at < end)
+        {
+            const auto e = events_.top();
+            events_.pop();
+            now_ = e.at;
+            (this->*e.handler)(e.a, e.b);
+        }
+        return results_;
+    }
+
+private:
+    using event_handler = void (queue_model::*)(std::size_t, std::uint64_t);
+    struct event
+    {
+        time_point at;
+        std::uint64_t order;
+        event_handler handler;
+        std::size_t a;
+        std::uint64_t b;
+        bool operator>(const event& o) const
+        {
+            return std::pair(at, order) > std::pair(o.at, o.order);
+        }
+    };
+    struct instance
+    {
+        std::uint32_t busy = 0;
+        std::deque<std::uint64_t> waiting; // attempts
+    };
+    struct running
+    {
+        std::size_t daemon;
+        request_id request;
+        attempt number;
+        std::size_t instance;
+        bool fails;
+        bool abandoned = false;
+    };
+    struct open_request
+    {
+        time_point arrived;
+        std::size_t work_class;
+        unsigned status = 0;
+    };
+
+    static time_point at_second(double s)
+    {
+        return time_point(duration(static_cast<long>(s * 1e6)));
+    }
+
+    static configuration make_configuration()
+    {
+        configuration c;
+        c.version = configuration_version(1);
+        service s;
+        s.id = service_id("orders");
+        s.routes = {{"/0", class_id("interactive")}, {"/1", class_id("later")}};
+        for (std::size_t i = 0; i < 2; ++i)
+        {
+            work_class w;
+            w.id = s.routes[i].work_class;
+            w.kind = i == 0 ? class_kind::latency_critical : class_kind::batch;
+            w.target = targets[i];
+            w.idempotent = true;
+            c.content.classes.push_back(w);
+        }
+        c.content.services = {s};
+        return c;
+    }
+
+    membership_list list() const
+    {
+        membership_list l;
+        for (std::size_t i = 0; i < shape_.daemons + shape_.instances; ++i)
+        {
+            const bool is_entry = i < shape_.daemons;
+            member m;
+            m.kind = is_entry ? member_kind::entry_vm : member_kind::endpoint;
+            m.id = is_entry ? "entry-" + std::to_string(i)
+                            : "instance-" + std::to_string(i - shape_.daemons);
+            m.zone = availability_zone_id("zone");
+            m.region = region_id("region");
+            m.service = service_id(is_entry ? "" : "orders");
+            m.slots = shape_.slots;
+            m.connections = 64;
+            l.members.push_back(m);
+        }
+        return l;
+    }
+
+    void at(time_point when, event_handler h, std::size_t a, std::uint64_t b)
+    {
+        events_.push({when, ++order_, h, a, b});
+    }
+
+    bool counts() const { return now_ >= at_second(shape_.from_second); }
+
+    void schedule_arrival(std::size_t d)
+    {
+        const double capacity_per_second =
+            static_cast<double>(shape_.instances * shape_.slots) /
+            (shape_.mean_ms / 1000.0);
+        const double rate = capacity_per_second * shape_.load /
+                            static_cast<double>(shape_.daemons);
+        const double wait = std::exponential_distribution<>(rate)(random_);
+        at(now_ + duration(static_cast<long>(wait * 1e6)), &queue_model::arrive,
+           d, 0);
+    }
+
+    void schedule_tick(std::size_t d)
+    {
+        const auto next = daemons_[d]->next_wakeup();
+        at(std::max(now_ + duration(1000), next.value_or(now_)),
+           &queue_model::tick, d, 0);
+    }
+
+    void tick(std::size_t d, std::uint64_t)
+    {
+        daemons_[d]->on_tick(now_);
+        carry_out(d);
+        schedule_tick(d);
+    }
+
+    void arrive(std::size_t d, std::uint64_t)
+    {
+        schedule_arrival(d);
+        request_head head;
+        head.id = request_id(++last_request_);
+        const bool later =
+            std::uniform_real_distribution<>()(random_) < shape_.can_wait_share;
+        head.method = "GET";
+        head.path = later ? "/1" : "/0";
+        open_[last_request_] = {now_, later ? 1U : 0U, 0};
+        results_[later ? 1 : 0].requests += counts() ? 1 : 0;
+        daemons_[d]->on_request(head, now_);
+        carry_out(d);
+    }
+
+    void carry_out(std::size_t d)
+    {
+        for (auto& action : daemons_[d]->take_actions())
+        {
+            std::visit([&](const auto& a) { act(d, a); }, action);
+        }
+    }
+
+    template <typename Ignored>
+    void act(std::size_t, const Ignored&)
+    {}
+
+    void act(std::size_t d, const start_attempt& a)
+    {
+        const std::size_t i = std::stoul(a.instance.value().substr(9));
+        const std::uint64_t id = ++last_attempt_;
+        attempts_[id] = {d, a.request, a.number, i,
+                         counts() &&
+                             i >= shape_.instances - shape_.failing_instances};
+        by_request_[a.request.value()] = id;
+        at(now_ + latency, &queue_model::reach_instance, i, id);
+        // Not now: the core is still handling the event before.
+        at(now_, &queue_model::send, d, id);
+    }
+
+    void send(std::size_t d, std::uint64_t id)
+    {
+        report(d, id, attempt_sending{});
+    }
+
+    void report(std::size_t d, std::uint64_t id, const attempt_event& e)
+    {
+        const auto found = attempts_.find(id);
+        if (found != attempts_.end() && !found->second.abandoned)
+        {
+            daemons_[d]->on_attempt_event(found->second.request,
+                                          found->second.number, e, now_);
+            carry_out(d);
+        }
+    }
+
+    void act(std::size_t, const abandon_attempt& a)
+    {
+        attempts_[by_request_[a.request.value()]].abandoned = true;
+    }
+
+    void act(std::size_t d, const probe_instance& a)
+    {
+        const std::size_t i = std::stoul(a.instance.value().substr(9));
+        at(now_ + 2 * latency, &queue_model::answer_probe, d, i);
+    }
+
+    void answer_probe(std::size_t d, std::uint64_t i)
+    {
+        daemons_[d]->on_probe_result(
+            instance_id("instance-" + std::to_string(i)),
+            i < shape_.instances - shape_.failing_instances, now_);
+        carry_out(d);
+    }
+
+    void act(std::size_t d, const send_to_peer& a)
+    {
+        messages_.push_back({d, a.body});
+        at(now_ + latency, &queue_model::deliver,
+           std::stoul(a.to->value().substr(6)), messages_.size() - 1);
+    }
+
+    void deliver(std::size_t d, std::uint64_t index)
+    {
+        const auto [from, body] = messages_[index];
+        daemons_[d]->on_peer(vm_id("entry-" + std::to_string(from)), body,
+                             now_);
+        carry_out(d);
+    }
+
+    void act(std::size_t, const finish_request& a)
+    {
+        const auto found = open_.find(a.request.value());
+        const open_request r = found->second;
+        open_.erase(found);
+        if (!counts())
+        {
+            return;
+        }
+        class_result& result = results_[r.work_class];
+        const duration elapsed = now_ - r.arrived;
+        if (a.outcome != request_outcome::done || a.status >= 500)
+        {
+            ++result.failed;
+            return;
+        }
+        ++result.done;
+        result.within_target += elapsed <= targets[r.work_class] ? 1 : 0;
+        result.times.push_back(elapsed);
+    }
+
+    void reach_instance(std::size_t i, std::uint64_t id)
+    {
+        const running& r = attempts_[id];
+        if (r.fails)
+        {
+            at(now_ + latency, &queue_model::respond, r.daemon, id);
+            return;
+        }
+        instances_[i].waiting.push_back(id);
+        work(i);
+    }
+
+    // Abandoned attempts that wait are dropped: their connection is closed.
+    void work(std::size_t i)
+    {
+        instance& e = instances_[i];
+        while (e.busy < shape_.slots && !e.waiting.empty())
+        {
+            const std::uint64_t id = e.waiting.front();
+            e.waiting.pop_front();
+            if (attempts_[id].abandoned)
+            {
+                attempts_.erase(id);
+                continue;
+            }
+            ++e.busy;
+            // Log-normal with deviation 0.5 of the logarithm.
+            const double mu = std::log(shape_.mean_ms) - 0.125;
+            double ms = std::lognormal_distribution<>(mu, 0.5)(random_);
+            ms *= counts() && i < shape_.slow_instances ? 10.0 : 1.0;
+            at(now_ + duration(static_cast<long>(ms * 1000.0)),
+               &queue_model::end_work, i, id);
+        }
+    }
+
+    void end_work(std::size_t i, std::uint64_t id)
+    {
+        --instances_[i].busy;
+        at(now_ + latency, &queue_model::respond, attempts_[id].daemon, id);
+        work(i);
+    }
+
+    void respond(std::size_t d, std::uint64_t id)
+    {
+        report(d, id, attempt_head{attempts_[id].fails ? 500U : 200U});
+        report(d, id, attempt_done{});
+        attempts_.erase(id);
+    }
+
+    model_shape shape_;
+    std::mt19937_64 random_;
+    time_point now_{};
+    std::uint64_t order_ = 0;
+    std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+    std::vector<std::unique_ptr<request_core<Policy>>> daemons_;
+    std::vector<instance> instances_;
+    std::unordered_map<std::uint64_t, running> attempts_;
+    std::unordered_map<std::uint64_t, std::uint64_t> by_request_;
+    std::unordered_map<std::uint64_t, open_request> open_;
+    std::vector<std::pair<std::size_t, peer_body>> messages_;
+    std::uint64_t last_request_ = 0;
+    std::uint64_t last_attempt_ = 0;
+    std::array<class_result, 2> results_;
+};
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/bench/request/request_routing.cpp
@@ -0,0 +1,79 @@
+// Prints tail latency with slow and failing instances and goodput at twice the
+// capacity, for the request core and for two baselines.
+#include <cstdio>
+#include <cstdlib>
+
+#include "baseline_policy.hpp"
+#include "queue_model.hpp"
+
+using namespace hemlockdeal;
+
+namespace
+{
+
+template <typename Policy>
+void print(const char* name, const model_shape& shape, std::uint64_t seed)
+{
+    queue_model<Policy> model(shape, seed);
+    auto& results = model.run();
+    const double seconds = shape.seconds - shape.from_second;
+    for (std::size_t c = 0; c < results.size(); ++c)
+    {
+        class_result& r = results[c];
+        if (r.requests == 0)
+        {
+            continue;
+        }
+        const auto all = static_cast<double>(r.requests);
+        std::printf("| %s | %s | %.0f | %.1f | %.1f | %.1f | %.2f | %.2f | "
+                    "%.0f |\n",
+                    name, c == 0 ? "interactive" : "can wait", all / seconds,
+                    r.percentile_ms(0.5), r.percentile_ms(0.99),
+                    r.percentile_ms(0.999),
+                    100.0 * static_cast<double>(r.failed) / all,
+                    100.0 * static_cast<double>(r.within_target) / all,
+                    static_cast<double>(r.within_target) / seconds);
+    }
+}
+
+void compare(const char* title, const model_shape& shape, std::uint64_t seed)
+{
+    std::printf("\n%s\n\n", title);
+    std::printf("| policy | class | requests/s | p50 ms | p99 ms | p99.9 ms | "
+                "refused or failed %% | within target %% | within target/s |\n"
+                "|---|---|---|---|---|---|---|---|---|\n");
+    print<standard_request_policy>("request core", shape, seed);
+    print<round_robin_policy>("round robin", shape, seed);
+    print<least_in_flight_policy>("least in flight", shape, seed);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+// The optional argument is the seed.
+int main(int argc, char** argv)
+{
+    const std::uint64_t seed =
+        argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+    model_shape shape;
+    compare("no fault, 50% load, 3 daemons", shape, seed);
+    shape.slow_instances = 1;
+    compare("one instance ten times slower, 50% load, 3 daemons", shape, seed);
+    shape.slow_instances = 0;
+    shape.failing_instances = 5;
+    compare("a tenth of the instances fail at once, 50% load, 3 daemons", shape,
+            seed);
+    model_shape eight;
+    eight.daemons = 8;
+    eight.load = 0.8;
+    compare("no fault, 80% load, 8 daemons", eight, seed);
+    eight.slow_instances = 1;
+    compare("one instance ten times slower, 80% load, 8 daemons", eight, seed);
+    model_shape overload;
+    overload.load = 2.0;
+    overload.can_wait_share = 0.6;
+    compare("twice the capacity (20,000/s), 60% can wait, 3 daemons", overload,
+            seed);
+    overload.can_wait_share = 0.0;
+    compare("twice the capacity, all interactive, 3 daemons", overload, seed);
+}
