Refuse what can wait first when the queue is full or slow

Cause: with twice the capacity and 60% of it in a class that can wait, the full queue refused interactive requests as often as others. Change: a full queue refuses a request that can wait instead of an interactive one, and the wait of a class is also estimated from the rate at which its requests were started lately, since the number of slots does not show what other classes leave.

--- a/src/request/admission_queue.cpp
+++ b/src/request/admission_queue.cpp
@@ -10,9 +10,11 @@
 namespace
 {
 
-bool starts_before(const admission_queue::lane& l, bool can_wait)
+// True when some request of the lane starts before a new one.
+bool starts_before(const admission_queue::lane& l, const request_rule& rule,
+                   time_point start_by)
 {
-    return !l.can_wait || can_wait;
+    return l.can_wait == rule.can_wait && l.items.front().start_by <= start_by;
 }
 
 } // namespace
@@ -22,7 +24,9 @@
     auto found = std::ranges::find(lanes_, rule.work_class, &lane::work_class);
     if (found == lanes_.end())
     {
-        lanes_.push_back({rule.work_class, rule.target, rule.can_wait, {}});
+        lane added;
+        added.work_class = rule.work_class;
+        lanes_.push_back(std::move(added));
         found = lanes_.end() - 1;
     }
     found->target = rule.target;
@@ -47,6 +51,7 @@
     if (place != equal.end())
     {
         found->items.erase(place);
+        found->stayed_full = found->stayed_full && !found->items.empty();
         --size_;
     }
 }
@@ -55,6 +60,38 @@
 {
     from.items.pop_front();
     --size_;
+    ++from.started;
+    from.stayed_full = from.stayed_full && !from.items.empty();
+}
+
+duration admission_queue::measured_wait(const request_rule& rule) const
+{
+    const auto found =
+        std::ranges::find(lanes_, rule.work_class, &lane::work_class);
+    if (found == lanes_.end() || found->starts_per_second <= 0.0)
+    {
+        return duration{};
+    }
+    const double seconds =
+        static_cast<double>(found->items.size() + 1) / found->starts_per_second;
+    return duration(static_cast<long>(seconds * 1e6));
+}
+
+void admission_queue::run_round(time_point now)
+{
+    const std::chrono::duration<double> passed = now - round_started_;
+    round_started_ = now;
+    for (lane& l : lanes_)
+    {
+        // A lane that got nothing counts as if it got one, so that its rate is
+        // known to be low.
+        const double rate = std::max(1U, l.started) / passed.count();
+        const double before =
+            l.starts_per_second > 0.0 ? l.starts_per_second : rate;
+        l.starts_per_second = l.stayed_full ? (before + rate) / 2.0 : 0.0;
+        l.started = 0;
+        l.stayed_full = !l.items.empty();
+    }
 }
 
 std::vector<admission_queue::lane*> admission_queue::ready_lanes()
@@ -79,13 +116,9 @@
     std::size_t count = 0;
     for (const lane& l : lanes_)
     {
-        if (!starts_before(l, rule.can_wait))
-        {
-            continue;
-        }
         if (l.can_wait != rule.can_wait)
         {
-            count += l.items.size();
+            count += l.can_wait ? 0 : l.items.size();
             continue;
         }
         const auto end = std::ranges::upper_bound(
@@ -95,15 +128,20 @@
     return count;
 }
 
-std::optional<request_id> admission_queue::make_way(const request_rule& rule,
-                                                    time_point start_by)
+std::optional<request_id>
+admission_queue::make_way(const request_rule& rule,
+                          std::optional<time_point> start_by)
 {
+    const auto rank = [](const lane& l) {
+        return std::pair(l.can_wait, l.target);
+    };
+    const auto own = std::pair(rule.can_wait, rule.target);
     lane* longest = nullptr;
     for (lane& l : lanes_)
     {
-        if (starts_before(l, rule.can_wait) && l.target > rule.target &&
-            !l.items.empty() && l.items.front().start_by <= start_by &&
-            (longest == nullptr || l.target > longest->target))
+        const bool counts = !l.items.empty() && rank(l) > own &&
+                            (!start_by || starts_before(l, rule, *start_by));
+        if (counts && (longest == nullptr || rank(l) > rank(*longest)))
         {
             longest = &l;
         }
@@ -112,10 +150,14 @@
     {
         return std::nullopt;
     }
-    const auto end = std::ranges::upper_bound(
-        longest->items, start_by, std::ranges::less{}, &item::start_by);
+    const auto end =
+        start_by
+            ? std::ranges::upper_bound(longest->items, *start_by,
+                                       std::ranges::less{}, &item::start_by)
+            : longest->items.end();
     const request_id request = (end - 1)->request;
     longest->items.erase(end - 1);
+    longest->stayed_full = longest->stayed_full && !longest->items.empty();
     --size_;
     return request;
 }
--- a/src/request/admission_queue.hpp
+++ b/src/request/admission_queue.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -31,6 +32,12 @@
         bool can_wait = false;
         // Invariant: ordered by start_by.
         std::deque<item> items;
+        // Items taken from the front since the last round, and whether there
+        // were items all the time.
+        std::uint32_t started = 0;
+        bool stayed_full = false;
+        // Measured while there were items all the time, otherwise 0.
+        double starts_per_second = 0.0;
     };
 
     void push(const request_rule& rule, const item& entry);
@@ -44,17 +51,26 @@
     // Requests that would start before a new one.
     std::size_t ahead(const request_rule& rule, time_point start_by) const;
 
-    // Removes the request that gives way to a new one: of those ahead of it
-    // the last one of the class with the longest target, if that is longer
-    // than the new request's.
+    // The time that a new request of the class would wait by the rate at which
+    // its lane was emptied lately. A class that comes after others gets what
+    // these leave, which the number of slots does not show.
+    duration measured_wait(const request_rule& rule) const;
+    // Measures the rates, for the period since the last call.
+    void run_round(time_point now);
+
+    // Removes the request that gives way to a new one: the last one of a class
+    // that can wait or has the longest target, if its class comes after the
+    // new request's in that order. With `start_by`, only requests that would
+    // start before the new one count.
     std::optional<request_id> make_way(const request_rule& rule,
-                                       time_point start_by);
+                                       std::optional<time_point> start_by);
 
     std::size_t size() const { return size_; }
 
 private:
     std::vector<lane> lanes_;
     std::size_t size_ = 0;
+    time_point round_started_{};
 };
 
 } // namespace hemlockdeal
--- a/src/request/request_core.hpp
+++ b/src/request/request_core.hpp
@@ -93,6 +93,8 @@
     time_point latest_start(const request_record& r) const;
     bool has_instances(const request_record& r) const;
     bool can_start_in_time(const request_record& r, time_point now) const;
+    bool make_way(const request_record& r, std::optional<time_point> start_by,
+                  time_point now);
     void enqueue(request_record& r, time_point now);
     void apply_verdicts(time_point now);
 
--- a/src/request/request_core.ipp
+++ b/src/request/request_core.ipp
@@ -174,17 +174,22 @@
     }
     while (Policy::limits_waiting() && !can_start_in_time(r, now))
     {
-        const auto victim = queues_[r.service].make_way(*r.rule, r.start_by);
-        if (!victim)
+        if (!make_way(r, r.start_by, now))
         {
             finish_without_answer(r, 429, "overload", now);
             return;
         }
-        request_record& other = *find(*victim);
-        other.phase = request_phase::arrived;
-        finish_without_answer(other, 429, "overload", now);
     }
-    if (waiting() >= settings_.max_waiting)
+    // The rate of its lane tells how long a class really waits. It does not
+    // change at once, so one request gives way for each new one.
+    const duration measured = queues_[r.service].measured_wait(*r.rule);
+    if (Policy::limits_waiting() && now + measured > r.start_by &&
+        !make_way(r, r.start_by, now))
+    {
+        finish_without_answer(r, 429, "overload", now);
+        return;
+    }
+    if (waiting() >= settings_.max_waiting && !make_way(r, std::nullopt, now))
     {
         finish_without_answer(r, 429, "too many requests wait", now);
         return;
@@ -192,6 +197,23 @@
     enqueue(r, now);
 }
 
+// Refuses a request that can wait longer instead of this one.
+template <request_policy Policy>
+bool request_core<Policy>::make_way(const request_record& r,
+                                    std::optional<time_point> start_by,
+                                    time_point now)
+{
+    const auto victim = queues_[r.service].make_way(*r.rule, start_by);
+    if (!victim)
+    {
+        return false;
+    }
+    request_record& other = *find(*victim);
+    other.phase = request_phase::arrived;
+    finish_without_answer(other, 429, "overload", now);
+    return true;
+}
+
 template <request_policy Policy>
 void request_core<Policy>::enqueue(request_record& r, time_point now)
 {
@@ -399,6 +421,7 @@
         directory_.refresh_capacity(now);
         for (service_index s = 0; s < queues_.size(); ++s)
         {
+            queues_[s].run_round(now);
             dispatch(s, now);
         }
     }
