--- a/src/proxy/proxy_limits.hpp
+++ b/src/proxy/proxy_limits.hpp
@@ -12,9 +12,9 @@
 struct proxy_limits
 {
     std::uint32_t header_bytes = 16U * 1024U;
-    std::uint64_t body_bytes = 16ULL * 1024U * 1024U;
+    std::uint64_t body_bytes = std::uint64_t{16} * 1024 * 1024;
     // Bytes of a body that are held in each direction.
-    std::size_t window = 256U * 1024U;
+    std::size_t window = std::size_t{256} * 1024;
     std::size_t callers = 4000;
 
     // From the first byte of a request until its headers are complete.
--- a/src/standin/endpoint_standin.cpp
+++ b/src/standin/endpoint_standin.cpp
@@ -26,7 +26,7 @@
 using request_type = http::request<http::string_body>;
 using parser_type = http::request_parser<http::string_body>;
 
-constexpr std::uint64_t largest_body = 64U * 1024U * 1024U;
+constexpr std::uint64_t largest_body = std::uint64_t{64} * 1024 * 1024;
 
 std::string header_of(const request_type& request, const char* name)
 {
