Test the proxy with the real request core and faults at random

Cause: callers must get their own whole response or a true outcome whatever endpoints and callers do. A retry takes only a proven connection, and idle connections to an instance are probed after a request on one of them got no response.

--- a/src/proxy/endpoint_pool.cpp
+++ b/src/proxy/endpoint_pool.cpp
@@ -27,7 +27,8 @@
 endpoint_pool::~endpoint_pool() = default;
 
 void endpoint_pool::acquire(lease_number lease, const instance_id& instance,
-                            const std::string& address, std::uint32_t limit)
+                            const std::string& address, std::uint32_t limit,
+                            bool proven)
 {
     // Looked up each time: retiring the last connection removes the instance.
     while (!instances_[instance].idle.empty())
@@ -45,7 +46,9 @@
         e.reused = true;
         e.handed_over = false;
         c.set_lease(lease);
-        if (monotonic_now() - c.phase_started() > limits_.probe_after_idle)
+        const time_point idle_since = c.phase_started();
+        if (proven || idle_since <= instances_[instance].distrusted_at ||
+            monotonic_now() - idle_since > limits_.probe_after_idle)
         {
             c.probe();
             return;
@@ -61,6 +64,15 @@
     open(instance, address, purpose::lease, lease);
 }
 
+void endpoint_pool::distrust(const instance_id& instance)
+{
+    const auto found = instances_.find(instance);
+    if (found != instances_.end())
+    {
+        found->second.distrusted_at = monotonic_now();
+    }
+}
+
 void endpoint_pool::open(const instance_id& instance,
                          const std::string& address, purpose use,
                          lease_number lease)
--- a/src/proxy/endpoint_pool.hpp
+++ b/src/proxy/endpoint_pool.hpp
@@ -40,9 +40,13 @@
     endpoint_pool& operator=(const endpoint_pool&) = delete;
 
     // Finds or opens a connection, with at most `limit` to the instance. The
-    // lease ends in ready() or failed(), possibly before this returns.
+    // lease ends in ready() or failed(), possibly before this returns. With
+    // `proven`, an idle connection is always probed first.
     void acquire(lease_number lease, const instance_id& instance,
-                 const std::string& address, std::uint32_t limit);
+                 const std::string& address, std::uint32_t limit, bool proven);
+    // A request on a connection to the instance got no response: the idle
+    // connections, which may have gone silent as well, are probed before use.
+    void distrust(const instance_id& instance);
     // Gives up the wait of a lease.
     void cancel(lease_number lease);
 
@@ -87,6 +91,8 @@
         // The most recently used is last and taken first.
         std::vector<endpoint_connection*> idle;
         std::size_t open = 0;
+        // Connections that are idle since before are probed before use.
+        time_point distrusted_at;
     };
 
     void open(const instance_id& instance, const std::string& address,
--- a/src/proxy/proxy_server_actions.hpp
+++ b/src/proxy/proxy_server_actions.hpp
@@ -23,7 +23,8 @@
     a.keep_answer = action.keep_answer;
     found->second.attempts.push_back(lease);
     pool_.acquire(lease, action.instance, action.address,
-                  core_.connection_share(action.instance, monotonic_now()));
+                  core_.connection_share(action.instance, monotonic_now()),
+                  action.number.value() > 1);
 }
 
 template <request_engine Core>
@@ -37,6 +38,10 @@
     request_attempt& a = attempts_.at(*lease);
     if (a.connection != nullptr)
     {
+        if (a.sending && !a.head)
+        {
+            pool_.distrust(a.connection->instance());
+        }
         pool_.retire(*a.connection);
     }
     else if (!a.sending)
--- /dev/null
+++ b/tests/proxy/caller_fault_test.cpp
@@ -0,0 +1,250 @@
+// Guards the proxy against callers that are slow, broken or hostile, and
+// callers against a planned stop.
+#include <random>
+
+#include "proxy/test_bed.hpp"
+
+using namespace hemlockdeal;
+using namespace std::chrono_literals;
+
+// Failure: a caller that sends its headers slowly holds a connection forever.
+TEST(caller_fault, slow_headers_are_answered_408)
+{
+    test_bed::options options;
+    options.limits.header_time = 200ms;
+    test_bed bed(options);
+    test_caller caller(bed.port());
+    caller.send("GET /read HTTP/1.1\r\nHost: x\r\n");
+    for (int i = 0; i < 20 && caller.responses() == 0; ++i)
+    {
+        caller.send("X-A: 1\r\n");
+        run_for(30);
+    }
+    const auto response = caller.next_response();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->result_int(), 408U);
+    EXPECT_EQ(outcome_of(response), "not-run");
+    EXPECT_TRUE(run_until([&] { return caller.closed(); }));
+}
+
+// Failure: a caller that stops within its body holds a slot of an endpoint.
+TEST(caller_fault, stalled_body_is_answered_408_and_not_run)
+{
+    test_bed::options options;
+    options.limits.body_stall = 200ms;
+    test_bed bed(options);
+    test_caller caller(bed.port());
+    caller.send("POST /write HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc");
+    const auto response = caller.next_response();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->result_int(), 408U);
+    EXPECT_EQ(outcome_of(response), "not-run");
+    EXPECT_EQ(bed.endpoint().connections_accepted(), 0U);
+}
+
+// Failure: headers beyond the limit are held in memory or forwarded.
+TEST(caller_fault, oversized_headers_are_answered_431)
+{
+    test_bed bed({});
+    test_caller caller(bed.port());
+    const auto response =
+        caller.ask("GET", "/read", "r1", "",
+                   "X-Long: " + std::string(20'000, 'a') + "\r\n");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->result_int(), 431U);
+    EXPECT_EQ(outcome_of(response), "not-run");
+    EXPECT_EQ(bed.endpoint().total_runs(), 0U);
+}
+
+// Failure: a stated body beyond the limit is read.
+TEST(caller_fault, too_large_body_is_answered_413)
+{
+    test_bed bed({});
+    test_caller caller(bed.port());
+    caller.send("POST /write HTTP/1.1\r\nContent-Length: 16777217\r\n\r\n");
+    const auto response = caller.next_response();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->result_int(), 413U);
+    EXPECT_EQ(outcome_of(response), "not-run");
+    EXPECT_EQ(bed.endpoint().total_runs(), 0U);
+}
+
+// Failure: a chunked body beyond the limit is forwarded as if it were whole.
+TEST(caller_fault, too_large_chunked_body_does_not_run)
+{
+    test_bed bed({});
+    test_caller caller(bed.port());
+    caller.send("POST /write HTTP/1.1\r\nX-Request-Id: r1\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n");
+    std::string chunk = "80000\r\n";
+    chunk.append(0x80000, 'a').append("\r\n");
+    for (int i = 0; i < 34; ++i)
+    {
+        caller.send(chunk);
+    }
+    const auto response = caller.next_response();
+    EXPECT_TRUE(!response || response->result_int() == 413U);
+    EXPECT_EQ(bed.runs_of("r1"), 0U);
+}
+
+// Failure: a body larger than the window is lost or changed on its way.
+TEST(caller_fault, large_bodies_pass_in_both_directions)
+{
+    test_bed::options options;
+    options.target = 10s;
+    test_bed bed(options);
+    std::string body(9'000'000, '.');
+    std::mt19937 random(1);
+    std::ranges::generate(
+        body, [&] { return static_cast<char>('a' + random() % 26); });
+    test_caller caller(bed.port());
+    EXPECT_TRUE(is_own(caller.ask("POST", "/write", "r1", body), "r1", body));
+    // The same in chunks of odd sizes.
+    caller.send("POST /write HTTP/1.1\r\nX-Request-Id: r2\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n");
+    for (std::size_t at = 0; at < body.size(); at += 65'535)
+    {
+        const std::string piece = body.substr(at, 65'535);
+        std::array<char, 16> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+        caller.send(size.data() + piece + "\r\n");
+    }
+    caller.send("0\r\n\r\n");
+    EXPECT_TRUE(is_own(caller.next_response(), "r2", body));
+}
+
+// Failure: a caller that does not read its response makes the proxy hold all
+// of it in memory.
+TEST(caller_fault, response_waits_for_a_caller_that_does_not_read)
+{
+    test_bed::options options;
+    options.endpoint.response_bytes = 15'000'000;
+    options.target = 10s;
+    test_bed bed(options);
+    QTcpSocket caller;
+    caller.setReadBufferSize(1000);
+    caller.connectToHost("127.0.0.1", bed.port());
+    caller.write("GET /read HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n");
+    run_for(500);
+    EXPECT_EQ(bed.endpoint().total_runs(), 1U);
+    EXPECT_EQ(bed.proxy().requests_in_progress(), 1U);
+    // The core reports the end of the response only when it was read.
+    EXPECT_TRUE(bed.outcomes.empty());
+    caller.setReadBufferSize(0);
+    qint64 received = 0;
+    EXPECT_TRUE(run_until([&] {
+        received += caller.readAll().size();
+        return received >= 15'000'000;
+    }));
+}
+
+// Failure: bytes that are not HTTP stop the proxy or reach an endpoint.
+TEST(caller_fault, random_bytes_are_refused)
+{
+    test_bed bed({});
+    std::mt19937 random(20261204);
+    for (int i = 0; i < 200; ++i)
+    {
+        test_caller caller(bed.port());
+        std::string bytes(1 + random() % 3000, ' ');
+        std::ranges::generate(
+            bytes, [&] { return static_cast<char>(random() % 256); });
+        caller.send((i % 2 == 0 ? "" : "GET /read HTTP/1.1\r\n") + bytes +
+                    "\r\n\r\n");
+        const auto response = caller.next_response();
+        EXPECT_TRUE(!response || response->result_int() >= 400U);
+    }
+    EXPECT_EQ(bed.endpoint().total_runs(), 0U);
+    test_caller caller(bed.port());
+    EXPECT_TRUE(is_own(caller.ask("GET", "/read", "r1"), "r1"));
+}
+
+// Failure: a request that is hidden behind another one's body length reaches
+// an endpoint.
+TEST(caller_fault, conflicting_lengths_are_refused)
+{
+    test_bed bed({});
+    test_caller caller(bed.port());
+    caller.send("POST /write HTTP/1.1\r\nContent-Length: 4\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    const auto response = caller.next_response();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->result_int(), 400U);
+    EXPECT_EQ(bed.endpoint().total_runs(), 0U);
+}
+
+// Failure: the response to a caller that has left goes to another caller, or
+// its request stays in progress.
+TEST(caller_fault, caller_that_disconnects_leaves_nothing_behind)
+{
+    test_bed::options options;
+    options.endpoint.service_time = 100ms;
+    test_bed bed(options);
+    for (int i = 0; i < 20; ++i)
+    {
+        test_caller leaving(bed.port());
+        leaving.send_request(i % 2 == 0 ? "GET" : "POST",
+                             i % 2 == 0 ? "/read" : "/write", "gone");
+        run_for(i % 4 * 10);
+        leaving.disconnect();
+    }
+    EXPECT_TRUE(run_until([&] {
+        return bed.proxy().requests_in_progress() == 0 &&
+               bed.proxy().callers() == 0;
+    }));
+    test_caller caller(bed.port());
+    EXPECT_TRUE(is_own(caller.ask("GET", "/read", "r1"), "r1"));
+}
+
+// Failure: a planned stop interrupts requests in flight.
+TEST(caller_fault, planned_stop_finishes_requests_in_flight)
+{
+    test_bed::options options;
+    options.limits.drain_delay = 300ms;
+    options.limits.drain_quiet = 50ms;
+    options.endpoint.service_time = 600ms;
+    options.target = 5s;
+    test_bed bed(options);
+    std::vector<std::unique_ptr<test_caller>> callers;
+    for (int i = 0; i < 6; ++i)
+    {
+        callers.push_back(std::make_unique<test_caller>(bed.port()));
+        callers.back()->send_request("POST", "/write", std::to_string(i));
+    }
+    test_caller balancer(bed.port());
+    EXPECT_EQ(balancer.ask("GET", "/healthz", "h")->result_int(), 200U);
+    bool drained = false;
+    bed.proxy().drain([&] { drained = true; });
+    EXPECT_EQ(balancer.ask("GET", "/healthz", "h")->result_int(), 503U);
+    // New requests are still served until the listener closes.
+    test_caller late(bed.port());
+    late.send_request("POST", "/write", "late");
+    run_until([&] { return drained; }, 8000);
+    EXPECT_TRUE(drained);
+    for (int i = 0; i < 6; ++i)
+    {
+        const std::string id = std::to_string(i);
+        EXPECT_TRUE(is_own(callers[i]->next_response(), id));
+        EXPECT_EQ(bed.runs_of(id), 1U);
+    }
+    EXPECT_TRUE(is_own(late.next_response(), "late"));
+    EXPECT_EQ(bed.proxy().callers(), 0U);
+    test_caller refused(bed.port());
+    EXPECT_FALSE(refused.ask("GET", "/read", "r1"));
+}
+
+// Failure: connections beyond the limit exhaust the process.
+TEST(caller_fault, connections_beyond_the_limit_are_closed)
+{
+    test_bed::options options;
+    options.limits.callers = 2;
+    test_bed bed(options);
+    test_caller first(bed.port());
+    test_caller second(bed.port());
+    ASSERT_TRUE(is_own(first.ask("GET", "/read", "r1"), "r1"));
+    ASSERT_TRUE(is_own(second.ask("GET", "/read", "r2"), "r2"));
+    test_caller third(bed.port());
+    EXPECT_FALSE(third.ask("GET", "/read", "r3"));
+    EXPECT_EQ(bed.proxy().refused_callers(), 1U);
+    EXPECT_TRUE(is_own(first.ask("GET", "/read", "r4"), "r4"));
+}
--- a/tests/proxy/endpoint_fault_test.cpp
+++ b/tests/proxy/endpoint_fault_test.cpp
@@ -40,8 +40,8 @@
     for (int i = 2; i < 8; ++i)
     {
         const std::string id = "r" + std::to_string(i);
-        EXPECT_TRUE(is_own(caller.ask("POST", "/write", id, "next"), id,
-                           "next"));
+        EXPECT_TRUE(
+            is_own(caller.ask("POST", "/write", id, "next"), id, "next"));
     }
     EXPECT_EQ(bed.runs_of("r1"), 1U);
 }
@@ -83,14 +83,16 @@
 TEST(endpoint_fault, idempotent_request_leaves_a_silent_connection)
 {
     test_bed::options options;
+    options.endpoints = 2;
     options.target = 200ms;
     test_bed bed(options);
     test_caller caller(bed.port());
-    for (int i = 0; i < 30; ++i)
+    for (int i = 0; i < 50; ++i)
     {
         ASSERT_TRUE(caller.ask("GET", "/read", "warm"));
     }
-    bed.endpoint().set_fault({endpoint_fault::silent});
+    bed.endpoint(0).set_fault({endpoint_fault::silent});
+    bed.endpoint(1).set_fault({endpoint_fault::silent});
     EXPECT_TRUE(is_own(caller.ask("GET", "/read", "r1"), "r1"));
 }
 
@@ -165,7 +167,8 @@
     test_bed bed({});
     const std::string key = "Idempotency-Key: k1\r\n";
     test_caller caller(bed.port());
-    EXPECT_TRUE(is_own(caller.ask("POST", "/write", "r1", "b", key), "r1", "b"));
+    EXPECT_TRUE(
+        is_own(caller.ask("POST", "/write", "r1", "b", key), "r1", "b"));
     std::optional<test_caller::response> repeat;
     run_until([&] {
         repeat = caller.ask("POST", "/write", "r2", "b", key);
--- /dev/null
+++ b/tests/proxy/main_application.cpp
@@ -0,0 +1,27 @@
+// Creates the application object that event loops need, before the first test.
+#include <memory>
+
+#include <QCoreApplication>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+class application_environment : public testing::Environment
+{
+public:
+    void SetUp() override
+    {
+        application_ = std::make_unique<QCoreApplication>(argc_, nullptr);
+    }
+    void TearDown() override { application_.reset(); }
+
+private:
+    int argc_ = 0;
+    std::unique_ptr<QCoreApplication> application_;
+};
+
+[[maybe_unused]] const auto* const environment =
+    testing::AddGlobalTestEnvironment(new application_environment);
+
+} // namespace
--- a/tests/proxy/test_bed.hpp
+++ b/tests/proxy/test_bed.hpp
@@ -32,8 +32,7 @@
     s.id = service_id("orders");
     s.routes = {{"/read", read.id}, {"/write", write.id}};
     c.content.services = {s};
-    c.content.zones = {
-        {availability_zone_id("zone-a"), region_id("region-1")}};
+    c.content.zones = {{availability_zone_id("zone-a"), region_id("region-1")}};
     return c;
 }
 
@@ -85,9 +84,8 @@
     std::uint32_t runs_of(const std::string& id) const
     {
         std::uint32_t runs = 0;
-        std::ranges::for_each(endpoints_, [&](const auto& e) {
-            runs += e->runs_of_request(id);
-        });
+        std::ranges::for_each(
+            endpoints_, [&](const auto& e) { runs += e->runs_of_request(id); });
         return runs;
     }
 
@@ -130,10 +128,9 @@
         o.read = [this](read_row& action) {
             later([this, action] {
                 const auto row = rows_.find(action.key);
-                proxy_->on_row(action.number,
-                               row == rows_.end()
-                                   ? std::optional<table_row>()
-                                   : std::optional(row->second));
+                proxy_->on_row(action.number, row == rows_.end()
+                                                  ? std::optional<table_row>()
+                                                  : std::optional(row->second));
             });
             return true;
         };
--- a/tests/proxy/test_caller.hpp
+++ b/tests/proxy/test_caller.hpp
@@ -9,6 +9,7 @@
 #include <QCoreApplication>
 #include <QElapsedTimer>
 #include <QTcpSocket>
+#include <QTimer>
 #include <boost/beast/http.hpp>
 
 namespace hemlockdeal
@@ -21,14 +22,12 @@
 {
     QElapsedTimer timer;
     timer.start();
+    // Wakes the loop up, so that conditions on the time are seen.
+    QTimer wakeup;
+    wakeup.start(1);
     while (!condition() && timer.elapsed() < milliseconds)
     {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
-        if (!condition())
-        {
-            QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents |
-                                            QEventLoop::AllEvents);
-        }
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
     }
     return condition();
 }
@@ -52,6 +51,8 @@
                          [this] { parse(); });
         QObject::connect(&socket_, &QTcpSocket::disconnected, &socket_,
                          [this] { closed_ = true; });
+        QObject::connect(&socket_, &QTcpSocket::errorOccurred, &socket_,
+                         [this] { closed_ = true; });
         socket_.connectToHost("127.0.0.1", port);
     }
 
@@ -65,9 +66,8 @@
                       const std::string& headers = "")
     {
         send(method + " " + path + " HTTP/1.1\r\nHost: proxy\r\n" +
-             "X-Request-Id: " + id +
-             "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
-             headers + "\r\n" + body);
+             "X-Request-Id: " + id + "\r\nContent-Length: " +
+             std::to_string(body.size()) + "\r\n" + headers + "\r\n" + body);
     }
 
     // Waits for one more complete response, or for the end of the connection.
@@ -75,9 +75,8 @@
     {
         run_until([this] { return taken_ < responses_.size() || closed_; },
                   milliseconds);
-        return taken_ < responses_.size()
-                   ? std::optional(responses_[taken_++])
-                   : std::nullopt;
+        return taken_ < responses_.size() ? std::optional(responses_[taken_++])
+                                          : std::nullopt;
     }
 
     // Sends one request and waits for its response.
@@ -93,6 +92,7 @@
     bool closed() const { return closed_; }
     bool received_anything() const { return received_ > 0; }
     std::size_t responses() const { return responses_.size(); }
+    std::size_t unread_responses() const { return responses_.size() - taken_; }
     void disconnect() { socket_.abort(); }
     QTcpSocket& socket() { return socket_; }
 
@@ -111,9 +111,9 @@
                 parser_->body_limit(boost::none);
             }
             boost::beast::error_code error;
-            input_.erase(0, parser_->put(boost::asio::buffer(
-                                             std::as_const(input_)),
-                                         error));
+            input_.erase(
+                0, parser_->put(boost::asio::buffer(std::as_const(input_)),
+                                error));
             if (!parser_->is_done())
             {
                 return;
