--- a/tests/proxy/caller_fault_test.cpp
+++ b/tests/proxy/caller_fault_test.cpp
@@ -93,7 +93,8 @@
     test_bed::options options;
     options.target = 10s;
     test_bed bed(options);
-    std::string body(9'000'000, '.');
+    std::string body;
+    body.resize(9'000'000);
     std::mt19937 random(1);
     std::ranges::generate(
         body, [&] { return static_cast<char>('a' + random() % 26); });
