--- a/src/standin/fault_set.cpp
+++ b/src/standin/fault_set.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<std::string_view, fault_mode>, 10> mode_names{
+constexpr std::array<std::pair<std::string_view, fault_mode>, 12> mode_names{
     {{"none", fault_mode::none},
      {"down", fault_mode::down},
      {"slow", fault_mode::slow},
@@ -23,9 +23,9 @@
      {"truncate", fault_mode::truncate},
      {"fail_all", fault_mode::fail_all},
      {"late", fault_mode::late},
-     {"leaving", fault_mode::leaving}}};
-
-} // namespace
+     {"leaving", fault_mode::leaving},
+     {"not_run", fault_mode::not_run},
+     {"extra_bytes", fault_mode::extra_bytes}}};
 
 fault_mode fault_mode_of(const std::string& name)
 {
@@ -38,6 +38,8 @@
     return found->second;
 }
 
+} // namespace
+
 void fault_set::set(const std::string& target, const std::string& id, fault f)
 {
     if (id.empty())
@@ -46,18 +48,18 @@
             return entry.first.first == target;
         });
     }
+    f.since = std::chrono::steady_clock::now();
     faults_[{target, id}] = f;
 }
 
-void fault_set::set(const boost::json::object& message)
+fault decode_fault(const boost::json::object& message)
 {
     fault f;
     f.mode = fault_mode_of(json_fields::text(message, "mode"));
     f.probability = json_fields::number_or(message, "probability", 1.0);
     f.delay = std::chrono::milliseconds(
         json_fields::integer_or(message, "delay_ms", 0));
-    set(json_fields::text(message, "target"),
-        json_fields::text_or_empty(message, "id"), f);
+    return f;
 }
 
 fault fault_set::lookup(const std::string& target, const std::string& id) const
--- a/src/standin/fault_set.hpp
+++ b/src/standin/fault_set.hpp
@@ -13,7 +13,8 @@
 namespace hemlockdeal
 {
 
-// Modes that do not apply to a target behave like `none` there.
+// Modes that do not apply to a target behave like `none` there. What a mode
+// does at an endpoint is described at `endpoint_fault`.
 enum class fault_mode
 {
     none,
@@ -21,11 +22,14 @@
     slow,        // answered after a delay, with the effect before or after it
     lose_answer, // takes effect, the connection is closed without an answer
     pause,       // nothing is answered; served when the fault is cleared
-    silent,      // connections in use are ignored for good, new ones work
+    silent,      // connections that were open before it began are ignored
+                 // for good, new ones work
     truncate,    // takes effect, the answer breaks off
     fail_all,    // a worker fails everything that it starts
-    late,        // endpoints only
-    leaving      // endpoints only
+    late,        // these are known to endpoints only
+    leaving,
+    not_run,
+    extra_bytes
 };
 
 struct fault
@@ -33,6 +37,7 @@
     fault_mode mode = fault_mode::none;
     double probability = 1.0; // for each call or start
     std::chrono::milliseconds delay{0};
+    std::chrono::steady_clock::time_point since{}; // filled in by set()
 };
 
 class fault_set
@@ -44,9 +49,6 @@
     // stands for all of them. A new fault replaces the one before it.
     void set(const std::string& target, const std::string& id, fault f);
 
-    // As a message of POST /faults; throws std::exception when malformed.
-    void set(const boost::json::object& message);
-
     // The fault that strikes this call, by its probability.
     fault draw(const std::string& target, const std::string& id);
 
@@ -60,7 +62,8 @@
     std::mt19937_64 random_;
 };
 
-// Throws std::exception when `name` is no mode.
-fault_mode fault_mode_of(const std::string& name);
+// The fault of a message of POST /faults; throws std::exception when it is
+// malformed.
+fault decode_fault(const boost::json::object& message);
 
 } // namespace hemlockdeal
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -1,4 +1,5 @@
-// The stand-ins of table, membership and workers behind one port.
+// The stand-ins of table, membership and workers behind one port, those of
+// endpoints at their own ports, with the faults and the record.
 #include "standin/platform_standin.hpp"
 
 #include <algorithm>
@@ -43,28 +44,43 @@
     : settings_(settings),
       faults_(settings.seed), surroundings_{settings.workers, record_,
                                             checkpoints_, faults_},
+      endpoints_(settings.seed),
       server_(settings.port, [this](const http_request& request,
                                     const http_exchange& exchange) {
           serve(request, exchange);
       })
 {
-    QObject::connect(&timer_, &QTimer::timeout, &context_, [this] {
-        const auto now = standin_clock::now();
-        std::ranges::for_each(
-            workers_, [&](auto& entry) { entry.second.worker.advance(now); });
-    });
+    QObject::connect(&timer_, &QTimer::timeout, &context_,
+                     [this] { advance_workers(); });
     timer_.start(advance_interval);
 }
 
+void platform_standin::advance_workers()
+{
+    std::ranges::for_each(
+        workers_, [&](auto& entry) { entry.second.worker.advance(now()); });
+}
+
+void platform_standin::skip(std::chrono::milliseconds time)
+{
+    skipped_ += time;
+    advance_workers();
+}
+
 void platform_standin::set_fault(const json::object& message)
 {
-    faults_.set(message);
-    release_held();
+    set_fault(json_fields::text(message, "target"),
+              json_fields::text_or_empty(message, "id"), decode_fault(message));
 }
 
 void platform_standin::set_fault(const std::string& target,
                                  const std::string& id, fault f)
 {
+    if (target == "endpoint")
+    {
+        endpoints_.set_fault(id, f);
+        return;
+    }
     faults_.set(target, id, f);
     release_held();
 }
@@ -76,24 +92,19 @@
     std::ranges::for_each(held, [&](call& c) { dispatch(std::move(c)); });
 }
 
-void platform_standin::start_endpoints_with(endpoint_starter starter)
-{
-    endpoint_starter_ = std::move(starter);
-}
-
 // Starts the worker or endpoint that the entry describes, unless it runs.
 json::object platform_standin::with_address(const json::object& vm)
 {
     const auto kind = json_fields::text(vm, "kind");
     const auto id = json_fields::text(vm, "id");
-    const auto& known = membership_.current();
-    if (kind == "endpoint" && endpoint_starter_ && !known.contains(id))
+    auto out = vm;
+    if (kind == "endpoint")
     {
-        return endpoint_starter_(vm);
+        out["address"] = endpoints_.start(vm);
     }
     if (kind != "worker")
     {
-        return vm;
+        return out;
     }
     const auto [place, added] =
         workers_.try_emplace(id, worker_place{{vm, surroundings_}, nullptr});
@@ -105,7 +116,6 @@
                 serve_worker(id, request, exchange);
             });
     }
-    auto out = vm;
     out["address"] = place->second.server
                          ? place->second.server->address()
                          : server_.address() + std::string(worker_prefix) + id;
@@ -126,19 +136,30 @@
     message[member] = std::move(out);
 }
 
-void platform_standin::change_membership(json::object message, standin_time now)
+void platform_standin::apply_membership(json::object message, standin_time when)
 {
     fill_addresses(message, "vms");
     fill_addresses(message, "set");
-    membership_.change(message, now);
-    drop_lost_workers();
+    membership_.change(message, when);
+    drop_lost_vms();
+}
+
+void platform_standin::change_membership(json::object message)
+{
+    apply_membership(std::move(message), now());
+}
+
+void platform_standin::start_with_membership(json::object message)
+{
+    apply_membership(std::move(message), standin_time::min());
 }
 
 // M1: a VM that left the list runs nothing. It stops before the list, which
 // lags, shows that.
-void platform_standin::drop_lost_workers()
+void platform_standin::drop_lost_vms()
 {
     const auto& listed = membership_.current();
+    endpoints_.keep_only(listed);
     for (auto place = workers_.begin(); place != workers_.end();)
     {
         if (listed.contains(place->first))
@@ -151,32 +172,44 @@
     }
 }
 
+json::object platform_standin::change_by_message(const std::string& path,
+                                                 const json::object& message)
+{
+    if (path == "/record")
+    {
+        return endpoints_.runs(message);
+    }
+    if (path == "/faults")
+    {
+        set_fault(message);
+    }
+    else
+    {
+        change_membership(message);
+    }
+    return {};
+}
+
 bool platform_standin::serve_control(const http_request& request,
                                      const http_exchange& exchange)
 {
     const auto path = path_of(request.target);
     if (request.method == "GET" && path == "/record")
     {
-        exchange.answer({200, json::serialize(record_.to_json())});
+        auto record = record_.to_json();
+        record["endpoints"] = endpoints_.to_json();
+        exchange.answer({200, json::serialize(record)});
         return true;
     }
     if (request.method != "POST" ||
-        (path != "/faults" && path != "/membership"))
+        (path != "/faults" && path != "/membership" && path != "/record"))
     {
         return false;
     }
     exchange.answer(guarded([&]() -> http_reply {
         const auto document = json_fields::parse(request.body);
-        const auto& message = json_fields::object(document, "request");
-        if (path == "/faults")
-        {
-            set_fault(message);
-        }
-        else
-        {
-            change_membership(message);
-        }
-        return {200, "{}"};
+        return {200, json::serialize(change_by_message(
+                         path, json_fields::object(document, "request")))};
     }));
     return true;
 }
@@ -202,7 +235,7 @@
         dispatch({"membership",
                   {},
                   [this]() -> http_reply {
-                      return {200, membership_.shown(standin_clock::now())};
+                      return {200, membership_.shown(now())};
                   },
                   exchange});
         return;
@@ -235,8 +268,7 @@
                   const auto found = workers_.find(id);
                   return found == workers_.end()
                              ? http_reply{503, "{}"}
-                             : found->second.worker.serve(request,
-                                                          standin_clock::now());
+                             : found->second.worker.serve(request, now());
               },
               exchange});
 }
@@ -260,8 +292,12 @@
         held_.push_back(std::move(c));
         return;
     case fault_mode::silent:
-        c.exchange.silence();
-        return;
+        if (c.exchange.opened_before(f.since))
+        {
+            c.exchange.silence();
+            return;
+        }
+        break;
     case fault_mode::truncate:
         c.exchange.answer_cut_off(guarded(c.effect));
         return;
@@ -269,6 +305,8 @@
     case fault_mode::fail_all:
     case fault_mode::late:
     case fault_mode::leaving:
+    case fault_mode::not_run:
+    case fault_mode::extra_bytes:
         break;
     }
     c.exchange.answer(guarded(c.effect));
--- a/src/standin/run_record.hpp
+++ b/src/standin/run_record.hpp
@@ -45,7 +45,6 @@
     void count_commit(std::size_t rows);
     void count_conflict() { ++conflicts_; }
     void count_read();
-    void count_request(const std::string& key) { ++requests_[key]; }
 
     std::uint64_t starts(const std::string& task) const;
     std::uint64_t finishes(const std::string& task) const;
@@ -86,7 +85,6 @@
 
     std::map<std::string, task_count> tasks_;
     std::map<std::string, worker_count> workers_;
-    std::map<std::string, std::uint64_t> requests_;
     std::map<std::int64_t, table_count> table_; // by second since 1970
     std::vector<start_entry> starts_;
     std::uint64_t conflicts_ = 0;
