--- a/src/batch/batch_core.hpp
+++ b/src/batch/batch_core.hpp
@@ -29,7 +29,22 @@
     // `configuration` is read for the start gate and must outlive the core.
     batch_core(batch_options options, const configuration_state& configuration)
         : engine_(std::move(options), configuration)
-    {}
+    {
+        engine_.set_reason_source([this](const job_id& job) -> std::string {
+            for (const auto& [shard, policy] : policies_)
+            {
+                if (engine_.has_job(shard, job))
+                {
+                    return policy.waiting_reason(job);
+                }
+            }
+            return {};
+        });
+    }
+
+    // The engine's handlers refer to the core.
+    batch_core(const batch_core&) = delete;
+    batch_core& operator=(const batch_core&) = delete;
 
     void on_tick(time_point now)
     {
@@ -125,11 +140,14 @@
     bool stopped() const { return engine_.stopped(); }
 
     // Free capacity of the owned shards, for heartbeats to peers.
-    std::vector<shard_digest> digests() const { return engine_.digests(); }
+    std::vector<shard_digest> digests(time_point now) const
+    {
+        return engine_.digests(now);
+    }
 
-    std::vector<shard_status> status() const
+    std::vector<shard_status> status(time_point now) const
     {
-        std::vector<shard_status> shards = engine_.status();
+        std::vector<shard_status> shards = engine_.status(now);
         for (shard_status& shard : shards)
         {
             const auto policy = policies_.find(shard.shard);
@@ -164,18 +182,15 @@
         engine_.deliver_observations(
             [&](const shard_id& shard, const policy_observation& observation) {
                 policies_[shard].observe(observation, now);
-            });
+            },
+            now);
         while (const std::optional<shard_id> shard =
                    engine_.next_shard_to_place(now))
         {
-            Policy& policy = policies_[*shard];
             placement_view view = engine_.view(*shard, now);
             view.input.tails = tails_;
-            const placement_output output = policy.place(view.input);
-            engine_.apply(*shard, view, output, now,
-                          [&](const job_id& job) -> std::string {
-                              return policy.waiting_reason(job);
-                          });
+            engine_.apply(*shard, view, policies_[*shard].place(view.input),
+                          now);
         }
         engine_.finish_event(now);
     }
--- a/src/batch/batch_engine.hpp
+++ b/src/batch/batch_engine.hpp
@@ -2,35 +2,24 @@
 #pragma once
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "batch/batch_action.hpp"
+#include "batch/batch_context.hpp"
 #include "batch/batch_options.hpp"
-#include "batch/placement_policy.hpp"
+#include "batch/owned_shard.hpp"
+#include "batch/placement_view.hpp"
+#include "batch/shard_ownership.hpp"
+#include "batch/submission_desk.hpp"
 #include "core/core.hpp"
 
 namespace hemlockdeal
 {
 
-// The input of a policy together with what it points to. Not copyable,
-// because the input refers to the members.
-struct placement_view
-{
-    placement_view() = default;
-    placement_view(placement_view&&) = default;
-    placement_view& operator=(placement_view&&) = default;
-    placement_view(const placement_view&) = delete;
-    placement_view& operator=(const placement_view&) = delete;
-    ~placement_view() = default;
-
-    std::vector<waiting_task> waiting;
-    std::vector<worker_view> workers;
-    std::vector<team_quota> quotas;
-    placement_input input;
-};
-
 class batch_engine
 {
 public:
@@ -58,22 +47,52 @@
     void stop(time_point now);
 
     bool stopped() const;
-    std::vector<shard_digest> digests() const;
-    std::vector<shard_status> status() const;
+    std::vector<shard_digest> digests(time_point now) const;
+    std::vector<shard_status> status(time_point now) const;
     std::vector<worker_id> workers_of(const shard_id& shard) const;
+    bool has_job(const shard_id& shard, const job_id& job) const;
     time_point next_wakeup(time_point now) const;
     std::vector<batch_action> take_actions();
 
+    void set_reason_source(submission_desk::reason_source source)
+    {
+        desk_.set_reason_source(std::move(source));
+    }
+
+    // For the policies, one per shard.
     std::vector<shard_id> take_dropped_shards();
-    std::optional<shard_id> next_shard_to_place(time_point now);
+    std::optional<shard_id> next_shard_to_place(time_point now) const;
     placement_view view(const shard_id& shard, time_point now);
     void apply(const shard_id& shard, const placement_view& view,
-               const placement_output& output, time_point now,
-               const std::function<std::string(const job_id&)>& reason);
+               const placement_output& output, time_point now);
     void deliver_observations(
         const std::function<void(const shard_id&, const policy_observation&)>&
-            consume);
+            consume,
+        time_point now);
+
+    // Ends the handling of an event: sends what has become due.
     void finish_event(time_point now);
+
+private:
+    using shard_map = std::map<shard_id, std::shared_ptr<owned_shard>>;
+
+    void run_shards(time_point now);
+    void drop(shard_map::iterator shard);
+    void drop_all();
+    void take_over(time_point now);
+    void release_shards(time_point now);
+    void update_digests(time_point now);
+    void end_drain(time_point now);
+    owned_shard* find(const shard_id& shard);
+
+    batch_context context_;
+    shard_ownership ownership_;
+    submission_desk desk_;
+    shard_map shards_;
+    std::vector<shard_id> dropped_;
+    bool stopping_ = false;
+    time_point ran_at_;
+    time_point digests_at_;
 };
 
 } // namespace hemlockdeal
--- /dev/null
+++ b/src/batch/read_sender.hpp
@@ -0,0 +1,58 @@
+// Sends reads of table rows and calls the handler that waits for each answer.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "batch/batch_action.hpp"
+#include "core/core.hpp"
+
+namespace hemlockdeal
+{
+
+class read_sender
+{
+public:
+    using row_answer = result<std::optional<table_row>>;
+    using page_answer = result<table_page>;
+    using row_handler = std::function<void(const row_answer&, time_point)>;
+    using page_handler = std::function<void(const page_answer&, time_point)>;
+
+    explicit read_sender(std::vector<batch_action>& actions) : actions_(actions)
+    {}
+
+    void row(std::string key, row_handler handler, time_point now);
+    void rows(std::string prefix, std::string after, std::uint32_t limit,
+              page_handler handler, time_point now);
+    // Reads all rows with the prefix, page by page.
+    void all_rows(
+        std::string prefix,
+        std::function<void(const result<std::vector<table_row>>&, time_point)>
+            handler,
+        time_point now);
+
+    void on_row(std::uint64_t number, const row_answer& answer, time_point now);
+    void on_rows(std::uint64_t number, const page_answer& answer,
+                 time_point now);
+    // Ends reads that were not answered in time with an error.
+    void on_tick(time_point now);
+
+private:
+    struct pending
+    {
+        std::variant<row_handler, page_handler> handler;
+        time_point sent_at;
+    };
+
+    std::vector<batch_action>& actions_;
+    std::uint64_t next_number_ = 1;
+    std::map<std::uint64_t, pending> pending_;
+};
+
+} // namespace hemlockdeal
