Replace poll() by epoll in the proxy's thread

Cause: Qt's dispatchers call poll() with every socket in each turn. With 3,000 idle callers poll() and its callees took most of the proxy thread's time (perf).

--- a/bench/proxy/load_generator.hpp
+++ b/bench/proxy/load_generator.hpp
@@ -82,9 +82,9 @@
             for (; rate > 0.0 && static_cast<double>(planned) < elapsed * rate;
                  ++planned)
             {
-                due_.push_back(
-                    started + std::chrono::nanoseconds(static_cast<long>(
-                                  1e9 * static_cast<double>(planned) / rate)));
+                due_.push_back(started +
+                               std::chrono::nanoseconds(static_cast<long>(
+                                   1e9 * static_cast<double>(planned) / rate)));
             }
             send_due();
             // At a rate the loop spins, so that requests leave in time.
--- a/bench/proxy/proxy_bench.cpp
+++ b/bench/proxy/proxy_bench.cpp
@@ -38,6 +38,7 @@
 public:
     loop_thread() : thread_(QThread::create([this] { run(); }))
     {
+        thread_->setEventDispatcher(new epoll_dispatcher);
         thread_->start();
         ready_.get_future().wait();
     }
@@ -92,8 +93,7 @@
     s.id = service_id("orders");
     s.routes = {{"/read", class_id("read")}};
     c.content.services = {s};
-    c.content.zones = {
-        {availability_zone_id("zone-a"), region_id("region-1")}};
+    c.content.zones = {{availability_zone_id("zone-a"), region_id("region-1")}};
     return c;
 }
 
@@ -149,9 +149,9 @@
                 std::abort();
             }
             direct_.push_back(endpoints_.back()->port());
-            list_.members.push_back(
-                bench_member("i" + std::to_string(i), member_kind::endpoint,
-                             endpoints_.back()->address()));
+            list_.members.push_back(bench_member("i" + std::to_string(i),
+                                                 member_kind::endpoint,
+                                                 endpoints_.back()->address()));
         }
         list_.members.push_back(
             bench_member("entry-1", member_kind::entry_vm, ""));
@@ -169,8 +169,8 @@
         outputs.read = [](read_row&) { return true; };
         outputs.to_peer = [](send_to_peer&&) {};
         outputs.event = [](record_event&&) {};
-        proxy_ = std::make_unique<proxy_server<request_core<>>>(settings,
-                                                                outputs);
+        proxy_ =
+            std::make_unique<proxy_server<request_core<>>>(settings, outputs);
         if (!proxy_->listen("127.0.0.1", 0))
         {
             std::abort();
@@ -192,7 +192,7 @@
 double median(std::vector<double> values)
 {
     std::ranges::sort(values);
-    return values[values.size() / 2];
+    return values.empty() ? 0.0 : values[values.size() / 2];
 }
 
 // Resident memory without what the allocator could give back.
@@ -308,10 +308,11 @@
 
 int main(int argc, char** argv)
 {
+    QCoreApplication::setEventDispatcher(new epoll_dispatcher);
     QCoreApplication application(argc, argv);
     const int rounds = argc > 1 ? std::atoi(argv[1]) : 5;
-    const std::chrono::milliseconds time(
-        1000 * (argc > 2 ? std::atoi(argv[2]) : 2));
+    const std::chrono::milliseconds time(1000 *
+                                         (argc > 2 ? std::atoi(argv[2]) : 2));
     bench_bed bed;
     round_figures figures;
     for (int i = 0; i < rounds; ++i)
--- a/tests/proxy/main_application.cpp
+++ b/tests/proxy/main_application.cpp
@@ -4,6 +4,8 @@
 #include <QCoreApplication>
 #include <gtest/gtest.h>
 
+#include "proxy/proxy.hpp"
+
 namespace
 {
 
@@ -12,6 +14,8 @@
 public:
     void SetUp() override
     {
+        // The dispatcher of the daemon's proxy thread.
+        QCoreApplication::setEventDispatcher(new hemlockdeal::epoll_dispatcher);
         application_ = std::make_unique<QCoreApplication>(argc_, nullptr);
     }
     void TearDown() override { application_.reset(); }
