--- a/tests/batch/cluster.cpp
+++ b/tests/batch/cluster.cpp
@@ -20,7 +20,10 @@
     work_class urgent{class_id("urgent"), class_kind::batch, 5s};
     urgent.urgent = true;
     newest_.content.classes = {batch, urgent};
-    table_.before_commit = [this](const table_commit& c) { check_takeover(c); };
+    table_.before_commit = [this](const table_commit& c) {
+        check_takeover(c);
+        note_intents(c);
+    };
     for (std::uint32_t z = 0; z < options_.zones; ++z)
     {
         for (std::uint32_t w = 0; w < options_.workers_per_zone; ++w)
@@ -234,6 +237,13 @@
     {
         send(index, *message);
     }
+    else if (const auto* record = std::get_if<record_event>(&action))
+    {
+        if (record->event.kind == "shard.dropped")
+        {
+            check_drop(*daemons_[index], record->event);
+        }
+    }
     else if (const auto* answer = std::get_if<operator_answer>(&action))
     {
         take_answer(*answer);
--- a/tests/batch/cluster.hpp
+++ b/tests/batch/cluster.hpp
@@ -60,6 +60,8 @@
                          std::int64_t millicores_each,
                          const std::string& class_name = "batch");
     std::uint64_t cancel(std::size_t daemon, const std::string& job);
+    // Repeats every cancellation, for the final outcome.
+    void cancel_again();
     std::uint64_t query(std::size_t daemon, const std::string& job);
 
     void pause(std::size_t daemon, duration d);
@@ -153,6 +155,8 @@
                     const run_of_task& run);
     // Records runs that ended since the last look.
     void note_ends(const fake_worker& worker);
+    void check_drop(const daemon& d, const timeline_event& event);
+    void note_intents(const table_commit& commit);
     void check_takeover(const table_commit& commit);
     void violation(const std::string& text);
 
@@ -171,6 +175,7 @@
     std::map<std::size_t, time_point> zone_out_since_;
     std::map<task_id, task_history> history_;
     std::set<task_attempt> seen_over_;
+    std::set<std::pair<task_attempt, worker_id>> intents_;
     std::map<std::string, std::uint32_t> accepted_; // job and tasks
     std::set<std::string> cancelled_;
     std::set<std::string> never_ran_;
--- a/tests/batch/cluster_checks.cpp
+++ b/tests/batch/cluster_checks.cpp
@@ -104,6 +104,7 @@
 void cluster::stop(std::size_t index)
 {
     on_daemon(index, [this, index](daemon& d) {
+        d.stopping = true;
         d.core->stop(d.local(now_));
         after_event(index);
     });
@@ -259,6 +260,47 @@
     }
 }
 
+void cluster::note_intents(const table_commit& commit)
+{
+    for (const table_write& write : commit.writes)
+    {
+        if (!write.value || !write.key.starts_with("journal/"))
+        {
+            continue;
+        }
+        const auto row = decode_journal(*write.value, now_);
+        for (const journal_record& record : row->records)
+        {
+            if (const auto* start = std::get_if<start_intended>(&record))
+            {
+                intents_.insert(
+                    {{{start->job, start->index}, attempt(start->attempt)},
+                     start->worker});
+            }
+        }
+    }
+}
+
+void cluster::check_drop(const daemon& d, const timeline_event& e)
+{
+    const auto row = table_.row("shard/" + e.shard);
+    const auto content = row ? decode_shard(row->value) : std::nullopt;
+    if (d.valid_until && d.local(now_) < *d.valid_until && !d.stopping &&
+        content && content->owner == d.vm &&
+        content->owner_epoch.value() == e.epoch)
+    {
+        violation(d.vm.value() + " dropped a shard that it owned");
+    }
+}
+
+void cluster::cancel_again()
+{
+    for (const std::string& job : cancelled_)
+    {
+        request(0, next_request_++, job_cancellation{job_id(job)});
+    }
+}
+
 void cluster::on_started(const fake_worker& worker,
                          const worker_command& command, const run_of_task& run)
 {
@@ -285,6 +327,10 @@
     {
         violation(worker.id.value() + " is over its capacity");
     }
+    if (!intents_.contains({run.id, worker.id}))
+    {
+        violation(name + " was started without a journalled intent");
+    }
     task_history& h = history_[task];
     ++h.starts;
     if (h.finishes > 0 && !h.result_destroyed)
