Add the operators' HTTP server and its JSON

Change: operator_server runs QHttpServer in its own thread, checks the bearer token on every path but /healthz, hands requests to a callback and answers 504 after the time limit. A listener bounds connections, request size and time, which QHttpServer does not. Conversions of requests and replies serve both sides. peer_status gains the operators' address, which the tool needs to ask every daemon. Conclusion: a responder is used only while its socket is connected, since QHttpServer frees the request when the connection closes.

--- a/src/core/operator_message.hpp
+++ b/src/core/operator_message.hpp
@@ -158,6 +158,8 @@
     availability_zone_id zone;
     bool reachable = false;
     duration last_heard{};
+    // ip:port at which the peer serves operators; the tool asks it there.
+    std::string operators;
 };
 
 struct daemon_status
--- /dev/null
+++ b/src/operators/json_reader.hpp
@@ -0,0 +1,88 @@
+// Reads the members of one JSON object and collects what is wrong with them.
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/json.hpp>
+
+#include "core/finding.hpp"
+#include "core/resources.hpp"
+#include "core/time.hpp"
+
+namespace hemlockdeal
+{
+
+// JSON numbers above this lose digits in readers that use doubles.
+inline constexpr std::int64_t max_json_integer = 1LL << 53;
+
+// A member with a finding reads as the default, or as an empty value.
+class json_reader
+{
+public:
+    json_reader(const boost::json::object& object, std::string name,
+                findings& found);
+
+    std::string text(std::string_view key,
+                     std::optional<std::string_view> fallback = {});
+    // A text that is fit for an id.
+    std::string id(std::string_view key);
+    bool flag(std::string_view key, std::optional<bool> fallback = {});
+    double number(std::string_view key, double low, double high,
+                  std::optional<double> fallback = {});
+    duration milliseconds(std::string_view key);
+    // Empty for null and for an absent member.
+    std::optional<duration> optional_milliseconds(std::string_view key);
+    resources amounts();
+
+    template <typename Integer = std::int64_t>
+    Integer integer(std::string_view key, std::int64_t low = 0,
+                    std::optional<std::int64_t> fallback = {},
+                    std::int64_t high = highest<Integer>())
+    {
+        return static_cast<Integer>(read_integer(key, low, high, fallback));
+    }
+
+    std::vector<std::string> texts(std::string_view key);
+    std::vector<json_reader> objects(std::string_view key);
+    std::optional<json_reader> object(std::string_view key);
+
+    // Members in their order, for objects that map names to numbers.
+    const boost::json::object& members() const { return *object_; }
+
+    void add(std::string_view key, std::string_view message);
+    void reject_unknown_members();
+
+private:
+    template <typename Integer>
+    static constexpr std::int64_t highest()
+    {
+        return sizeof(Integer) < sizeof(std::int64_t)
+                   ? static_cast<std::int64_t>(
+                         std::numeric_limits<Integer>::max())
+                   : max_json_integer;
+    }
+
+    std::int64_t read_integer(std::string_view key, std::int64_t low,
+                              std::int64_t high,
+                              std::optional<std::int64_t> fallback);
+    const boost::json::value* find(std::string_view key, bool required);
+
+    const boost::json::object* object_;
+    std::string name_;
+    findings* found_;
+    std::vector<std::string> known_;
+};
+
+// Parses a text that must be one JSON object, or adds a finding.
+boost::json::object parse_object(std::string_view text, const std::string& name,
+                                 findings& found);
+
+// Whole milliseconds as an integer, others as a fraction.
+boost::json::value to_milliseconds(duration time);
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/tests/operators/json_test.cpp
@@ -0,0 +1,243 @@
+// Requests and replies survive the way over HTTP, and mistakes are reported
+// together.
+#include <algorithm>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "operators/operators.hpp"
+
+using namespace hemlockdeal;
+using namespace std::chrono_literals;
+using testing::HasSubstr;
+
+namespace
+{
+
+const std::string declaration_text = "[[zone]]\nid = \"zone-a\"\n"
+                                     "region = \"region-1\"\n"
+                                     "[[class]]\nid = \"report\"\n"
+                                     "kind = \"batch\"\ntarget = \"6 h\"\n";
+
+// Reads what to_http() wrote, as a server does.
+std::variant<operator_request, request_refusal>
+read_back(const operator_http_request& http)
+{
+    const auto query = http.target.find("?limit=");
+    const std::string limit =
+        query == std::string::npos ? "" : http.target.substr(query + 7);
+    return read_request(http.method, http.target.substr(0, query), limit,
+                        http.body);
+}
+
+void expect_round_trip(const operator_request& request)
+{
+    const auto first = to_http(request);
+    const auto back = read_back(first);
+    const auto* const read = std::get_if<operator_request>(&back);
+    ASSERT_NE(read, nullptr) << first.target << ' ' << first.body;
+    EXPECT_EQ(read->index(), request.index());
+    const auto second = to_http(*read);
+    EXPECT_EQ(second.method, first.method);
+    EXPECT_EQ(second.target, first.target);
+    EXPECT_EQ(second.body, first.body);
+}
+
+// Writes, reads and writes a reply again; both texts must be equal.
+void expect_round_trip(const operator_request& request,
+                       const operator_reply& reply)
+{
+    const auto first = to_http(reply);
+    const auto answer = read_reply(request, first.status, first.body);
+    ASSERT_EQ(answer.reply.index(), reply.index()) << first.body;
+    EXPECT_EQ(to_http(answer.reply).body, first.body);
+}
+
+configuration_change some_change()
+{
+    configuration_change change;
+    change.id = "change-1";
+    change.based_on = configuration_version(7);
+    change.author = "ana";
+    change.text = declaration_text;
+    change.zones_out = {availability_zone_id("zone-a")};
+    return change;
+}
+
+daemon_status some_status()
+{
+    daemon_status s;
+    s.vm = vm_id("entry-1");
+    s.zone = availability_zone_id("zone-a");
+    s.version = configuration_version(7);
+    s.configuration_age = 1500us;
+    s.classes = {{class_id("report"), class_kind::batch, 6h, 0.99, 90min, false,
+                  "not enough capacity"},
+                 {class_id("receipt"), class_kind::latency_critical, 800ms,
+                  0.999, std::nullopt, true, ""}};
+    s.shards = {{{availability_zone_id("zone-a"), 3},
+                 vm_id("entry-1"),
+                 epoch(9),
+                 {{1000}, {2000}, {1}},
+                 8,
+                 1,
+                 20,
+                 3}};
+    s.peers = {{vm_id("entry-2"), availability_zone_id("zone-b"), true, 250ms,
+                "127.0.0.1:8091"}};
+    return s;
+}
+
+} // namespace
+
+TEST(operator_json, requests_survive_the_way_over_http)
+{
+    job_submission job{job_id("job-1"),      team_id("billing"),
+                       class_id("report"),   12,
+                       {{500}, {1024}, {1}}, 90s,
+                       "payload \"\n"};
+    expect_round_trip(job);
+    expect_round_trip(job_query{job_id("job-1")});
+    expect_round_trip(job_cancellation{job_id("job-1")});
+    expect_round_trip(some_change());
+    expect_round_trip(configuration_query{});
+    expect_round_trip(history_query{5});
+    expect_round_trip(confirmations_query{});
+    expect_round_trip(status_query{});
+}
+
+TEST(operator_json, replies_survive_the_way_over_http)
+{
+    expect_round_trip(job_submission{}, submission_accepted{job_id("job-1")});
+    expect_round_trip(job_query{},
+                      job_status{job_id("job-1"),
+                                 {{"running", 3}, {"waiting", 2}},
+                                 "quota of team billing",
+                                 {{availability_zone_id("zone-a"), 1}},
+                                 4});
+    for (const auto outcome :
+         {cancel_outcome::never_ran, cancel_outcome::was_stopped,
+          cancel_outcome::unknown_yet, cancel_outcome::already_finished})
+    {
+        expect_round_trip(job_cancellation{},
+                          cancellation_recorded{job_id("job-1"), outcome});
+    }
+    expect_round_trip(some_change(), change_accepted{configuration_version(8)});
+    expect_round_trip(some_change(),
+                      change_lost_race{configuration_version(8), "ben"});
+    configuration c;
+    c.version = configuration_version(8);
+    c.text = declaration_text;
+    c.zones_out = {availability_zone_id("zone-a")};
+    c.author = "ana";
+    c.accepted_at_unix_ms = 1'700'000'000'123;
+    expect_round_trip(configuration_query{}, c);
+    expect_round_trip(history_query{},
+                      std::vector<history_entry>{
+                          {c.version, "ana", c.accepted_at_unix_ms, {}}});
+    expect_round_trip(confirmations_query{},
+                      std::vector<daemon_confirmation>{
+                          {vm_id("entry-1"), availability_zone_id("zone-a"),
+                           true, c.version, 1300us, c.accepted_at_unix_ms}});
+    expect_round_trip(status_query{}, some_status());
+}
+
+TEST(operator_json, errors_keep_their_code)
+{
+    for (const auto code :
+         {error_code::invalid_input, error_code::not_found,
+          error_code::conflict, error_code::unavailable, error_code::timeout,
+          error_code::outcome_unknown, error_code::permission_denied,
+          error_code::overloaded})
+    {
+        expect_round_trip(job_query{}, error{code, "why"});
+    }
+}
+
+// Guards against requests that are corrected one mistake at a time.
+TEST(operator_json, three_mistakes_give_three_findings)
+{
+    const auto read = read_request(
+        "POST", "/v1/jobs", "",
+        R"({"id": "a/b", "team": 5, "class": "report", "tasks": 0})");
+    const auto& refusal = std::get<request_refusal>(read);
+    EXPECT_EQ(refusal.status, 400);
+    EXPECT_EQ(refusal.found.size(), 3U);
+}
+
+TEST(operator_json, a_faulty_declaration_is_refused_with_its_places)
+{
+    auto change = some_change();
+    change.text += "[link]\nmegabits = 3\n";
+    change.zones_out.emplace_back("zone-z");
+    const auto read = read_back(to_http(change));
+    const auto http = to_http(std::get<request_refusal>(read));
+    EXPECT_EQ(http.status, 400);
+    EXPECT_THAT(http.body, HasSubstr(R"("file":"declaration","line":9,)"
+                                     R"("column":1)"));
+    const auto answer = read_reply(change, http.status, http.body);
+    EXPECT_EQ(std::get<error>(answer.reply).code, error_code::invalid_input);
+    ASSERT_EQ(answer.found.size(), 1U);
+    EXPECT_EQ(answer.found.at(0).place.line, 9U);
+}
+
+// Guards against a zone that is taken out under a misspelt name, which would
+// take nothing out.
+TEST(operator_json, a_zone_that_is_not_declared_cannot_be_out)
+{
+    auto change = some_change();
+    change.zones_out.emplace_back("zone-z");
+    const auto read = read_back(to_http(change));
+    const auto& refusal = std::get<request_refusal>(read);
+    ASSERT_EQ(refusal.found.size(), 1U);
+    EXPECT_THAT(refusal.found.at(0).message, HasSubstr("'zone-z'"));
+}
+
+TEST(operator_json, unknown_paths_and_methods_are_refused)
+{
+    const auto status = [](const char* method, const char* path) {
+        return std::get<request_refusal>(read_request(method, path, "", ""))
+            .status;
+    };
+    EXPECT_EQ(status("GET", "/v1/nothing"), 404);
+    EXPECT_EQ(status("GET", "/v1/jobs/a/b"), 404);
+    EXPECT_EQ(status("GET", "/v1/jobs/../config"), 404);
+    EXPECT_EQ(status("POST", "/v1/status"), 405);
+    EXPECT_EQ(status("other", "/v1/config"), 405);
+}
+
+// A response that cannot be read must not pass for an outcome.
+RC_GTEST_PROP(operator_json, any_response_is_read_without_a_crash,
+              (const std::string& bytes))
+{
+    const auto status = *rc::gen::element(200, 202, 400, 409, 503, 504);
+    const auto body = *rc::gen::element(
+        bytes, to_http(operator_reply(some_status())).body,
+        std::string(R"({"version": -1, "author": "a"})"),
+        std::string(R"({"error": "conflict", "message": "m"})"));
+    const auto answer = read_reply(some_change(), status, body);
+    if (status != 200 && status != 202)
+    {
+        RC_ASSERT(!std::holds_alternative<change_accepted>(answer.reply));
+    }
+    (void)read_reply(status_query{}, status, body);
+    (void)read_timeline(body);
+    (void)read_request("POST", "/v1/jobs", bytes, body);
+    (void)read_request("POST", "/v1/config", bytes, body);
+}
+
+TEST(operator_json, timelines_survive_the_way_over_http)
+{
+    timeline_event event;
+    event.stamp = {1'700'000'000'000'000, 3};
+    event.kind = "task.start";
+    event.job = "job-1";
+    event.task = 4;
+    event.text = "\xff";
+    const auto text = to_json_text({"entry-1", 7, {event}});
+    const auto read = std::get<timeline_part>(read_timeline(text));
+    EXPECT_EQ(read.overwritten, 7U);
+    EXPECT_EQ(read.events.at(0).stamp, event.stamp);
+    EXPECT_EQ(to_json_text(read), text);
+}
--- /dev/null
+++ b/tests/operators/server_test.cpp
@@ -0,0 +1,252 @@
+// The operators' server over real sockets, with a stand-in behind it.
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "observe/logging.hpp"
+#include "operators/operators.hpp"
+#include "operators/test_client.hpp"
+
+using namespace hemlockdeal;
+using namespace std::chrono_literals;
+using testing::HasSubstr;
+
+namespace
+{
+
+// Answers status requests, leaves job queries without a reply, and counts
+// what reaches it.
+class fake_daemon
+{
+public:
+    explicit fake_daemon(operator_server_options options = {})
+        : server_(complete(std::move(options)),
+                  {[this](const operator_request& request,
+                          const operator_reply_function& reply) {
+                       handle(request, reply);
+                   },
+                   [](const timeline_filter& filter) {
+                       return "timeline of " + filter.job;
+                   },
+                   [] { return std::string("metric 1\n"); }})
+    {
+        const auto started = server_.start();
+        port = is_ok(started) ? value_of(started).port : 0;
+    }
+
+    ~fake_daemon()
+    {
+        server_.stop();
+        for (std::thread& t : threads_)
+        {
+            t.join();
+        }
+    }
+
+    fake_daemon(const fake_daemon&) = delete;
+    fake_daemon& operator=(const fake_daemon&) = delete;
+
+    std::uint16_t port = 0;
+    std::atomic<int> handled = 0;
+
+private:
+    static operator_server_options complete(operator_server_options options)
+    {
+        options.listen = {"127.0.0.1", 0};
+        options.token = bearer_token("secret");
+        return options;
+    }
+
+    void handle(const operator_request& request,
+                const operator_reply_function& reply)
+    {
+        ++handled;
+        if (std::holds_alternative<status_query>(request))
+        {
+            daemon_status status;
+            status.vm = vm_id("entry-1");
+            // Replies come from another thread, as in the daemon.
+            threads_.emplace_back([reply, status] { reply(status); });
+        }
+        if (std::holds_alternative<configuration_change>(request))
+        {
+            reply(change_lost_race{configuration_version(8), "ben"});
+            reply(change_accepted{configuration_version(9)});
+        }
+    }
+
+    std::vector<std::thread> threads_;
+    operator_server server_;
+};
+
+const std::string change_body =
+    R"({"id": "c-1", "based_on": 7, "author": "ana", "zones_out": [], "text":)"
+    R"( "[[zone]]\nid = \"a\"\nregion = \"r\"\n[[class]]\nid = \"c\"\n)"
+    R"(kind = \"batch\"\ntarget = \"6 h\"\n"})";
+
+} // namespace
+
+TEST(operator_server, answers_from_another_thread)
+{
+    const fake_daemon daemon;
+    const auto response =
+        send_request(daemon.port, "GET", "/v1/status", "secret");
+    EXPECT_EQ(response.status, 200);
+    EXPECT_THAT(response.body, HasSubstr(R"("vm":"entry-1")"));
+}
+
+TEST(operator_server, serves_health_metrics_and_timeline)
+{
+    const fake_daemon daemon;
+    EXPECT_EQ(send_request(daemon.port, "GET", "/healthz", "").status, 200);
+    EXPECT_EQ(send_request(daemon.port, "GET", "/metrics", "secret").body,
+              "metric 1\n");
+    EXPECT_EQ(
+        send_request(daemon.port, "GET", "/v1/timeline?job=j%2d1", "secret")
+            .body,
+        "timeline of j-1");
+}
+
+// Guards against any path that answers without the token.
+TEST(operator_server, a_wrong_token_is_refused_and_logged)
+{
+    const fake_daemon daemon;
+    testing::internal::CaptureStderr();
+    set_up_logging(log_level::warning);
+    for (const std::string token :
+         {"", "wrong", "secre", "secret2", "secretsecret"})
+    {
+        for (const std::string path : {"/v1/status", "/metrics", "/v1/timeline",
+                                       "/v1/config/history", "/nothing"})
+        {
+            EXPECT_EQ(send_request(daemon.port, "GET", path, token).status, 401)
+                << token << ' ' << path;
+        }
+        EXPECT_EQ(
+            send_request(daemon.port, "POST", "/v1/config", token, change_body)
+                .status,
+            401);
+    }
+    EXPECT_EQ(daemon.handled, 0);
+    const auto lines = testing::internal::GetCapturedStderr();
+    EXPECT_THAT(lines, HasSubstr("without a valid token refused"));
+    EXPECT_THAT(lines, testing::Not(HasSubstr("secretsecret")));
+}
+
+TEST(operator_server, only_the_first_reply_counts)
+{
+    const fake_daemon daemon;
+    const auto response =
+        send_request(daemon.port, "POST", "/v1/config", "secret", change_body);
+    EXPECT_EQ(response.status, 409);
+    EXPECT_THAT(response.body, HasSubstr(R"("author":"ben")"));
+}
+
+// Guards against callers that wait forever, and against "failed" where the
+// outcome is not known.
+TEST(operator_server, a_missing_reply_gives_unknown_after_the_time_limit)
+{
+    operator_server_options options;
+    options.time_limit = 100ms;
+    const fake_daemon daemon(options);
+    const auto response =
+        send_request(daemon.port, "GET", "/v1/jobs/job-1", "secret");
+    EXPECT_EQ(response.status, 504);
+    EXPECT_THAT(response.body, HasSubstr(R"("error":"outcome_unknown")"));
+}
+
+TEST(operator_server, findings_come_with_status_400)
+{
+    const fake_daemon daemon;
+    const auto response = send_request(daemon.port, "POST", "/v1/jobs",
+                                       "secret", R"({"id": "j", "tasks": 0})");
+    EXPECT_EQ(response.status, 400);
+    EXPECT_THAT(response.body, HasSubstr("'team' is missing"));
+    EXPECT_THAT(response.body, HasSubstr("'class' is missing"));
+    EXPECT_THAT(response.body, HasSubstr("'tasks' is no integer"));
+    EXPECT_EQ(daemon.handled, 0);
+}
+
+// Guards against memory that grows with what a sender claims or sends.
+TEST(operator_server, a_body_above_the_limit_is_refused)
+{
+    operator_server_options options;
+    options.max_body_bytes = 1000;
+    const fake_daemon daemon(options);
+    EXPECT_EQ(send_request(daemon.port, "POST", "/v1/jobs", "secret",
+                           std::string(2000, 'x'))
+                  .status,
+              413);
+    const auto large = exchange_bytes(
+        daemon.port,
+        "POST /v1/jobs HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n" +
+            std::string(60'000, 'x'),
+        2000);
+    EXPECT_EQ(parse_response(large).status, 413);
+    EXPECT_EQ(send_request(daemon.port, "GET", "/healthz", "").status, 200);
+}
+
+TEST(operator_server, a_request_that_never_ends_is_closed)
+{
+    operator_server_options options;
+    options.idle_limit = 100ms;
+    options.max_connections = 2;
+    const fake_daemon daemon(options);
+    EXPECT_EQ(exchange_bytes(daemon.port, "GET /v1/status HTTP/1.1\r\n", 3000),
+              "");
+    EXPECT_EQ(send_request(daemon.port, "GET", "/healthz", "").status, 200);
+}
+
+TEST(operator_server, a_caller_that_leaves_does_not_disturb_the_reply)
+{
+    operator_server_options options;
+    options.time_limit = 50ms;
+    const fake_daemon daemon(options);
+    for (int i = 0; i < 20; ++i)
+    {
+        exchange_bytes(daemon.port,
+                       "GET /v1/jobs/j HTTP/1.1\r\n"
+                       "Authorization: Bearer secret\r\n\r\n",
+                       i);
+    }
+    std::this_thread::sleep_for(100ms);
+    EXPECT_EQ(send_request(daemon.port, "GET", "/healthz", "").status, 200);
+}
+
+// Guards against input that ends the process or blocks its thread. Few cases
+// only, since each opens connections.
+TEST(operator_server, random_bytes_leave_it_serving)
+{
+    const fake_daemon daemon;
+    const auto result = rc::check([&] {
+        auto bytes = *rc::gen::arbitrary<std::string>();
+        if (*rc::gen::arbitrary<bool>())
+        {
+            const auto head = *rc::gen::element<std::string>(
+                "GET /", "POST /v1/config HTTP/1.1\r\n",
+                "GET /%zz%2 HTTP/1.1\r\n\r\n",
+                "POST /v1/jobs HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "GET http://[::1 HTTP/1.1\r\n\r\n", "\r\n\r\n");
+            bytes.insert(0, head);
+        }
+        exchange_bytes(daemon.port, bytes, 1);
+        RC_ASSERT(send_request(daemon.port, "GET", "/healthz", "").status ==
+                  200);
+    });
+    EXPECT_TRUE(result);
+}
+
+TEST(operator_server, an_address_in_use_is_an_error)
+{
+    const fake_daemon first;
+    operator_server second({{"127.0.0.1", first.port}, bearer_token("t")}, {});
+    const auto started = second.start();
+    ASSERT_FALSE(is_ok(started));
+    EXPECT_THAT(error_of(started).message, HasSubstr("cannot listen"));
+}
