--- a/src/batch/batch_action.hpp
+++ b/src/batch/batch_action.hpp
@@ -10,13 +10,6 @@
 namespace hemlockdeal
 {
 
-// Answers the operator request that came with this number.
-struct operator_answer
-{
-    std::uint64_t number = 0;
-    operator_reply reply;
-};
-
 using batch_action =
     std::variant<send_commit, read_row, read_rows, ask_for_report,
                  send_commands, send_to_peer, record_event, operator_answer>;
--- a/src/batch/batch_codec.cpp
+++ b/src/batch/batch_codec.cpp
@@ -375,10 +375,10 @@
     });
 }
 
-std::optional<lease_row> decode_lease(const std::string& value)
+std::optional<lease_content> decode_lease(const std::string& value)
 {
     return decode_object(value, [](const json::object& o) {
-        lease_row row;
+        lease_content row;
         row.holder_incarnation =
             incarnation(number_at<std::uint64_t>(o, "incarnation"));
         const json::value* revoked = o.if_contains("revoked_by");
--- a/src/batch/batch_codec.hpp
+++ b/src/batch/batch_codec.hpp
@@ -21,7 +21,7 @@
 };
 
 // `lease/<vm>`; written by the control library.
-struct lease_row
+struct lease_content
 {
     incarnation holder_incarnation;
     std::string revoked_by; // empty while it is not revoked
@@ -50,7 +50,6 @@
 };
 
 std::string shard_key(const shard_id& shard);
-std::string lease_key(const vm_id& vm);
 std::string job_key(const job_id& job);
 std::string inbox_prefix(const shard_id& shard);
 std::string journal_prefix(const shard_id& shard);
@@ -86,7 +85,7 @@
 
 // Empty when the value is not valid.
 std::optional<shard_row> decode_shard(const std::string& value);
-std::optional<lease_row> decode_lease(const std::string& value);
+std::optional<lease_content> decode_lease(const std::string& value);
 std::optional<journal_row> decode_journal(const std::string& value,
                                           time_point now);
 std::optional<job_row> decode_job(const std::string& value);
--- a/src/batch/shard_ownership.cpp
+++ b/src/batch/shard_ownership.cpp
@@ -73,7 +73,7 @@
 {
     for (const table_row& row : rows)
     {
-        const std::optional<lease_row> lease = decode_lease(row.value);
+        const std::optional<lease_content> lease = decode_lease(row.value);
         if (!lease)
         {
             continue;
--- a/src/batch/table_keys.cpp
+++ b/src/batch/table_keys.cpp
@@ -23,11 +23,6 @@
     return "shard/" + shard_path(shard);
 }
 
-std::string lease_key(const vm_id& vm)
-{
-    return "lease/" + vm.value();
-}
-
 std::string job_key(const job_id& job)
 {
     return "job/" + job.value();
--- a/src/control/vm_lease.cpp
+++ b/src/control/vm_lease.cpp
@@ -9,11 +9,6 @@
 namespace hemlockdeal
 {
 
-std::string lease_key(const vm_id& vm)
-{
-    return "lease/" + vm.value();
-}
-
 std::string to_text(const lease_row& row)
 {
     const boost::json::object object{{"incarnation", row.holder.value()},
--- a/src/control/vm_lease.hpp
+++ b/src/control/vm_lease.hpp
@@ -29,7 +29,6 @@
     commit_id commit;
 };
 
-std::string lease_key(const vm_id& vm);
 std::string to_text(const lease_row& row);
 result<lease_row> parse_lease_row(const std::string& text);
 
--- a/src/core/table.hpp
+++ b/src/core/table.hpp
@@ -82,6 +82,12 @@
 using commit_outcome =
     std::variant<commit_done, commit_conflict, commit_unknown>;
 
+// Key of the row that holds the lease of an entry VM.
+inline std::string lease_key(const vm_id& vm)
+{
+    return "lease/" + vm.value();
+}
+
 struct table_page
 {
     std::vector<table_row> rows;
--- /dev/null
+++ b/src/hemlockdeald/daemon.cpp
@@ -0,0 +1,271 @@
+// Wires the threads of the daemon together.
+#include "daemon.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "clock.hpp"
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+constexpr duration tails_interval = std::chrono::seconds(1);
+constexpr duration release_limit = std::chrono::seconds(5);
+constexpr int gauge_interval_ms = 1000;
+
+std::string outcome_name(request_outcome outcome)
+{
+    switch (outcome)
+    {
+    case request_outcome::done:
+        return "done";
+    case request_outcome::not_run:
+        return "not_run";
+    case request_outcome::unknown:
+        return "unknown";
+    case request_outcome::caller_gone:
+        return "caller_gone";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+daemon::daemon(const daemon_settings& settings, incarnation process)
+    : settings_(settings), process_(process), recorder_(settings.id),
+      platform_(settings.platform)
+{
+    const auto record_as = [this](const char* thread) {
+        return [this, thread](timeline_event event) {
+            recorder_.record(thread, std::move(event));
+        };
+    };
+    batch_outputs batch;
+    batch.platform = &platform_.from_batch();
+    batch.to_peer = [this](send_to_peer message) {
+        send_to_peers(std::move(message));
+    };
+    batch.to_proxy = [this](shared_configuration next) {
+        proxy_->configurations().post(std::move(next));
+    };
+    batch.record = record_as("batch");
+    batch_ = std::make_unique<batch_duty>(settings_, process_, batch);
+
+    proxy_duty_outputs proxy;
+    proxy.platform = &platform_.from_proxy();
+    proxy.to_peer = &batch_->from_proxy();
+    proxy.record = record_as("proxy");
+    proxy.finished = [this](const finish_request& finished) {
+        request_finished(finished);
+    };
+    proxy.configured = [this](const configuration& next) {
+        tails_.on_configuration(next);
+    };
+    proxy_ = std::make_unique<proxy_duty>(settings_, process_, proxy);
+
+    peers_ = std::make_unique<peer_duty>(
+        settings_, [this](peer_message&& message) { on_peer(std::move(message)); });
+
+    platform_.to_batch().connect(
+        batch_->context(), [this](platform_reply&& reply) {
+            batch_->on_platform(std::move(reply));
+        });
+    platform_.to_proxy().connect(
+        proxy_->context(), [this](platform_reply&& reply) {
+            proxy_->on_platform(std::move(reply));
+        });
+    operators_ = std::make_unique<operator_server>(
+        operator_server_options{settings_.operators.listen,
+                                settings_.operators.token},
+        make_callbacks());
+}
+
+daemon::~daemon()
+{
+    // The receivers go last: each thread may still send to the others.
+    operators_->stop();
+    peers_->stop();
+    proxy_->stop();
+    batch_->stop(duration::zero());
+    platform_.stop();
+}
+
+result<std::monostate> daemon::start()
+{
+    platform_.start();
+    batch_->start();
+    if (!proxy_->start())
+    {
+        return error{error_code::unavailable,
+                     "cannot listen for callers on " +
+                         to_text(settings_.callers)};
+    }
+    const auto peers = peers_->start();
+    if (!is_ok(peers))
+    {
+        return error_of(peers);
+    }
+    const auto operators = operators_->start();
+    if (!is_ok(operators))
+    {
+        return error_of(operators);
+    }
+    QObject::connect(&gauge_timer_, &QTimer::timeout,
+                     [this] { update_gauges(); });
+    gauge_timer_.start(gauge_interval_ms);
+    return std::monostate{};
+}
+
+void daemon::stop(std::function<void()> stopped)
+{
+    log(log_level::info, "planned stop: finishing requests in flight");
+    proxy_->drain([this, stopped = std::move(stopped)] {
+        // Back in the main thread, since the threads are joined there.
+        QMetaObject::invokeMethod(&gauge_timer_, [this, stopped] {
+            log(log_level::info, "no request in flight; releasing shards");
+            batch_->stop(release_limit);
+            stopped();
+        });
+    });
+}
+
+void daemon::on_peer(peer_message&& message)
+{
+    recorder_.received(message.stamp);
+    const auto for_proxy =
+        std::holds_alternative<slot_request>(message.body) ||
+        std::holds_alternative<slot_grant>(message.body);
+    if (for_proxy)
+    {
+        proxy_->from_peer().post(
+            {message.sender, std::move(message.body)});
+        return;
+    }
+    batch_->from_peer().post(std::move(message));
+}
+
+void daemon::send_to_peers(send_to_peer&& message)
+{
+    peers_->send(message.to,
+                 {settings_.id, process_, recorder_.stamp(),
+                  std::move(message.body)});
+}
+
+void daemon::request_finished(const finish_request& finished)
+{
+    const auto now = lease_clock_now();
+    const auto outcome = outcome_name(finished.outcome);
+    recorder_.values()
+        .counter("hemlockdeal_requests_total", "Requests by class and outcome",
+                 {{"class", finished.work_class.value()},
+                  {"outcome", outcome}})
+        .add();
+    if (finished.attempts > 1)
+    {
+        recorder_.values()
+            .counter("hemlockdeal_request_retries_total",
+                     "Attempts after the first one",
+                     {{"class", finished.work_class.value()}})
+            .add(finished.attempts - 1);
+    }
+    if (finished.outcome == request_outcome::done)
+    {
+        recorder_.values()
+            .latency("hemlockdeal_request_seconds",
+                     "Time from the request to the end of its answer",
+                     {{"class", finished.work_class.value()}})
+            .record(finished.elapsed);
+        tails_.record(finished.work_class, finished.elapsed, now);
+    }
+    if (now - tails_published_ >= tails_interval)
+    {
+        tails_published_ = now;
+        publish_tails();
+    }
+}
+
+void daemon::publish_tails()
+{
+    batch_->tails().post(tails_.tails(lease_clock_now()));
+}
+
+void daemon::update_gauges()
+{
+    auto& values = recorder_.values();
+    const auto counts = proxy_->counts();
+    values.gauge("hemlockdeal_callers", "Open connections of callers")
+        .set(static_cast<double>(counts.callers));
+    values.gauge("hemlockdeal_endpoint_connections", "Open connections to "
+                                                     "endpoints")
+        .set(static_cast<double>(counts.endpoint_connections));
+    values.gauge("hemlockdeal_requests_in_progress", "Requests in progress")
+        .set(static_cast<double>(counts.requests_in_progress));
+    values.gauge("hemlockdeal_requests_waiting", "Requests in the queue")
+        .set(static_cast<double>(counts.waiting));
+    const auto ring = [&](const char* name, const auto& mail) {
+        values.gauge("hemlockdeal_ring_messages",
+                     "Messages that wait in a ring between threads",
+                     {{"ring", name}})
+            .set(static_cast<double>(mail.ring().size()));
+        values.gauge("hemlockdeal_ring_rejected",
+                     "Messages that found the ring full",
+                     {{"ring", name}})
+            .set(static_cast<double>(mail.ring().rejected()));
+    };
+    ring("batch_to_platform", platform_.from_batch());
+    ring("proxy_to_platform", platform_.from_proxy());
+    ring("platform_to_batch", platform_.to_batch());
+    ring("platform_to_proxy", platform_.to_proxy());
+    ring("peer_to_batch", batch_->from_peer());
+    ring("operator_to_batch", batch_->from_operators());
+    const auto state = batch_->summary();
+    values.gauge("hemlockdeal_lease_valid", "1 while the VM's lease is valid")
+        .set(state.lease_valid ? 1.0 : 0.0);
+    values.gauge("hemlockdeal_table_reachable",
+                 "1 while the table answered within 2 s")
+        .set(state.table_reachable ? 1.0 : 0.0);
+    values.gauge("hemlockdeal_configuration_version", "Version held")
+        .set(static_cast<double>(state.version.value()));
+    values.gauge("hemlockdeal_configuration_age_seconds",
+                 "Time since the newest version was confirmed")
+        .set(state.configuration_age
+                 ? static_cast<double>(state.configuration_age->count()) / 1e6
+                 : -1.0);
+    const auto traffic = peers_->traffic();
+    values.gauge("hemlockdeal_peer_bytes_sent", "Bytes sent to other daemons")
+        .set(static_cast<double>(traffic.bytes_sent));
+    values.gauge("hemlockdeal_peer_bytes_received",
+                 "Bytes received from other daemons")
+        .set(static_cast<double>(traffic.bytes_received));
+    values.gauge("hemlockdeal_peer_refused",
+                 "Clients and messages refused on the peers' port")
+        .set(static_cast<double>(peers_->refused()));
+    values.gauge("hemlockdeal_shards_owned", "Shards that this VM owns")
+        .set(static_cast<double>(state.shards.size()));
+}
+
+operator_callbacks daemon::make_callbacks()
+{
+    operator_callbacks callbacks;
+    callbacks.handle = [this](operator_request request,
+                              operator_reply_function reply) {
+        // A full ring moves nothing, so `reply` can still be used.
+        const auto answer = reply;
+        if (!batch_->from_operators().post(
+                {std::move(request), std::move(reply)}))
+        {
+            answer(error{error_code::overloaded,
+                         "too many operators' requests wait"});
+        }
+    };
+    callbacks.timeline = [this](const timeline_filter& filter) {
+        return to_json_text(recorder_.collect(filter));
+    };
+    callbacks.metrics = [this] { return recorder_.values().to_prometheus(); };
+    return callbacks;
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/hemlockdeald/proxy_duty.cpp
@@ -0,0 +1,132 @@
+// Joins the proxy with the rings of the other threads.
+#include "proxy_duty.hpp"
+
+#include <utility>
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+constexpr std::size_t configuration_ring = 64;
+constexpr std::size_t peer_ring = 4096;
+
+} // namespace
+
+proxy_duty::proxy_duty(const daemon_settings& settings, incarnation process,
+                       proxy_duty_outputs outputs)
+    : settings_(settings), process_(process), outputs_(std::move(outputs)),
+      configurations_(configuration_ring), from_peer_(peer_ring),
+      duty_("proxy")
+{
+    configurations_.connect(duty_.context(),
+                            [this](shared_configuration&& next) {
+                                if (server_)
+                                {
+                                    server_->on_configuration(*next);
+                                    outputs_.configured(*next);
+                                }
+                            });
+    from_peer_.connect(duty_.context(), [this](addressed_peer_body&& message) {
+        if (server_)
+        {
+            server_->on_peer(message.sender, message.body);
+        }
+    });
+}
+
+proxy_duty::~proxy_duty() { stop(); }
+
+bool proxy_duty::start()
+{
+    duty_.start();
+    bool listening = false;
+    duty_.run_and_wait([&] {
+        request_settings requests;
+        requests.vm = settings_.id;
+        requests.zone = settings_.zone;
+        requests.region = settings_.region;
+        requests.process = process_;
+        requests.seed = stable_hash(settings_.id.value(), process_.value());
+        server_.emplace(requests, make_outputs());
+        listening =
+            server_->listen(settings_.callers.host, settings_.callers.port);
+    });
+    return listening;
+}
+
+proxy_outputs proxy_duty::make_outputs()
+{
+    proxy_outputs outputs;
+    outputs.commit = [this](send_commit& send) {
+        // The message is copied, so that the caller keeps it when the ring is
+        // full.
+        return outputs_.platform->post(
+            commit_request{table_user::requests, send.commit});
+    };
+    outputs.read = [this](read_row& read) {
+        return outputs_.platform->post(row_request{table_user::requests, read});
+    };
+    outputs.to_peer = [this](send_to_peer&& message) {
+        outputs_.to_peer->post(std::move(message));
+    };
+    outputs.event = [this](record_event&& record) {
+        outputs_.record(std::move(record.event));
+    };
+    outputs.finished = outputs_.finished;
+    return outputs;
+}
+
+void proxy_duty::on_platform(platform_reply&& reply)
+{
+    if (!server_)
+    {
+        return;
+    }
+    if (const auto* commit = std::get_if<commit_reply>(&reply))
+    {
+        server_->on_commit_outcome(commit->id, commit->outcome);
+    }
+    else if (const auto* row = std::get_if<row_result>(&reply))
+    {
+        server_->on_row(row->number, row->row);
+    }
+    else if (const auto* list = std::get_if<shared_membership>(&reply))
+    {
+        server_->on_membership(**list);
+    }
+}
+
+void proxy_duty::drain(std::function<void()> drained)
+{
+    duty_.run_and_wait([&] {
+        if (server_)
+        {
+            server_->drain(std::move(drained));
+        }
+    });
+}
+
+void proxy_duty::stop()
+{
+    duty_.run_and_wait([this] { server_.reset(); });
+    duty_.stop();
+}
+
+proxy_counts proxy_duty::counts()
+{
+    proxy_counts counts;
+    duty_.run_and_wait([&] {
+        if (server_)
+        {
+            counts = {server_->callers(), server_->refused_callers(),
+                      server_->endpoint_connections(),
+                      server_->requests_in_progress(),
+                      server_->core().waiting()};
+        }
+    });
+    return counts;
+}
+
+} // namespace hemlockdeal
--- a/src/operators/operator_json.hpp
+++ b/src/operators/operator_json.hpp
@@ -47,7 +47,7 @@
 operator_http_reply to_http(const request_refusal& refusal);
 
 // A reply as the tool sees it; findings come with errors only.
-struct operator_answer
+struct operator_reply_result
 {
     operator_reply reply;
     findings found;
@@ -55,7 +55,7 @@
 
 // Reads the reply to `request`. A body that does not fit gives an error with
 // the code outcome_unknown.
-operator_answer read_reply(const operator_request& request, int status,
+operator_reply_result read_reply(const operator_request& request, int status,
                            std::string_view body);
 
 std::string to_json_text(const timeline_part& part);
--- a/src/operators/reply_reader.cpp
+++ b/src/operators/reply_reader.cpp
@@ -213,7 +213,7 @@
     }
 };
 
-operator_answer unreadable(int status, const findings& found)
+operator_reply_result unreadable(int status, const findings& found)
 {
     std::string message = "the response with status " + std::to_string(status) +
                           " cannot be read";
@@ -224,7 +224,7 @@
     return {error{error_code::outcome_unknown, std::move(message)}, {}};
 }
 
-operator_answer read_error(int status, json_reader& reader, findings& found)
+operator_reply_result read_error(int status, json_reader& reader, findings& found)
 {
     const std::string code = reader.text("error");
     error e{error_code::outcome_unknown, reader.text("message")};
@@ -252,7 +252,7 @@
 
 } // namespace
 
-operator_answer read_reply(const operator_request& request, int status,
+operator_reply_result read_reply(const operator_request& request, int status,
                            std::string_view body)
 {
     findings found;
@@ -264,7 +264,7 @@
     json_reader reader(object, "response", found);
     const bool is_change =
         std::holds_alternative<configuration_change>(request);
-    operator_answer answer;
+    operator_reply_result answer;
     if (status == 409 && is_change && object.if_contains("version") != nullptr)
     {
         const auto version = read_version(reader);
