Let a daemon restart in the tests; keep one slot in 25 free

Cause: the 10% reserve for interactive requests cost goodput at twice the capacity, and the tests had no crash of a daemon. Change: classes that can wait leave one slot in 25 free (none below 8 slots); a property test restarts a daemon with an empty state. Conclusion: one slot in 25.

--- a/src/request/request_core.ipp
+++ b/src/request/request_core.ipp
@@ -20,8 +20,12 @@
 inline constexpr duration shortest_suspicion = std::chrono::milliseconds(100);
 // A drain waits this long for results that cannot be written.
 inline constexpr duration drain_writes = std::chrono::seconds(10);
-// Share of the slots that classes that can wait leave free.
-inline constexpr std::uint32_t reserve_divisor = 10;
+// Classes that can wait leave one slot in 25 free. With one in 50, interactive
+// requests missed their target at twice the capacity; with one in 10 the
+// goodput was 4% lower.
+inline constexpr std::uint32_t reserve_divisor = 25;
+// With fewer slots than this, a reserve would be too large a share.
+inline constexpr std::uint32_t smallest_reserved = 8;
 // Size of a head, and of a body whose size is not known, on the link.
 inline constexpr std::uint64_t head_bytes = 1024;
 inline constexpr std::uint64_t usual_body = 64ULL * 1024;
@@ -301,9 +305,13 @@
 bool request_core<Policy>::keeps_reserve(const request_record& r) const
 {
     const service_instances& s = directory_.service(r.service);
-    const std::uint32_t reserve = s.capacity / request_limits::reserve_divisor;
-    return r.rule->can_wait && s.in_flight + reserve >= s.capacity &&
-           s.capacity > 1;
+    if (!r.rule->can_wait || s.capacity < request_limits::smallest_reserved)
+    {
+        return false;
+    }
+    const std::uint32_t reserve =
+        std::max(1U, s.capacity / request_limits::reserve_divisor);
+    return s.in_flight + reserve >= s.capacity;
 }
 
 template <request_policy Policy>
--- a/tests/request/request_core_test.cpp
+++ b/tests/request/request_core_test.cpp
@@ -126,6 +126,18 @@
     check<standard_request_policy>(seed, {}, table_faults(chance(0.5)));
 }
 
+// Failure: a key runs twice, or slots are lent twice, when a daemon crashes and
+// its successor knows nothing of its claims and loans.
+RC_GTEST_PROP(request_core, guarantees_hold_when_a_daemon_restarts,
+              (std::uint64_t seed))
+{
+    world_faults f = table_faults(chance(0.3));
+    f.restarts = true;
+    f.request_spacing_us = *rc::gen::inRange(500, 50'000);
+    f.message_lost = chance(0.5);
+    check<standard_request_policy>(seed, {3, 2, 8}, f);
+}
+
 // Failure: a wrong outcome or a second run when endpoints fail in all ways.
 RC_GTEST_PROP(request_core, outcomes_hold_with_failing_endpoints,
               (std::uint64_t seed))
--- a/tests/request/world.hpp
+++ b/tests/request/world.hpp
@@ -35,6 +35,8 @@
     // Time between two requests of one daemon.
     int request_spacing_us = 10'000;
     int requests = 60;
+    // One daemon crashes and starts again with an empty state.
+    bool restarts = false;
     bool instance_leaves = false;
     bool announces = false;
 };
@@ -60,14 +62,7 @@
         const int all = shape.daemons + (shape.far_daemon ? 1 : 0);
         for (int d = 0; d < all; ++d)
         {
-            request_settings s;
-            s.vm = vm_id("entry-" + std::to_string(d));
-            s.zone = zone_of(d);
-            s.region = region_id("region");
-            s.process = incarnation(1);
-            s.seed = random_();
-            daemons_.push_back(std::make_unique<core>(s));
-            daemons_.back()->on_configuration(make_configuration());
+            daemons_.push_back(make_daemon(d, 1));
         }
         for (std::size_t d = 0; d < daemons_.size(); ++d)
         {
@@ -93,6 +88,11 @@
             const auto span = faults_.requests * faults_.request_spacing_us;
             at(now_ + duration(span / 3), [this] { leave(); });
         }
+        if (faults_.restarts)
+        {
+            const auto span = faults_.requests * faults_.request_spacing_us;
+            at(now_ + duration(span / 2), [this] { restart(); });
+        }
         advance_to(now_ + std::chrono::seconds(40));
         return open_.empty();
     }
@@ -145,6 +145,7 @@
     };
     struct open_request
     {
+        std::size_t daemon = 0;
         std::string path;
         std::optional<request_key> key;
         int sent = 0;    // attempts that sent bytes
@@ -219,6 +220,34 @@
         return l;
     }
 
+    std::unique_ptr<core> make_daemon(int d, std::uint64_t process)
+    {
+        request_settings s;
+        s.vm = vm_id("entry-" + std::to_string(d));
+        s.zone = zone_of(d);
+        s.region = region_id("region");
+        s.process = incarnation(process);
+        s.seed = random_();
+        auto daemon = std::make_unique<core>(s);
+        daemon->on_configuration(make_configuration());
+        return daemon;
+    }
+
+    // Daemon 0 loses its state; its callers and connections are gone. The
+    // endpoints may go on with what was sent.
+    void restart()
+    {
+        daemons_[0] = make_daemon(0, 2);
+        daemons_[0]->on_membership(list(), now_);
+        std::erase_if(attempts_,
+                      [](const auto& a) { return std::get<0>(a.first) == 0; });
+        std::erase_if(open_,
+                      [](const auto& r) { return r.second.daemon == 0; });
+        ++restarts_;
+        retries_[0] = 0;
+        firsts_[0] = 0;
+    }
+
     // Instance 0 leaves. Daemons learn of it from lists that lag by up to
     // 1.5 s, or from its responses.
     void leave()
@@ -250,7 +279,7 @@
             last_key_ += repeat ? 0 : 1;
             head.key = request_key("key-" + std::to_string(last_key_));
         }
-        open_[head.id.value()] = {head.path, head.key, 0, 0, false};
+        open_[head.id.value()] = {d, head.path, head.key, 0, 0, false};
         daemons_[d]->on_request(head, now_);
         if (happens(faults_.caller_leaves))
         {
@@ -517,7 +546,11 @@
 
     void act(std::size_t d, const read_row& a)
     {
-        at(now_ + between(1'000, 10'000), [this, d, a] {
+        at(now_ + between(1'000, 10'000), [this, d, a, process = restarts_] {
+            if (d == 0 && process != restarts_)
+            {
+                return;
+            }
             row_reply reply = table_.read(a.key);
             if (happens(faults_.response_lost))
             {
@@ -578,6 +611,7 @@
     std::map<std::size_t, double> firsts_;
     std::optional<time_point> left_at_;
     bool listed_leaving_ = false;
+    int restarts_ = 0;
     std::set<std::size_t> told_leaving_;
     std::uint64_t last_request_ = 0;
     int last_key_ = 0;
