Test single paths and limits; let large bodies pass the link bucket

A test showed that the link bucket refused the first request to another region and every body above its size. Change: the bucket starts full with a quarter of a second, and a request passes while the balance is positive.

--- a/src/request/link_bucket.hpp
+++ b/src/request/link_bucket.hpp
@@ -8,9 +8,9 @@
 namespace hemlockdeal
 {
 
-// Control traffic is counted and never refused, so the balance may be
-// negative; interactive requests may use what is above zero, and batch
-// requests the upper half.
+// A request may use the link while the balance is positive, and its bytes may
+// make the balance negative, so that large bodies pass. Batch requests need
+// half of the bucket. Control traffic is counted and never refused.
 class link_bucket
 {
 public:
@@ -18,15 +18,16 @@
     // traffic that is not counted, such as TCP's own.
     void set_rate(std::uint64_t bits_per_second, std::size_t entry_vms);
 
-    bool has_room(std::uint64_t bytes, bool can_wait, time_point now);
+    bool has_room(bool can_wait, time_point now);
     void use(std::uint64_t bytes, time_point now);
 
 private:
     void refill(time_point now);
 
     double bytes_per_second_ = 0.0;
-    // Invariant: at most bytes_per_second_, that is one second of traffic.
+    // Invariant: at most capacity_.
     double balance_ = 0.0;
+    double capacity_ = 0.0;
     time_point refilled_at_{};
     bool started_ = false;
 };
--- a/src/request/request_core.ipp
+++ b/src/request/request_core.ipp
@@ -318,14 +318,9 @@
 std::optional<instance_index>
 request_core<Policy>::choose(const request_record& r, time_point now)
 {
-    const std::uint64_t bytes =
-        request_limits::head_bytes + (r.body_bytes == unknown_body_size
-                                          ? request_limits::usual_body
-                                          : r.body_bytes);
-    const bool link_has_room =
-        r.rule->cross_region &&
-        link_out_.has_room(bytes, r.rule->can_wait, now) &&
-        link_in_.has_room(0, r.rule->can_wait, now);
+    const bool link_has_room = r.rule->cross_region &&
+                               link_out_.has_room(r.rule->can_wait, now) &&
+                               link_in_.has_room(r.rule->can_wait, now);
     return router_.choose(directory_, r.service, *r.rule, link_has_room,
                           r.excluded, now);
 }
--- /dev/null
+++ b/tests/request/limits_test.cpp
@@ -0,0 +1,316 @@
+// Guards the limits that are kept by single classes: retry budget, link,
+// queue, floors and loans, ejection.
+#include <numeric>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "request/request.hpp"
+
+using namespace hemlockdeal;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point at(duration d)
+{
+    return time_point(d);
+}
+
+request_rule make_rule(const char* id, duration target, bool can_wait = false)
+{
+    request_rule r;
+    r.work_class = class_id(id);
+    r.target = target;
+    r.can_wait = can_wait;
+    return r;
+}
+
+member make_member(const std::string& id, member_kind kind)
+{
+    member m;
+    m.id = id;
+    m.kind = kind;
+    m.zone = availability_zone_id("zone");
+    m.region = region_id("region");
+    m.service = service_id(kind == member_kind::endpoint ? "orders" : "");
+    m.slots = 8;
+    m.connections = 64;
+    return m;
+}
+
+membership_list make_list(std::size_t entry_vms, std::size_t instances)
+{
+    membership_list l;
+    for (std::size_t i = 0; i < entry_vms; ++i)
+    {
+        l.members.push_back(
+            make_member("entry-" + std::to_string(i), member_kind::entry_vm));
+    }
+    for (std::size_t i = 0; i < instances; ++i)
+    {
+        l.members.push_back(make_member("instance-" + std::to_string(i),
+                                        member_kind::endpoint));
+    }
+    return l;
+}
+
+endpoint_directory make_directory(std::size_t entry_vms, std::size_t instances)
+{
+    endpoint_directory d(vm_id("entry-0"), availability_zone_id("zone"),
+                         region_id("region"), 0.75);
+    d.apply(make_list(entry_vms, instances), at(0s));
+    return d;
+}
+
+} // namespace
+
+// Failure: saved-up retries or a clock that stands still exceed the budget.
+RC_GTEST_PROP(retry_budget, never_above_share_rate_and_burst,
+              (std::vector<std::uint16_t> steps))
+{
+    retry_budget budget(0.1, 3.0);
+    double retries = 0.0;
+    double requests = 0.0;
+    time_point now{};
+    for (const std::uint16_t step : steps)
+    {
+        now += std::chrono::milliseconds(step % 300);
+        if (step % 2 == 0)
+        {
+            budget.count_request();
+            requests += 1.0;
+        }
+        else if (budget.has_room(now))
+        {
+            budget.take();
+            retries += 1.0;
+        }
+        const double seconds =
+            std::chrono::duration<double>(now.time_since_epoch()).count();
+        RC_ASSERT(retries <= 1.001 + 0.1 * requests + 3.0 * seconds);
+    }
+}
+
+// Failure: requests take more of the link than this daemon's share.
+RC_GTEST_PROP(link_bucket, requests_stay_within_the_share,
+              (std::vector<std::uint16_t> steps, bool can_wait))
+{
+    link_bucket link;
+    link.set_rate(30'000'000, 3); // 1,000,000 bytes a second
+    double sent = 0.0;
+    time_point now{};
+    for (const std::uint16_t step : steps)
+    {
+        now += std::chrono::microseconds(step);
+        if (link.has_room(can_wait, now))
+        {
+            link.use(step, now);
+            sent += step;
+        }
+        const double seconds =
+            std::chrono::duration<double>(now.time_since_epoch()).count();
+        // A quarter of a second and one request may be sent in a burst.
+        RC_ASSERT(sent <= 1e6 * (seconds + 0.25) + 65'535.0);
+    }
+}
+
+// Failure: requests do not give way to control traffic, or a body above the
+// bucket's size never passes.
+TEST(link_bucket, control_traffic_comes_first)
+{
+    link_bucket link;
+    link.set_rate(30'000'000, 3);
+    EXPECT_TRUE(link.has_room(true, at(0s)));
+    link.use(150'000, at(0s));
+    EXPECT_FALSE(link.has_room(true, at(0s)));
+    EXPECT_TRUE(link.has_room(false, at(0s)));
+    link.use(2'000'000, at(0s));
+    EXPECT_FALSE(link.has_room(false, at(1800ms)));
+    EXPECT_TRUE(link.has_room(false, at(2s)));
+}
+
+// Failure: interactive requests wait behind, or are refused before, others.
+TEST(admission_queue, what_can_wait_comes_last_and_gives_way_first)
+{
+    const request_rule quick = make_rule("quick", 200ms);
+    const request_rule slow = make_rule("slow", 2s);
+    const request_rule batch = make_rule("batch", 1s, true);
+    admission_queue q;
+    q.push(batch, {at(1ms), request_id(1)});
+    q.push(slow, {at(30ms), request_id(2)});
+    q.push(slow, {at(500ms), request_id(3)});
+    q.push(quick, {at(50ms), request_id(4)});
+    const auto lanes = q.ready_lanes();
+    ASSERT_EQ(lanes.size(), 3U);
+    EXPECT_EQ(lanes[0]->work_class, slow.work_class);
+    EXPECT_EQ(lanes[2]->work_class, batch.work_class);
+    EXPECT_EQ(q.ahead(quick, at(60ms)), 2U);
+    EXPECT_EQ(q.ahead(batch, at(60ms)), 4U);
+    // Only request 2 would start before the new one.
+    EXPECT_EQ(q.make_way(quick, at(60ms)), request_id(2));
+    EXPECT_EQ(q.make_way(quick, at(60ms)), std::nullopt);
+    EXPECT_EQ(q.make_way(quick, std::nullopt), request_id(1));
+    EXPECT_EQ(q.make_way(batch, std::nullopt), std::nullopt);
+    EXPECT_EQ(q.size(), 2U);
+}
+
+// Failure: lent slots exceed the pool when grants and requests are lost, come
+// late or out of order.
+RC_GTEST_PROP(slot_share, borrowers_never_use_more_than_the_pool,
+              (std::vector<std::uint32_t> steps))
+{
+    const slot_terms terms{2, 6, vm_id("entry-0")};
+    slot_share coordinator;
+    coordinator.set_terms(terms, at(0s));
+    std::array<slot_share, 3> borrowers;
+    for (slot_share& b : borrowers)
+    {
+        b.set_terms(terms, at(0s));
+    }
+    std::vector<std::pair<std::size_t, slot_request>> asked;
+    std::vector<std::pair<std::size_t, slot_grant>> granted;
+    std::uint64_t number = 0;
+    time_point now = at(10s);
+    for (const std::uint32_t step : steps)
+    {
+        now += std::chrono::milliseconds(step % 700);
+        const std::size_t who = (step / 7) % borrowers.size();
+        const std::uint32_t wanted = (step / 31) % 8;
+        switch ((step / 1000) % 3)
+        {
+        case 0:
+            if (wanted == 0)
+            {
+                borrowers[who].give_up(++number);
+            }
+            else
+            {
+                borrowers[who].ask(++number, now);
+            }
+            asked.push_back({who, {number, instance_id("i"), wanted}});
+            break;
+        case 1:
+            if (!asked.empty())
+            {
+                const auto pick = asked.begin() + step % asked.size();
+                const vm_id name("entry-" + std::to_string(pick->first));
+                granted.emplace_back(pick->first,
+                                     coordinator.lend(name, pick->second, now));
+                asked.erase(pick);
+            }
+            break;
+        default:
+            if (!granted.empty())
+            {
+                const auto pick = granted.begin() + step % granted.size();
+                borrowers[pick->first].accept(pick->second);
+                granted.erase(pick);
+            }
+        }
+        const std::uint32_t used =
+            std::accumulate(borrowers.begin(), borrowers.end(), 0U,
+                            [&](std::uint32_t sum, const slot_share& b) {
+                                return sum + b.loan(now);
+                            });
+        RC_ASSERT(used <= terms.pool);
+    }
+}
+
+// Failure: a new coordinator lends slots that the previous one has lent.
+TEST(slot_share, new_coordinator_waits_for_old_loans)
+{
+    slot_share s;
+    s.set_terms({2, 2, vm_id("entry-0")}, at(10s));
+    const slot_request request{1, instance_id("i"), 2};
+    EXPECT_EQ(s.lend(vm_id("entry-1"), request, at(14s)).granted, 0U);
+    EXPECT_EQ(s.lend(vm_id("entry-1"), request, at(14200ms)).granted, 2U);
+}
+
+// Failure: floors exceed the slots, or daemons disagree on the coordinator.
+TEST(endpoint_directory, floors_and_coordinator_follow_the_list)
+{
+    for (const std::size_t n : {1U, 2U, 3U, 4U, 6U, 8U})
+    {
+        const endpoint_directory d = make_directory(n, 5);
+        const endpoint_directory other = [&] {
+            endpoint_directory o(vm_id("entry-1"), availability_zone_id("far"),
+                                 region_id("region"), 0.75);
+            o.apply(make_list(n, 5), at(0s));
+            return o;
+        }();
+        for (instance_index i = 0; i < 5; ++i)
+        {
+            const slot_terms& terms = d.at(i).share.terms();
+            EXPECT_GE(terms.floor, 1U);
+            EXPECT_EQ(terms.floor * n + terms.pool, 8U);
+            EXPECT_EQ(other.at(i).share.terms().coordinator, terms.coordinator);
+            EXPECT_EQ(other.at(i).share.terms().floor, 0U);
+        }
+    }
+}
+
+// Failure: a fault of all instances takes the whole service away.
+RC_GTEST_PROP(ejector, at_most_half_of_the_instances_are_ejected,
+              (std::vector<std::uint8_t> failing))
+{
+    endpoint_directory d = make_directory(1, 7);
+    ejector e(d, true);
+    time_point now{};
+    for (const std::uint8_t f : failing)
+    {
+        now += 50ms;
+        const instance_index i = f % 7;
+        f % 3 == 0 ? e.record_refusal(i, now) : e.record_failure(i, now);
+        if (f % 11 == 0)
+        {
+            e.on_probe_result(i, f % 2 == 0, now);
+        }
+        std::size_t ejected = 0;
+        for (instance_index j = 0; j < 7; ++j)
+        {
+            ejected += d.at(j).health.is_ejected() ? 1 : 0;
+        }
+        RC_ASSERT(ejected <= 3U);
+    }
+}
+
+// Failure: an instance that is much slower keeps getting its part, or never
+// comes back.
+TEST(ejector, slow_instance_is_ejected_and_probed)
+{
+    endpoint_directory d = make_directory(1, 4);
+    ejector e(d, true);
+    for (int round = 0; round < 6; ++round)
+    {
+        for (instance_index i = 0; i < 4; ++i)
+        {
+            e.record_response(i, i == 2 ? 200ms : 20ms);
+        }
+    }
+    EXPECT_TRUE(e.run(at(1s)).empty());
+    EXPECT_TRUE(d.at(2).health.is_ejected());
+    EXPECT_FALSE(d.at(1).health.is_ejected());
+    EXPECT_EQ(e.run(at(2100ms)), std::vector<instance_index>{2});
+    e.on_probe_result(2, true, at(2200ms));
+    EXPECT_FALSE(d.at(2).health.is_ejected());
+}
+
+// Failure: a stored response comes back changed.
+RC_GTEST_PROP(claim_row, text_form_keeps_every_byte,
+              (std::string body, std::string value, bool finished))
+{
+    claim_row row;
+    row.claim = commit_id("vm/1/request/7");
+    row.commit = commit_id("vm/1/request-result/9");
+    row.fingerprint = "42";
+    row.finished = finished;
+    row.answer = stored_answer{201, {{"Content-Type", value}}, body};
+    const auto parsed = parse_claim_row(to_text(row));
+    RC_ASSERT(parsed.has_value());
+    RC_ASSERT(parsed->answer == row.answer);
+    RC_ASSERT(parsed->claim == row.claim);
+    RC_ASSERT(parsed->finished == finished);
+    RC_ASSERT(!parse_claim_row(body + "{").has_value());
+}
--- a/tests/request/world.hpp
+++ b/tests/request/world.hpp
@@ -14,42 +14,11 @@
 
 #include "fake_table.hpp"
 #include "request/request.hpp"
+#include "world_settings.hpp"
 
 namespace hemlockdeal
 {
 
-// Probabilities of faults, each per attempt, commit or message.
-struct world_faults
-{
-    double connect_fails = 0.0;
-    double connect_hangs = 0.0;
-    double breaks = 0.0;
-    double silent = 0.0;
-    double refuses = 0.0;
-    double error_status = 0.0;
-    double commit_lost = 0.0;
-    double response_lost = 0.0;
-    double message_lost = 0.0;
-    double caller_leaves = 0.0;
-    double repeats = 0.5;
-    // Time between two requests of one daemon.
-    int request_spacing_us = 10'000;
-    int requests = 60;
-    // One daemon crashes and starts again with an empty state.
-    bool restarts = false;
-    bool instance_leaves = false;
-    bool announces = false;
-};
-
-struct world_shape
-{
-    int daemons = 2;
-    int instances = 3;
-    std::uint32_t slots = 8;
-    // One more daemon in another zone of the region.
-    bool far_daemon = false;
-};
-
 template <typename Policy>
 class world
 {
@@ -171,26 +140,6 @@
             std::uniform_int_distribution<>(from_us, to_us)(random_));
     }
 
-    static configuration make_configuration()
-    {
-        configuration c;
-        c.version = configuration_version(1);
-        work_class once;
-        once.id = class_id("once");
-        once.kind = class_kind::latency_critical;
-        once.target = std::chrono::milliseconds(400);
-        once.idempotent = false;
-        work_class any = once;
-        any.id = class_id("any");
-        any.idempotent = true;
-        service s;
-        s.id = service_id("orders");
-        s.routes = {{"/once", once.id}, {"/any", any.id}};
-        c.content.classes = {once, any};
-        c.content.services = {s};
-        return c;
-    }
-
     membership_list list() const
     {
         membership_list l;
@@ -229,7 +178,7 @@
         s.process = incarnation(process);
         s.seed = random_();
         auto daemon = std::make_unique<core>(s);
-        daemon->on_configuration(make_configuration());
+        daemon->on_configuration(make_test_configuration());
         return daemon;
     }
 
