Answer waiting claims at once when the table gives no response

Cause: while the table was down, requests with a key waited for the timeout of earlier commits, up to half of their target. Change: when a claim and its repetition got no response, the claims that wait are answered not run too; later requests try the table again.

--- a/src/request/admission_queue.cpp
+++ b/src/request/admission_queue.cpp
@@ -45,10 +45,12 @@
     {
         return;
     }
-    const auto equal = std::ranges::equal_range(
-        found->items, entry.start_by, std::ranges::less{}, &item::start_by);
-    const auto place = std::ranges::find(equal, entry.request, &item::request);
-    if (place != equal.end())
+    auto place = std::ranges::lower_bound(found->items, entry.start_by,
+                                          std::ranges::less{}, &item::start_by);
+    place = std::find_if(place, found->items.end(), [&](const item& i) {
+        return i.request == entry.request;
+    });
+    if (place != found->items.end())
     {
         found->items.erase(place);
         found->stayed_full = found->stayed_full && !found->items.empty();
--- a/src/request/claim_table.cpp
+++ b/src/request/claim_table.cpp
@@ -275,6 +275,15 @@
     {
         make_stale(key, entries_.at(key));
     }
+    // The claims that wait would get no response either.
+    for (const request_key& key : std::exchange(queue_, {}))
+    {
+        const auto found = entries_.find(key);
+        if (found != entries_.end() && found->second.now == state::queued)
+        {
+            make_stale(key, found->second);
+        }
+    }
 }
 
 void claim_table::settle_row(const request_key& key, entry& e,
@@ -392,6 +401,11 @@
         verdicts_.push_back(
             {e.request, claim_not_run{503, "the table gives no response"}});
     }
+    if (e.claims.empty())
+    {
+        entries_.erase(key);
+        return;
+    }
     e.cancelled = true;
     e.now = state::stale;
     stale_.push_back(key);
--- a/tests/request/limits_test.cpp
+++ b/tests/request/limits_test.cpp
@@ -68,7 +68,7 @@
 
 // Failure: saved-up retries or a clock that stands still exceed the budget.
 RC_GTEST_PROP(retry_budget, never_above_share_rate_and_burst,
-              (std::vector<std::uint16_t> steps))
+              (const std::vector<std::uint16_t>& steps))
 {
     retry_budget budget(0.1, 3.0);
     double retries = 0.0;
@@ -95,7 +95,7 @@
 
 // Failure: requests take more of the link than this daemon's share.
 RC_GTEST_PROP(link_bucket, requests_stay_within_the_share,
-              (std::vector<std::uint16_t> steps, bool can_wait))
+              (const std::vector<std::uint16_t>& steps, bool can_wait))
 {
     link_bucket link;
     link.set_rate(30'000'000, 3); // 1,000,000 bytes a second
@@ -159,7 +159,7 @@
 // Failure: lent slots exceed the pool when grants and requests are lost, come
 // late or out of order.
 RC_GTEST_PROP(slot_share, borrowers_never_use_more_than_the_pool,
-              (std::vector<std::uint32_t> steps))
+              (const std::vector<std::uint32_t>& steps))
 {
     const slot_terms terms{2, 6, vm_id("entry-0")};
     slot_share coordinator;
@@ -194,7 +194,8 @@
         case 1:
             if (!asked.empty())
             {
-                const auto pick = asked.begin() + step % asked.size();
+                const auto pick = asked.begin() + static_cast<std::ptrdiff_t>(
+                                                      step % asked.size());
                 const vm_id name("entry-" + std::to_string(pick->first));
                 granted.emplace_back(pick->first,
                                      coordinator.lend(name, pick->second, now));
@@ -204,7 +205,8 @@
         default:
             if (!granted.empty())
             {
-                const auto pick = granted.begin() + step % granted.size();
+                const auto pick = granted.begin() + static_cast<std::ptrdiff_t>(
+                                                        step % granted.size());
                 borrowers[pick->first].accept(pick->second);
                 granted.erase(pick);
             }
@@ -253,7 +255,7 @@
 
 // Failure: a fault of all instances takes the whole service away.
 RC_GTEST_PROP(ejector, at_most_half_of_the_instances_are_ejected,
-              (std::vector<std::uint8_t> failing))
+              (const std::vector<std::uint8_t>& failing))
 {
     endpoint_directory d = make_directory(1, 7);
     ejector e(d, true);
@@ -299,7 +301,8 @@
 
 // Failure: a stored response comes back changed.
 RC_GTEST_PROP(claim_row, text_form_keeps_every_byte,
-              (std::string body, std::string value, bool finished))
+              (const std::string& body, const std::string& value,
+               bool finished))
 {
     claim_row row;
     row.claim = commit_id("vm/1/request/7");
--- a/tests/request/request_path_test.cpp
+++ b/tests/request/request_path_test.cpp
@@ -132,9 +132,11 @@
     const auto again = last<send_commit>();
     ASSERT_TRUE(again);
     EXPECT_EQ(again->commit.id, commit->commit.id);
+    request(9, "/once", "waits for the next commit");
     core_.on_commit_outcome(commit->commit.id, commit_unknown{"down"}, now_);
     const auto actions = core_.take_actions();
     EXPECT_EQ(last_of<answer_not_run>(actions)->status, 503U);
+    EXPECT_EQ(core_.requests(), 0U);
 
     // The table is back and had applied the claim.
     const auto read = last_of<read_row>(actions);
