Give the benchmark's instances fewer workers than slots

Cause: with as many workers as slots, the choices of 8 daemons at the same time cost nothing, and requests were counted at their arrival but results at their end. Change: the two scenarios with 8 daemons use 16 slots and 4 workers; figures count requests that arrived in the measured period and ended.

--- a/bench/request/queue_model.hpp
+++ b/bench/request/queue_model.hpp
@@ -1,5 +1,5 @@
 // A small queue model of instances for the benchmarks of the request core:
-// each instance works on `slots` requests at a time and queues the rest. It
+// each instance works on `workers` requests at a time and queues the rest. It
 // models no network but a constant latency.
 #pragma once
 
@@ -26,6 +26,7 @@
     std::size_t daemons = 3;
     std::size_t instances = 50;
     std::uint32_t slots = 8;
+    std::uint32_t workers = 8;
     double mean_ms = 20.0;
     // Offered load as a share of the capacity.
     double load = 0.5;
@@ -38,6 +39,7 @@
     double from_second = 10.0;
 };
 
+// Of the requests that arrived after the start of the measurement and ended.
 struct class_result
 {
     std::uint64_t requests = 0;
@@ -192,7 +194,7 @@
     void schedule_arrival(std::size_t d)
     {
         const double capacity_per_second =
-            static_cast<double>(shape_.instances * shape_.slots) /
+            static_cast<double>(shape_.instances * shape_.workers) /
             (shape_.mean_ms / 1000.0);
         const double rate = capacity_per_second * shape_.load /
                             static_cast<double>(shape_.daemons);
@@ -225,7 +227,6 @@
         head.method = "GET";
         head.path = later ? "/1" : "/0";
         open_[last_request_] = {now_, later ? 1U : 0U, 0};
-        results_[later ? 1 : 0].requests += counts() ? 1 : 0;
         daemons_[d]->on_request(head, now_);
         carry_out(d);
     }
@@ -310,11 +311,12 @@
         const auto found = open_.find(a.request.value());
         const open_request r = found->second;
         open_.erase(found);
-        if (!counts())
+        if (r.arrived < at_second(shape_.from_second))
         {
             return;
         }
         class_result& result = results_[r.work_class];
+        ++result.requests;
         const duration elapsed = now_ - r.arrived;
         if (a.outcome != request_outcome::done || a.status >= 500)
         {
@@ -342,7 +344,7 @@
     void work(std::size_t i)
     {
         instance& e = instances_[i];
-        while (e.busy < shape_.slots && !e.waiting.empty())
+        while (e.busy < shape_.workers && !e.waiting.empty())
         {
             const std::uint64_t id = e.waiting.front();
             e.waiting.pop_front();
--- a/bench/request/request_routing.cpp
+++ b/bench/request/request_routing.cpp
@@ -63,12 +63,18 @@
     shape.failing_instances = 5;
     compare("a tenth of the instances fail at once, 50% load, 3 daemons", shape,
             seed);
+    // More slots than workers: an instance that many daemons choose at the
+    // same time queues.
     model_shape eight;
     eight.daemons = 8;
-    eight.load = 0.8;
-    compare("no fault, 80% load, 8 daemons", eight, seed);
+    eight.slots = 16;
+    eight.workers = 4;
+    eight.load = 0.7;
+    compare("no fault, 70% load, 8 daemons, 16 slots, 4 workers", eight, seed);
     eight.slow_instances = 1;
-    compare("one instance ten times slower, 80% load, 8 daemons", eight, seed);
+    compare("one instance ten times slower, 70% load, 8 daemons, 16 slots, 4 "
+            "workers",
+            eight, seed);
     model_shape overload;
     overload.load = 2.0;
     overload.can_wait_share = 0.6;
