Check callers less often and look instances up once

Cause: check_time() of 3,000 idle callers ran 20 times a second. Change: callers are checked every 250 ms, which is small beside their limits of seconds; the pool keeps a pointer to the instance's state.

--- a/src/proxy/endpoint_pool.cpp
+++ b/src/proxy/endpoint_pool.cpp
@@ -30,33 +30,30 @@
                             const std::string& address, std::uint32_t limit,
                             bool proven)
 {
-    // Looked up each time: retiring the last connection removes the instance.
-    while (!instances_[instance].idle.empty())
+    // Stays although retiring its last connection would remove it.
+    instance_state& state = instances_[instance];
+    ++state.open;
+    endpoint_connection* reused = nullptr;
+    while (reused == nullptr && !state.idle.empty())
     {
-        std::vector<endpoint_connection*>& idle = instances_[instance].idle;
-        endpoint_connection& c = *idle.back();
-        idle.pop_back();
-        if (!c.is_ready() || c.address() != address)
+        endpoint_connection* c = state.idle.back();
+        state.idle.pop_back();
+        if (c->is_ready() && c->address() == address)
         {
-            retire(c);
-            continue;
+            reused = c;
         }
-        entry& e = connections_.at(&c);
-        e.use = purpose::lease;
-        e.reused = true;
-        e.handed_over = false;
-        c.set_lease(lease);
-        const time_point idle_since = c.phase_started();
-        if (proven || idle_since <= instances_[instance].distrusted_at ||
-            monotonic_now() - idle_since > limits_.probe_after_idle)
+        else
         {
-            c.probe();
-            return;
+            retire(*c);
         }
-        hand_over(c);
+    }
+    --state.open;
+    if (reused != nullptr)
+    {
+        lend(lease, *reused, proven);
         return;
     }
-    if (instances_[instance].open >= limit)
+    if (state.open >= limit)
     {
         owner_.failed(lease, "the share of the instance's connections is used");
         return;
@@ -64,6 +61,25 @@
     open(instance, address, purpose::lease, lease);
 }
 
+// Uses an idle connection, after a probe if it may have gone silent.
+void endpoint_pool::lend(lease_number lease, endpoint_connection& connection,
+                         bool proven)
+{
+    entry& e = connections_.at(&connection);
+    e.use = purpose::lease;
+    e.reused = true;
+    e.handed_over = false;
+    connection.set_lease(lease);
+    const time_point idle_since = connection.phase_started();
+    if (proven || idle_since <= e.instance->distrusted_at ||
+        monotonic_now() - idle_since > limits_.probe_after_idle)
+    {
+        connection.probe();
+        return;
+    }
+    hand_over(connection);
+}
+
 void endpoint_pool::distrust(const instance_id& instance)
 {
     const auto found = instances_.find(instance);
@@ -77,8 +93,9 @@
                          const std::string& address, purpose use,
                          lease_number lease)
 {
-    ++instances_[instance].open;
     entry e;
+    e.instance = &instances_[instance];
+    ++e.instance->open;
     e.connection = std::make_unique<endpoint_connection>(instance, address,
                                                          limits_, handlers_);
     e.use = use;
@@ -112,8 +129,9 @@
         return;
     }
     connection.set_lease(0);
-    connections_.at(&connection).use = purpose::none;
-    instances_[connection.instance()].idle.push_back(&connection);
+    entry& e = connections_.at(&connection);
+    e.use = purpose::none;
+    e.instance->idle.push_back(&connection);
 }
 
 void endpoint_pool::retire(endpoint_connection& connection)
@@ -131,11 +149,10 @@
     }
     entry removed = std::move(found->second);
     connections_.erase(found);
-    const auto instance = instances_.find(connection.instance());
-    std::erase(instance->second.idle, &connection);
-    if (--instance->second.open == 0)
+    std::erase(removed.instance->idle, &connection);
+    if (--removed.instance->open == 0)
     {
-        instances_.erase(instance);
+        instances_.erase(connection.instance());
     }
     ended_.push_back(std::move(removed.connection));
     return removed;
--- a/src/proxy/endpoint_pool.hpp
+++ b/src/proxy/endpoint_pool.hpp
@@ -75,10 +75,21 @@
         probe
     };
 
+    struct instance_state
+    {
+        // The most recently used is last and taken first.
+        std::vector<endpoint_connection*> idle;
+        std::size_t open = 0;
+        // Connections that are idle since before are probed before use.
+        time_point distrusted_at;
+    };
+
     struct entry
     {
         std::unique_ptr<endpoint_connection> connection;
         purpose use = purpose::none;
+        // Kept while a connection to the instance is open.
+        instance_state* instance = nullptr;
         // It was idle before this lease: when it turns out to be dead, that
         // says nothing about the instance, and a new one is opened.
         bool reused = false;
@@ -86,17 +97,9 @@
         bool handed_over = false;
     };
 
-    struct instance_state
-    {
-        // The most recently used is last and taken first.
-        std::vector<endpoint_connection*> idle;
-        std::size_t open = 0;
-        // Connections that are idle since before are probed before use.
-        time_point distrusted_at;
-    };
-
     void open(const instance_id& instance, const std::string& address,
               purpose use, lease_number lease);
+    void lend(lease_number lease, endpoint_connection& connection, bool proven);
     void hand_over(endpoint_connection& connection);
     void on_connected(endpoint_connection& connection);
     void on_lost(endpoint_connection& connection, const std::string& reason);
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -138,6 +138,7 @@
     lease_number last_lease_ = 0;
     std::uint64_t last_request_ = 0;
     bool settling_ = false;
+    unsigned ticks_ = 0;
     std::optional<time_point> armed_for_;
     std::optional<time_point> drain_started_;
     std::function<void()> drained_;
--- a/src/proxy/proxy_server_impl.hpp
+++ b/src/proxy/proxy_server_impl.hpp
@@ -11,8 +11,11 @@
 namespace detail
 {
 
-// Bounds the error of the time limits of connections.
+// Bounds the error of the time limits of connections to endpoints.
 inline constexpr std::chrono::milliseconds proxy_tick{50};
+// Callers are checked less often: their limits are seconds, and a check costs
+// time for each of thousands of idle connections.
+inline constexpr unsigned ticks_per_caller_check = 5;
 
 } // namespace detail
 
@@ -194,7 +197,10 @@
         unsent_commits_.pop_front();
     }
     pool_.check_time(now);
-    listener_.check_time(now);
+    if (++ticks_ % detail::ticks_per_caller_check == 0)
+    {
+        listener_.check_time(now);
+    }
     check_drained(now);
 }
 
--- a/tests/proxy/caller_fault_test.cpp
+++ b/tests/proxy/caller_fault_test.cpp
@@ -268,3 +268,37 @@
     EXPECT_FALSE(response && response->chunked());
     EXPECT_TRUE(run_until([&] { return old.closed(); }));
 }
+
+// Failure: a second request that arrives before the first response is lost or
+// answered out of order, or a caller waits for "100 Continue" forever.
+TEST(caller_fault, requests_in_one_write_are_answered_in_order)
+{
+    test_bed bed({});
+    test_caller caller(bed.port());
+    caller.send("GET /read HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n"
+                "GET /healthz HTTP/1.1\r\n\r\n"
+                "POST /write HTTP/1.1\r\nX-Request-Id: r2\r\n"
+                "Content-Length: 1\r\n\r\nb");
+    EXPECT_TRUE(is_own(caller.next_response(), "r1"));
+    EXPECT_EQ(caller.next_response()->result_int(), 200U);
+    EXPECT_TRUE(is_own(caller.next_response(), "r2", "b"));
+    caller.send("POST /write HTTP/1.1\r\nX-Request-Id: r3\r\n"
+                "Expect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+    EXPECT_TRUE(run_until([&] { return caller.unread_responses() == 1; }));
+    EXPECT_EQ(caller.next_response()->result_int(), 100U);
+    caller.send("c");
+    EXPECT_TRUE(is_own(caller.next_response(), "r3", "c"));
+}
+
+// Failure: an idle connection is held forever.
+TEST(caller_fault, idle_connection_is_closed)
+{
+    test_bed::options options;
+    options.limits.idle_time = 200ms;
+    test_bed bed(options);
+    test_caller silent(bed.port());
+    test_caller used(bed.port());
+    EXPECT_TRUE(is_own(used.ask("GET", "/read", "r1"), "r1"));
+    EXPECT_TRUE(run_until([&] { return silent.closed() && used.closed(); }));
+    EXPECT_EQ(bed.proxy().callers(), 0U);
+}
