--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -111,6 +111,7 @@
     void on_attempt_failed(lease_number lease, const std::string& reason);
     void on_response_head(endpoint_connection& c, http::response_header<>&& h);
     void on_response_body(endpoint_connection& c, std::string_view piece);
+    void on_response_waiting(endpoint_connection& c);
     void on_response_done(endpoint_connection& c);
     void on_response_broken(endpoint_connection& c, const std::string& reason);
 
@@ -137,6 +138,7 @@
     lease_number last_lease_ = 0;
     std::uint64_t last_request_ = 0;
     bool settling_ = false;
+    unsigned ticks_ = 0;
     std::optional<time_point> armed_for_;
     std::optional<time_point> drain_started_;
     std::function<void()> drained_;
--- a/src/proxy/proxy_server_impl.hpp
+++ b/src/proxy/proxy_server_impl.hpp
@@ -11,8 +11,11 @@
 namespace detail
 {
 
-// Bounds the error of the time limits of connections.
+// Bounds the error of the time limits of connections to endpoints.
 inline constexpr std::chrono::milliseconds proxy_tick{50};
+// Callers are checked less often: their limits are seconds, and a check costs
+// time for each of thousands of idle connections.
+inline constexpr unsigned ticks_per_caller_check = 5;
 
 } // namespace detail
 
@@ -105,6 +108,7 @@
     h.body = [this](endpoint_connection& c, std::string_view piece) {
         on_response_body(c, piece);
     };
+    h.waiting = [this](endpoint_connection& c) { on_response_waiting(c); };
     h.done = [this](endpoint_connection& c) { on_response_done(c); };
     h.broken = [this](endpoint_connection& c, const std::string& reason) {
         on_response_broken(c, reason);
@@ -193,7 +197,10 @@
         unsent_commits_.pop_front();
     }
     pool_.check_time(now);
-    listener_.check_time(now);
+    if (++ticks_ % detail::ticks_per_caller_check == 0)
+    {
+        listener_.check_time(now);
+    }
     check_drained(now);
 }
 
