--- a/src/batch/batch_context.hpp
+++ b/src/batch/batch_context.hpp
@@ -34,7 +34,8 @@
 {
     batch_context(batch_options o, const configuration_state& c)
         : options(std::move(o)), configuration(c), reads(actions),
-          commits(options, actions, reads), drain(options.drain_rows_per_second)
+          drain(options.drain_rows_per_second),
+          commits(options, actions, reads, drain)
     {}
 
     batch_context(const batch_context&) = delete;
@@ -86,8 +87,8 @@
     const configuration_state& configuration;
     std::vector<batch_action> actions;
     read_sender reads;
-    commit_sender commits;
     drain_limit drain;
+    commit_sender commits;
 
     std::optional<time_point> valid_until;
     incarnation own_incarnation;
--- a/src/batch/batch_engine.cpp
+++ b/src/batch/batch_engine.cpp
@@ -15,6 +15,7 @@
 
 // Events that arrive together are followed by one pass over the shards.
 constexpr duration run_gap = std::chrono::milliseconds(5);
+constexpr duration drain_wait = std::chrono::milliseconds(25);
 constexpr duration longest_sleep = std::chrono::milliseconds(100);
 constexpr duration digest_interval = std::chrono::milliseconds(500);
 
@@ -200,7 +201,9 @@
     {
         consider(shard->next_wakeup());
     }
-    return std::max(next, now);
+    // While the drain limit holds something back, it is overdue all the time.
+    return std::max(next,
+                    now + (context_.drain.draining() ? drain_wait : run_gap));
 }
 
 std::vector<batch_action> batch_engine::take_actions()
@@ -315,7 +318,7 @@
         if (shard->second->state().lost)
         {
             ownership_.drop(shard->first);
-            drop(shard);
+            drop(shard, "lost");
         }
         shard = next;
     }
@@ -360,7 +363,7 @@
         if (shard->second->may_be_released(now))
         {
             ownership_.release(shard->first, now);
-            drop(shard);
+            drop(shard, "released");
         }
         shard = next;
     }
@@ -390,18 +393,18 @@
         return oldest &&
                now - *oldest > 2 * context_.options.result_flush_interval;
     });
-    if (!behind)
+    if (!behind && !context_.commits.is_resending())
     {
         context_.drain.end();
     }
 }
 
-void batch_engine::drop(shard_map::iterator shard)
+void batch_engine::drop(shard_map::iterator shard, std::string why)
 {
     dropped_.push_back(shard->first);
     context_.digests.erase(shard->first);
     context_.event("shard.dropped", shard->first,
-                   shard->second->state().owner_epoch);
+                   shard->second->state().owner_epoch, std::move(why));
     shards_.erase(shard);
 }
 
@@ -409,7 +412,7 @@
 {
     while (!shards_.empty())
     {
-        drop(shards_.begin());
+        drop(shards_.begin(), "lease lost");
     }
     ownership_.drop_all();
 }
--- a/src/batch/batch_engine.hpp
+++ b/src/batch/batch_engine.hpp
@@ -77,7 +77,7 @@
     using shard_map = std::map<shard_id, std::shared_ptr<owned_shard>>;
 
     void run_shards(time_point now);
-    void drop(shard_map::iterator shard);
+    void drop(shard_map::iterator shard, std::string why);
     void drop_all();
     void take_over(time_point now);
     void release_shards(time_point now);
--- a/src/batch/commit_sender.cpp
+++ b/src/batch/commit_sender.cpp
@@ -11,8 +11,8 @@
 
 commit_sender::commit_sender(const batch_options& options,
                              std::vector<batch_action>& actions,
-                             read_sender& reads)
-    : options_(options), actions_(actions), reads_(reads)
+                             read_sender& reads, drain_limit& drain)
+    : options_(options), actions_(actions), reads_(reads), drain_(drain)
 {}
 
 commit_id commit_sender::next_id()
@@ -42,17 +42,18 @@
     }
     if (const auto* done = std::get_if<commit_done>(&outcome))
     {
-        answers_ = true;
         settle(id, {commit_result::kind::done, done->versions, {}, {}}, now);
         return;
     }
     if (const auto* conflict = std::get_if<commit_conflict>(&outcome))
     {
-        answers_ = true;
         on_conflict(id, *conflict, now);
         return;
     }
-    answers_ = false;
+    if (now - found->second.first_sent >= options_.outage_after)
+    {
+        drain_.begin(now);
+    }
     // A first lost answer is often an exception, so the first resend is soon.
     const duration wait =
         options_.resend_interval *
@@ -128,6 +129,7 @@
 void commit_sender::on_tick(time_point now)
 {
     std::vector<commit_id> expired;
+    std::vector<pending*> due;
     for (auto& [id, waiting] : pending_)
     {
         if (waiting.deadline && now >= *waiting.deadline)
@@ -136,17 +138,32 @@
         }
         else if (waiting.resend_at && now >= *waiting.resend_at)
         {
-            waiting.resend_at.reset();
-            ++waiting.attempts;
-            actions_.emplace_back(send_commit{waiting.commit});
+            due.push_back(&waiting);
         }
     }
+    std::ranges::sort(due, {}, [](const pending* p) { return p->first_sent; });
+    for (pending* waiting : due)
+    {
+        if (!drain_.take(now))
+        {
+            break;
+        }
+        waiting->resend_at.reset();
+        ++waiting->attempts;
+        actions_.emplace_back(send_commit{waiting->commit});
+    }
     for (const commit_id& id : expired)
     {
         settle(id, {commit_result::kind::expired, {}, {}, {}}, now);
     }
 }
 
+bool commit_sender::is_resending() const
+{
+    return std::ranges::any_of(
+        pending_, [](const auto& item) { return item.second.attempts > 1; });
+}
+
 std::optional<time_point> commit_sender::next_wakeup() const
 {
     std::optional<time_point> next;
--- a/src/batch/commit_sender.hpp
+++ b/src/batch/commit_sender.hpp
@@ -12,6 +12,7 @@
 
 #include "batch/batch_action.hpp"
 #include "batch/batch_options.hpp"
+#include "batch/drain_limit.hpp"
 #include "batch/read_sender.hpp"
 #include "core/core.hpp"
 
@@ -41,7 +42,8 @@
     using handler = std::function<void(const commit_result&, time_point)>;
 
     commit_sender(const batch_options& options,
-                  std::vector<batch_action>& actions, read_sender& reads);
+                  std::vector<batch_action>& actions, read_sender& reads,
+                  drain_limit& drain);
 
     // The incarnation becomes a part of later commit ids.
     void set_incarnation(incarnation current) { incarnation_ = current; }
@@ -60,8 +62,8 @@
 
     std::optional<time_point> next_wakeup() const;
 
-    // Whether the last outcome was an answer of the table.
-    bool table_answers() const { return answers_; }
+    // Whether some commit was sent more than once and has no outcome yet.
+    bool is_resending() const;
 
 private:
     struct pending
@@ -85,9 +87,9 @@
     const batch_options& options_;
     std::vector<batch_action>& actions_;
     read_sender& reads_;
+    drain_limit& drain_;
     incarnation incarnation_;
     std::uint64_t counter_ = 0;
-    bool answers_ = true;
     std::map<commit_id, pending> pending_;
 };
 
--- a/src/batch/job_reader.cpp
+++ b/src/batch/job_reader.cpp
@@ -99,7 +99,7 @@
         r->finish_part(shard);
         read_next_part(r, at);
     };
-    const auto read_part = [this, r](std::string key, auto next) {
+    const auto read_part = [this, r](const std::string& key, auto next) {
         return [this, r, key, next](time_point at) {
             context_.reads.row(
                 key,
--- a/src/batch/owned_shard.cpp
+++ b/src/batch/owned_shard.cpp
@@ -108,7 +108,7 @@
         return 0;
     }
     // Starts wait for the journal anyway; a long backlog is not made longer.
-    if (state_.journal.backlog() >= options.starts_per_pass * 2)
+    if (state_.journal.backlog() / 2 >= options.starts_per_pass)
     {
         return 0;
     }
--- a/src/batch/shard_journal.cpp
+++ b/src/batch/shard_journal.cpp
@@ -153,8 +153,9 @@
 {
     // Everything else goes before the starts, so that results are not kept
     // back by new work. No other entry can depend on a waiting start.
-    std::ranges::stable_partition(
-        waiting_, [](const waiting_entry& waiting) { return !waiting.start; });
+    std::stable_partition(
+        waiting_.begin(), waiting_.end(),
+        [](const waiting_entry& waiting) { return !waiting.start; });
     std::vector<journal_entry> batch;
     std::size_t writes = 0;
     while (!waiting_.empty() && batch.size() < entries_per_row)
@@ -237,10 +238,6 @@
     busy_ = false;
     if (outcome.outcome == commit_result::kind::done)
     {
-        if (outcome.took >= context_.options.outage_after)
-        {
-            context_.drain.begin(now);
-        }
         return false;
     }
     // The shard has another owner, or the state in memory is not that of the
--- a/src/batch/submission_desk.cpp
+++ b/src/batch/submission_desk.cpp
@@ -14,7 +14,7 @@
 {
 
 constexpr std::uint32_t most_tasks = 100'000;
-constexpr std::size_t most_payload_bytes = 64 * 1024;
+constexpr std::size_t most_payload_bytes = 64UL * 1024;
 
 // Job ids are parts of table keys.
 bool is_valid_id(const std::string& id)
