Add hemlockdealctl, the tool for operators and submitters

Cause: operators need to check, apply and follow changes, take zones out and back, submit jobs and read the merged time line. Change: a verb per task with TCLAP, a synchronous HTTP client that asks the next daemon when one cannot be reached, stable exit codes, and per-daemon reports of confirmations. Changes and submissions whose outcome is unknown are repeated with the same id. A refusal by one daemon after another may have received the request is reported as unknown.

--- /dev/null
+++ b/src/hemlockdealctl/configuration_verbs.cpp
@@ -0,0 +1,275 @@
+// apply, history, wait and zone: change the configuration and follow changes.
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include <boost/json.hpp>
+
+#include "hemlockdealctl/confirmation_wait.hpp"
+#include "hemlockdealctl/current_configuration.hpp"
+#include "hemlockdealctl/report.hpp"
+#include "hemlockdealctl/verb_line.hpp"
+#include "hemlockdealctl/verbs.hpp"
+#include "settings/settings.hpp"
+
+namespace hemlockdeal
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+// Options of the verbs that commit a change.
+struct change_arguments
+{
+    explicit change_arguments(TCLAP::CmdLine& line)
+        : wait("", "wait", "Waits until all daemons have confirmed.", line),
+          wait_limit("", "wait-seconds",
+                     "Longest time to wait for confirmations (default 10).",
+                     false, 10, "seconds", line),
+          author("", "author", "Who makes the change (default: the user).",
+                 false, default_author(), "name", line),
+          id("", "id",
+             "Id of the change, to repeat one whose outcome is unknown.", false,
+             "", "id", line),
+          based_on("", "based-on",
+                   "Version that the change is based on (default: the newest).",
+                   false, -1, "version", line)
+    {}
+
+    change_options options(const verb_line& line)
+    {
+        return {wait.getValue(),
+                std::chrono::seconds(checked(wait_limit, 0, 86'400)),
+                line.json()};
+    }
+
+    configuration_change change(const configuration& current)
+    {
+        configuration_change change;
+        change.id = id.isSet() ? checked_id("change", id.getValue())
+                               : new_id("change-");
+        change.based_on =
+            based_on.isSet() ? configuration_version(static_cast<std::uint64_t>(
+                                   checked(based_on, 0, 1LL << 53U)))
+                             : current.version;
+        change.author = author.getValue();
+        change.text = current.text;
+        change.zones_out = current.zones_out;
+        return change;
+    }
+
+    TCLAP::SwitchArg wait;
+    TCLAP::ValueArg<std::int64_t> wait_limit;
+    TCLAP::ValueArg<std::string> author;
+    TCLAP::ValueArg<std::string> id;
+    TCLAP::ValueArg<std::int64_t> based_on;
+};
+
+std::string read_text(const std::string& file)
+{
+    std::ifstream stream(file, std::ios::binary);
+    return {std::istreambuf_iterator<char>(stream), {}};
+}
+
+// A zone that the new declaration no longer has cannot stay out.
+void drop_undeclared_zones(configuration_change& change,
+                           const declaration& content)
+{
+    std::erase_if(change.zones_out, [&](const availability_zone_id& zone) {
+        const bool gone = !region_of(content, zone);
+        if (gone)
+        {
+            std::cerr << "note: the zone '" << zone.value()
+                      << "' was out and is no longer declared\n";
+        }
+        return gone;
+    });
+}
+
+void print_zones(const configuration& current, bool as_json)
+{
+    json::array list;
+    for (const availability_zone& zone : current.content.zones)
+    {
+        const bool out = is_out(current, zone.id);
+        list.push_back({{"id", zone.id.value()},
+                        {"region", zone.region.value()},
+                        {"out", out}});
+        if (!as_json)
+        {
+            std::cout << zone.id.value() << ' ' << zone.region.value() << ' '
+                      << (out ? "out" : "in service") << '\n';
+        }
+    }
+    if (as_json)
+    {
+        std::cout << json::object{{"version", current.version.value()},
+                                  {"zones", list}}
+                  << '\n';
+    }
+}
+
+exit_code change_zone(operator_client& client, change_arguments& options,
+                      const verb_line& line, const configuration& current,
+                      const availability_zone_id& zone, bool out)
+{
+    if (!region_of(current.content, zone))
+    {
+        throw usage_error("the zone '" + zone.value() + "' is not declared");
+    }
+    configuration_change change = options.change(current);
+    // A repetition by id may find its own first attempt in force already.
+    if (is_out(current, zone) == out && !options.id.isSet())
+    {
+        std::cerr << "the zone '" << zone.value() << "' is already "
+                  << (out ? "out" : "in service") << " at version "
+                  << current.version.value() << '\n';
+        const change_options wait = options.options(line);
+        return wait.wait ? wait_for_confirmations(client, current.version,
+                                                  wait.wait_limit, wait.json)
+                         : exit_code::done;
+    }
+    std::erase(change.zones_out, zone);
+    if (out)
+    {
+        change.zones_out.push_back(zone);
+    }
+    return send_change(client, change, options.options(line));
+}
+
+} // namespace
+
+exit_code run_apply(const arguments& given)
+{
+    verb_line line("apply",
+                   "Makes a declaration file the new version. It is accepted "
+                   "only when no other change was accepted since the version "
+                   "it is based on. Zones that are out stay out.");
+    TCLAP::UnlabeledValueArg<std::string> file("file", "Declaration, TOML.",
+                                               true, "", "FILE", line.line());
+    change_arguments options(line.line());
+    line.parse(given);
+    const std::string text = read_text(file.getValue());
+    const auto parsed = std::filesystem::is_regular_file(file.getValue())
+                            ? parse_declaration(text, file.getValue())
+                            : load_declaration(file.getValue());
+    if (const auto* const found = std::get_if<findings>(&parsed))
+    {
+        print_findings(*found);
+        return exit_code::usage;
+    }
+    operator_client client = line.client();
+    exit_code code = exit_code::done;
+    const auto current = read_current(client, code);
+    if (!current)
+    {
+        return code;
+    }
+    configuration_change change = options.change(*current);
+    change.text = text;
+    drop_undeclared_zones(change, std::get<declaration>(parsed));
+    return send_change(client, change, options.options(line));
+}
+
+exit_code run_history(const arguments& given)
+{
+    verb_line line("history", "Lists the newest versions of the declaration.");
+    TCLAP::ValueArg<std::int64_t> limit("", "limit",
+                                        "Number of versions (default 20).",
+                                        false, 20, "number", line.line());
+    line.parse(given);
+    operator_client client = line.client();
+    const client_answer answer = client.ask(
+        history_query{static_cast<std::uint32_t>(checked(limit, 1, 1000))});
+    const auto* const entries =
+        std::get_if<std::vector<history_entry>>(&answer.reply);
+    if (entries == nullptr)
+    {
+        return report_failure(answer);
+    }
+    if (line.json())
+    {
+        std::cout << answer.body << '\n';
+        return exit_code::done;
+    }
+    for (const history_entry& entry : *entries)
+    {
+        std::cout << "version " << entry.version.value() << ' '
+                  << to_utc(entry.accepted_at_unix_ms) << ' ' << entry.author;
+        for (const availability_zone_id& zone : entry.zones_out)
+        {
+            std::cout << " out:" << zone.value();
+        }
+        std::cout << '\n';
+    }
+    return exit_code::done;
+}
+
+exit_code run_wait(const arguments& given)
+{
+    verb_line line("wait", "Waits until all daemons have confirmed a version, "
+                           "and prints the state of each.");
+    TCLAP::ValueArg<std::int64_t> version(
+        "", "version", "Version to wait for (default: the newest).", false, -1,
+        "version", line.line());
+    TCLAP::ValueArg<std::int64_t> limit("", "wait-seconds",
+                                        "Longest time to wait (default 10).",
+                                        false, 10, "seconds", line.line());
+    line.parse(given);
+    operator_client client = line.client();
+    const std::chrono::seconds wait_limit(checked(limit, 0, 86'400));
+    if (version.isSet())
+    {
+        return wait_for_confirmations(
+            client,
+            configuration_version(
+                static_cast<std::uint64_t>(checked(version, 0, 1LL << 53U))),
+            wait_limit, line.json());
+    }
+    exit_code code = exit_code::done;
+    const auto current = read_current(client, code);
+    return current ? wait_for_confirmations(client, current->version,
+                                            wait_limit, line.json())
+                   : code;
+}
+
+exit_code run_zone(const arguments& given)
+{
+    verb_line line("zone", "Lists the availability zones, takes one out of "
+                           "service, or returns it.");
+    std::vector<std::string> actions{"list", "out", "back"};
+    TCLAP::ValuesConstraint<std::string> allowed(actions);
+    TCLAP::UnlabeledValueArg<std::string> action(
+        "action", "list, out or back.", true, "", &allowed, line.line());
+    TCLAP::UnlabeledValueArg<std::string> zone(
+        "zone", "Zone to take out or return.", false, "", "ZONE", line.line());
+    change_arguments options(line.line());
+    line.parse(given);
+    const bool list = action.getValue() == "list";
+    if (list == zone.isSet())
+    {
+        throw usage_error(list ? "'zone list' takes no zone"
+                               : "a zone is missing");
+    }
+    operator_client client = line.client();
+    exit_code code = exit_code::done;
+    const auto current = read_current(client, code);
+    if (!current)
+    {
+        return code;
+    }
+    if (list)
+    {
+        print_zones(*current, line.json());
+        return exit_code::done;
+    }
+    return change_zone(client, options, line, *current,
+                       availability_zone_id(zone.getValue()),
+                       action.getValue() == "out");
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/hemlockdealctl/current_configuration.cpp
@@ -0,0 +1,75 @@
+// Reads and changes the configuration.
+#include "hemlockdealctl/current_configuration.hpp"
+
+#include <cstdlib>
+#include <iostream>
+
+#include <QUuid>
+
+#include "hemlockdealctl/confirmation_wait.hpp"
+#include "hemlockdealctl/report.hpp"
+
+namespace hemlockdeal
+{
+
+std::optional<configuration> read_current(operator_client& client,
+                                          exit_code& code)
+{
+    const client_answer answer = client.ask(configuration_query{});
+    if (const auto* const c = std::get_if<configuration>(&answer.reply))
+    {
+        return *c;
+    }
+    const auto* const e = std::get_if<error>(&answer.reply);
+    if (answer.reached && e != nullptr && e->code == error_code::not_found)
+    {
+        return configuration{};
+    }
+    code = report_failure(answer);
+    return std::nullopt;
+}
+
+exit_code send_change(operator_client& client,
+                      const configuration_change& change,
+                      const change_options& options)
+{
+    const client_answer answer = client.ask_until_known(change);
+    const auto* const accepted = std::get_if<change_accepted>(&answer.reply);
+    if (accepted == nullptr)
+    {
+        const exit_code code = report_failure(answer);
+        if (code == exit_code::outcome_unknown)
+        {
+            std::cerr << "to repeat this change: --id " << change.id
+                      << " --based-on " << change.based_on.value() << '\n';
+        }
+        return code;
+    }
+    if (options.json && !options.wait)
+    {
+        std::cout << answer.body << '\n';
+    }
+    else if (!options.json)
+    {
+        std::cout << "accepted as version " << accepted->version.value()
+                  << std::endl;
+    }
+    return options.wait
+               ? wait_for_confirmations(client, accepted->version,
+                                        options.wait_limit, options.json)
+               : exit_code::done;
+}
+
+std::string new_id(const std::string& prefix)
+{
+    return prefix +
+           QUuid::createUuid().toString(QUuid::WithoutBraces).toStdString();
+}
+
+std::string default_author()
+{
+    const char* const user = std::getenv("USER");
+    return user == nullptr || *user == '\0' ? "unknown" : user;
+}
+
+} // namespace hemlockdeal
