--- /dev/null
+++ b/tests/processes/common.py
@@ -0,0 +1,45 @@
+"""Shared parts of the tests over real processes."""
+
+import os
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "..", "scripts"))
+
+from testbed import ROOT, Testbed, http  # noqa: E402,F401
+
+DECLARATION = os.path.join(ROOT, "samples", "demo", "declaration.toml")
+ZONES = [("zone-a", "region-1"), ("zone-b", "region-1"),
+         ("zone-c", "region-2")]
+
+
+def expect(condition, message):
+    if not condition:
+        raise AssertionError(message)
+
+
+def submit(bed, job, tasks, seconds, daemon=None, work_class="reconciliation",
+           team="billing"):
+    """Submits as a caller does who repeats an unknown outcome."""
+    for _ in range(10):
+        done = bed.ctl("submit", "--id", job, "--class", work_class, "--team",
+                       team, "--tasks", str(tasks), "--processors", "1",
+                       "--memory-mb", "1000", "--run-time", f"{seconds} s",
+                       daemon=daemon, check=False)
+        if done.returncode == 0:
+            return
+    raise AssertionError(f"{job} was not accepted: {done.stdout}{done.stderr}")
+
+
+def finishes(record, job):
+    return {task: counts["finishes"]
+            for task, counts in record["tasks"].items()
+            if task.startswith(job + "/")}
+
+
+def expect_never_exceeded(record):
+    exceeded = {name: w["times_exceeded"]
+                for name, w in record["workers"].items()
+                if w["times_exceeded"]}
+    expect(not exceeded, f"workers were committed beyond their size: "
+                         f"{exceeded}")
--- /dev/null
+++ b/tests/processes/planned_stop_test.py
@@ -0,0 +1,45 @@
+"""Failure: a planned stop (SIGTERM) cuts off requests in flight, or the
+balancer is not told first."""
+
+import signal
+import sys
+import threading
+import time
+
+from common import DECLARATION, ZONES, Testbed, expect, http
+
+
+def main():
+    with Testbed(ZONES) as bed:
+        bed.start()
+        bed.ctl("apply", "--wait", DECLARATION)
+        bed.fault("endpoint", "slow", delay_ms=1500)
+        daemon = bed.daemons[0]
+        answers = []
+
+        def call(i):
+            answers.append(http("POST", daemon.caller_url("/receipt"), f"r{i}",
+                                {"Idempotency-Key": f"stop-{i}"}))
+        callers = [threading.Thread(target=call, args=(i,)) for i in range(20)]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.5)
+        daemon.process.send_signal(signal.SIGTERM)
+        time.sleep(0.3)
+        health = http("GET", daemon.caller_url("/healthz"))[0]
+        for caller in callers:
+            caller.join()
+        cut = [a for a in answers if a[0] == 0]
+        code = daemon.process.wait(timeout=20)
+        print(f"answers: {sorted({a[0] for a in answers})}, cut off: "
+              f"{len(cut)}, health while stopping: {health}, exit {code}")
+        expect(not cut, f"{len(cut)} requests in flight were cut off: {cut}")
+        expect(health == 503, "the health path does not fail while stopping")
+        expect(code == 0, "the daemon did not exit cleanly")
+        expect(all(n <= 1 for n in bed.record()["requests"].values()),
+               "a request ran twice")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
