Move the knowledge of peers into a class of its own

Change: peer_view keeps what peers show and makes the confirmations; behaviour unchanged, the same tests cover it.

--- a/src/control/configuration_keeper.hpp
+++ b/src/control/configuration_keeper.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "control/configuration_row.hpp"
+#include "control/peer_view.hpp"
 #include "core/core.hpp"
 
 namespace hemlockdeal
@@ -68,14 +69,18 @@
                          freshness_limits limits = {},
                          keeper_settings settings = {})
         : self_(std::move(self)), zone_(std::move(zone)),
-          parser_(std::move(parser)), settings_(settings), state_(limits)
+          parser_(std::move(parser)), settings_(settings), state_(limits),
+          peers_(self_, settings.peer_timeout, settings.push_delay)
     {}
 
     const configuration_state& state() const { return state_; }
 
     // Entry VMs that the membership list shows, this one excepted.
     void set_known_vms(
-        const std::vector<std::pair<vm_id, availability_zone_id>>& vms);
+        const std::vector<std::pair<vm_id, availability_zone_id>>& vms)
+    {
+        peers_.set_known(vms);
+    }
 
     void on_tick(time_point now, std::int64_t unix_ms,
                  const heartbeat_fields& fields);
@@ -93,7 +98,10 @@
 
     // True when the table answered within the last 2 s.
     bool table_reachable(time_point now) const;
-    std::vector<peer_status> peers(time_point now) const;
+    std::vector<peer_status> peers(time_point now) const
+    {
+        return peers_.status(now);
+    }
 
     std::vector<control_action> take_actions()
     {
@@ -101,14 +109,6 @@
     }
 
 private:
-    struct peer_knowledge
-    {
-        availability_zone_id zone;
-        configuration_version version;
-        std::optional<time_point> last_heard;
-        std::optional<time_point> last_push;
-    };
-
     enum class read_purpose
     {
         poll_head,
@@ -165,7 +165,7 @@
     keeper_settings settings_;
     configuration_state state_;
     std::vector<control_action> actions_;
-    std::map<vm_id, peer_knowledge> peers_;
+    peer_view peers_;
     std::map<std::uint64_t, pending_read> reads_;
     std::map<std::uint64_t, pending_change> changes_;
     std::map<std::uint64_t, time_point> confirm_requests_;
--- a/src/control/configuration_keeper.ipp
+++ b/src/control/configuration_keeper.ipp
@@ -7,22 +7,6 @@
 namespace hemlockdeal
 {
 
-template <declaration_parser Parser>
-void configuration_keeper<Parser>::set_known_vms(
-    const std::vector<std::pair<vm_id, availability_zone_id>>& vms)
-{
-    std::erase_if(peers_, [&](const auto& peer) {
-        return std::ranges::none_of(
-            vms, [&](const auto& vm) { return vm.first == peer.first; });
-    });
-    std::ranges::for_each(vms, [&](const auto& vm) {
-        if (vm.first != self_)
-        {
-            peers_[vm.first].zone = vm.second;
-        }
-    });
-}
-
 template <declaration_parser Parser>
 void configuration_keeper<Parser>::on_tick(time_point now,
                                            std::int64_t /*unix_ms*/,
@@ -266,20 +250,14 @@
 void configuration_keeper<Parser>::on_peer(const peer_message& message,
                                            time_point now, std::int64_t unix_ms)
 {
-    const auto known = peers_.find(message.sender);
+    peers_.heard(message.sender, now);
     if (const auto* beat = std::get_if<peer_heartbeat>(&message.body))
     {
-        auto& peer = peers_[message.sender];
-        peer.zone = beat->zone;
-        peer.version = beat->version;
-        peer.last_heard = now;
+        peers_.on_heartbeat(message.sender, *beat, now);
         const auto settled =
             adopted_at_ && now - *adopted_at_ >= settings_.push_delay;
-        const auto pushed_lately =
-            peer.last_push && now - *peer.last_push < settings_.push_delay;
-        if (beat->version < state_.version() && settled && !pushed_lately)
+        if (settled && peers_.take_push(message.sender, state_.version(), now))
         {
-            peer.last_push = now;
             push_to(message.sender);
         }
     }
@@ -311,10 +289,6 @@
                {}},
               now, unix_ms);
     }
-    if (known != peers_.end())
-    {
-        known->second.last_heard = now;
-    }
 }
 
 template <declaration_parser Parser>
@@ -550,47 +524,22 @@
     return table_heard_ && now - *table_heard_ <= limit;
 }
 
-template <declaration_parser Parser>
-std::vector<peer_status>
-configuration_keeper<Parser>::peers(time_point now) const
-{
-    std::vector<peer_status> all;
-    std::ranges::transform(peers_, std::back_inserter(all), [&](const auto& p) {
-        const auto& heard = p.second.last_heard;
-        return peer_status{p.first, p.second.zone,
-                           heard && now - *heard <= settings_.peer_timeout,
-                           heard ? now - *heard : duration::zero()};
-    });
-    return all;
-}
-
 template <declaration_parser Parser>
 std::vector<daemon_confirmation>
 configuration_keeper<Parser>::confirmations(time_point now,
                                             std::int64_t unix_ms) const
 {
     const auto confirmed = state_.confirmed_at();
-    const auto age = confirmed ? now - *confirmed : duration::zero();
     const auto bound_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                               settings_.start_bound)
                               .count();
-    std::vector<daemon_confirmation> all;
-    all.push_back({self_, zone_, true, state_.version(), age, unix_ms});
-    std::ranges::transform(peers_, std::back_inserter(all), [&](const auto& p) {
-        const auto& peer = p.second;
-        const auto reached = peer.last_heard &&
-                             now - *peer.last_heard <= settings_.peer_timeout &&
-                             peer.version >= state_.version();
-        // The version was accepted before this daemon adopted it, so the
-        // bound counted from the adoption is on the safe side.
-        return daemon_confirmation{p.first,
-                                   peer.zone,
-                                   reached,
-                                   peer.version,
-                                   peer.last_heard ? now - *peer.last_heard
-                                                   : duration::zero(),
-                                   adopted_at_unix_ms_ + bound_ms};
-    });
+    // The version was accepted before this daemon adopted it, so the bound
+    // counted from the adoption is on the safe side.
+    auto all = peers_.confirmations(state_.version(), now,
+                                    adopted_at_unix_ms_ + bound_ms);
+    all.insert(all.begin(),
+               {self_, zone_, true, state_.version(),
+                confirmed ? now - *confirmed : duration::zero(), unix_ms});
     return all;
 }
 
