Ask the placement policy less often and measure the load of the core

Cause: with nothing waiting, each report made the core build the policy's input again, and each report compared every assigned with every listed task. Change: without waiting tasks the policy is asked once a second; listed attempts are marked while the report is read.

A takeover of a shard whose owner's lease was revoked now also checks that the lease row is unchanged. A scenario showed a shard taken from a VM that had renewed after the revocation; that VM no longer held the shard, so nothing was unsafe, but the check costs nothing.

--- a/bench/batch/batch_load.cpp
+++ b/bench/batch/batch_load.cpp
@@ -3,11 +3,13 @@
 // the core is counted; table and workers answer at once.
 #include <malloc.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
 #include <deque>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <variant>
@@ -21,7 +23,8 @@
 namespace
 {
 
-constexpr std::uint32_t shards = 64;
+// About 30 workers a shard, 64 shards at the design size.
+constexpr std::uint32_t workers_per_shard = 30;
 constexpr std::uint32_t full_workers = 1900;
 constexpr std::uint32_t full_tasks = 35'900;
 constexpr double full_starts_per_second = 120.0;
@@ -54,7 +57,7 @@
         : workers_(workers),
           tasks_(static_cast<std::uint32_t>(
               static_cast<std::uint64_t>(full_tasks) * workers / full_workers)),
-          core_(options(), configuration_)
+          core_(options(workers), configuration_)
     {
         configuration c;
         c.version = configuration_version(1);
@@ -66,22 +69,30 @@
         configuration_.adopt(c);
     }
 
+    // Memory of the core alone; the load cannot go on afterwards.
+    std::size_t core_bytes(bool filled)
+    {
+        run_for(10s);
+        join_workers();
+        run_for(10s);
+        if (filled)
+        {
+            fill();
+        }
+        table_.clear();
+        stand_ins_.clear();
+        return heap_bytes();
+    }
+
     figures run()
     {
         figures f;
         f.workers = workers_;
         f.tasks = tasks_;
         run_for(10s);
-        const std::size_t empty = heap_bytes();
         join_workers();
         run_for(10s);
-        const std::size_t joined = heap_bytes() - platform_bytes();
-        f.bytes_per_worker = static_cast<double>(joined - empty) / workers_;
-        const std::size_t before = heap_bytes() - platform_bytes();
         fill();
-        f.bytes_per_task =
-            static_cast<double>(heap_bytes() - platform_bytes() - before) /
-            tasks_;
         measure(f);
         return f;
     }
@@ -97,13 +108,14 @@
         std::map<task_attempt, running> tasks;
     };
 
-    static batch_options options()
+    static batch_options options(std::uint32_t workers)
     {
         batch_options o;
         o.vm = vm_id("entry-1");
         o.zone = availability_zone_id("zone");
         o.region = region_id("region");
-        o.shards_per_zone = shards;
+        o.shards_per_zone =
+            std::max((workers + workers_per_shard / 2) / workers_per_shard, 1U);
         return o;
     }
 
@@ -117,21 +129,10 @@
         total += std::chrono::steady_clock::now() - begin;
     }
 
-    // Tables and workers of the bench itself are kept out of the figures.
-    std::size_t platform_bytes() const { return platform_bytes_; }
-
-    template <typename Call>
-    void on_platform(Call call)
-    {
-        const std::size_t before = heap_bytes();
-        call();
-        platform_bytes_ += heap_bytes() - before;
-    }
-
     void join_workers()
     {
         membership_list list;
-        on_platform([&] {
+        {
             list.version = 1;
             for (std::uint32_t i = 0; i < workers_; ++i)
             {
@@ -145,7 +146,7 @@
                 list.members.push_back(m);
                 stand_ins_[worker_id(m.id)];
             }
-        });
+        }
         timed(other_, [&] { core_.on_membership(list, now_); });
     }
 
@@ -243,7 +244,7 @@
     {
         commit_done done;
         ++commits_;
-        on_platform([&] {
+        {
             for (const table_write& w : a.commit.writes)
             {
                 ++rows_;
@@ -259,7 +260,7 @@
                     done.versions.emplace_back();
                 }
             }
-        });
+        }
         timed(other_,
               [&] { core_.on_commit_outcome(a.commit.id, done, now_); });
     }
@@ -294,7 +295,7 @@
     void answer(const ask_for_report& a)
     {
         worker_report report;
-        on_platform([&] {
+        {
             stand_in& worker = stand_ins_[a.worker];
             for (const task_attempt& id : a.request.acknowledged)
             {
@@ -315,7 +316,7 @@
                     report.used += status.used;
                 }
             }
-        });
+        }
         ++reports_;
         timed(report_, [&] { core_.on_report(a.worker, report, now_, now_); });
     }
@@ -323,7 +324,7 @@
     void answer(const send_commands& a)
     {
         std::vector<worker_command_result> results;
-        on_platform([&] {
+        {
             for (const worker_command& c : a.batch.commands)
             {
                 if (c.verb == worker_verb::start)
@@ -339,7 +340,7 @@
                 }
                 results.push_back({c.id, c.verb, command_outcome::done, {}});
             }
-        });
+        }
         timed(other_, [&] { core_.on_command_reply(a.number, results, now_); });
     }
 
@@ -359,7 +360,6 @@
     std::map<worker_id, stand_in> stand_ins_;
     std::mt19937 random_{1};
     std::uint64_t jobs_ = 0;
-    std::size_t platform_bytes_ = 0;
     std::uint64_t starts_ = 0;
     std::uint64_t reports_ = 0;
     std::uint64_t rows_ = 0;
@@ -368,6 +368,21 @@
     std::chrono::nanoseconds other_{};
 };
 
+// Heap of a core with no workers, with workers, and with tasks.
+void add_bytes(figures& f)
+{
+    const auto measure = [](std::uint32_t workers, bool filled) {
+        const std::size_t before = heap_bytes();
+        const auto l = std::make_unique<load>(workers);
+        return static_cast<double>(l->core_bytes(filled) - before);
+    };
+    const double empty = measure(1, false);
+    const double joined = measure(f.workers, false);
+    const double filled = measure(f.workers, true);
+    f.bytes_per_worker = (joined - empty) / f.workers;
+    f.bytes_per_task = (filled - joined) / f.tasks;
+}
+
 // Exponent of the power law through the points.
 template <typename Value>
 double slope(const std::vector<figures>& all, Value value)
@@ -396,9 +411,10 @@
     std::vector<figures> all;
     std::printf("workers  tasks  starts/s  us/start  us/report  core share  "
                 "bytes/task  bytes/worker  rows/start  commits/start\n");
-    for (const std::uint32_t workers : {240U, 480U, 960U, 1900U})
+    for (const std::uint32_t workers : {60U, 120U, 240U, 480U, 960U, 1900U})
     {
-        const figures f = load(workers).run();
+        figures f = load(workers).run();
+        add_bytes(f);
         std::printf("%7u %6u %9.1f %9.1f %10.1f %11.4f %11.0f %13.0f %11.2f "
                     "%14.2f\n",
                     f.workers, f.tasks, f.starts_per_second, f.start_us,
--- a/src/batch/job_part.hpp
+++ b/src/batch/job_part.hpp
@@ -43,6 +43,8 @@
     time_point started_at;
     time_point checkpointed_at;
     time_point next_stop_at;
+    // When the newest report that listed the attempt was requested.
+    time_point listed_at;
     resources used;
     double share = 1.0;
 };
--- a/src/batch/owned_shard.cpp
+++ b/src/batch/owned_shard.cpp
@@ -12,6 +12,8 @@
 
 // The policy is asked at most this often, also when much changes.
 constexpr duration placement_gap = std::chrono::milliseconds(50);
+// With nothing to place, the policy only watches the tasks that run.
+constexpr duration idle_placement_interval = std::chrono::seconds(1);
 // A release does not wait longer for its last commands and flushes.
 constexpr duration release_patience = std::chrono::seconds(5);
 
@@ -91,10 +93,17 @@
 
 bool owned_shard::wants_placement(time_point now) const
 {
+    if (!state_.may_act(now) || state_.releasing)
+    {
+        return false;
+    }
     const duration passed = now - placed_at_;
-    return state_.may_act(now) && !state_.releasing &&
-           (passed >= state_.context.options.placement_interval ||
-            (state_.placement_wanted && passed >= placement_gap));
+    if (!state_.work_waits)
+    {
+        return passed >= idle_placement_interval;
+    }
+    return passed >= state_.context.options.placement_interval ||
+           (state_.placement_wanted && passed >= placement_gap);
 }
 
 std::uint32_t owned_shard::starts_at_most(time_point now)
@@ -180,6 +189,7 @@
             }
         }
     }
+    state_.work_waits = !view.waiting.empty();
     std::ranges::stable_sort(view.waiting, {}, &waiting_task::submitted_at);
     const configuration* current = state_.context.configuration.current();
     if (current != nullptr)
--- a/src/batch/shard_ownership.cpp
+++ b/src/batch/shard_ownership.cpp
@@ -163,7 +163,7 @@
     }
     if (lease->second.revoked)
     {
-        return availability::free;
+        return availability::lease_revoked;
     }
     return now - lease->second.since >= wait ||
                    !context_.options.safeguards.observe_lease_before_takeover
@@ -224,6 +224,12 @@
     {
         next.owner_epoch = row->second.row.owner_epoch.next();
         commit.writes.push_back({shard_key(shard), row->second.version, {}});
+        if (why == availability::lease_revoked)
+        {
+            const vm_id& owner = row->second.row.owner;
+            commit.checks.push_back(
+                {lease_key(owner), leases_.at(owner).version});
+        }
         if (why == availability::lease_expired)
         {
             const vm_id& owner = row->second.row.owner;
--- a/src/batch/shard_ownership.hpp
+++ b/src/batch/shard_ownership.hpp
@@ -80,7 +80,8 @@
     {
         owned,
         free,
-        lease_expired // free after its owner's lease is revoked
+        lease_revoked, // free unless its owner has taken a new lease
+        lease_expired  // free after its owner's lease is revoked
     };
 
     void poll(time_point now);
--- a/src/batch/shard_state.cpp
+++ b/src/batch/shard_state.cpp
@@ -38,6 +38,8 @@
             ledger.assign({&*part, start->index}, now);
         }
         placement_wanted = true;
+        work_waits = work_waits || ended != nullptr ||
+                     std::holds_alternative<part_bound>(*entry.record);
         if (!part)
         {
             parts.erase(job_of(*entry.record));
@@ -125,6 +127,7 @@
     task.runtime = {};
     close_waiting(*ref.part);
     placement_wanted = true;
+    work_waits = true;
     return true;
 }
 
--- a/src/batch/shard_state.hpp
+++ b/src/batch/shard_state.hpp
@@ -79,6 +79,8 @@
     std::vector<shard_observation> observations;
     // The policy is asked again at the next opportunity.
     bool placement_wanted = false;
+    // False only when no task waits for a place.
+    bool work_waits = true;
 };
 
 } // namespace hemlockdeal
--- a/src/batch/worker_driver.hpp
+++ b/src/batch/worker_driver.hpp
@@ -57,9 +57,8 @@
     void take_status(worker_state& worker, const task_status& status,
                      std::vector<worker_command>& stops, time_point now);
     void take_running(const task_ref& ref, const task_status& status,
-                      time_point now);
-    void end_unlisted(worker_state& worker, const worker_report& report,
-                      time_point now);
+                      time_point requested_at, time_point now);
+    void end_unlisted(worker_state& worker, time_point now);
     void take_result(const sent_batch& sent,
                      const worker_command_result& answer, time_point now);
     void on_fenced(const worker_fenced& fenced);
--- a/src/batch/worker_reports.cpp
+++ b/src/batch/worker_reports.cpp
@@ -64,7 +64,7 @@
     other.accelerators.value =
         std::max<std::int64_t>(other.accelerators.value, 0);
     worker.unknown += other;
-    end_unlisted(worker, report, now);
+    end_unlisted(worker, now);
     if (!stops.empty())
     {
         send(worker, std::move(stops), {}, now);
@@ -87,7 +87,7 @@
                          task->worker == worker.id;
     if (current && running)
     {
-        take_running({part, task->index}, status, now);
+        take_running({part, task->index}, status, worker.report_sent_at, now);
         return;
     }
     if (current)
@@ -120,7 +120,7 @@
 }
 
 void worker_driver::take_running(const task_ref& ref, const task_status& status,
-                                 time_point now)
+                                 time_point requested_at, time_point now)
 {
     batch_task& task = ref.task();
     task.phase = task_phase::running;
@@ -128,6 +128,7 @@
     task.runtime.start_sent = true;
     task.runtime.settled_at = std::min(task.runtime.settled_at, now);
     task.runtime.used = status.used;
+    task.runtime.listed_at = requested_at;
     if (status.checkpoint.empty() || status.checkpoint == task.checkpoint)
     {
         return;
@@ -139,20 +140,14 @@
                   urgency::lazy, now);
 }
 
-void worker_driver::end_unlisted(worker_state& worker,
-                                 const worker_report& report, time_point now)
+void worker_driver::end_unlisted(worker_state& worker, time_point now)
 {
     const std::vector<task_ref> assigned = worker.assigned;
     for (const task_ref& ref : assigned)
     {
-        const batch_task& task = ref.task();
-        const bool listed =
-            std::ranges::any_of(report.tasks, [&](const task_status& status) {
-                return status.id.task.index == ref.index &&
-                       status.id.number.value() == task.attempt &&
-                       status.id.task.job == ref.part->job.id;
-            });
-        if (!listed && worker.report_sent_at >= task.runtime.settled_at)
+        const attempt_runtime& runtime = ref.task().runtime;
+        if (runtime.listed_at != worker.report_sent_at &&
+            worker.report_sent_at >= runtime.settled_at)
         {
             state_.end(ref, attempt_end::lost, now);
         }
