Answer requests whose callback throws

Cause: on review, a callback that throws led to a second use of the responder, which had been handed over already. Change: the callback's exception ends the handed-over request as unknown. Conclusion: every request that was handed over ends in exactly one reply.

--- a/src/operators/http_handler.cpp
+++ b/src/operators/http_handler.cpp
@@ -277,10 +277,19 @@
                              "no reply within the time limit; the outcome is "
                              "not known, repeat with the same id"});
     });
-    callbacks_.handle(std::move(request),
-                      [channel = channel_, number](operator_reply reply) {
-                          channel->post(number, std::move(reply));
-                      });
+    try
+    {
+        callbacks_.handle(std::move(request),
+                          [channel = channel_, number](operator_reply reply) {
+                              channel->post(number, std::move(reply));
+                          });
+    }
+    catch (const std::exception& failure)
+    {
+        log(log_level::error, "operators' request failed",
+            {{"reason", failure.what()}});
+        finish(number, error{error_code::outcome_unknown, failure.what()});
+    }
 }
 
 void http_handler::finish(std::uint64_t number, const operator_reply& reply)
--- a/tests/operators/server_test.cpp
+++ b/tests/operators/server_test.cpp
@@ -1,6 +1,6 @@
 // The operators' server over real sockets, with a stand-in behind it.
 #include <atomic>
-#include <mutex>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -19,8 +19,8 @@
 namespace
 {
 
-// Answers status requests, leaves job queries without a reply, and counts
-// what reaches it.
+// Answers status requests, leaves job queries without a reply, throws on
+// history requests, and counts what reaches it.
 class fake_daemon
 {
 public:
@@ -66,6 +66,10 @@
                 const operator_reply_function& reply)
     {
         ++handled;
+        if (std::holds_alternative<history_query>(request))
+        {
+            throw std::runtime_error("history failed");
+        }
         if (std::holds_alternative<status_query>(request))
         {
             daemon_status status;
@@ -160,6 +164,17 @@
     EXPECT_THAT(response.body, HasSubstr(R"("error":"outcome_unknown")"));
 }
 
+// Guards against a second use of a responder that was handed over.
+TEST(operator_server, a_callback_that_throws_gives_unknown)
+{
+    const fake_daemon daemon;
+    const auto response =
+        send_request(daemon.port, "GET", "/v1/config/history", "secret");
+    EXPECT_EQ(response.status, 504);
+    EXPECT_THAT(response.body, HasSubstr("history failed"));
+    EXPECT_EQ(send_request(daemon.port, "GET", "/healthz", "").status, 200);
+}
+
 TEST(operator_server, findings_come_with_status_400)
 {
     const fake_daemon daemon;
