--- a/src/control/configuration_keeper.ipp
+++ b/src/control/configuration_keeper.ipp
@@ -559,7 +559,7 @@
         const auto& heard = p.second.last_heard;
         return peer_status{p.first, p.second.zone,
                            heard && now - *heard <= settings_.peer_timeout,
-                           heard ? now - *heard : duration::zero()};
+                           heard ? now - *heard : duration::zero(), ""};
     });
     return all;
 }
--- a/src/hemlockdealctl/operator_client.cpp
+++ b/src/hemlockdealctl/operator_client.cpp
@@ -105,7 +105,7 @@
         exchange result = send(daemon, http);
         if (result.status != 0)
         {
-            operator_answer answer =
+            operator_reply_result answer =
                 read_reply(request, result.status, result.body);
             if (changes && was_sent && holds_for_one_daemon_only(answer.reply))
             {
--- a/src/operators/operator_json.hpp
+++ b/src/operators/operator_json.hpp
@@ -56,7 +56,7 @@
 // Reads the reply to `request`. A body that does not fit gives an error with
 // the code outcome_unknown.
 operator_reply_result read_reply(const operator_request& request, int status,
-                           std::string_view body);
+                                 std::string_view body);
 
 std::string to_json_text(const timeline_part& part);
 std::variant<timeline_part, findings> read_timeline(std::string_view body);
--- a/src/operators/reply_reader.cpp
+++ b/src/operators/reply_reader.cpp
@@ -224,7 +224,8 @@
     return {error{error_code::outcome_unknown, std::move(message)}, {}};
 }
 
-operator_reply_result read_error(int status, json_reader& reader, findings& found)
+operator_reply_result read_error(int status, json_reader& reader,
+                                 findings& found)
 {
     const std::string code = reader.text("error");
     error e{error_code::outcome_unknown, reader.text("message")};
@@ -253,7 +254,7 @@
 } // namespace
 
 operator_reply_result read_reply(const operator_request& request, int status,
-                           std::string_view body)
+                                 std::string_view body)
 {
     findings found;
     const json::object object = parse_object(body, "response", found);
