--- a/src/control/peer_view.cpp
+++ b/src/control/peer_view.cpp
@@ -71,9 +71,9 @@
     std::vector<peer_status> all;
     std::ranges::transform(peers_, std::back_inserter(all), [&](const auto& p) {
         const auto& peer = p.second;
-        return peer_status{p.first, peer.zone, reached(peer, now),
-                           peer.last_heard ? now - *peer.last_heard
-                                           : duration::zero()};
+        return peer_status{
+            p.first, peer.zone, reached(peer, now),
+            peer.last_heard ? now - *peer.last_heard : duration::zero(), ""};
     });
     return all;
 }
--- a/src/hemlockdeald/batch_duty.cpp
+++ b/src/hemlockdeald/batch_duty.cpp
@@ -96,7 +96,10 @@
     });
 }
 
-batch_duty::~batch_duty() { stop(duration::zero()); }
+batch_duty::~batch_duty()
+{
+    stop(duration::zero());
+}
 
 void batch_duty::start()
 {
@@ -368,7 +371,8 @@
     const auto now = lease_clock_now();
     if (!machines_)
     {
-        question.reply(error{error_code::unavailable, "the daemon is stopping"});
+        question.reply(
+            error{error_code::unavailable, "the daemon is stopping"});
         return;
     }
     if (std::holds_alternative<status_query>(question.request))
@@ -433,20 +437,28 @@
     s.table_reachable = machines_->configuration.table_reachable(now);
     if (state.current() != nullptr)
     {
-        std::ranges::transform(
-            state.current()->content.classes, std::back_inserter(s.classes),
-            [this](const work_class& c) {
-                class_status line;
-                line.id = c.id;
-                line.kind = c.kind;
-                line.target = c.target;
-                line.percentile = c.percentile;
-                add_tail(line);
-                return line;
-            });
+        std::ranges::transform(state.current()->content.classes,
+                               std::back_inserter(s.classes),
+                               [this](const work_class& c) {
+                                   class_status line;
+                                   line.id = c.id;
+                                   line.kind = c.kind;
+                                   line.target = c.target;
+                                   line.percentile = c.percentile;
+                                   add_tail(line);
+                                   return line;
+                               });
     }
     s.shards = machines_->batch.status(now);
     s.peers = machines_->configuration.peers(now);
+    std::ranges::for_each(s.peers, [this](peer_status& peer) {
+        const auto& known = settings_.peers.known;
+        const auto found = std::ranges::find(known, peer.vm, &known_peer::id);
+        if (found != known.end())
+        {
+            peer.operators = to_text(found->operators);
+        }
+    });
     return s;
 }
 
--- a/src/hemlockdeald/daemon.cpp
+++ b/src/hemlockdeald/daemon.cpp
@@ -66,17 +66,19 @@
     };
     proxy_ = std::make_unique<proxy_duty>(settings_, process_, proxy);
 
-    peers_ = std::make_unique<peer_duty>(
-        settings_, [this](peer_message&& message) { on_peer(std::move(message)); });
-
-    platform_.to_batch().connect(
-        batch_->context(), [this](platform_reply&& reply) {
-            batch_->on_platform(std::move(reply));
-        });
-    platform_.to_proxy().connect(
-        proxy_->context(), [this](platform_reply&& reply) {
-            proxy_->on_platform(std::move(reply));
+    peers_ =
+        std::make_unique<peer_duty>(settings_, [this](peer_message&& message) {
+            on_peer(std::move(message));
         });
+
+    platform_.to_batch().connect(batch_->context(),
+                                 [this](platform_reply&& reply) {
+                                     batch_->on_platform(std::move(reply));
+                                 });
+    platform_.to_proxy().connect(proxy_->context(),
+                                 [this](platform_reply&& reply) {
+                                     proxy_->on_platform(std::move(reply));
+                                 });
     operators_ = std::make_unique<operator_server>(
         operator_server_options{settings_.operators.listen,
                                 settings_.operators.token},
@@ -99,9 +101,8 @@
     batch_->start();
     if (!proxy_->start())
     {
-        return error{error_code::unavailable,
-                     "cannot listen for callers on " +
-                         to_text(settings_.callers)};
+        return error{error_code::unavailable, "cannot listen for callers on " +
+                                                  to_text(settings_.callers)};
     }
     const auto peers = peers_->start();
     if (!is_ok(peers))
@@ -135,13 +136,11 @@
 void daemon::on_peer(peer_message&& message)
 {
     recorder_.received(message.stamp);
-    const auto for_proxy =
-        std::holds_alternative<slot_request>(message.body) ||
-        std::holds_alternative<slot_grant>(message.body);
+    const auto for_proxy = std::holds_alternative<slot_request>(message.body) ||
+                           std::holds_alternative<slot_grant>(message.body);
     if (for_proxy)
     {
-        proxy_->from_peer().post(
-            {message.sender, std::move(message.body)});
+        proxy_->from_peer().post({message.sender, std::move(message.body)});
         return;
     }
     batch_->from_peer().post(std::move(message));
@@ -149,9 +148,8 @@
 
 void daemon::send_to_peers(send_to_peer&& message)
 {
-    peers_->send(message.to,
-                 {settings_.id, process_, recorder_.stamp(),
-                  std::move(message.body)});
+    peers_->send(message.to, {settings_.id, process_, recorder_.stamp(),
+                              std::move(message.body)});
 }
 
 void daemon::request_finished(const finish_request& finished)
@@ -160,8 +158,7 @@
     const auto outcome = outcome_name(finished.outcome);
     recorder_.values()
         .counter("hemlockdeal_requests_total", "Requests by class and outcome",
-                 {{"class", finished.work_class.value()},
-                  {"outcome", outcome}})
+                 {{"class", finished.work_class.value()}, {"outcome", outcome}})
         .add();
     if (finished.attempts > 1)
     {
@@ -198,21 +195,23 @@
     const auto counts = proxy_->counts();
     values.gauge("hemlockdeal_callers", "Open connections of callers")
         .set(static_cast<double>(counts.callers));
-    values.gauge("hemlockdeal_endpoint_connections", "Open connections to "
-                                                     "endpoints")
+    values
+        .gauge("hemlockdeal_endpoint_connections", "Open connections to "
+                                                   "endpoints")
         .set(static_cast<double>(counts.endpoint_connections));
     values.gauge("hemlockdeal_requests_in_progress", "Requests in progress")
         .set(static_cast<double>(counts.requests_in_progress));
     values.gauge("hemlockdeal_requests_waiting", "Requests in the queue")
         .set(static_cast<double>(counts.waiting));
     const auto ring = [&](const char* name, const auto& mail) {
-        values.gauge("hemlockdeal_ring_messages",
-                     "Messages that wait in a ring between threads",
-                     {{"ring", name}})
+        values
+            .gauge("hemlockdeal_ring_messages",
+                   "Messages that wait in a ring between threads",
+                   {{"ring", name}})
             .set(static_cast<double>(mail.ring().size()));
-        values.gauge("hemlockdeal_ring_rejected",
-                     "Messages that found the ring full",
-                     {{"ring", name}})
+        values
+            .gauge("hemlockdeal_ring_rejected",
+                   "Messages that found the ring full", {{"ring", name}})
             .set(static_cast<double>(mail.ring().rejected()));
     };
     ring("batch_to_platform", platform_.from_batch());
@@ -224,24 +223,28 @@
     const auto state = batch_->summary();
     values.gauge("hemlockdeal_lease_valid", "1 while the VM's lease is valid")
         .set(state.lease_valid ? 1.0 : 0.0);
-    values.gauge("hemlockdeal_table_reachable",
-                 "1 while the table answered within 2 s")
+    values
+        .gauge("hemlockdeal_table_reachable",
+               "1 while the table answered within 2 s")
         .set(state.table_reachable ? 1.0 : 0.0);
     values.gauge("hemlockdeal_configuration_version", "Version held")
         .set(static_cast<double>(state.version.value()));
-    values.gauge("hemlockdeal_configuration_age_seconds",
-                 "Time since the newest version was confirmed")
+    values
+        .gauge("hemlockdeal_configuration_age_seconds",
+               "Time since the newest version was confirmed")
         .set(state.configuration_age
                  ? static_cast<double>(state.configuration_age->count()) / 1e6
                  : -1.0);
     const auto traffic = peers_->traffic();
     values.gauge("hemlockdeal_peer_bytes_sent", "Bytes sent to other daemons")
         .set(static_cast<double>(traffic.bytes_sent));
-    values.gauge("hemlockdeal_peer_bytes_received",
-                 "Bytes received from other daemons")
+    values
+        .gauge("hemlockdeal_peer_bytes_received",
+               "Bytes received from other daemons")
         .set(static_cast<double>(traffic.bytes_received));
-    values.gauge("hemlockdeal_peer_refused",
-                 "Clients and messages refused on the peers' port")
+    values
+        .gauge("hemlockdeal_peer_refused",
+               "Clients and messages refused on the peers' port")
         .set(static_cast<double>(peers_->refused()));
     values.gauge("hemlockdeal_shards_owned", "Shards that this VM owns")
         .set(static_cast<double>(state.shards.size()));
--- a/src/hemlockdeald/duty.cpp
+++ b/src/hemlockdeald/duty.cpp
@@ -12,9 +12,15 @@
     context_.moveToThread(&thread_);
 }
 
-duty::~duty() { stop(); }
+duty::~duty()
+{
+    stop();
+}
 
-void duty::start() { thread_.start(); }
+void duty::start()
+{
+    thread_.start();
+}
 
 void duty::run_and_wait(const std::function<void()>& action)
 {
--- a/src/hemlockdeald/platform_duty.cpp
+++ b/src/hemlockdeald/platform_duty.cpp
@@ -26,8 +26,8 @@
 {}
 
 platform_duty::platform_duty(const platform_settings& settings)
-    : settings_(settings), from_batch_(request_ring),
-      from_proxy_(request_ring), to_batch_(reply_ring), to_proxy_(reply_ring),
+    : settings_(settings), from_batch_(request_ring), from_proxy_(request_ring),
+      to_batch_(reply_ring), to_proxy_(reply_ring),
       batch_outlet_{&to_batch_, {}}, proxy_outlet_{&to_proxy_, {}},
       duty_("platform")
 {
@@ -39,7 +39,10 @@
     });
 }
 
-platform_duty::~platform_duty() { stop(); }
+platform_duty::~platform_duty()
+{
+    stop();
+}
 
 void platform_duty::start()
 {
@@ -81,8 +84,8 @@
         {
             return;
         }
-        const auto shared = std::make_shared<const membership_list>(
-            value_of(std::move(list)));
+        const auto shared =
+            std::make_shared<const membership_list>(value_of(std::move(list)));
         batch_outlet_.post(shared);
         proxy_outlet_.post(shared);
     });
--- a/src/hemlockdeald/proxy_duty.cpp
+++ b/src/hemlockdeald/proxy_duty.cpp
@@ -17,8 +17,7 @@
 proxy_duty::proxy_duty(const daemon_settings& settings, incarnation process,
                        proxy_duty_outputs outputs)
     : settings_(settings), process_(process), outputs_(std::move(outputs)),
-      configurations_(configuration_ring), from_peer_(peer_ring),
-      duty_("proxy")
+      configurations_(configuration_ring), from_peer_(peer_ring), duty_("proxy")
 {
     configurations_.connect(duty_.context(),
                             [this](shared_configuration&& next) {
@@ -36,7 +35,10 @@
     });
 }
 
-proxy_duty::~proxy_duty() { stop(); }
+proxy_duty::~proxy_duty()
+{
+    stop();
+}
 
 bool proxy_duty::start()
 {
--- a/src/hemlockdeald/recorder.cpp
+++ b/src/hemlockdeald/recorder.cpp
@@ -49,9 +49,8 @@
 {
     timeline_part part;
     part.vm = vm_.value();
-    std::ranges::for_each(rings_, [&](const auto& ring) {
-        ring.second.collect(filter, part);
-    });
+    std::ranges::for_each(
+        rings_, [&](const auto& ring) { ring.second.collect(filter, part); });
     std::ranges::sort(part.events, {}, &timeline_event::stamp);
     return part;
 }
