--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -1,6 +1,5 @@
 // Program of the stand-ins: serves the table, the membership list, the workers
 // and the endpoints of a topology until it is ended.
-#include <csignal>
 #include <exception>
 #include <fstream>
 #include <iostream>
