--- /dev/null
+++ b/src/batch/target_policy.hpp
@@ -0,0 +1,85 @@
+// Placement policy that meets declared targets without weights: tasks start
+// in the order of their slack within the quotas of teams, where measured use
+// and predicted interference leave room.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "batch/class_table.hpp"
+#include "batch/eviction_budget.hpp"
+#include "batch/interference_model.hpp"
+#include "batch/placement_policy.hpp"
+#include "batch/policy_options.hpp"
+#include "batch/reservations.hpp"
+#include "batch/run_time_estimator.hpp"
+#include "batch/shard_state.hpp"
+#include "batch/tail_guard.hpp"
+#include "batch/task_tracker.hpp"
+#include "batch/waiting_reasons.hpp"
+#include "batch/worker_health.hpp"
+
+namespace hemlockdeal
+{
+
+class target_policy
+{
+public:
+    target_policy() : target_policy(policy_options()) {}
+    explicit target_policy(const policy_options& options);
+
+    placement_output place(const placement_input& input);
+    void observe(const policy_observation& observation, time_point now);
+    std::string waiting_reason(const job_id& job) const;
+    bool is_quarantined(const worker_id& worker) const;
+
+    const run_time_estimator& estimator() const { return estimator_; }
+    std::size_t throttled() const { return guard_.throttled(); }
+
+private:
+    // Order of the kinds of work; smaller goes first.
+    enum class tier
+    {
+        urgent,
+        service,
+        batch
+    };
+
+    void collect(const placement_input& input);
+    static tier tier_of(const demand& d);
+    // Returns why the task has to wait, or none when it was placed.
+    waiting_cause try_place(const demand& d, const placement_input& input,
+                            placement_output& output);
+    void place_on(std::uint32_t worker, const demand& d,
+                  placement_output& output);
+    // Makes room by evictions when they can help.
+    void evict_for(const demand& d, waiting_cause cause,
+                   placement_output& output);
+    void reserve_worker(const demand& d);
+    bool try_probe(const demand& d, placement_output& output);
+
+    void place_batch(const placement_input& input, placement_output& output);
+
+    policy_options options_;
+    class_table classes_;
+    run_time_estimator estimator_;
+    interference_model model_;
+    task_tracker tracker_;
+    worker_health health_;
+    eviction_budget budget_;
+    tail_guard guard_;
+    reservations reserved_;
+    waiting_reasons reasons_;
+
+    // Buffers of one pass, kept to avoid allocations.
+    shard_state state_;
+    std::vector<demand> demands_;
+    std::vector<std::uint64_t> worker_hashes_;
+    std::vector<std::uint64_t> quarantined_;
+};
+
+static_assert(placement_policy<target_policy>);
+
+} // namespace hemlockdeal
