--- a/bench/policy/fake_shard.hpp
+++ b/bench/policy/fake_shard.hpp
@@ -451,6 +451,28 @@
     return {{static_cast<std::int64_t>(cores * 1000.0)}, {mb}, {}};
 }
 
+// 99th percentile of response times that are exponential at each instance
+// with the slowdown as mean, as a multiple of that without slowdown.
+inline double tail_of(const std::vector<double>& slowdowns)
+{
+    double low = 0.0;
+    double high = 1e4;
+    const auto later = [&](double t) {
+        double sum = 0.0;
+        for (const double s : slowdowns)
+        {
+            sum += std::exp(-t / s);
+        }
+        return sum / static_cast<double>(slowdowns.size());
+    };
+    for (int i = 0; i < 40 && !slowdowns.empty(); ++i)
+    {
+        const double middle = (low + high) / 2.0;
+        (later(middle) > 0.01 ? low : high) = middle;
+    }
+    return low / std::log(100.0);
+}
+
 // Workers in racks of eight, as in both deployments.
 inline std::vector<worker> make_workers(std::size_t count, double cores,
                                         std::int64_t mb)
--- a/src/batch/shard_state.cpp
+++ b/src/batch/shard_state.cpp
@@ -51,6 +51,7 @@
         slot.view = &input.workers[i];
         slot.hash = stable_hash(slot.view->id.value());
         slot.quarantined = health.is_quarantined(slot.hash);
+        slot.failures_in_row = health.failures_in_row(slot.hash);
         add_worker(input.workers[i], classes, estimator, slot);
         if (is_open(slot))
         {
--- a/src/batch/shard_state.hpp
+++ b/src/batch/shard_state.hpp
@@ -39,6 +39,7 @@
     std::uint32_t services = 0; // bit per class of a service
     std::uint16_t rack = 0;
     bool quarantined = false;
+    std::uint32_t failures_in_row = 0;
     std::vector<running_slot> running; // as in the view
 };
 
--- a/src/batch/worker_choice.cpp
+++ b/src/batch/worker_choice.cpp
@@ -13,6 +13,10 @@
 // between workers that are about equal in that.
 constexpr double rack_weight = 0.3;
 constexpr double fit_weight = 0.1;
+// A worker that fails everything frees up at once and would draw work until
+// the successes elsewhere prove it bad.
+constexpr double failure_weight = 0.2;
+constexpr std::uint32_t failures_counted = 5;
 // Slowing a service down counts more than slowing batch work down.
 constexpr double service_weight = 3.0;
 
@@ -182,7 +186,8 @@
     const double left = static_cast<double>(worker.free.processors.value) /
                         static_cast<double>(std::max<std::int64_t>(
                             worker.view->size.processors.value, 1));
-    return interference + rack_weight * rack +
+    const double failures = std::min(worker.failures_in_row, failures_counted);
+    return interference + rack_weight * rack + failure_weight * failures +
            fit_weight * (d.service ? -left : left);
 }
 
--- a/src/batch/worker_health.cpp
+++ b/src/batch/worker_health.cpp
@@ -29,44 +29,39 @@
 void worker_health::add_failure(std::uint64_t worker, std::uint64_t job,
                                 time_point now)
 {
-    add_distinct(record_of_job(job).failed_on, worker);
-    worker_record& record = workers_[worker];
-    std::erase_if(record.failures, [&](const failure& f) {
-        return f.job == job || f.at + options_.failure_memory < now;
-    });
-    if (record.failures.size() == failures_at_most)
+    job_record& record = record_of_job(job);
+    add_distinct(record.failed_on, worker);
+    ++workers_[worker].failures_in_row;
+    if (is_to_blame(worker, record))
     {
-        record.failures.erase(record.failures.begin());
+        add_blame(worker, job, now);
     }
-    record.failures.push_back({job, now});
-    consider(worker, record, now);
 }
 
 void worker_health::add_success(std::uint64_t worker, std::uint64_t job,
                                 duration ran_for, time_point now)
 {
-    add_distinct(record_of_job(job).succeeded_on, worker);
+    job_record& succeeded = record_of_job(job);
+    add_distinct(succeeded.succeeded_on, worker);
     const auto own = workers_.find(worker);
     if (own != workers_.end())
     {
         worker_record& record = own->second;
+        record.failures_in_row = 0;
         if (record.quarantined && ran_for <= now - record.since)
         {
             record = worker_record();
         }
-        else if (!record.quarantined && !record.failures.empty())
+        else if (!record.quarantined && !record.blames.empty())
         {
-            record.failures.erase(record.failures.begin());
+            record.blames.erase(record.blames.begin());
         }
     }
-    for (auto& [other, record] : workers_)
+    for (const std::uint64_t other : succeeded.failed_on)
     {
-        const bool failed_there =
-            std::ranges::find(record.failures, job, &failure::job) !=
-            record.failures.end();
-        if (failed_there)
+        if (is_to_blame(other, succeeded))
         {
-            consider(other, record, now);
+            add_blame(other, job, now);
         }
     }
 }
@@ -87,7 +82,7 @@
                 return std::pair(!entry.second.quarantined,
                                  std::pair(entry.second.since, entry.first));
             });
-        longest->second.quarantined = false;
+        longest->second = worker_record();
     }
     for (auto& [worker, record] : workers_)
     {
@@ -119,6 +114,12 @@
     workers_[worker].last_probe = now;
 }
 
+std::uint32_t worker_health::failures_in_row(std::uint64_t worker) const
+{
+    const auto found = workers_.find(worker);
+    return found == workers_.end() ? 0 : found->second.failures_in_row;
+}
+
 worker_health::job_record& worker_health::record_of_job(std::uint64_t job)
 {
     if (!jobs_.contains(job))
@@ -133,18 +134,13 @@
     return jobs_[job];
 }
 
-bool worker_health::is_blamed_on(std::uint64_t worker, const failure& f) const
+bool worker_health::is_to_blame(std::uint64_t worker,
+                                const job_record& job) const
 {
     if (!options_.safeguards.exonerate_workers)
     {
         return true;
     }
-    const auto found = jobs_.find(f.job);
-    if (found == jobs_.end())
-    {
-        return false;
-    }
-    const job_record& job = found->second;
     // A job of many tasks fails on all bad workers, so it counts as bad only
     // when it did not succeed on more workers than it failed on.
     const bool bad_job = job.failed_on.size() >= options_.workers_for_bad_job &&
@@ -155,27 +151,37 @@
            });
 }
 
-std::size_t worker_health::blamed_failures(std::uint64_t worker,
-                                           const worker_record& record) const
+void worker_health::add_blame(std::uint64_t worker, std::uint64_t job,
+                              time_point now)
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(record.failures, [&](const failure& f) {
-            return is_blamed_on(worker, f);
-        }));
+    worker_record& record = workers_[worker];
+    if (record.quarantined)
+    {
+        return;
+    }
+    std::erase_if(record.blames, [&](const blame& b) { return b.job == job; });
+    if (record.blames.size() == blames_at_most)
+    {
+        record.blames.erase(record.blames.begin());
+    }
+    record.blames.push_back({job, now});
+    consider(worker, record, now);
 }
 
 void worker_health::consider(std::uint64_t worker, worker_record& record,
                              time_point now)
 {
-    if (record.quarantined || record.failures.empty())
+    if (record.quarantined || record.blames.empty())
     {
         return;
     }
-    std::erase_if(record.failures, [&](const failure& f) {
-        return f.at + options_.failure_memory < now;
+    // A job may have turned out to be bad since.
+    std::erase_if(record.blames, [&](const blame& b) {
+        const auto job = jobs_.find(b.job);
+        return b.at + options_.failure_memory < now ||
+               (job != jobs_.end() && !is_to_blame(worker, job->second));
     });
-    if (blamed_failures(worker, record) >=
-            options_.failed_jobs_for_quarantine &&
+    if (record.blames.size() >= options_.failed_jobs_for_quarantine &&
         (!options_.safeguards.bound_quarantine ||
          quarantined() < quarantined_at_most()))
     {
--- a/src/batch/worker_health.hpp
+++ b/src/batch/worker_health.hpp
@@ -32,9 +32,12 @@
     std::size_t quarantined() const;
     bool is_probe_due(std::uint64_t worker, time_point now) const;
     void add_probe(std::uint64_t worker, time_point now);
+    // Failures since the last success, whoever is to blame.
+    std::uint32_t failures_in_row(std::uint64_t worker) const;
 
 private:
-    struct failure
+    // A failure of a job that succeeded elsewhere.
+    struct blame
     {
         std::uint64_t job = 0;
         time_point at;
@@ -42,7 +45,8 @@
 
     struct worker_record
     {
-        std::vector<failure> failures; // one per job
+        std::vector<blame> blames; // one per job
+        std::uint32_t failures_in_row = 0;
         bool quarantined = false;
         time_point since;
         time_point last_probe;
@@ -56,15 +60,14 @@
     };
 
     job_record& record_of_job(std::uint64_t job);
-    bool is_blamed_on(std::uint64_t worker, const failure& f) const;
-    std::size_t blamed_failures(std::uint64_t worker,
-                                const worker_record& record) const;
+    bool is_to_blame(std::uint64_t worker, const job_record& job) const;
+    void add_blame(std::uint64_t worker, std::uint64_t job, time_point now);
     void consider(std::uint64_t worker, worker_record& record, time_point now);
     std::size_t quarantined_at_most() const;
 
     // Bound the state; the oldest goes.
     static constexpr std::size_t jobs_at_most = 1024;
-    static constexpr std::size_t failures_at_most = 8;
+    static constexpr std::size_t blames_at_most = 8;
 
     policy_options options_;
     std::size_t workers_in_shard_ = 0;
--- a/tests/policy/capacity_test.cpp
+++ b/tests/policy/capacity_test.cpp
@@ -2,9 +2,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "../../bench/policy/fake_shard.hpp"
-#include "batch/target_policy.hpp"
-#include "policy/random_source.hpp"
+#include "policy/scene.hpp"
 
 using namespace hemlockdeal;
 using namespace std::chrono_literals;
@@ -12,30 +10,6 @@
 namespace
 {
 
-struct scene
-{
-    work_class batch{class_id("batch"), class_kind::batch, 1h};
-    work_class urgent{class_id("urgent"), class_kind::batch, 1h};
-    std::vector<std::unique_ptr<fake::job>> jobs;
-};
-
-fake::job& add_job(scene& s, bool is_urgent, double cores, std::int64_t mb,
-                   double run_time_s)
-{
-    auto j = std::make_unique<fake::job>();
-    const std::size_t number = s.jobs.size();
-    j->declared.id = job_id("job-" + std::to_string(number));
-    j->declared.team = team_id("team-" + std::to_string(number % 3));
-    j->kind = is_urgent ? &s.urgent : &s.batch;
-    j->declared.work_class = j->kind->id;
-    j->declared.task_size = fake::cores_and_mb(cores, mb);
-    j->declared.tasks = 1 + number % 3;
-    j->used = j->declared.task_size;
-    j->run_time_s = run_time_s;
-    s.jobs.push_back(std::move(j));
-    return *s.jobs.back();
-}
-
 // Counts the placements that did not fit or went to a worker that does not
 // accept starts.
 std::uint64_t placements_beyond_free(std::uint32_t seed,
@@ -43,20 +17,23 @@
 {
     random_source random(seed);
     scene s;
-    s.urgent.urgent = true;
-    fake::shard<target_policy> shard(target_policy(options),
-                                     fake::make_workers(5, 16, 64'000), {});
+    fake_shard shard = make_shard(options, 5);
     shard.quotas() = {{team_id("team-0"), 30.0, {}},
                       {team_id("team-1"), 30.0, {}}};
     time_point now(1s);
-    for (int step = 0; step < 200; ++step, now += shard.step_length)
+    for (int step = 0; step < 200; ++step, now += fake_shard::step_length)
     {
         if (step % 4 == 0)
         {
-            shard.submit(
-                add_job(s, random.in_range(0, 8) == 0, random.in_range(1, 17),
-                        random.in_range(100, 64'000), random.in_range(1, 120)),
-                now);
+            fake::job& j =
+                s.add(random.in_range(0, 8) == 0 ? s.urgent : s.batch,
+                      scene::batch_number, random.in_range(1, 17),
+                      random.in_range(1, 120),
+                      "team-" + std::to_string(random.in_range(0, 3)),
+                      static_cast<std::uint32_t>(random.in_range(1, 4)));
+            j.declared.task_size.memory.value = random.in_range(100, 64'000);
+            j.used.processors.value = random.in_range(100, 16'000);
+            shard.submit(j, now);
         }
         shard.workers()[static_cast<std::size_t>(random.in_range(0, 5))]
             .accepts_starts = random.in_range(0, 4) != 0;
@@ -65,6 +42,24 @@
     return shard.count().beyond_free;
 }
 
+// Largest number of tasks of one job in a rack, with room everywhere.
+std::size_t tasks_in_fullest_rack()
+{
+    scene s;
+    fake_shard shard = make_shard(policy_options(), 24);
+    shard.submit(s.add(s.batch, scene::batch_number, 1, 60, "team-0", 12),
+                 time_point(1s));
+    shard.step(time_point(1s), {});
+    std::map<rack_id, std::size_t> tasks;
+    for (const fake::worker& w : shard.workers())
+    {
+        tasks[w.rack] += w.tasks.size();
+    }
+    return std::ranges::max_element(
+               tasks, {}, [](const auto& entry) { return entry.second; })
+        ->second;
+}
+
 } // namespace
 
 // Failure: a worker is committed beyond its processors or memory.
@@ -83,3 +78,9 @@
         return placements_beyond_free(seed, options) > 0;
     }));
 }
+
+// Failure: one rack holds most of a job, and its failure stops the job.
+TEST(capacity, tasks_of_a_job_are_spread_over_racks)
+{
+    EXPECT_EQ(tasks_in_fullest_rack(), 4U);
+}
