--- a/src/batch/eviction_budget.cpp
+++ b/src/batch/eviction_budget.cpp
@@ -24,7 +24,7 @@
 bool eviction_budget::allows(eviction_cause cause, std::uint64_t worker,
                              std::size_t count, std::size_t running_tasks) const
 {
-    if (!enforced_)
+    if (!enforced_ || cause == eviction_cause::urgent)
     {
         return true;
     }
@@ -32,10 +32,6 @@
     {
         return false;
     }
-    if (cause == eviction_cause::urgent)
-    {
-        return true;
-    }
     const auto all = std::max<std::size_t>(
         1,
         static_cast<std::size_t>(share_ * static_cast<double>(running_tasks)));
--- a/src/batch/eviction_budget.hpp
+++ b/src/batch/eviction_budget.hpp
@@ -20,8 +20,8 @@
 
 // At most two evictions a worker, and 5% of the shard's tasks (at least one),
 // in any minute. Reclaiming a quota may use half of the 5%, so that the other
-// half stays for interference. Urgent work is bound by the limit of the worker
-// alone, because it must start within a second.
+// half stays for interference. Evictions for urgent work count, but are not
+// refused, because urgent work must start within a second.
 class eviction_budget
 {
 public:
--- a/src/batch/eviction_planner.hpp
+++ b/src/batch/eviction_planner.hpp
@@ -11,6 +11,10 @@
 namespace hemlockdeal
 {
 
+// Urgent work goes beyond the bound of a worker only when no other worker can
+// take it.
+constexpr double loss_of_bound_s = 1e9;
+
 struct eviction_plan
 {
     std::uint32_t worker = 0;
@@ -53,13 +57,18 @@
         {
             continue;
         }
-
-        const std::optional<worker_eviction> plan =
-            evict_from(w, size, free_on(worker), only_borrowed,
-                       budget.left_on(worker.hash), state);
-        if (plan && (!best || plan->loss < least) &&
-            budget.allows(cause, worker.hash, plan->running.size(),
-                          state.running_tasks()))
+        const std::size_t within_bound = budget.left_on(worker.hash);
+        std::optional<worker_eviction> plan = evict_from(
+            w, size, free_on(worker), only_borrowed,
+            cause == eviction_cause::urgent ? SIZE_MAX : within_bound, state);
+        if (!plan || !budget.allows(cause, worker.hash, plan->running.size(),
+                                    state.running_tasks()))
+        {
+            continue;
+        }
+        plan->loss +=
+            plan->running.size() > within_bound ? loss_of_bound_s : 0.0;
+        if (!best || plan->loss < least)
         {
             least = plan->loss;
             best = eviction_plan{w, plan->running};
