Bound the processor time of a pass

Cause: each waiting task looked at all workers, and each task below its quota planned evictions. Change: a task is refused at once when a smaller one of its class was refused in the same pass, at most four evictions are planned for quotas, probes are looked for only when one is due, and a queue of more than 256 tasks is examined once a second.

--- a/src/batch/policy_options.hpp
+++ b/src/batch/policy_options.hpp
@@ -63,6 +63,11 @@
     // for it, since tasks finish all the time.
     duration reclaim_after = std::chrono::seconds(5);
 
+    // A long queue of batch work is examined only this often, which bounds the
+    // processor time; urgent work and services are examined in every pass.
+    std::size_t long_queue = 256;
+    duration long_queue_interval = std::chrono::seconds(1);
+
     policy_safeguards safeguards;
 };
 
--- a/src/batch/target_policy.cpp
+++ b/src/batch/target_policy.cpp
@@ -18,6 +18,10 @@
 // has failed.
 constexpr duration eviction_wait = std::chrono::seconds(15);
 
+// Bounds the time of a pass.
+constexpr std::size_t refused_at_most = 64;
+constexpr std::size_t eviction_plans_at_most = 4;
+
 // True when a worker that evicts some of its work could take the task.
 bool needs_room(waiting_cause cause)
 {
@@ -51,15 +55,28 @@
     health_.set_workers(worker_hashes_, input.now);
     budget_.advance(input.now);
     reserved_.remove_expired(input.now);
-    reasons_.start_pass();
+    const bool with_batch =
+        input.waiting.size() <= options_.long_queue ||
+        input.now - batch_examined_at_ >= options_.long_queue_interval;
+    if (with_batch)
+    {
+        batch_examined_at_ = input.now;
+        reasons_.start_pass();
+    }
+    probe_due_ = std::ranges::any_of(worker_hashes_, [&](std::uint64_t worker) {
+        return health_.is_probe_due(worker, input.now);
+    });
+    refused_.clear();
+    eviction_plans_ = 0;
+    starts_at_most_ = input.starts_at_most;
     state_.reset(input, options_, classes_, estimator_, health_);
     guard_.run(input.tails, state_, classes_, model_, budget_, output);
-    collect(input);
+    collect(input, with_batch);
     const auto first_batch = std::ranges::find(
         demands_, tier::batch, [](const demand& d) { return tier_of(d); });
     for (const demand& d : std::span(demands_.begin(), first_batch))
     {
-        const waiting_cause cause = try_place(d, input, output);
+        const waiting_cause cause = try_place(d, output);
         if (d.urgent)
         {
             evict_for(d, cause, output);
@@ -106,16 +123,22 @@
     return health_.is_quarantined(stable_hash(worker.value()));
 }
 
-void target_policy::collect(const placement_input& input)
+void target_policy::collect(const placement_input& input, bool with_batch)
 {
     demands_.clear();
-    demands_.reserve(input.waiting.size());
     const job_submission* last_job = nullptr;
     task_estimate estimate;
     demand d;
     for (std::uint32_t w = 0; w < input.waiting.size(); ++w)
     {
         const waiting_task& task = input.waiting[w];
+        d.urgent = task.kind != nullptr && task.kind->urgent;
+        d.service = task.kind != nullptr &&
+                    task.kind->kind == class_kind::latency_critical;
+        if (!with_batch && !d.urgent && !d.service)
+        {
+            continue;
+        }
         if (task.job != last_job)
         {
             last_job = task.job;
@@ -130,9 +153,6 @@
         d.waiting = w;
         d.key = task_key(d.job, task.index);
         d.slack = slack(task, estimate, input.now);
-        d.urgent = task.kind != nullptr && task.kind->urgent;
-        d.service = task.kind != nullptr &&
-                    task.kind->kind == class_kind::latency_critical;
         demands_.push_back(d);
     }
     std::ranges::sort(demands_, {}, [](const demand& a) {
@@ -156,21 +176,21 @@
         demands_, tier::batch, [](const demand& d) { return tier_of(d); });
     const std::span batch(first, demands_.end());
     // Teams below their quota go before teams that borrow.
-    std::vector<const demand*> borrowing;
+    borrowing_.clear();
     for (const demand& d : batch)
     {
         const bool below = state_.quotas().is_below(d.team) ||
                            !options_.safeguards.quota_before_borrowing;
         if (!below)
         {
-            borrowing.push_back(&d);
+            borrowing_.push_back(&d);
             continue;
         }
         if (try_probe(d, output))
         {
             continue;
         }
-        const waiting_cause cause = try_place(d, input, output);
+        const waiting_cause cause = try_place(d, output);
         if (!needs_room(cause))
         {
             continue;
@@ -181,30 +201,40 @@
         }
         reserve_worker(d);
     }
-    for (const demand* d : borrowing)
+    for (const demand* d : borrowing_)
     {
         if (!try_probe(*d, output))
         {
-            try_place(*d, input, output);
+            try_place(*d, output);
         }
     }
 }
 
 waiting_cause target_policy::try_place(const demand& d,
-                                       const placement_input& input,
                                        placement_output& output)
 {
-    if (output.placements.size() >= input.starts_at_most)
+    if (output.placements.size() >= starts_at_most_)
     {
         reasons_.add(d.job, waiting_cause::start_limit);
         return waiting_cause::start_limit;
     }
-    const worker_choice choice(options_, state_, model_, guard_, reserved_);
-    waiting_cause cause = waiting_cause::none;
-    const std::optional<std::uint32_t> worker = choice.choose(d, cause);
+    const reservation* const own = reserved_.find(d.key);
+    waiting_cause cause =
+        own == nullptr ? known_obstacle(d) : waiting_cause::none;
+    std::optional<std::uint32_t> worker;
+    if (cause == waiting_cause::none)
+    {
+        const worker_choice choice(options_, state_, model_, guard_, reserved_);
+        worker = choice.choose(d, cause);
+        if (!worker && own == nullptr && d.task->failed_on.empty() &&
+            refused_.size() < refused_at_most)
+        {
+            refused_.push_back(
+                {d.task->job->task_size, d.predicted, d.kind, cause});
+        }
+    }
     if (!worker)
     {
-        const reservation* const own = reserved_.find(d.key);
         reasons_.add(d.job, own != nullptr && own->by_eviction
                                 ? waiting_cause::eviction_pending
                                 : cause);
@@ -214,6 +244,19 @@
     return waiting_cause::none;
 }
 
+waiting_cause target_policy::known_obstacle(const demand& d) const
+{
+    // Capacity only shrinks during a pass, so what did not fit a task does not
+    // fit a larger one of its class either.
+    const resources& size = d.task->job->task_size;
+    const auto found =
+        std::ranges::find_if(refused_, [&](const refused_demand& r) {
+            return r.kind == d.kind && r.size.fits_in(size) &&
+                   r.predicted.fits_in(d.predicted);
+        });
+    return found == refused_.end() ? waiting_cause::none : found->cause;
+}
+
 void target_policy::place_on(std::uint32_t worker, const demand& d,
                              placement_output& output)
 {
@@ -225,6 +268,10 @@
 
 bool target_policy::try_probe(const demand& d, placement_output& output)
 {
+    if (!probe_due_ || output.placements.size() >= starts_at_most_)
+    {
+        return false;
+    }
     const worker_choice choice(options_, state_, model_, guard_, reserved_);
     const std::optional<std::uint32_t> worker =
         choice.choose_probe(d, [&](std::uint64_t hash) {
@@ -244,10 +291,12 @@
 {
     const reservation* const earlier = reserved_.find(d.key);
     if (!needs_room(cause) || !reserved_.has_room() ||
-        (earlier != nullptr && earlier->by_eviction))
+        (earlier != nullptr && earlier->by_eviction) ||
+        (!d.urgent && eviction_plans_ >= eviction_plans_at_most))
     {
         return;
     }
+    ++eviction_plans_;
     const std::optional<eviction_plan> plan = plan_eviction(
         d, !d.urgent, d.urgent ? eviction_cause::urgent : eviction_cause::quota,
         state_, budget_,
--- a/src/batch/target_policy.hpp
+++ b/src/batch/target_policy.hpp
@@ -47,11 +47,18 @@
         batch
     };
 
-    void collect(const placement_input& input);
+    struct refused_demand
+    {
+        resources size;
+        resources predicted;
+        std::uint16_t kind = 0;
+        waiting_cause cause = waiting_cause::none;
+    };
+
+    void collect(const placement_input& input, bool with_batch);
     static tier tier_of(const demand& d);
     // Returns why the task has to wait, or none when it was placed.
-    waiting_cause try_place(const demand& d, const placement_input& input,
-                            placement_output& output);
+    waiting_cause try_place(const demand& d, placement_output& output);
     void place_on(std::uint32_t worker, const demand& d,
                   placement_output& output);
     // Makes room by evictions when they can help.
@@ -61,6 +68,9 @@
     bool try_probe(const demand& d, placement_output& output);
 
     void place_batch(const placement_input& input, placement_output& output);
+    // The cause for which a task of the same kind that is not larger could
+    // not be placed in this pass, or none.
+    waiting_cause known_obstacle(const demand& d) const;
 
     policy_options options_;
     class_table classes_;
@@ -77,7 +87,12 @@
     shard_state state_;
     std::vector<demand> demands_;
     std::vector<std::uint64_t> worker_hashes_;
-    std::vector<std::uint64_t> quarantined_;
+    std::vector<const demand*> borrowing_;
+    std::vector<refused_demand> refused_;
+    std::size_t eviction_plans_ = 0;
+    std::uint32_t starts_at_most_ = 0;
+    bool probe_due_ = false;
+    time_point batch_examined_at_;
 };
 
 static_assert(placement_policy<target_policy>);
