Act on the workers that raise the tail, and learn without lag

Cause: every shard throttled and evicted when a service's tail was high, while usage reports lag behind throttles and taught the model the wrong sign; packing workers full raised the slowest instance; quotas evicted work 5 s after a task arrived.

--- a/src/batch/policy_options.hpp
+++ b/src/batch/policy_options.hpp
@@ -59,9 +59,13 @@
     // A task that found no room for this long gets a worker reserved.
     duration reserve_after = std::chrono::seconds(30);
     duration reservation_time = std::chrono::seconds(30);
-    // A team below its quota waits this long before borrowed work is evicted
-    // for it, since tasks finish all the time.
-    duration reclaim_after = std::chrono::seconds(5);
+    // Borrowed work is evicted for a team below its quota when the task of
+    // the team waited this long, or when less than this share of its target
+    // is left as slack. Most tasks find room before, because others finish,
+    // and an eviction loses work.
+    duration reclaim_after = std::chrono::minutes(5);
+    double reclaim_slack_share = 0.25;
+    duration reclaim_not_before = std::chrono::seconds(60);
 
     // A long queue of batch work is examined only this often, which bounds the
     // processor time; urgent work and services are examined in every pass.
--- a/src/batch/rate_series.cpp
+++ b/src/batch/rate_series.cpp
@@ -43,14 +43,4 @@
     return !first;
 }
 
-float rate_series::undisturbed(const class_loads& coefficients) const
-{
-    float rate = rate_;
-    for (const mean& m : std::span(means_).first(used_))
-    {
-        rate += coefficients[m.kind] * m.value;
-    }
-    return rate;
-}
-
 } // namespace hemlockdeal
--- a/src/batch/rate_series.hpp
+++ b/src/batch/rate_series.hpp
@@ -26,10 +26,6 @@
     bool add(float rate, const class_loads& neighbours,
              rate_difference& difference);
 
-    // Logarithmic rate that the series has without neighbours, when each
-    // class lowers it by `coefficients` times its load.
-    float undisturbed(const class_loads& coefficients) const;
-
     std::uint32_t samples() const { return samples_; }
 
 private:
--- a/src/batch/shard_state.cpp
+++ b/src/batch/shard_state.cpp
@@ -12,12 +12,21 @@
 // A report may be this old; until then the use of a new task is estimated.
 constexpr duration report_lag = std::chrono::seconds(15);
 
+// Largest urgent task that the headroom is meant for, as a share of a worker.
+constexpr double piece_share = 0.25;
+
 resources larger(const resources& a, const resources& b)
 {
     return {std::max(a.processors, b.processors), std::max(a.memory, b.memory),
             std::max(a.accelerators, b.accelerators)};
 }
 
+resources smaller(const resources& a, const resources& b)
+{
+    return {std::min(a.processors, b.processors), std::min(a.memory, b.memory),
+            std::min(a.accelerators, b.accelerators)};
+}
+
 resources scaled(const resources& size, double factor)
 {
     const auto scale = [&](std::int64_t value) {
@@ -44,6 +53,7 @@
                     ? scaled(input.capacity, options.urgent_headroom)
                     : resources();
     open_free_ = resources();
+    piece_ = headroom_;
     workers_.resize(input.workers.size());
     for (std::size_t i = 0; i < workers_.size(); ++i)
     {
@@ -56,6 +66,7 @@
         if (is_open(slot))
         {
             open_free_ += slot.free;
+            piece_ = smaller(piece_, scaled(slot.view->size, piece_share));
         }
     }
     std::ranges::sort(job_racks_);
@@ -145,13 +156,34 @@
                    workers_[worker].view->running[running].job->task_size);
 }
 
-bool shard_state::leaves_headroom(const resources& size) const
+void shard_state::set_load(std::size_t worker, std::size_t running, float load)
+{
+    running_slot& task = workers_[worker].running[running];
+    workers_[worker].loads[task.kind] += load - task.load;
+    task.load = load;
+}
+
+bool shard_state::leaves_headroom(const worker_slot& worker,
+                                  const resources& size) const
 {
     // A task that is almost as large as the shard would never start otherwise.
     const resources with_headroom = size + headroom_;
-    return (with_headroom.processors <= open_free_.processors &&
-            with_headroom.memory <= open_free_.memory) ||
-           !with_headroom.fits_in(capacity_);
+    if (!with_headroom.fits_in(capacity_))
+    {
+        return true;
+    }
+    if (with_headroom.processors > open_free_.processors ||
+        with_headroom.memory > open_free_.memory)
+    {
+        return false;
+    }
+    if (workers_with_piece_ == 0)
+    {
+        // Only the worker that comes closest is kept from filling up.
+        return &worker != most_free_ || headroom_ == resources();
+    }
+    return workers_with_piece_ > 1 || !has_piece(worker.free) ||
+           has_piece(worker.free - size);
 }
 
 std::size_t shard_state::tasks_in_rack(std::uint64_t job,
@@ -167,11 +199,20 @@
 void shard_state::find_largest_free()
 {
     largest_free_ = resources();
+    workers_with_piece_ = 0;
+    most_free_ = nullptr;
     for (const worker_slot& slot : workers_)
     {
-        if (slot.view->accepts_starts)
+        if (!is_open(slot))
+        {
+            continue;
+        }
+        largest_free_ = larger(largest_free_, slot.free);
+        workers_with_piece_ += has_piece(slot.free) ? 1U : 0U;
+        if (most_free_ == nullptr ||
+            slot.free.processors > most_free_->free.processors)
         {
-            largest_free_ = larger(largest_free_, slot.free);
+            most_free_ = &slot;
         }
     }
 }
--- a/src/batch/shard_state.hpp
+++ b/src/batch/shard_state.hpp
@@ -69,6 +69,9 @@
     // The capacity stays in use until the task has stopped.
     void mark_evicted(std::size_t worker, std::size_t running);
 
+    // Replaces the load of a task whose last report is older than its throttle.
+    void set_load(std::size_t worker, std::size_t running, float load);
+
     std::span<const worker_slot> workers() const { return workers_; }
     const worker_slot& worker(std::size_t index) const
     {
@@ -80,8 +83,10 @@
     time_point now() const { return now_; }
     std::size_t racks() const { return racks_.size(); }
 
-    // True when the task leaves the headroom for urgent work free.
-    bool leaves_headroom(const resources& size) const;
+    // True when the task leaves the headroom for urgent work free: the whole
+    // amount in the shard, and a piece for one urgent task on one worker.
+    bool leaves_headroom(const worker_slot& worker,
+                         const resources& size) const;
     // No worker has more of any resource free.
     const resources& largest_free() const { return largest_free_; }
     // Tasks of the job in the rack.
@@ -99,6 +104,11 @@
     void add_worker(const worker_view& view, class_table& classes,
                     const run_time_estimator& estimator, worker_slot& slot);
     void find_largest_free();
+    bool has_piece(const resources& free) const
+    {
+        return piece_.processors <= free.processors &&
+               piece_.memory <= free.memory;
+    }
     bool is_open(const worker_slot& slot) const
     {
         return slot.view->accepts_starts && !slot.quarantined;
@@ -113,6 +123,10 @@
     resources open_free_;
     resources capacity_;
     resources largest_free_;
+    // Room that one worker keeps for an urgent task.
+    resources piece_;
+    std::size_t workers_with_piece_ = 0;
+    const worker_slot* most_free_ = nullptr;
     std::size_t running_tasks_ = 0;
     time_point now_;
 };
--- a/src/batch/tail_guard.hpp
+++ b/src/batch/tail_guard.hpp
@@ -48,8 +48,15 @@
     {
         bool known = false;
         float tail = 0.0F;
-        time_point learnt_at;
-        // Logarithm of the tail that is predicted without neighbours.
+        // Sums since the last sample was learnt from.
+        time_point window_start;
+        float window_rate = 0.0F;
+        class_loads window_neighbours{};
+        float window_count = 0.0F;
+        time_point high_since;
+        // Logarithm of the tail without neighbours in this shard. It follows
+        // low values fast and high values slowly, because instances in other
+        // shards only raise the tail.
         float undisturbed = 0.0F;
         rate_series series;
     };
@@ -59,7 +66,10 @@
         std::uint64_t worker = 0;
         time_point since;
         time_point hold_until;
+        // Zero while the task is throttled.
+        time_point resumed_at;
         float effect = 0.0F;
+        float full_load = 0.0F; // zero when it was throttled by another owner
         std::uint16_t kind = 0;
         bool seen = true;
     };
@@ -74,15 +84,32 @@
 
     void learn(std::span<const service_tail> tails, const shard_state& state,
                class_table& classes, interference_model& model);
-    void match_throttled(const shard_state& state);
+    void learn_window(std::size_t kind, service_state& s,
+                      interference_model& model);
+    // Follows the shares in the view and corrects the loads by them.
+    void match_throttled(shard_state& state);
+    bool is_throttled(std::uint64_t key) const;
     float tail_at(const worker_slot& worker) const;
+    // True when the tail is predicted to be high at this worker itself, or
+    // when the model knows too little to tell.
+    bool is_suspect(const worker_slot& worker,
+                    const interference_model& model) const;
+    bool is_high_for(duration length, const worker_slot& worker,
+                     time_point now) const;
+    // Logarithm by which the predicted tail is above what placing may cause.
+    float predicted_excess(const worker_slot& worker,
+                           const interference_model& model) const;
+    // Batch tasks on the worker, worst first.
+    std::vector<neighbour> neighbours_on(std::uint32_t w,
+                                         const worker_slot& worker,
+                                         const interference_model& model) const;
     std::vector<neighbour>
     worst_neighbours(const shard_state& state,
                      const interference_model& model) const;
     void throttle(const shard_state& state, const interference_model& model,
                   placement_output& output);
-    void evict(shard_state& state, eviction_budget& budget,
-               placement_output& output);
+    void evict(shard_state& state, const interference_model& model,
+               eviction_budget& budget, placement_output& output);
     void resume(const shard_state& state, placement_output& output);
 
     policy_options options_;
--- a/src/batch/target_policy.cpp
+++ b/src/batch/target_policy.cpp
@@ -82,7 +82,7 @@
             evict_for(d, cause, output);
         }
     }
-    place_batch(input, output);
+    place_batch(output);
     return output;
 }
 
@@ -169,8 +169,7 @@
     return d.service ? tier::service : tier::batch;
 }
 
-void target_policy::place_batch(const placement_input& input,
-                                placement_output& output)
+void target_policy::place_batch(placement_output& output)
 {
     const auto first = std::ranges::find(
         demands_, tier::batch, [](const demand& d) { return tier_of(d); });
@@ -195,7 +194,7 @@
         {
             continue;
         }
-        if (input.now - d.task->submitted_at >= options_.reclaim_after)
+        if (may_reclaim(d))
         {
             evict_for(d, cause, output);
         }
@@ -327,6 +326,21 @@
                    state_.now() + eviction_wait, true, d.urgent});
 }
 
+bool target_policy::may_reclaim(const demand& d) const
+{
+    const duration waited = state_.now() - d.task->submitted_at;
+    if (waited >= options_.reclaim_after)
+    {
+        return true;
+    }
+    const duration target =
+        d.task->kind == nullptr ? duration(0) : d.task->kind->target;
+    return waited >= options_.reclaim_not_before &&
+           static_cast<double>(d.slack.count()) <
+               options_.reclaim_slack_share *
+                   static_cast<double>(target.count());
+}
+
 void target_policy::reserve_worker(const demand& d)
 {
     if (reserved_.has_drain() || reserved_.find(d.key) != nullptr ||
--- a/src/batch/target_policy.hpp
+++ b/src/batch/target_policy.hpp
@@ -64,10 +64,11 @@
     // Makes room by evictions when they can help.
     void evict_for(const demand& d, waiting_cause cause,
                    placement_output& output);
+    bool may_reclaim(const demand& d) const;
     void reserve_worker(const demand& d);
     bool try_probe(const demand& d, placement_output& output);
 
-    void place_batch(const placement_input& input, placement_output& output);
+    void place_batch(placement_output& output);
     // The cause for which a task of the same kind that is not larger could
     // not be placed in this pass, or none.
     waiting_cause known_obstacle(const demand& d) const;
--- a/src/batch/worker_choice.cpp
+++ b/src/batch/worker_choice.cpp
@@ -2,6 +2,7 @@
 #include "batch/worker_choice.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hemlockdeal
 {
@@ -134,7 +135,7 @@
     const reservation* const own = reserved_.find(d.key);
     const bool has_place =
         own != nullptr && own->by_eviction && own->worker == worker.hash;
-    if (!d.urgent && !has_place && !state_.leaves_headroom(size))
+    if (!d.urgent && !has_place && !state_.leaves_headroom(worker, size))
     {
         return waiting_cause::headroom;
     }
@@ -157,6 +158,17 @@
                });
 }
 
+double worker_choice::added_tail(std::size_t service, const demand& d,
+                                 const worker_slot& worker, double load) const
+{
+    // Limits the effect of coefficients that are learnt too high.
+    constexpr double largest = 3.0;
+    const double before = model_.slowdown(service, worker.loads);
+    const double after = before + load * model_.suspected(service, d.kind);
+    return std::exp(std::min(after, largest)) -
+           std::exp(std::min(before, largest));
+}
+
 double worker_choice::cost(const demand& d, const worker_slot& worker) const
 {
     const double load = load_of(d, worker);
@@ -165,14 +177,13 @@
         load * static_cast<double>(model_.slowdown(d.kind, worker.loads));
     for (std::size_t kind = 0; kind < worker.loads.size(); ++kind)
     {
-        const float present = worker.loads[kind];
-        if (present > 0.0F)
+        const double present = worker.loads[kind];
+        if (present > 0.0)
         {
             const bool service = (worker.services & (1U << kind)) != 0;
             interference +=
-                (service ? service_weight : 1.0) * load *
-                static_cast<double>(model_.coefficient(kind, d.kind) *
-                                    (service ? 1.0F : present));
+                service ? service_weight * added_tail(kind, d, worker, load)
+                        : present * load * model_.coefficient(kind, d.kind);
         }
     }
     double rack = 0.0;
@@ -181,14 +192,18 @@
         rack = static_cast<double>(state_.tasks_in_rack(d.job, worker.rack)) /
                static_cast<double>(d.task->job->tasks);
     }
-    // Batch work fills workers up, which keeps large gaps for large and for
-    // urgent tasks; services go where most is left.
-    const double left = static_cast<double>(worker.free.processors.value) /
-                        static_cast<double>(std::max<std::int64_t>(
-                            worker.view->size.processors.value, 1));
+    // Batch work fills workers up, which keeps large gaps for large tasks.
+    // Services, and work next to them, go where most is left by measured use,
+    // because the slowest instance makes the tail.
+    const double of_worker = static_cast<double>(
+        std::max<std::int64_t>(worker.view->size.processors.value, 1));
+    const double fit =
+        d.service || worker.services != 0
+            ? -static_cast<double>(worker.unused.processors.value) / of_worker
+            : static_cast<double>(worker.free.processors.value) / of_worker;
     const double failures = std::min(worker.failures_in_row, failures_counted);
     return interference + rack_weight * rack + failure_weight * failures +
-           fit_weight * (d.service ? -left : left);
+           fit_weight * fit;
 }
 
 } // namespace hemlockdeal
--- a/src/batch/worker_choice.hpp
+++ b/src/batch/worker_choice.hpp
@@ -41,6 +41,10 @@
                                const worker_slot& worker) const;
     bool may_repeat_on_failed(const demand& d) const;
     double cost(const demand& d, const worker_slot& worker) const;
+    // Predicted growth of the service's tail, as a multiple of that without
+    // neighbours.
+    double added_tail(std::size_t service, const demand& d,
+                      const worker_slot& worker, double load) const;
 
     const policy_options& options_;
     const shard_state& state_;
--- a/tests/policy/worker_health_test.cpp
+++ b/tests/policy/worker_health_test.cpp
@@ -20,6 +20,7 @@
     worker_health health(options);
     const int workers = random.in_range(1, 31);
     std::vector<std::uint64_t> all;
+    all.reserve(30);
     for (int w = 0; w < workers; ++w)
     {
         all.push_back(stable_hash(std::to_string(w)));
