--- a/src/batch/batch.hpp
+++ b/src/batch/batch.hpp
@@ -7,3 +7,4 @@
 #include "batch/batch_options.hpp"
 #include "batch/first_fit_policy.hpp"
 #include "batch/placement_policy.hpp"
+#include "batch/target_policy.hpp"
--- a/src/hemlockdeald/batch_duty.hpp
+++ b/src/hemlockdeald/batch_duty.hpp
@@ -72,7 +72,7 @@
 
 private:
     using keeper = configuration_keeper<declaration_text_parser>;
-    using core = batch_core<first_fit_policy>;
+    using core = batch_core<target_policy>;
 
     struct machines
     {
