Put reinstated instances on trial

Cause: after each ejection a slow instance got several requests from each daemon before it was ejected again. Change: a reinstated instance gets one request at a time and is ejected again after one failure or slow response, until five responses were good.

--- a/src/request/ejector.cpp
+++ b/src/request/ejector.cpp
@@ -152,8 +152,11 @@
     std::vector<duration> means;
     const auto is_judged = [&](instance_index i) {
         const endpoint_instance& e = directory_.at(i);
+        // One response is enough for an instance that was slow before.
+        const std::uint64_t needed =
+            e.health.is_on_trial() ? 1 : samples_to_judge;
         return !e.health.is_ejected() &&
-               e.health.responses().samples() >= samples_to_judge;
+               e.health.responses().samples() >= needed;
     };
     const auto& tiers = directory_.service(s).tiers;
     for (const auto& tier : tiers)
--- a/src/request/instance_health.cpp
+++ b/src/request/instance_health.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned max_doublings = 5; // 32 s
 // A probe with no reply is repeated after this time.
 constexpr duration probe_timeout = std::chrono::seconds(2);
+constexpr unsigned failures_on_trial = 100;
+constexpr unsigned responses_to_pass_trial = 5;
 // This many responses in a row end the memory of earlier ejections.
 constexpr unsigned responses_to_forget = 50;
 
@@ -22,6 +24,7 @@
 {
     responses_.add(elapsed);
     failures_ = 0;
+    on_trial_ = on_trial_ && good_responses_ + 1 < responses_to_pass_trial;
     if (++good_responses_ >= responses_to_forget)
     {
         ejections_ = 0;
@@ -31,7 +34,9 @@
 unsigned instance_health::add_failure()
 {
     good_responses_ = 0;
-    return ++failures_;
+    // Reaches every limit at once on trial.
+    failures_ += on_trial_ ? failures_on_trial : 1;
+    return failures_;
 }
 
 void instance_health::eject(time_point now)
@@ -56,7 +61,7 @@
 {
     ejected_until_.reset();
     responses_.reset();
-    failures_ = std::max(failures_, 2U);
+    on_trial_ = true;
 }
 
 } // namespace hemlockdeal
--- a/src/request/router.hpp
+++ b/src/request/router.hpp
@@ -36,6 +36,7 @@
         const endpoint_instance& e = directory_.at(members_[i]);
         return Policy::has_slot(in_flight(i), e.share.usable(now_)) &&
                Policy::may_receive(e.is_leaving()) && !e.health.is_ejected() &&
+               !(e.health.is_on_trial() && in_flight(i) > 0) &&
                excluded_ != members_[i];
     }
 
