Name the operators' address of each peer in the status

Change: the address comes from the known peers of the settings; the test uses the new name, with no change to what it checks. Figures before: tests/batch/cluster.cpp 1 compile error. Conclusion: the field is empty only for peers that the settings do not name.

--- a/src/hemlockdeald/batch_duty.cpp
+++ b/src/hemlockdeald/batch_duty.cpp
@@ -447,9 +447,22 @@
     }
     s.shards = machines_->batch.status(now);
     s.peers = machines_->configuration.peers(now);
+    std::ranges::for_each(
+        s.peers, [this](peer_status& peer) { add_operators_address(peer); });
     return s;
 }
 
+// The tool asks each daemon for its part of the time line at this address.
+void batch_duty::add_operators_address(peer_status& peer) const
+{
+    const auto& known = settings_.peers.known;
+    const auto found = std::ranges::find(known, peer.vm, &known_peer::id);
+    if (found != known.end())
+    {
+        peer.operators = to_text(found->operators);
+    }
+}
+
 void batch_duty::add_tail(class_status& line) const
 {
     const auto tail =
--- a/src/hemlockdeald/batch_duty.hpp
+++ b/src/hemlockdeald/batch_duty.hpp
@@ -93,6 +93,7 @@
     void answer(std::uint64_t number, operator_reply reply);
     daemon_status status(time_point now) const;
     void add_tail(class_status& line) const;
+    void add_operators_address(peer_status& peer) const;
     void take_membership(const shared_membership& list, time_point now);
 
     daemon_settings settings_;
--- a/tests/batch/cluster.cpp
+++ b/tests/batch/cluster.cpp
@@ -483,7 +483,7 @@
 void cluster::take_lease_conflict(daemon& owner, const commit_conflict& c)
 {
     const commit_conflict::row& row = c.rows.front();
-    const std::optional<lease_row> present =
+    const std::optional<lease_content> present =
         row.value ? decode_lease(*row.value) : std::nullopt;
     owner.lease_version.reset();
     if (row.value)
