--- a/src/hemlockdeald/duty.cpp
+++ b/src/hemlockdeald/duty.cpp
@@ -6,8 +6,12 @@
 namespace hemlockdeal
 {
 
-duty::duty(const QString& name)
+duty::duty(const QString& name, QAbstractEventDispatcher* dispatcher)
 {
+    if (dispatcher != nullptr)
+    {
+        thread_.setEventDispatcher(dispatcher);
+    }
     thread_.setObjectName(name);
     context_.moveToThread(&thread_);
 }
--- a/src/hemlockdeald/duty.hpp
+++ b/src/hemlockdeald/duty.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include <QAbstractEventDispatcher>
 #include <QObject>
 #include <QString>
 #include <QThread>
@@ -13,7 +14,9 @@
 class duty
 {
 public:
-    explicit duty(const QString& name);
+    // Takes `dispatcher` over; Qt's own is used when it is null.
+    explicit duty(const QString& name,
+                  QAbstractEventDispatcher* dispatcher = nullptr);
     duty(const duty&) = delete;
     duty& operator=(const duty&) = delete;
     // Stops the thread.
