--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -47,7 +47,7 @@
                       timeout=120).stdout.strip())
 
         record = bed.record(["receipt-1"])
-        finished = sum(t["finishes"] for t in record["tasks"].values())
+        finished = sum(t.get("finishes", 0) for t in record["tasks"].values())
         print("summary:")
         print(f"  requests: {dict(outcomes)}, median "
               f"{times[len(times) // 2]:.1f} ms, p99 "
--- a/src/batch/submission_desk.cpp
+++ b/src/batch/submission_desk.cpp
@@ -147,6 +147,9 @@
     if (outcome.outcome == commit_result::kind::done)
     {
         notify(parts);
+        record("job.accepted", job.id,
+               std::to_string(job.tasks) + " tasks in " +
+                   std::to_string(parts.size()) + " parts");
         answer(number, submission_accepted{job.id});
         return;
     }
@@ -326,6 +329,16 @@
         now);
 }
 
+void submission_desk::record(std::string kind, const job_id& job,
+                             std::string text)
+{
+    timeline_event event;
+    event.kind = std::move(kind);
+    event.job = job.value();
+    event.text = std::move(text);
+    context_.actions.emplace_back(record_event{std::move(event)});
+}
+
 void submission_desk::answer(std::uint64_t number, operator_reply reply)
 {
     --open_;
--- a/src/batch/submission_desk.hpp
+++ b/src/batch/submission_desk.hpp
@@ -50,6 +50,7 @@
     void send_cancellation(std::uint64_t number, const job_id& job,
                            const job_state& state, time_point now);
     void look(std::uint64_t number, time_point now);
+    void record(std::string kind, const job_id& job, std::string text);
     void answer(std::uint64_t number, operator_reply reply);
     void refuse(std::uint64_t number, error_code code, std::string message);
     void notify(const std::vector<job_row_part>& parts);
--- a/src/batch/work_mover.cpp
+++ b/src/batch/work_mover.cpp
@@ -173,6 +173,8 @@
         if (find_target(ref.part->job, now, true))
         {
             ++evicted;
+            state_.record_event("task.evict", *ref.part, ref.task(),
+                                "the zone is out");
             state_.stop(ref, now);
         }
     }
