Choose test ports below the range of outgoing connections

Cause: daemons_killed_test failed once in a fresh clone with 'entry-4: not reached', beside another test bed: its port lay in the range that the system gives to outgoing connections. Change: ports between 10000 and 32000, and a daemon that ended is reported with its log. The log of the failed run was not kept, so the cause is inferred.

--- a/scripts/testbed.py
+++ b/scripts/testbed.py
@@ -3,6 +3,7 @@
 
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -19,13 +20,19 @@
 
 
 def free_ports(count):
-    """Ports that were free a moment ago; all are held until all are chosen."""
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Ports below the range from which the system gives ports to outgoing
+    connections (32768 and up): one of those could be taken between this check
+    and the start of the daemon."""
+    ports = []
+    candidates = random.SystemRandom().sample(range(10000, 32000), 20 * count)
+    while len(ports) < count:
+        port = candidates.pop()
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
@@ -215,9 +222,13 @@
         for daemon in self.daemons:
             self.start_daemon(daemon)
         for daemon in self.daemons:
-            self.wait_for(
-                lambda d=daemon: http("GET", d.caller_url("/healthz"))[0] == 200,
-                15, daemon.id)
+            self.wait_for(lambda d=daemon: self.healthy(d), 15, daemon.id)
+
+    def healthy(self, daemon):
+        if daemon.process.poll() is not None:
+            with open(daemon.log) as log:
+                raise RuntimeError(f"{daemon.id} ended: {log.read()[-2000:]}")
+        return http("GET", daemon.caller_url("/healthz"))[0] == 200
 
     def wait_for(self, condition, seconds, what):
         """Returns the condition's value as soon as it is true."""
