--- a/src/batch/submission_desk.cpp
+++ b/src/batch/submission_desk.cpp
@@ -185,24 +185,10 @@
 void submission_desk::query(std::uint64_t number, const job_id& job,
                             time_point now)
 {
-    reader_.read(
-        job,
-        [this, number, job](const result<std::optional<job_state>>& read,
-                            time_point) {
-            if (!is_ok(read))
-            {
-                refuse(number, error_code::unavailable,
-                       "the state of the job could not be read: " +
-                           error_of(read).message);
-                return;
-            }
-            if (!value_of(read))
-            {
-                refuse(number, error_code::not_found,
-                       "job \"" + job.value() + "\" does not exist");
-                return;
-            }
-            job_status status = value_of(read)->status(job);
+    read_state(
+        number, job, "",
+        [this, number, job](const job_state& state, time_point) {
+            job_status status = state.status(job);
             const bool waits =
                 status.tasks_by_state.contains("waiting") ||
                 status.tasks_by_state.contains("waiting_to_resume");
@@ -217,15 +203,34 @@
 
 void submission_desk::cancel(std::uint64_t number, const job_id& job,
                              time_point now)
+{
+    read_state(
+        number, job, "not cancelled: ",
+        [this, number, job](const job_state& state, time_point at) {
+            const cancel_outcome known = state.cancelled_as();
+            if (known != cancel_outcome::unknown_yet)
+            {
+                answer(number, cancellation_recorded{job, known});
+                return;
+            }
+            send_cancellation(number, job, state, at);
+        },
+        now);
+}
+
+void submission_desk::read_state(
+    std::uint64_t number, const job_id& job, const std::string& consequence,
+    std::function<void(const job_state&, time_point)> use, time_point now)
 {
     reader_.read(
         job,
-        [this, number, job](const result<std::optional<job_state>>& read,
-                            time_point at) {
+        [this, number, job, consequence, use = std::move(use)](
+            const result<std::optional<job_state>>& read, time_point at) {
             if (!is_ok(read))
             {
                 refuse(number, error_code::unavailable,
-                       "not cancelled: the job could not be read: " +
+                       consequence +
+                           "the state of the job could not be read: " +
                            error_of(read).message);
                 return;
             }
@@ -235,14 +240,7 @@
                        "job \"" + job.value() + "\" does not exist");
                 return;
             }
-            const job_state& state = *value_of(read);
-            const cancel_outcome known = state.cancelled_as();
-            if (known != cancel_outcome::unknown_yet)
-            {
-                answer(number, cancellation_recorded{job, known});
-                return;
-            }
-            send_cancellation(number, job, state, at);
+            use(*value_of(read), at);
         },
         now);
 }
