--- a/src/proxy/epoll_dispatcher.cpp
+++ b/src/http/epoll_dispatcher.cpp
@@ -1,5 +1,5 @@
 // Implements the event dispatcher with epoll and an eventfd.
-#include "proxy/epoll_dispatcher.hpp"
+#include "http/epoll_dispatcher.hpp"
 
 #include <algorithm>
 #include <cstdint>
--- /dev/null
+++ b/src/http/http.hpp
@@ -0,0 +1,10 @@
+// Public header of the HTTP library: a client and a server over plain sockets
+// for processes that have a tenth of a core.
+#pragma once
+
+#include "http/boot_clock.hpp"
+#include "http/epoll_dispatcher.hpp"
+#include "http/http_client.hpp"
+#include "http/http_message.hpp"
+#include "http/http_server.hpp"
+#include "http/socket_address.hpp"
--- /dev/null
+++ b/src/http/http_client_connection.cpp
@@ -0,0 +1,119 @@
+// Implements one connection of the HTTP client.
+#include "http/http_client_connection.hpp"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+constexpr std::uint64_t body_limit = 16ULL * 1024 * 1024;
+constexpr std::uint32_t header_limit = 16U * 1024;
+
+} // namespace
+
+http_client_connection::http_client_connection(
+    http_client& owner, std::unique_ptr<watched_socket> socket)
+    : owner_(owner), socket_(std::move(socket))
+{
+    socket_->on_readable([this] { on_readable(); });
+    socket_->on_writable([this] { on_writable(); });
+}
+
+void http_client_connection::send(http_client::call sent)
+{
+    auto bytes = std::move(sent.bytes);
+    calls_.push_back(std::move(sent));
+    // A failure shows as an event on the socket; the call is failed there.
+    socket_->send(std::move(bytes));
+}
+
+bool http_client_connection::has_expired(time_point now) const
+{
+    return !calls_.empty() && calls_.front().deadline <= now;
+}
+
+void http_client_connection::on_writable()
+{
+    connected_ = true;
+    if (!socket_->flush())
+    {
+        owner_.retire(*this, "connection refused or broken");
+    }
+}
+
+void http_client_connection::on_readable()
+{
+    const bool open = socket_->receive(received_);
+    if (!received_.empty())
+    {
+        connected_ = true;
+        if (!take_responses())
+        {
+            owner_.retire(*this, "response cannot be read");
+            return;
+        }
+    }
+    if (!open)
+    {
+        owner_.retire(*this, "connection closed");
+        return;
+    }
+    owner_.dispatch();
+}
+
+bool http_client_connection::take_responses()
+{
+    while (!received_.empty())
+    {
+        if (calls_.empty())
+        {
+            return false;
+        }
+        if (!parser_)
+        {
+            parser_.emplace();
+            parser_->eager(true);
+            parser_->body_limit(body_limit);
+            parser_->header_limit(header_limit);
+        }
+        boost::beast::error_code error;
+        const auto used =
+            parser_->put(boost::asio::buffer(received_), error);
+        received_.erase(0, used);
+        if (error == boost::beast::http::error::need_more)
+        {
+            return true;
+        }
+        if (error)
+        {
+            return false;
+        }
+        if (!parser_->is_done())
+        {
+            return true;
+        }
+        auto message = parser_->release();
+        parser_.reset();
+        http_response response;
+        response.status = message.result_int();
+        for (const auto& field : message)
+        {
+            response.headers.emplace_back(
+                std::string(field.name_string().data(),
+                            field.name_string().size()),
+                std::string(field.value().data(), field.value().size()));
+        }
+        response.body = std::move(message.body());
+        auto answered = std::move(calls_.front());
+        calls_.pop_front();
+        answered.handler(std::move(response));
+    }
+    return true;
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,145 @@
+// Implements the HTTP server: listening, accepting and expiry.
+#include "http/http_server.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+#include <QTimer>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/http_server_connection.hpp"
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+constexpr int backlog = 512;
+
+int listen_on(const socket_address& address)
+{
+    const int descriptor =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+    {
+        throw std::runtime_error("cannot create a socket");
+    }
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &at.sin_addr);
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&at), sizeof at) !=
+            0 ||
+        listen(descriptor, backlog) != 0)
+    {
+        ::close(descriptor);
+        throw std::runtime_error("cannot listen on " + to_text(address));
+    }
+    return descriptor;
+}
+
+} // namespace
+
+http_responder::http_responder(std::weak_ptr<http_server_connection> connection)
+    : connection_(std::move(connection))
+{}
+
+void http_responder::operator()(http_response response) const
+{
+    if (const auto connection = connection_.lock())
+    {
+        connection->respond(response);
+    }
+}
+
+bool http_responder::is_awaited() const
+{
+    return !connection_.expired();
+}
+
+http_server::http_server(const socket_address& address,
+                         http_server_limits limits, http_service service)
+    : limits_(limits), service_(std::move(service)),
+      listener_(listen_on(address))
+{
+    accepts_ =
+        std::make_unique<QSocketNotifier>(listener_, QSocketNotifier::Read);
+    QObject::connect(accepts_.get(), &QSocketNotifier::activated,
+                     accepts_.get(), [this] { accept_waiting(); });
+}
+
+http_server::~http_server()
+{
+    accepts_.reset();
+    ::close(listener_);
+}
+
+void http_server::accept_waiting()
+{
+    while (true)
+    {
+        const int descriptor =
+            accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0)
+        {
+            return;
+        }
+        if (connections_.size() >= limits_.connections)
+        {
+            ::close(descriptor);
+            continue;
+        }
+        const auto connection =
+            std::make_shared<http_server_connection>(*this, descriptor);
+        connections_[descriptor] = connection;
+        connection->start();
+    }
+}
+
+void http_server::remove(int descriptor)
+{
+    const auto found = connections_.find(descriptor);
+    if (found == connections_.end())
+    {
+        return;
+    }
+    // The connection may be executing one of its own functions.
+    QTimer::singleShot(0, [kept = found->second] {});
+    connections_.erase(found);
+}
+
+void http_server::expire(time_point now)
+{
+    std::vector<std::shared_ptr<http_server_connection>> expired;
+    for (const auto& [descriptor, connection] : connections_)
+    {
+        if (connection->has_expired(now))
+        {
+            expired.push_back(connection);
+        }
+    }
+    std::ranges::for_each(expired, [](const auto& c) { c->close(); });
+}
+
+void http_server::drain()
+{
+    draining_ = true;
+}
+
+std::size_t http_server::unanswered() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(connections_, [](const auto& entry) {
+            return entry.second->is_serving();
+        }));
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/http/http_server_connection.cpp
@@ -0,0 +1,176 @@
+// Implements one connection of the HTTP server.
+#include "http/http_server_connection.hpp"
+
+#include <utility>
+
+#include <QTimer>
+#include <boost/asio/buffer.hpp>
+
+#include "http/boot_clock.hpp"
+
+namespace hemlockdeal
+{
+
+namespace
+{
+
+namespace bhttp = boost::beast::http;
+
+constexpr unsigned bad_request = 400;
+constexpr unsigned payload_too_large = 413;
+constexpr unsigned header_too_large = 431;
+
+} // namespace
+
+http_server_connection::http_server_connection(http_server& server,
+                                               int descriptor)
+    : server_(server), descriptor_(descriptor), socket_(descriptor),
+      quiet_since_(boot_now())
+{}
+
+void http_server_connection::start()
+{
+    socket_.on_readable([this] { on_readable(); });
+}
+
+void http_server_connection::on_readable()
+{
+    const auto self = shared_from_this();
+    if (!socket_.receive(received_))
+    {
+        // Bytes before the close may hold a whole request whose caller only
+        // closed its sending side.
+        caller_closed_ = true;
+        if (!serving_)
+        {
+            close();
+        }
+        else
+        {
+            closed_ = true;
+            server_.remove(descriptor_);
+        }
+        return;
+    }
+    if (!serving_)
+    {
+        take_request();
+    }
+}
+
+void http_server_connection::on_writable()
+{
+    if (!socket_.flush())
+    {
+        close();
+        return;
+    }
+    if (!socket_.has_unsent() && close_after_response_ && !serving_)
+    {
+        close();
+    }
+}
+
+void http_server_connection::take_request()
+{
+    if (received_.empty())
+    {
+        return;
+    }
+    if (!parser_)
+    {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(server_.limits().header_bytes);
+        parser_->body_limit(server_.limits().body_bytes);
+        quiet_since_ = boot_now();
+    }
+    boost::beast::error_code error;
+    const auto used = parser_->put(boost::asio::buffer(received_), error);
+    received_.erase(0, used);
+    if (error && error != bhttp::error::need_more)
+    {
+        const bool large = error == bhttp::error::body_limit;
+        const bool long_header = error == bhttp::error::header_limit;
+        refuse(large ? payload_too_large
+                     : (long_header ? header_too_large : bad_request));
+        return;
+    }
+    if (!parser_->is_done())
+    {
+        return;
+    }
+    auto message = parser_->release();
+    parser_.reset();
+    serving_ = true;
+    close_after_response_ = !message.keep_alive();
+    server_.service_(to_request(message), http_responder(weak_from_this()));
+}
+
+void http_server_connection::refuse(unsigned status)
+{
+    serving_ = true;
+    close_after_response_ = true;
+    respond({status, {}, {}});
+}
+
+void http_server_connection::respond(const http_response& response)
+{
+    if (!serving_ || closed_)
+    {
+        return;
+    }
+    const auto self = shared_from_this();
+    serving_ = false;
+    quiet_since_ = boot_now();
+    close_after_response_ = close_after_response_ || server_.is_draining();
+    if (!socket_.send(to_bytes(response, close_after_response_)))
+    {
+        close();
+        return;
+    }
+    if (socket_.has_unsent())
+    {
+        socket_.on_writable([this] { on_writable(); });
+        return;
+    }
+    if (close_after_response_)
+    {
+        close();
+        return;
+    }
+    if (!received_.empty())
+    {
+        // The service may answer from within its call; the next request must
+        // not deepen the stack.
+        QTimer::singleShot(0, [self] {
+            if (!self->serving_ && !self->closed_)
+            {
+                self->take_request();
+            }
+        });
+    }
+}
+
+bool http_server_connection::has_expired(time_point now) const
+{
+    if (serving_)
+    {
+        return false;
+    }
+    const auto limit = parser_ ? server_.limits().request_time
+                               : server_.limits().idle_time;
+    return now - quiet_since_ > limit;
+}
+
+void http_server_connection::close()
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    server_.remove(descriptor_);
+}
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/http/http_server_connection.hpp
@@ -0,0 +1,53 @@
+// One connection of the HTTP server.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/beast/http.hpp>
+
+#include "http/http_server.hpp"
+#include "http/watched_socket.hpp"
+
+namespace hemlockdeal
+{
+
+// Serves one request at a time; a caller may send the next one early.
+class http_server_connection
+    : public std::enable_shared_from_this<http_server_connection>
+{
+public:
+    http_server_connection(http_server& server, int descriptor);
+
+    void start();
+    void respond(const http_response& response);
+    bool is_serving() const { return serving_; }
+    // True when the connection has been idle, or a request incomplete, for
+    // longer than the limits allow.
+    bool has_expired(time_point now) const;
+    void close();
+
+private:
+    using parser =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void on_readable();
+    void on_writable();
+    // Hands the next complete request to the service.
+    void take_request();
+    void refuse(unsigned status);
+
+    http_server& server_;
+    int descriptor_;
+    watched_socket socket_;
+    std::string received_;
+    std::optional<parser> parser_;
+    bool serving_ = false;
+    bool close_after_response_ = false;
+    bool caller_closed_ = false;
+    bool closed_ = false;
+    time_point quiet_since_;
+};
+
+} // namespace hemlockdeal
--- /dev/null
+++ b/src/jobs/fleet_worker.cpp
@@ -0,0 +1,133 @@
+// Sums and clock arithmetic of one worker.
+#include "jobs/fleet_worker.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+constexpr duration lapse_margin = std::chrono::milliseconds(100);
+
+} // namespace
+
+run_record make_run(const step& s, std::uint32_t run, time_point now)
+{
+    run_record record;
+    record.run = run;
+    record.size = s.size;
+    record.fills = s.fills;
+    record.is_lasting = s.is_lasting;
+    record.saves_progress = s.saves_progress;
+    record.image = s.image;
+    record.estimate = s.estimate;
+    record.tail_target = s.tail_target;
+    record.ordered_at = now;
+    record.progressed_at = now;
+    return record;
+}
+
+fleet_worker::fleet_worker(worker_entry e) : entry(std::move(e)) {}
+
+bool fleet_worker::is_reachable(time_point now, duration limit) const
+{
+    if (!contact_at || failed_looks > 0)
+    {
+        return false;
+    }
+    // A worker without runs is not looked at; an unanswered look shows that
+    // it has gone silent.
+    return !look_sent_at || now - *look_sent_at < limit;
+}
+
+run_record* fleet_worker::find_run(const task_key& key)
+{
+    const auto found = runs_.find(key);
+    return found == runs_.end() ? nullptr : &found->second;
+}
+
+run_record& fleet_worker::add_run(const task_key& key, const run_record& run)
+{
+    erase_run(key);
+    account(run, 1);
+    return runs_.emplace(key, run).first->second;
+}
+
+void fleet_worker::erase_run(const task_key& key)
+{
+    const auto found = runs_.find(key);
+    if (found == runs_.end())
+    {
+        return;
+    }
+    account(found->second, -1);
+    runs_.erase(found);
+}
+
+std::size_t fleet_worker::runs_of_step(const task_key& key) const
+{
+    const auto first =
+        runs_.lower_bound({key.job, key.occurrence, key.step, 0});
+    const auto last = runs_.lower_bound({key.job, key.occurrence, key.step + 1, 0});
+    return static_cast<std::size_t>(std::distance(first, last));
+}
+
+void fleet_worker::account(const run_record& run, int sign)
+{
+    used_.processor_millis += run.fills ? 0 : sign * run.size.processor_millis;
+    used_.memory_mb += sign * run.size.memory_mb;
+    used_.accelerators += sign * run.size.accelerators;
+    fill_demand_ += run.fills ? sign * run.size.processor_millis : 0;
+    const auto step = static_cast<std::size_t>(sign);
+    serving_ += run.is_serving() ? step : 0;
+    fills_ += run.fills ? step : 0;
+}
+
+void fleet_worker::note_clock(worker_clock clock, time_point received)
+{
+    clock_known_ = true;
+    clock_ = clock;
+    clock_read_at_ = received;
+}
+
+worker_clock fleet_worker::clock_at(time_point now) const
+{
+    return clock_ + std::chrono::duration_cast<worker_clock>(
+                        now - clock_read_at_);
+}
+
+void fleet_worker::note_deadline(worker_clock deadline)
+{
+    latest_deadline_ = std::max(latest_deadline_, deadline);
+}
+
+time_point fleet_worker::lapses_at(double clock_error) const
+{
+    const auto left = std::chrono::duration_cast<duration>(
+        latest_deadline_ - clock_);
+    const auto slowest = std::chrono::duration_cast<duration>(
+        left / (1.0 - clock_error));
+    return clock_read_at_ + slowest + lapse_margin;
+}
+
+void fleet_worker::restart(worker_birth born)
+{
+    entry.born = born;
+    while (!runs_.empty())
+    {
+        erase_run(task_key(runs_.begin()->first));
+    }
+    health = {};
+    taken_ends = 0;
+    sent_to_store = 0;
+    stored_ends = 0;
+    clock_known_ = false;
+    latest_deadline_ = {};
+    failed_looks = 0;
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/fleet_worker.hpp
@@ -0,0 +1,138 @@
+// What the leader knows of one worker: its room, its clock, and every run
+// that may be on it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "jobs/scheduler_options.hpp"
+#include "jobs/worker_report.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+// A run that is, or may be, on a worker. It counts against the worker's room
+// until it is known to be over.
+struct run_record
+{
+    std::uint32_t run = 0;
+    task_size size;
+    bool fills = false;
+    bool is_lasting = false;
+    bool saves_progress = false;
+    std::string image;
+    duration estimate{};
+    duration tail_target{};
+
+    time_point ordered_at{};
+    // When the worker said that it has the run, by answer or report.
+    std::optional<time_point> confirmed_at;
+    // The order had no answer.
+    bool is_unresolved = false;
+    worker_clock start_deadline{};
+    std::optional<time_point> stop_ordered_at;
+    std::optional<time_point> stop_confirmed_at;
+    // Reports in a row that should have shown the run and did not.
+    unsigned missing = 0;
+
+    int percent = 0;
+    time_point progressed_at{};
+    std::int64_t figure = -1;
+    int pace = 100;
+    std::string checkpoint;
+
+    bool is_serving() const { return tail_target > duration{}; }
+};
+
+// The record of a run of this step that is ordered now.
+run_record make_run(const step& s, std::uint32_t run, time_point now);
+
+// Repeated failures by the same worker's fault.
+struct worker_health
+{
+    // Failures in a row, of different jobs.
+    unsigned failures = 0;
+    job_id last_failed_job;
+    time_point avoided_until{};
+    duration avoidance{};
+    // Duration of runs against their estimate, smoothed; 0 if unknown.
+    double slowness = 0.0;
+};
+
+class fleet_worker
+{
+public:
+    explicit fleet_worker(worker_entry entry);
+
+    worker_entry entry;
+    // Not in the membership list any more.
+    bool is_unlisted = false;
+    // The store's list of workers that may run tasks names this one.
+    bool is_recorded = false;
+    worker_health health;
+    // The worker refused a task for want of room that it seemed to have.
+    time_point full_until{};
+
+    // Ends up to this number have been taken.
+    std::uint64_t taken_ends = 0;
+    // Up to this number they have been given to the store.
+    std::uint64_t sent_to_store = 0;
+    // Up to this number the store has them.
+    std::uint64_t stored_ends = 0;
+
+    std::optional<time_point> look_sent_at;
+    time_point next_look{};
+    // The latest look that was answered, by the time when it was sent.
+    std::optional<time_point> contact_at;
+    unsigned failed_looks = 0;
+
+    bool has_been_seen() const { return contact_at.has_value(); }
+    // True while answers come.
+    bool is_reachable(time_point now, duration limit) const;
+    bool has_unstored_ends() const { return taken_ends > stored_ends; }
+
+    // The runs that are, or may be, on the worker.
+    const std::map<task_key, run_record>& runs() const { return runs_; }
+    run_record* find_run(const task_key& key);
+    run_record& add_run(const task_key& key, const run_record& run);
+    void erase_run(const task_key& key);
+    std::size_t runs_of_step(const task_key& key) const;
+
+    // Room that is reserved; fill tasks reserve memory only.
+    const task_size& room_used() const { return used_; }
+    // Processors that fill tasks ask for.
+    std::int64_t fill_demand() const { return fill_demand_; }
+    std::size_t serving_count() const { return serving_; }
+    std::size_t fill_count() const { return fills_; }
+
+    void note_clock(worker_clock clock, time_point received);
+    bool knows_clock() const { return clock_known_; }
+    // What the worker's clock shows now, if it runs at the right speed.
+    worker_clock clock_at(time_point now) const;
+    // Remembers the latest deadline that was ordered.
+    void note_deadline(worker_clock deadline);
+    // From then on every lease that was ordered has surely ended.
+    time_point lapses_at(double clock_error) const;
+
+    // The worker has started again: it runs nothing and remembers nothing.
+    void restart(worker_birth born);
+
+private:
+    void account(const run_record& run, int sign);
+
+    // Invariant: the sums below are those of the runs.
+    std::map<task_key, run_record> runs_;
+    task_size used_;
+    std::int64_t fill_demand_ = 0;
+    std::size_t serving_ = 0;
+    std::size_t fills_ = 0;
+
+    bool clock_known_ = false;
+    worker_clock clock_{};
+    time_point clock_read_at_{};
+    worker_clock latest_deadline_{};
+};
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/job.cpp
@@ -0,0 +1,68 @@
+// Names of tasks and the length of a job's chain.
+#include "jobs/job.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+// Cuts the number before the next dot off `text`.
+bool take_number(std::string_view& text, std::uint32_t& number)
+{
+    const auto* const end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, number);
+    if (read.ec != std::errc{} || (read.ptr != end && *read.ptr != '.'))
+    {
+        return false;
+    }
+    const auto used = static_cast<std::size_t>(read.ptr - text.data());
+    text.remove_prefix(std::min(used + 1, text.size()));
+    return true;
+}
+
+} // namespace
+
+std::string to_text(const task_key& key)
+{
+    return key.job.value() + '.' + std::to_string(key.occurrence) + '.' +
+           std::to_string(key.step) + '.' + std::to_string(key.index);
+}
+
+std::optional<task_key> parse_task_key(std::string_view text)
+{
+    const auto dot = text.find('.');
+    if (dot == 0 || dot == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    task_key key;
+    key.job = job_id(std::string(text.substr(0, dot)));
+    text.remove_prefix(dot + 1);
+    const bool read = take_number(text, key.occurrence) &&
+                      take_number(text, key.step) &&
+                      take_number(text, key.index) && text.empty();
+    return read ? std::optional(key) : std::nullopt;
+}
+
+duration longest_chain(const std::vector<step>& steps)
+{
+    std::vector<duration> ends(steps.size());
+    duration longest{};
+    for (std::size_t i = 0; i < steps.size(); ++i)
+    {
+        duration begin{};
+        for (const auto before : steps[i].after)
+        {
+            begin = std::max(begin, ends[before]);
+        }
+        ends[i] = begin + steps[i].estimate;
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/job.hpp
@@ -0,0 +1,123 @@
+// Jobs as callers submit them.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/core.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+// What a task occupies on a worker.
+struct task_size
+{
+    std::int64_t processor_millis = 0;
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+
+    friend bool operator==(const task_size&, const task_size&) = default;
+};
+
+// Invariant: all numbers in `after` are lower than the step's own number.
+struct step
+{
+    std::uint32_t task_count = 1;
+    task_size size;
+    duration estimate{};
+    // Steps whose tasks must all be done before this one starts.
+    std::vector<std::uint32_t> after;
+    bool saves_progress = false;
+    // The tasks work only together and end together.
+    bool is_gang = false;
+    bool same_rack = false;
+    // Copies of a task may run at the same time.
+    bool may_run_twice = false;
+    // Tasks run until the job is cancelled.
+    bool is_lasting = false;
+    // Tasks use processors that others leave unused and reserve none.
+    bool fills = false;
+    std::string required_label;
+    std::string preferred_rack;
+    std::string image;
+    // Most tasks of the step on one worker; 0 for no limit.
+    std::uint32_t most_per_worker = 0;
+    // Bound of the tail latency of the task's own callers; 0 for none.
+    duration tail_target{};
+    // Tasks that may be away at the same time because of our own orders.
+    std::uint32_t may_miss = 0;
+};
+
+// A job whose steps run `count` times, `interval` apart.
+struct repetition
+{
+    std::uint32_t count = 0;
+    // Unix time.
+    std::chrono::milliseconds first_due{};
+    std::chrono::milliseconds interval{};
+};
+
+// What decides about a job besides its steps; taken from its queue when the
+// job was accepted, because the queue may be dropped while the job runs.
+struct queue_terms
+{
+    std::string queue;
+    service_id service;
+    // 0 is the most urgent.
+    int priority = 0;
+    std::uint32_t most_attempts = 1;
+    // The target is `stretch` times the chain of work, and `slack` more.
+    double stretch = 1.0;
+    duration slack{};
+    // Regions whose workers may run the job; empty for all.
+    std::vector<region_id> regions;
+    bool needs_advice = false;
+};
+
+struct job
+{
+    job_id id;
+    // Opaque text that every task receives.
+    std::string payload;
+    std::vector<step> steps;
+    repetition repeats;
+    queue_terms terms;
+    // Unix time at which the job was accepted.
+    std::chrono::milliseconds accepted_at{};
+
+    // A job without repetition has one occurrence.
+    std::uint32_t repeats_count() const
+    {
+        return repeats.count == 0 ? 1 : repeats.count;
+    }
+};
+
+// A task by its place in its job.
+struct task_key
+{
+    job_id job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    friend auto operator<=>(const task_key&, const task_key&) = default;
+};
+
+std::string to_text(const task_key& key);
+
+// Reads ID.OCCURRENCE.STEP.INDEX.
+std::optional<task_key> parse_task_key(std::string_view text);
+
+// Duration of the longest chain of steps, by the stated estimates.
+duration longest_chain(const std::vector<step>& steps);
+
+// Text for the store, and back; the reader returns nothing for text that is
+// not a job.
+std::string encode_job(const job& j);
+std::optional<job> decode_job(const job_id& id, std::string_view text);
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/job_codec.cpp
@@ -0,0 +1,211 @@
+// The stored form of a job: JSON with short names, because each byte that is
+// written and read is billed. Members with their default value are left out.
+#include "jobs/job.hpp"
+
+#include <boost/json.hpp>
+
+#include "jobs/json_value.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+enum step_flag : std::uint32_t
+{
+    saves = 1,
+    gang = 2,
+    same_rack = 4,
+    twice = 8,
+    lasting = 16,
+    fills = 32
+};
+
+std::uint32_t flags_of(const step& s)
+{
+    return (s.saves_progress ? saves : 0U) | (s.is_gang ? gang : 0U) |
+           (s.same_rack ? same_rack : 0U) | (s.may_run_twice ? twice : 0U) |
+           (s.is_lasting ? lasting : 0U) | (s.fills ? fills : 0U);
+}
+
+void put(json::object& into, json::string_view name, const std::string& text)
+{
+    if (!text.empty())
+    {
+        into[name] = text;
+    }
+}
+
+void put(json::object& into, json::string_view name, std::int64_t number)
+{
+    if (number != 0)
+    {
+        into[name] = number;
+    }
+}
+
+json::object to_json(const step& s)
+{
+    json::object out;
+    put(out, "n", s.task_count);
+    put(out, "p", s.size.processor_millis);
+    put(out, "m", s.size.memory_mb);
+    put(out, "g", s.size.accelerators);
+    put(out, "e", s.estimate.count());
+    put(out, "f", flags_of(s));
+    put(out, "l", s.required_label);
+    put(out, "r", s.preferred_rack);
+    put(out, "i", s.image);
+    put(out, "w", s.most_per_worker);
+    put(out, "t", s.tail_target.count());
+    put(out, "x", s.may_miss);
+    if (!s.after.empty())
+    {
+        out["a"] = json::value_from(s.after);
+    }
+    return out;
+}
+
+step to_step(const json::object& in)
+{
+    step s;
+    s.task_count = static_cast<std::uint32_t>(integer_in(in, "n"));
+    s.size = {integer_in(in, "p"), integer_in(in, "m"), integer_in(in, "g")};
+    s.estimate = duration(integer_in(in, "e"));
+    const auto flags = static_cast<std::uint32_t>(integer_in(in, "f"));
+    s.saves_progress = (flags & saves) != 0;
+    s.is_gang = (flags & gang) != 0;
+    s.same_rack = (flags & same_rack) != 0;
+    s.may_run_twice = (flags & twice) != 0;
+    s.is_lasting = (flags & lasting) != 0;
+    s.fills = (flags & fills) != 0;
+    s.required_label = text_in(in, "l");
+    s.preferred_rack = text_in(in, "r");
+    s.image = text_in(in, "i");
+    s.most_per_worker = static_cast<std::uint32_t>(integer_in(in, "w"));
+    s.tail_target = duration(integer_in(in, "t"));
+    s.may_miss = static_cast<std::uint32_t>(integer_in(in, "x"));
+    for (const auto& before : list_in(in, "a"))
+    {
+        s.after.push_back(static_cast<std::uint32_t>(integer_of(before)));
+    }
+    return s;
+}
+
+json::object to_json(const queue_terms& t)
+{
+    json::object out;
+    put(out, "q", t.queue);
+    put(out, "s", t.service.value());
+    put(out, "p", t.priority);
+    put(out, "a", t.most_attempts);
+    out["x"] = t.stretch;
+    put(out, "o", t.slack.count());
+    if (t.needs_advice)
+    {
+        out["d"] = 1;
+    }
+    json::array regions;
+    for (const auto& region : t.regions)
+    {
+        regions.emplace_back(region.value());
+    }
+    if (!regions.empty())
+    {
+        out["r"] = std::move(regions);
+    }
+    return out;
+}
+
+queue_terms to_terms(const json::object& in)
+{
+    queue_terms t;
+    t.queue = text_in(in, "q");
+    t.service = service_id(text_in(in, "s"));
+    t.priority = static_cast<int>(integer_in(in, "p"));
+    t.most_attempts = static_cast<std::uint32_t>(integer_in(in, "a"));
+    t.stretch = real_in(in, "x");
+    t.slack = duration(integer_in(in, "o"));
+    t.needs_advice = integer_in(in, "d") != 0;
+    for (const auto& region : list_in(in, "r"))
+    {
+        if (const auto* const text = region.if_string())
+        {
+            t.regions.emplace_back(std::string(text->data(), text->size()));
+        }
+    }
+    return t;
+}
+
+} // namespace
+
+std::string encode_job(const job& j)
+{
+    json::object out;
+    out["q"] = to_json(j.terms);
+    out["d"] = j.payload;
+    out["u"] = j.accepted_at.count();
+    json::array steps;
+    for (const auto& s : j.steps)
+    {
+        steps.push_back(to_json(s));
+    }
+    out["s"] = std::move(steps);
+    if (j.repeats.count > 0)
+    {
+        out["r"] = {j.repeats.count, j.repeats.first_due.count(),
+                    j.repeats.interval.count()};
+    }
+    return json::serialize(out);
+}
+
+std::optional<job> decode_job(const job_id& id, std::string_view text)
+{
+    json::error_code error;
+    const auto parsed = json::parse({text.data(), text.size()}, error);
+    const auto* const in = error ? nullptr : parsed.if_object();
+    if (in == nullptr)
+    {
+        return std::nullopt;
+    }
+    job j;
+    j.id = id;
+    j.payload = text_in(*in, "d");
+    j.accepted_at = std::chrono::milliseconds(integer_in(*in, "u"));
+    if (const auto* const terms = in->if_contains("q");
+        terms != nullptr && terms->is_object())
+    {
+        j.terms = to_terms(terms->get_object());
+    }
+    for (const auto& entry : list_in(*in, "s"))
+    {
+        if (!entry.is_object())
+        {
+            return std::nullopt;
+        }
+        j.steps.push_back(to_step(entry.get_object()));
+    }
+    const auto& repeats = list_in(*in, "r");
+    if (repeats.size() == 3)
+    {
+        j.repeats.count = static_cast<std::uint32_t>(integer_of(repeats[0]));
+        j.repeats.first_due = std::chrono::milliseconds(integer_of(repeats[1]));
+        j.repeats.interval = std::chrono::milliseconds(integer_of(repeats[2]));
+    }
+    for (std::size_t i = 0; i < j.steps.size(); ++i)
+    {
+        for (const auto before : j.steps[i].after)
+        {
+            if (before >= i)
+            {
+                return std::nullopt;
+            }
+        }
+    }
+    return j.steps.empty() ? std::nullopt : std::optional(std::move(j));
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/job_progress.hpp
@@ -0,0 +1,58 @@
+// What must outlive the VM that decides about a job.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace hemlockdeal::jobs
+{
+
+enum class job_state
+{
+    queued,
+    running,
+    completed,
+    failed,
+    cancelled
+};
+
+bool is_final(job_state state);
+std::string_view to_text(job_state state);
+std::optional<job_state> parse_job_state(std::string_view text);
+
+// Stored before a worker is told that its results were taken, so that a task
+// whose end a worker has forgotten is known to a later leader.
+struct job_progress
+{
+    // Occurrence, step and index of a task.
+    struct task_place
+    {
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        std::uint32_t index = 0;
+
+        friend auto operator<=>(const task_place&, const task_place&) = default;
+    };
+
+    struct task_history
+    {
+        // Numbers of the runs that failed, ascending.
+        std::vector<std::uint32_t> failed_runs;
+        std::string checkpoint;
+    };
+
+    job_state state = job_state::queued;
+    bool has_started = false;
+    std::vector<task_place> done;
+    std::map<task_place, task_history> histories;
+};
+
+std::string encode_progress(const job_progress& progress);
+std::optional<job_progress> decode_progress(std::string_view text);
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/jobs.hpp
@@ -0,0 +1,12 @@
+// Public header of the job scheduler: jobs of steps of tasks, their placement
+// on workers, and the leadership that makes one VM at a time decide.
+#pragma once
+
+#include "jobs/job.hpp"
+#include "jobs/job_progress.hpp"
+#include "jobs/leadership.hpp"
+#include "jobs/order.hpp"
+#include "jobs/queue_directory.hpp"
+#include "jobs/scheduler.hpp"
+#include "jobs/scheduler_options.hpp"
+#include "jobs/worker_report.hpp"
--- /dev/null
+++ b/src/jobs/json_value.hpp
@@ -0,0 +1,59 @@
+// Lenient reading of JSON values that the scheduler wrote itself.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <boost/json.hpp>
+
+namespace hemlockdeal::jobs
+{
+
+inline std::int64_t integer_of(const boost::json::value& value,
+                               std::int64_t otherwise = 0)
+{
+    boost::json::error_code error;
+    const auto number = value.to_number<std::int64_t>(error);
+    return error ? otherwise : number;
+}
+
+inline std::int64_t integer_in(const boost::json::object& object,
+                               std::string_view name)
+{
+    const auto* const found = object.if_contains(name);
+    return found == nullptr ? 0 : integer_of(*found);
+}
+
+inline double real_in(const boost::json::object& object, std::string_view name)
+{
+    const auto* const found = object.if_contains(name);
+    if (found == nullptr)
+    {
+        return 0.0;
+    }
+    boost::json::error_code error;
+    const auto number = found->to_number<double>(error);
+    return error ? 0.0 : number;
+}
+
+inline std::string text_in(const boost::json::object& object,
+                           std::string_view name)
+{
+    const auto* const found = object.if_contains(name);
+    const auto* const text =
+        found == nullptr ? nullptr : found->if_string();
+    return text == nullptr ? std::string{}
+                           : std::string(text->data(), text->size());
+}
+
+inline const boost::json::array& list_in(const boost::json::object& object,
+                                         std::string_view name)
+{
+    static const boost::json::array none;
+    const auto* const found = object.if_contains(name);
+    const auto* const list = found == nullptr ? nullptr : found->if_array();
+    return list == nullptr ? none : *list;
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/leadership.cpp
@@ -0,0 +1,162 @@
+// Implements the lease.
+#include "jobs/leadership.hpp"
+
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "jobs/json_value.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+std::string encode_lease(const lease_row& row)
+{
+    boost::json::object out;
+    out["e"] = row.epoch;
+    out["c"] = row.count;
+    out["h"] = row.holder.value();
+    out["p"] = row.process;
+    if (row.is_released)
+    {
+        out["r"] = 1;
+    }
+    return boost::json::serialize(out);
+}
+
+std::optional<lease_row> decode_lease(std::string_view text)
+{
+    boost::json::error_code error;
+    const auto parsed = boost::json::parse({text.data(), text.size()}, error);
+    const auto* const in = error ? nullptr : parsed.if_object();
+    if (in == nullptr)
+    {
+        return std::nullopt;
+    }
+    lease_row row;
+    row.epoch = static_cast<std::uint64_t>(integer_in(*in, "e"));
+    row.count = static_cast<std::uint64_t>(integer_in(*in, "c"));
+    row.holder = vm_id(text_in(*in, "h"));
+    row.process = static_cast<std::uint64_t>(integer_in(*in, "p"));
+    row.is_released = integer_in(*in, "r") != 0;
+    return row;
+}
+
+leadership::leadership(vm_id self, std::uint64_t process,
+                       leadership_options options)
+    : self_(std::move(self)), process_(process), options_(options)
+{}
+
+bool leadership::is_mine(const lease_row& row) const
+{
+    return row.holder == self_ && row.process == process_;
+}
+
+void leadership::on_read(const std::optional<lease_row>& row,
+                         row_version version, time_point now)
+{
+    if (leads_)
+    {
+        return;
+    }
+    const bool gap = now - last_read_ > options_.longest_read_gap;
+    if (!known_ || version != version_ || gap || !unchanged_since_)
+    {
+        unchanged_since_ = now;
+    }
+    known_ = true;
+    last_read_ = now;
+    version_ = version;
+    row_ = row.value_or(lease_row{});
+}
+
+void leadership::on_read_failed()
+{
+    unchanged_since_.reset();
+}
+
+std::optional<lease_write> leadership::takeover(time_point now,
+                                                duration extra_wait)
+{
+    if (leads_ || !known_ || !unchanged_since_ || now < abstains_until_)
+    {
+        return std::nullopt;
+    }
+    // An earlier process on this VM is dead, and so is its leadership.
+    const bool own_past = row_.holder == self_ && row_.process != process_;
+    const bool is_free = row_.epoch == 0 || row_.is_released || own_past;
+    const auto needed =
+        (is_free ? duration{} : options_.takeover_after) + extra_wait;
+    if (now - *unchanged_since_ < needed)
+    {
+        return std::nullopt;
+    }
+    return lease_write{version_, {row_.epoch + 1, 1, self_, process_, false}};
+}
+
+lease_write leadership::renewal() const
+{
+    auto next = row_;
+    ++next.count;
+    return {version_, next};
+}
+
+lease_write leadership::release() const
+{
+    auto write = renewal();
+    write.row.is_released = true;
+    return write;
+}
+
+void leadership::on_written(const lease_write& write, row_version version,
+                            time_point sent_at)
+{
+    row_ = write.row;
+    version_ = version;
+    known_ = true;
+    leads_ = !write.row.is_released;
+    valid_until_ = leads_ ? sent_at + options_.validity : time_point{};
+    if (!leads_)
+    {
+        unchanged_since_.reset();
+        abstains_until_ = sent_at + options_.abstention;
+    }
+}
+
+bool leadership::on_conflict(const lease_write& write,
+                             const std::optional<lease_row>& row,
+                             row_version version, time_point sent_at)
+{
+    if (row && *row == write.row)
+    {
+        on_written(write, version, sent_at);
+        return true;
+    }
+    if (version == write.expected)
+    {
+        // Not carried out yet; the same write may be sent again.
+        return false;
+    }
+    leads_ = false;
+    valid_until_ = {};
+    known_ = true;
+    row_ = row.value_or(lease_row{});
+    version_ = version;
+    unchanged_since_.reset();
+    return false;
+}
+
+bool leadership::is_valid(time_point now) const
+{
+    return leads_ && now < valid_until_;
+}
+
+void leadership::give_up(time_point now)
+{
+    leads_ = false;
+    valid_until_ = {};
+    unchanged_since_.reset();
+    abstains_until_ = now + options_.abstention;
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/live_job.cpp
@@ -0,0 +1,234 @@
+// Transitions of a job's tasks.
+#include "jobs/live_job.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+step_record unstarted(const step& s)
+{
+    step_record record;
+    record.tasks.resize(s.task_count);
+    record.waiting = s.task_count;
+    return record;
+}
+
+task_key key_of(const job_id& id, const job_progress::task_place& place)
+{
+    return {id, place.occurrence, place.step, place.index};
+}
+
+} // namespace
+
+live_job::live_job(job definition) : job_(std::move(definition))
+{
+    occurrences_.resize(job_.repeats_count());
+    for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
+    {
+        if (job_.repeats.count > 0)
+        {
+            occurrences_[k].due =
+                job_.repeats.first_due + k * job_.repeats.interval;
+        }
+        std::ranges::transform(job_.steps,
+                               std::back_inserter(occurrences_[k].steps),
+                               unstarted);
+    }
+}
+
+const step& live_job::step_of(const task_key& key) const
+{
+    return job_.steps[key.step];
+}
+
+bool live_job::has(const task_key& key) const
+{
+    return key.occurrence < occurrences_.size() &&
+           key.step < job_.steps.size() &&
+           key.index < job_.steps[key.step].task_count;
+}
+
+task_record& live_job::task(const task_key& key)
+{
+    return occurrences_[key.occurrence].steps[key.step].tasks[key.index];
+}
+
+bool live_job::is_open(std::uint32_t occurrence, std::uint32_t step,
+                       std::chrono::milliseconds unix_now) const
+{
+    const auto& record = occurrences_[occurrence];
+    if (record.due > unix_now)
+    {
+        return false;
+    }
+    return std::ranges::all_of(
+        job_.steps[step].after, [&](std::uint32_t before) {
+            const auto& earlier = record.steps[before];
+            return earlier.done == earlier.tasks.size();
+        });
+}
+
+task_record& live_job::set_phase(const task_key& key, task_phase phase)
+{
+    auto& step = occurrences_[key.occurrence].steps[key.step];
+    auto& record = step.tasks[key.index];
+    step.waiting -= record.phase == task_phase::waiting ? 1 : 0;
+    step.done -= record.phase == task_phase::done ? 1 : 0;
+    record.phase = phase;
+    step.waiting += phase == task_phase::waiting ? 1 : 0;
+    step.done += phase == task_phase::done ? 1 : 0;
+    return record;
+}
+
+void live_job::set_placed(const task_key& key, const worker_id& worker,
+                          std::uint32_t run)
+{
+    auto& record = set_phase(key, task_phase::placed);
+    record.worker = worker;
+    record.last_run = std::max(record.last_run, run);
+    record.may_run_elsewhere = false;
+    has_started_ = true;
+    if (state_ == job_state::queued)
+    {
+        state_ = job_state::running;
+    }
+}
+
+void live_job::set_waiting(const task_key& key)
+{
+    set_phase(key, task_phase::waiting).worker = worker_id();
+}
+
+bool live_job::set_done(const task_key& key)
+{
+    if (task(key).phase == task_phase::done)
+    {
+        return false;
+    }
+    set_phase(key, task_phase::done).checkpoint.clear();
+    has_started_ = true;
+    auto& occurrence = occurrences_[key.occurrence];
+    const auto& step = occurrence.steps[key.step];
+    if (step.done == step.tasks.size())
+    {
+        ++occurrence.done_steps;
+        done_occurrences_ +=
+            occurrence.done_steps == occurrence.steps.size() ? 1 : 0;
+    }
+    return true;
+}
+
+bool live_job::add_failure(const task_key& key, std::uint32_t run)
+{
+    auto& runs = task(key).failed_runs;
+    if (std::ranges::find(runs, run) != runs.end())
+    {
+        return false;
+    }
+    runs.push_back(run);
+    return true;
+}
+
+bool live_job::has_failed(const task_key& key) const
+{
+    const auto& step = job_.steps[key.step];
+    const auto& record =
+        occurrences_[key.occurrence].steps[key.step].tasks[key.index];
+    return !step.is_lasting &&
+           record.failed_runs.size() >= job_.terms.most_attempts;
+}
+
+void live_job::restore(const job_progress& progress)
+{
+    state_ = progress.state;
+    has_started_ = progress.has_started;
+    for (const auto& place : progress.done)
+    {
+        const auto key = key_of(job_.id, place);
+        if (has(key))
+        {
+            set_done(key);
+        }
+    }
+    for (const auto& [place, history] : progress.histories)
+    {
+        const auto key = key_of(job_.id, place);
+        if (!has(key))
+        {
+            continue;
+        }
+        auto& record = task(key);
+        record.failed_runs = history.failed_runs;
+        record.checkpoint = history.checkpoint;
+        if (!history.failed_runs.empty())
+        {
+            record.last_run = std::ranges::max(history.failed_runs);
+        }
+    }
+}
+
+job_progress live_job::progress() const
+{
+    job_progress out;
+    out.state = state_;
+    out.has_started = has_started_;
+    if (is_final(state_))
+    {
+        return out;
+    }
+    for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
+    {
+        for (std::uint32_t s = 0; s < occurrences_[k].steps.size(); ++s)
+        {
+            const auto& tasks = occurrences_[k].steps[s].tasks;
+            for (std::uint32_t i = 0; i < tasks.size(); ++i)
+            {
+                if (tasks[i].phase == task_phase::done)
+                {
+                    out.done.push_back({k, s, i});
+                }
+                else if (!tasks[i].failed_runs.empty() ||
+                         !tasks[i].checkpoint.empty())
+                {
+                    out.histories[{k, s, i}] = {tasks[i].failed_runs,
+                                                tasks[i].checkpoint};
+                }
+            }
+        }
+    }
+    return out;
+}
+
+void live_job::doubt_waiting_tasks()
+{
+    for (auto& occurrence : occurrences_)
+    {
+        for (auto& step : occurrence.steps)
+        {
+            std::ranges::for_each(step.tasks, [](task_record& record) {
+                record.may_run_elsewhere =
+                    record.phase == task_phase::waiting;
+            });
+        }
+    }
+}
+
+void live_job::clear_doubts()
+{
+    for (auto& occurrence : occurrences_)
+    {
+        for (auto& step : occurrence.steps)
+        {
+            std::ranges::for_each(step.tasks, [](task_record& record) {
+                record.may_run_elsewhere = false;
+            });
+        }
+    }
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/live_job.hpp
@@ -0,0 +1,108 @@
+// A job that is not over, with the state of each of its tasks.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jobs/job.hpp"
+#include "jobs/job_progress.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+enum class task_phase
+{
+    waiting,
+    // Ordered to a worker; it may run there.
+    placed,
+    done
+};
+
+struct task_record
+{
+    task_phase phase = task_phase::waiting;
+    // Highest number of a run that was ordered, as far as is known.
+    std::uint32_t last_run = 0;
+    std::vector<std::uint32_t> failed_runs;
+    // From which the next run resumes.
+    std::string checkpoint;
+    // Where it runs, if placed.
+    worker_id worker;
+    // Where it failed last.
+    worker_id failed_on;
+    // An earlier leader may have ordered it to a worker that has not been
+    // looked at.
+    bool may_run_elsewhere = false;
+    time_point not_before{};
+};
+
+struct step_record
+{
+    std::vector<task_record> tasks;
+    std::uint32_t done = 0;
+    std::uint32_t waiting = 0;
+};
+
+struct occurrence_record
+{
+    // Unix time; zero for a job without repetition.
+    std::chrono::milliseconds due{};
+    std::vector<step_record> steps;
+    std::uint32_t done_steps = 0;
+};
+
+// Invariant: `waiting` and `done` of each step count its tasks in these
+// phases.
+class live_job
+{
+public:
+    explicit live_job(job definition);
+
+    const job& definition() const { return job_; }
+    const step& step_of(const task_key& key) const;
+    bool has(const task_key& key) const;
+    task_record& task(const task_key& key);
+    const std::vector<occurrence_record>& occurrences() const
+    {
+        return occurrences_;
+    }
+
+    // True when the tasks of the step may start.
+    bool is_open(std::uint32_t occurrence, std::uint32_t step,
+                 std::chrono::milliseconds unix_now) const;
+
+    void set_placed(const task_key& key, const worker_id& worker,
+                    std::uint32_t run);
+    void set_waiting(const task_key& key);
+    // False if the task was done before.
+    bool set_done(const task_key& key);
+    // False if this failure was counted before.
+    bool add_failure(const task_key& key, std::uint32_t run);
+    bool has_failed(const task_key& key) const;
+    bool is_complete() const { return done_occurrences_ == job_.repeats_count(); }
+
+    job_state state() const { return state_; }
+    void set_state(job_state state) { state_ = state; }
+    bool has_started() const { return has_started_; }
+
+    void restore(const job_progress& progress);
+    job_progress progress() const;
+
+    // Marks every task that is not done as one that an earlier leader may
+    // have started.
+    void doubt_waiting_tasks();
+    void clear_doubts();
+
+private:
+    task_record& set_phase(const task_key& key, task_phase phase);
+
+    job job_;
+    job_state state_ = job_state::queued;
+    bool has_started_ = false;
+    std::uint32_t done_occurrences_ = 0;
+    std::vector<occurrence_record> occurrences_;
+};
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/look_planner.cpp
@@ -0,0 +1,56 @@
+// Implements the plan of looks.
+#include "jobs/look_planner.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+void look_planner::plan(time_point now, bool may_prolong)
+{
+    if (!may_prolong)
+    {
+        return;
+    }
+    for (auto& [id, worker] : state_.fleet)
+    {
+        if (!worker.look_sent_at && worker.next_look <= now &&
+            is_wanted(worker))
+        {
+            order_look(worker, now);
+        }
+    }
+}
+
+bool look_planner::is_wanted(const fleet_worker& worker) const
+{
+    const bool may_be_gone = worker.is_unlisted && worker.runs().empty();
+    if (may_be_gone)
+    {
+        return false;
+    }
+    return !worker.has_been_seen() || !worker.knows_clock() ||
+           worker.failed_looks > 0 || !worker.runs().empty() ||
+           worker.has_unstored_ends();
+}
+
+void look_planner::order_look(fleet_worker& worker, time_point now)
+{
+    look_order look{worker.entry.id, std::nullopt, worker.stored_ends, {}};
+    if (worker.knows_clock())
+    {
+        look.deadline =
+            worker.clock_at(now) + std::chrono::duration_cast<worker_clock>(
+                                       state_.options.longest_lease);
+        worker.note_deadline(*look.deadline);
+    }
+    const bool may_wait = worker.knows_clock() && !worker.has_unstored_ends() &&
+                          worker.failed_looks == 0 && !worker.runs().empty();
+    if (may_wait)
+    {
+        look.wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+            state_.options.look_wait);
+    }
+    worker.look_sent_at = now;
+    state_.orders.emplace_back(look);
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/report_intake.cpp
@@ -0,0 +1,415 @@
+// Implements the intake of answers. A run leaves a worker's ledger only when
+// it cannot be on the worker any more.
+#include "jobs/report_intake.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+constexpr duration unhealthy_pause = std::chrono::seconds(1);
+constexpr duration full_pause = std::chrono::milliseconds(150);
+// Failures of different jobs in a row that put the blame on the worker.
+constexpr unsigned failures_to_avoid = 2;
+// One report can be older than the run although it was asked for later.
+constexpr unsigned missing_reports = 2;
+
+} // namespace
+
+void report_intake::on_report(fleet_worker& worker, const worker_report& report,
+                              time_point sent_at, time_point now)
+{
+    if (report.born != worker.entry.born)
+    {
+        drop_runs(worker, "the worker has started again");
+        worker.restart(report.born);
+    }
+    worker.note_clock(report.clock, now);
+    worker.contact_at = sent_at;
+    worker.failed_looks = 0;
+    for (const auto& end : report.ended)
+    {
+        if (end.number > worker.taken_ends)
+        {
+            worker.taken_ends = end.number;
+            take_end(worker, end, now);
+        }
+    }
+    for (const auto& shown : report.running)
+    {
+        take_running(worker, shown, now);
+    }
+    check_missing(worker, report, sent_at, now);
+}
+
+void report_intake::take_end(fleet_worker& worker, const ended_run& end,
+                             time_point now)
+{
+    const auto* const run = worker.find_run(end.task);
+    if (run != nullptr && run->run == end.run)
+    {
+        worker.erase_run(end.task);
+    }
+    auto* const owner = state_.book.find(end.task.job);
+    if (owner == nullptr || !owner->has(end.task))
+    {
+        return;
+    }
+    auto& task = owner->task(end.task);
+    const bool is_current = task.phase == task_phase::placed &&
+                            task.worker == worker.entry.id &&
+                            task.last_run == end.run;
+    task.last_run = std::max(task.last_run, end.run);
+    state_.say("run ended", {{"task", to_text(end.task)},
+                             {"run", std::to_string(end.run)},
+                             {"worker", worker.entry.id.value()},
+                             {"how", std::string(to_text(end.how))}});
+    const bool is_lasting = owner->step_of(end.task).is_lasting;
+    if (end.how == run_end::done && !is_lasting)
+    {
+        take_done(worker, *owner, end.task, now);
+        return;
+    }
+    if (end.how == run_end::failed)
+    {
+        take_failure(worker, *owner, end, is_current, now);
+        return;
+    }
+    if (!end.checkpoint.empty() &&
+        (is_current || task.phase == task_phase::waiting))
+    {
+        task.checkpoint = end.checkpoint;
+        state_.book.mark_changed(end.task.job);
+    }
+    if (is_current)
+    {
+        owner->set_waiting(end.task);
+    }
+}
+
+void report_intake::take_done(fleet_worker& worker, live_job& owner,
+                              const task_key& key, time_point now)
+{
+    worker.health.failures = 0;
+    worker.health.avoidance = {};
+    // A copy on another worker is of no use any more.
+    auto* const other = state_.find_worker(owner.task(key).worker);
+    if (other != nullptr && other != &worker)
+    {
+        state_.order_stop(*other, key, now, "the task is done");
+    }
+    if (!owner.set_done(key))
+    {
+        return;
+    }
+    if (owner.step_of(key).is_gang)
+    {
+        take_gang_done(owner, key);
+    }
+    state_.book.mark_changed(key.job);
+    if (owner.is_complete())
+    {
+        state_.say("job is complete", {{"job", key.job.value()}});
+        state_.book.finish(key.job, job_state::completed);
+    }
+}
+
+void report_intake::take_gang_done(live_job& owner, const task_key& key)
+{
+    for (std::uint32_t i = 0; i < owner.step_of(key).task_count; ++i)
+    {
+        owner.set_done({key.job, key.occurrence, key.step, i});
+    }
+}
+
+void report_intake::take_failure(fleet_worker& worker, live_job& owner,
+                                 const ended_run& end, bool is_current,
+                                 time_point now)
+{
+    if (!owner.add_failure(end.task, end.run))
+    {
+        return;
+    }
+    note_failure(worker, end.task.job, now);
+    state_.book.mark_changed(end.task.job);
+    auto& task = owner.task(end.task);
+    task.failed_on = worker.entry.id;
+    if (!end.checkpoint.empty())
+    {
+        task.checkpoint = end.checkpoint;
+    }
+    if (is_current)
+    {
+        owner.set_waiting(end.task);
+    }
+    if (owner.has_failed(end.task) && task.phase != task_phase::done)
+    {
+        state_.say("job has failed",
+                   {{"job", end.task.job.value()},
+                    {"task", to_text(end.task)},
+                    {"failures", std::to_string(task.failed_runs.size())}});
+        state_.stop_job(owner, now, "the job has failed");
+        state_.book.finish(end.task.job, job_state::failed);
+    }
+}
+
+void report_intake::note_failure(fleet_worker& worker, const job_id& id,
+                                 time_point now)
+{
+    auto& health = worker.health;
+    if (health.last_failed_job == id)
+    {
+        return;
+    }
+    health.last_failed_job = id;
+    ++health.failures;
+    if (health.failures < failures_to_avoid)
+    {
+        return;
+    }
+    const auto& options = state_.options;
+    health.avoidance = std::clamp(health.avoidance * 2, options.first_avoidance,
+                                  options.longest_avoidance);
+    health.avoided_until = now + health.avoidance;
+    state_.say("worker is avoided",
+               {{"worker", worker.entry.id.value()},
+                {"failures", std::to_string(health.failures)},
+                {"for_ms", std::to_string(health.avoidance.count() / 1000)}});
+}
+
+bool report_intake::is_wanted(const fleet_worker& worker, const task_key& key,
+                              std::uint32_t run)
+{
+    auto* const owner = state_.book.find(key.job);
+    if (owner == nullptr || !owner->has(key))
+    {
+        return false;
+    }
+    const auto& task = owner->task(key);
+    return task.phase == task_phase::placed &&
+           task.worker == worker.entry.id && task.last_run == run;
+}
+
+void report_intake::take_running(fleet_worker& worker,
+                                 const running_task& shown, time_point now)
+{
+    auto* run = worker.find_run(shown.task);
+    if (run == nullptr || run->run != shown.run)
+    {
+        adopt(worker, shown, now);
+        run = worker.find_run(shown.task);
+    }
+    run->missing = 0;
+    run->is_unresolved = false;
+    if (!run->confirmed_at)
+    {
+        run->confirmed_at = now;
+        run->progressed_at = now;
+    }
+    if (!is_wanted(worker, shown.task, shown.run))
+    {
+        state_.order_stop(worker, shown.task, now, "the run is not wanted");
+        return;
+    }
+    watch_progress(worker, shown.task, *run, shown, now);
+}
+
+void report_intake::adopt(fleet_worker& worker, const running_task& shown,
+                          time_point now)
+{
+    auto* const owner = state_.book.find(shown.task.job);
+    const bool is_known = owner != nullptr && owner->has(shown.task);
+    const step unknown_step;
+    const auto& step = is_known ? owner->step_of(shown.task) : unknown_step;
+    worker.add_run(shown.task, make_run(step, shown.run, now));
+    if (!is_known || owner->task(shown.task).phase != task_phase::waiting)
+    {
+        return;
+    }
+    owner->set_placed(shown.task, worker.entry.id, shown.run);
+    owner->task(shown.task).last_run = shown.run;
+    state_.say("run is taken over", {{"task", to_text(shown.task)},
+                                     {"run", std::to_string(shown.run)},
+                                     {"worker", worker.entry.id.value()}});
+}
+
+void report_intake::watch_progress(fleet_worker& worker, const task_key& key,
+                                   run_record& run, const running_task& shown,
+                                   time_point now)
+{
+    run.figure = shown.figure;
+    if (shown.percent != run.percent || shown.checkpoint != run.checkpoint)
+    {
+        run.percent = shown.percent;
+        run.checkpoint = shown.checkpoint;
+        run.progressed_at = now;
+        return;
+    }
+    constexpr int at_work = 100;
+    const bool may_stand = run.pace == 0 || shown.percent >= at_work;
+    if (!may_stand && now - run.progressed_at > state_.options.stall_limit &&
+        !run.stop_ordered_at)
+    {
+        auto& health = worker.health;
+        health.avoidance =
+            std::clamp(health.avoidance * 2, state_.options.first_avoidance,
+                       state_.options.longest_avoidance);
+        health.avoided_until = now + health.avoidance;
+        state_.order_stop(worker, key, now, "the run stands still");
+    }
+}
+
+bool report_intake::is_gone(const run_record& run, const worker_report& report,
+                            time_point sent_at) const
+{
+    if (run.confirmed_at)
+    {
+        return run.missing >= missing_reports;
+    }
+    // A late start is refused after its deadline, or after its stop.
+    const bool is_too_late = report.clock > run.start_deadline;
+    const bool is_withdrawn =
+        run.stop_confirmed_at && *run.stop_confirmed_at < sent_at;
+    return run.is_unresolved && (is_too_late || is_withdrawn);
+}
+
+void report_intake::check_missing(fleet_worker& worker,
+                                  const worker_report& report,
+                                  time_point sent_at, time_point now)
+{
+    std::set<task_key> shown;
+    std::ranges::transform(report.running, std::inserter(shown, shown.end()),
+                           [](const running_task& r) { return r.task; });
+    std::vector<task_key> absent;
+    for (const auto& [key, run] : worker.runs())
+    {
+        if (!shown.contains(key))
+        {
+            absent.push_back(key);
+        }
+    }
+    for (const auto& key : absent)
+    {
+        auto& run = *worker.find_run(key);
+        if (run.confirmed_at && *run.confirmed_at < sent_at)
+        {
+            ++run.missing;
+        }
+        if (is_gone(run, report, sent_at))
+        {
+            const bool wanted = is_wanted(worker, key, run.run);
+            worker.erase_run(key);
+            if (wanted)
+            {
+                state_.put_back(key, "the worker does not show the run");
+            }
+            continue;
+        }
+        if (run.is_unresolved)
+        {
+            state_.order_stop(worker, key, now, "the start had no answer");
+        }
+    }
+}
+
+void report_intake::on_start_answer(fleet_worker& worker, const task_key& key,
+                                    std::uint32_t run, start_answer answer,
+                                    time_point now)
+{
+    auto* const record = worker.find_run(key);
+    if (record == nullptr || record->run != run || record->confirmed_at)
+    {
+        return;
+    }
+    if (answer == start_answer::accepted)
+    {
+        record->confirmed_at = now;
+        record->progressed_at = now;
+        record->is_unresolved = false;
+        return;
+    }
+    state_.say("start was not accepted",
+               {{"task", to_text(key)},
+                {"run", std::to_string(run)},
+                {"worker", worker.entry.id.value()},
+                {"answer", std::string(to_text(answer))}});
+    worker.next_look = std::min(worker.next_look, now);
+    if (answer == start_answer::unknown)
+    {
+        record->is_unresolved = true;
+        return;
+    }
+    const bool wanted = is_wanted(worker, key, run);
+    worker.erase_run(key);
+    if (answer == start_answer::no_room)
+    {
+        worker.full_until = now + full_pause;
+    }
+    if (answer == start_answer::unhealthy || answer == start_answer::malformed)
+    {
+        worker.health.avoided_until = now + unhealthy_pause;
+    }
+    if (answer == start_answer::superseded)
+    {
+        state_.is_superseded = true;
+    }
+    if (answer == start_answer::other_worker)
+    {
+        worker.is_unlisted = true;
+    }
+    if (wanted)
+    {
+        state_.put_back(key, to_text(answer));
+    }
+}
+
+void report_intake::on_stop_confirmed(fleet_worker& worker, const task_key& key,
+                                      std::uint32_t run, time_point now)
+{
+    auto* const record = worker.find_run(key);
+    if (record != nullptr && record->run == run && !record->stop_confirmed_at)
+    {
+        record->stop_confirmed_at = now;
+        worker.next_look = std::min(worker.next_look, now);
+    }
+}
+
+void report_intake::check_lapse(fleet_worker& worker, time_point now)
+{
+    const bool is_silent =
+        worker.failed_looks > 0 || worker.look_sent_at.has_value();
+    if (!worker.runs().empty() && is_silent && worker.knows_clock() &&
+        now > worker.lapses_at(state_.options.clock_error))
+    {
+        drop_runs(worker, "the worker's leases have ended");
+    }
+}
+
+void report_intake::drop_runs(fleet_worker& worker, std::string_view why)
+{
+    while (!worker.runs().empty())
+    {
+        const auto key = worker.runs().begin()->first;
+        const auto run = worker.runs().begin()->second.run;
+        const auto checkpoint = worker.runs().begin()->second.checkpoint;
+        const bool wanted = is_wanted(worker, key, run);
+        worker.erase_run(key);
+        if (!wanted)
+        {
+            continue;
+        }
+        if (auto* const owner = state_.book.find(key.job);
+            owner != nullptr && !checkpoint.empty())
+        {
+            owner->task(key).checkpoint = checkpoint;
+            state_.book.mark_changed(key.job);
+        }
+        state_.put_back(key, why);
+    }
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/scheduler.cpp
@@ -0,0 +1,322 @@
+// Implements the scheduler's inputs and outputs.
+#include "jobs/scheduler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+// Rows that fit into one transaction beside the leader's own.
+constexpr std::size_t jobs_of_one_change = 60;
+constexpr unsigned most_look_backoff = 4;
+
+} // namespace
+
+scheduler::scheduler(scheduler_options options, std::uint64_t epoch)
+    : intake_(state_), placer_(state_), looks_(state_), pacer_(state_)
+{
+    state_.options = options;
+    state_.epoch = epoch;
+}
+
+void scheduler::recover_job(job definition,
+                            const std::optional<job_progress>& known)
+{
+    const auto id = definition.id;
+    state_.book.add(std::move(definition), known);
+    if (auto* const live = state_.book.find(id))
+    {
+        live->doubt_waiting_tasks();
+    }
+}
+
+void scheduler::recover_fleet(const std::vector<worker_id>& may_run_tasks)
+{
+    unaccounted_.insert(may_run_tasks.begin(), may_run_tasks.end());
+}
+
+void scheduler::begin(time_point now)
+{
+    const auto& options = state_.options;
+    const auto lease = std::chrono::duration_cast<duration>(
+        options.longest_lease * (1.0 + 2 * options.clock_error));
+    leases_ended_at_ = now + options.holding_time + lease;
+    begun_ = true;
+    check_accounts(now);
+}
+
+void scheduler::set_services(std::map<service_id, service_terms> services)
+{
+    state_.services = std::move(services);
+}
+
+void scheduler::set_closed_zones(std::set<availability_zone_id> zones)
+{
+    if (zones == state_.closed_zones)
+    {
+        return;
+    }
+    std::string names;
+    for (const auto& zone : zones)
+    {
+        names += (names.empty() ? "" : ",") + zone.value();
+    }
+    state_.say("zones out of service", {{"zones", names}});
+    state_.closed_zones = std::move(zones);
+}
+
+void scheduler::set_worker(const worker_entry& entry, time_point now)
+{
+    const auto [found, is_new] =
+        state_.fleet.try_emplace(entry.id, fleet_worker(entry));
+    auto& worker = found->second;
+    worker.is_unlisted = false;
+    if (is_new)
+    {
+        state_.say("worker has joined", {{"worker", entry.id.value()},
+                                         {"zone", entry.zone.value()}});
+        fleet_changed_ = true;
+        return;
+    }
+    if (entry.born > worker.entry.born)
+    {
+        intake_.drop_runs(worker, "the worker has started again");
+        worker.restart(entry.born);
+        worker.next_look = now;
+    }
+    const bool starts_to_leave = entry.is_leaving && !worker.entry.is_leaving;
+    const auto born = worker.entry.born;
+    worker.entry = entry;
+    // A list that lags must not bring an earlier life back.
+    worker.entry.born = born;
+    if (starts_to_leave)
+    {
+        state_.say("worker is leaving", {{"worker", entry.id.value()}});
+        relieve_leaving_worker(worker, now);
+    }
+}
+
+void scheduler::remove_worker(const worker_id& id, time_point /*now*/)
+{
+    if (auto* const worker = state_.find_worker(id))
+    {
+        state_.say("worker is no longer listed", {{"worker", id.value()}});
+        worker->is_unlisted = true;
+    }
+}
+
+void scheduler::relieve_leaving_worker(fleet_worker& worker, time_point now)
+{
+    std::vector<task_key> moved;
+    for (const auto& [key, run] : worker.runs())
+    {
+        // What cannot resume elsewhere is left to finish.
+        if (run.is_lasting || run.saves_progress)
+        {
+            moved.push_back(key);
+        }
+    }
+    for (const auto& key : moved)
+    {
+        state_.order_stop(worker, key, now, "the worker is leaving");
+    }
+}
+
+void scheduler::add_job(job definition)
+{
+    const auto id = definition.id;
+    const auto queue = definition.terms.queue;
+    if (state_.book.add(std::move(definition), std::nullopt))
+    {
+        state_.say("job is taken up", {{"job", id.value()}, {"queue", queue}});
+        state_.book.mark_changed(id);
+    }
+}
+
+void scheduler::cancel_job(const job_id& id, time_point now)
+{
+    auto* const live = state_.book.find(id);
+    if (live == nullptr)
+    {
+        return;
+    }
+    state_.say("job is cancelled", {{"job", id.value()}});
+    state_.stop_job(*live, now, "the job is cancelled");
+    state_.book.finish(id, job_state::cancelled);
+}
+
+void scheduler::on_report(const worker_id& id, const worker_report& report,
+                          time_point sent_at, time_point now)
+{
+    auto* const worker = state_.find_worker(id);
+    if (worker == nullptr)
+    {
+        return;
+    }
+    worker->look_sent_at.reset();
+    intake_.on_report(*worker, report, sent_at, now);
+    pacer_.adjust(*worker, now);
+    worker->next_look =
+        now + (worker->has_unstored_ends() ? state_.options.look_while_unstored
+                                           : state_.options.look_gap);
+    unaccounted_.erase(id);
+    check_accounts(now);
+}
+
+void scheduler::on_look_failed(const worker_id& id, time_point now)
+{
+    auto* const worker = state_.find_worker(id);
+    if (worker == nullptr)
+    {
+        return;
+    }
+    worker->look_sent_at.reset();
+    if (worker->failed_looks == 0)
+    {
+        state_.say("worker does not answer", {{"worker", id.value()}});
+    }
+    ++worker->failed_looks;
+    worker->next_look = now + state_.options.look_retry *
+                                  std::min(worker->failed_looks,
+                                           most_look_backoff);
+}
+
+void scheduler::on_start_answer(const worker_id& id, const task_key& key,
+                                std::uint32_t run, start_answer answer,
+                                time_point now)
+{
+    if (auto* const worker = state_.find_worker(id))
+    {
+        intake_.on_start_answer(*worker, key, run, answer, now);
+    }
+}
+
+void scheduler::on_stop_confirmed(const worker_id& id, const task_key& key,
+                                  std::uint32_t run, time_point now)
+{
+    if (auto* const worker = state_.find_worker(id))
+    {
+        intake_.on_stop_confirmed(*worker, key, run, now);
+    }
+}
+
+void scheduler::check_accounts(time_point now)
+{
+    if (!begun_ || leases_ended_at_ == time_point{})
+    {
+        return;
+    }
+    if (!unaccounted_.empty() && now < leases_ended_at_)
+    {
+        return;
+    }
+    state_.say("all workers are accounted for",
+               {{"not_seen", std::to_string(unaccounted_.size())}});
+    unaccounted_.clear();
+    leases_ended_at_ = {};
+    for (const auto& [id, live] : state_.book.live())
+    {
+        live->clear_doubts();
+    }
+}
+
+void scheduler::forget_gone_workers(time_point now)
+{
+    for (auto w = state_.fleet.begin(); w != state_.fleet.end();)
+    {
+        const auto& worker = w->second;
+        const bool is_gone =
+            worker.is_unlisted && worker.runs().empty() &&
+            !worker.look_sent_at &&
+            (!worker.knows_clock() ||
+             now > worker.lapses_at(state_.options.clock_error));
+        if (!is_gone)
+        {
+            ++w;
+            continue;
+        }
+        fleet_changed_ = true;
+        w = state_.fleet.erase(w);
+    }
+}
+
+std::vector<order> scheduler::decide(time_point now,
+                                     std::chrono::milliseconds unix_now,
+                                     bool may_start, bool may_prolong)
+{
+    check_accounts(now);
+    for (auto& [id, worker] : state_.fleet)
+    {
+        intake_.check_lapse(worker, now);
+    }
+    forget_gone_workers(now);
+    if (may_start)
+    {
+        placer_.place(now, unix_now);
+    }
+    looks_.plan(now, may_prolong);
+    return std::exchange(state_.orders, {});
+}
+
+bool scheduler::has_changes() const
+{
+    return state_.book.has_changes() || fleet_changed_ ||
+           std::ranges::any_of(state_.fleet, [](const auto& entry) {
+               return entry.second.has_unstored_ends();
+           });
+}
+
+change_set scheduler::take_changes()
+{
+    change_set changes;
+    changes.jobs = state_.book.take_changes(jobs_of_one_change);
+    changes.is_partial = state_.book.has_changes();
+    if (std::exchange(fleet_changed_, false))
+    {
+        changes.fleet.emplace();
+        for (const auto& [id, worker] : state_.fleet)
+        {
+            changes.fleet->push_back(id);
+        }
+        being_recorded_ = *changes.fleet;
+    }
+    // The ends are covered only when no changed job is left out.
+    if (!changes.is_partial)
+    {
+        for (auto& [id, worker] : state_.fleet)
+        {
+            worker.sent_to_store = worker.taken_ends;
+        }
+    }
+    return changes;
+}
+
+void scheduler::on_changes_stored(time_point now)
+{
+    for (const auto& id : std::exchange(being_recorded_, {}))
+    {
+        if (auto* const worker = state_.find_worker(id))
+        {
+            worker->is_recorded = true;
+        }
+    }
+    for (auto& [id, worker] : state_.fleet)
+    {
+        if (worker.sent_to_store > worker.stored_ends)
+        {
+            worker.stored_ends = worker.sent_to_store;
+            worker.next_look = std::min(worker.next_look, now);
+        }
+    }
+}
+
+std::vector<decision_event> scheduler::take_events()
+{
+    return std::exchange(state_.events, {});
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/scheduler.hpp
@@ -0,0 +1,113 @@
+// The decisions of the leading VM. Reads no clock and does no input or
+// output: the caller passes time and answers in and carries the orders out.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/look_planner.hpp"
+#include "jobs/report_intake.hpp"
+#include "jobs/scheduler_state.hpp"
+#include "jobs/tail_pacer.hpp"
+#include "jobs/task_placer.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+// What the store has to learn, in one transaction.
+struct change_set
+{
+    // Progress by job.
+    std::vector<std::pair<job_id, std::string>> jobs;
+    // All workers that may run tasks, if that list has changed.
+    std::optional<std::vector<worker_id>> fleet;
+    // More changes are left for the next set.
+    bool is_partial = false;
+
+    bool empty() const { return jobs.empty() && !fleet; }
+};
+
+class scheduler
+{
+public:
+    scheduler(scheduler_options options, std::uint64_t epoch);
+
+    // Recovery, in this order, before anything else.
+    void recover_job(job definition, const std::optional<job_progress>& known);
+    void recover_fleet(const std::vector<worker_id>& may_run_tasks);
+    // From now on decisions are made. Tasks of recovered jobs wait until
+    // every worker that may run them has been seen, or their leases have
+    // ended.
+    void begin(time_point now);
+
+    void set_services(std::map<service_id, service_terms> services);
+    void set_closed_zones(std::set<availability_zone_id> zones);
+    void set_worker(const worker_entry& entry, time_point now);
+    void remove_worker(const worker_id& id, time_point now);
+
+    // Does nothing for a job that is known.
+    void add_job(job definition);
+    void cancel_job(const job_id& id, time_point now);
+
+    void on_report(const worker_id& id, const worker_report& report,
+                   time_point sent_at, time_point now);
+    void on_look_failed(const worker_id& id, time_point now);
+    void on_start_answer(const worker_id& id, const task_key& key,
+                         std::uint32_t run, start_answer answer,
+                         time_point now);
+    void on_stop_confirmed(const worker_id& id, const task_key& key,
+                           std::uint32_t run, time_point now);
+    // A worker answered that it follows a later leader.
+    void on_superseded() { state_.is_superseded = true; }
+    bool is_superseded() const { return state_.is_superseded; }
+
+    // `may_start` is false while the lead is in doubt, `may_prolong` when the
+    // leases of running tasks must run out.
+    std::vector<order> decide(time_point now,
+                              std::chrono::milliseconds unix_now,
+                              bool may_start, bool may_prolong);
+
+    bool has_changes() const;
+    change_set take_changes();
+    // The set that was taken last is in the store.
+    void on_changes_stored(time_point now);
+
+    std::vector<decision_event> take_events();
+
+    const job_book& book() const { return state_.book; }
+    void forget_job(const job_id& id) { state_.book.forget(id); }
+    const std::map<worker_id, fleet_worker>& fleet() const
+    {
+        return state_.fleet;
+    }
+    std::size_t tasks_without_room() const
+    {
+        return placer_.tasks_without_room();
+    }
+    bool waits_for_workers() const { return !unaccounted_.empty(); }
+
+private:
+    void check_accounts(time_point now);
+    void relieve_leaving_worker(fleet_worker& worker, time_point now);
+    void forget_gone_workers(time_point now);
+
+    scheduler_state state_;
+    report_intake intake_;
+    task_placer placer_;
+    look_planner looks_;
+    tail_pacer pacer_;
+    // Workers on which an earlier leader may have started tasks, and that
+    // have not been seen.
+    std::set<worker_id> unaccounted_;
+    time_point leases_ended_at_{};
+    bool fleet_changed_ = false;
+    // Named in the list that is on its way to the store.
+    std::vector<worker_id> being_recorded_;
+    bool begun_ = false;
+};
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/scheduler_options.hpp
@@ -0,0 +1,44 @@
+// Times and limits of the scheduler.
+#pragma once
+
+#include "core/core.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+struct scheduler_options
+{
+    // Longest lease that a worker grants.
+    duration longest_lease = std::chrono::milliseconds(6000);
+    // A worker's clock may be slow by this share.
+    double clock_error = 0.02;
+    // A leader that lost the store goes on prolonging leases for this long.
+    duration holding_time = std::chrono::seconds(8);
+    // A start that is carried out later than this is refused by the worker.
+    duration start_validity = std::chrono::milliseconds(2500);
+    // Shortest time between two looks at a worker; ends in between come
+    // together.
+    duration look_gap = std::chrono::milliseconds(40);
+    // How long a look waits for an end.
+    duration look_wait = std::chrono::milliseconds(1500);
+    // A look while results wait for the store.
+    duration look_while_unstored = std::chrono::milliseconds(400);
+    // A worker without an answer for this long gets no new tasks.
+    duration contact_limit = std::chrono::milliseconds(2500);
+    duration look_retry = std::chrono::milliseconds(250);
+    duration stop_retry = std::chrono::milliseconds(700);
+    // A worker is avoided this long after it failed tasks of several jobs,
+    // and twice as long each further time.
+    duration first_avoidance = std::chrono::seconds(3);
+    duration longest_avoidance = std::chrono::seconds(24);
+    // A task that makes no progress for this long stands still.
+    duration stall_limit = std::chrono::milliseconds(2500);
+    // Times on remote wall clocks are compared with this margin.
+    duration due_margin = std::chrono::milliseconds(50);
+    // How many times longer a task takes away from its preferred rack.
+    double far_factor = 2.0;
+    // Fill tasks on one worker may ask for this share of its processors.
+    double fill_limit = 1.0;
+};
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/scheduler_state.cpp
@@ -0,0 +1,93 @@
+// Steps that several parts of the scheduler take.
+#include "jobs/scheduler_state.hpp"
+
+#include <algorithm>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+// More runs of one task under one leader than that would be a fault.
+constexpr std::uint64_t runs_of_one_epoch = 1000;
+
+} // namespace
+
+fleet_worker* scheduler_state::find_worker(const worker_id& id)
+{
+    const auto found = fleet.find(id);
+    return found == fleet.end() ? nullptr : &found->second;
+}
+
+std::uint32_t scheduler_state::next_run(const task_record& task) const
+{
+    const auto first = (epoch - 1) * runs_of_one_epoch + 1;
+    return std::max(task.last_run + 1, static_cast<std::uint32_t>(first));
+}
+
+void scheduler_state::say(
+    std::string message,
+    std::vector<std::pair<std::string_view, std::string>> fields)
+{
+    events.push_back({std::move(message), std::move(fields)});
+}
+
+void scheduler_state::put_back(const task_key& key, std::string_view why)
+{
+    auto* const owner = book.find(key.job);
+    if (owner == nullptr || !owner->has(key) ||
+        owner->task(key).phase != task_phase::placed)
+    {
+        return;
+    }
+    say("task waits again", {{"task", to_text(key)},
+                             {"worker", owner->task(key).worker.value()},
+                             {"why", std::string(why)}});
+    owner->set_waiting(key);
+}
+
+void scheduler_state::order_stop(fleet_worker& worker, const task_key& key,
+                                 time_point now, std::string_view why)
+{
+    auto* const run = worker.find_run(key);
+    if (run == nullptr ||
+        (run->stop_ordered_at &&
+         now - *run->stop_ordered_at < options.stop_retry))
+    {
+        return;
+    }
+    if (!run->stop_ordered_at)
+    {
+        say("run is stopped", {{"task", to_text(key)},
+                               {"run", std::to_string(run->run)},
+                               {"worker", worker.entry.id.value()},
+                               {"why", std::string(why)}});
+    }
+    run->stop_ordered_at = now;
+    orders.emplace_back(stop_order{worker.entry.id, key, run->run});
+}
+
+void scheduler_state::stop_job(const live_job& ended, time_point now,
+                               std::string_view why)
+{
+    const auto& id = ended.definition().id;
+    const auto& occurrences = ended.occurrences();
+    for (std::uint32_t k = 0; k < occurrences.size(); ++k)
+    {
+        for (std::uint32_t s = 0; s < occurrences[k].steps.size(); ++s)
+        {
+            const auto& tasks = occurrences[k].steps[s].tasks;
+            for (std::uint32_t i = 0; i < tasks.size(); ++i)
+            {
+                auto* const worker = find_worker(tasks[i].worker);
+                if (tasks[i].phase == task_phase::placed && worker != nullptr)
+                {
+                    order_stop(*worker, {id, k, s, i}, now, why);
+                }
+            }
+        }
+    }
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/scheduler_state.hpp
@@ -0,0 +1,58 @@
+// State that the parts of the scheduler share.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/fleet_worker.hpp"
+#include "jobs/job_book.hpp"
+#include "jobs/order.hpp"
+#include "jobs/queue_directory.hpp"
+#include "jobs/scheduler_options.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+// A line for the log: what was decided or learnt, and from what.
+struct decision_event
+{
+    std::string message;
+    std::vector<std::pair<std::string_view, std::string>> fields;
+};
+
+struct scheduler_state
+{
+    scheduler_options options;
+    std::uint64_t epoch = 0;
+    job_book book;
+    std::map<worker_id, fleet_worker> fleet;
+    std::map<service_id, service_terms> services;
+    std::set<availability_zone_id> closed_zones;
+    // A worker follows a later leader.
+    bool is_superseded = false;
+
+    std::vector<order> orders;
+    std::vector<decision_event> events;
+
+    fleet_worker* find_worker(const worker_id& id);
+    // The number of the task's next run. Each leader has a block of its own,
+    // so that runs of an earlier leader which left no trace have lower ones.
+    std::uint32_t next_run(const task_record& task) const;
+
+    void say(std::string message,
+             std::vector<std::pair<std::string_view, std::string>> fields);
+
+    // Takes a placed task off its worker, to be placed anew.
+    void put_back(const task_key& key, std::string_view why);
+    // Orders a run to end, unless that was done a moment ago.
+    void order_stop(fleet_worker& worker, const task_key& key, time_point now,
+                    std::string_view why);
+    // Orders all runs of a job to end.
+    void stop_job(const live_job& ended, time_point now, std::string_view why);
+};
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/task_placer.cpp
@@ -0,0 +1,335 @@
+// Order of tasks and choice of workers. Tasks that fill are kept off workers
+// with serving tasks, whose tails they would raise; serving tasks are packed
+// onto few workers, so that enough of the others are left.
+#include "jobs/task_placer.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+// A job that finishes after this many times its target earns nothing.
+constexpr int late_factor = 3;
+
+enum order_group
+{
+    // Serving tasks earn by the time that they are at work.
+    group_lasting,
+    group_in_time,
+    group_late,
+    group_lost
+};
+
+bool has_label(const worker_entry& entry, const std::string& label)
+{
+    return std::ranges::find(entry.labels, label) != entry.labels.end();
+}
+
+} // namespace
+
+void task_placer::place(time_point now, std::chrono::milliseconds unix_now)
+{
+    without_room_ = 0;
+    usable_ = usable_workers(now);
+    auto waiting = candidates(unix_now);
+    std::ranges::sort(waiting, [](const candidate& a, const candidate& b) {
+        return std::tie(a.group, a.latest_start) <
+               std::tie(b.group, b.latest_start);
+    });
+    for (const auto& c : waiting)
+    {
+        const bool is_gang = c.owner->definition().steps[c.step].is_gang;
+        is_gang ? place_gang(c, now) : place_step(c, now);
+    }
+}
+
+std::vector<task_placer::candidate>
+task_placer::candidates(std::chrono::milliseconds unix_now) const
+{
+    std::vector<candidate> out;
+    for (auto& [id, owner] : state_.book.live())
+    {
+        const auto& occurrences = owner->occurrences();
+        for (std::uint32_t k = 0; k < occurrences.size(); ++k)
+        {
+            const auto& steps = occurrences[k].steps;
+            for (std::uint32_t s = 0; s < steps.size(); ++s)
+            {
+                if (steps[s].waiting > 0 && owner->is_open(k, s, unix_now))
+                {
+                    out.push_back(make_candidate(*owner, k, s, unix_now));
+                }
+            }
+        }
+    }
+    return out;
+}
+
+task_placer::candidate
+task_placer::make_candidate(live_job& owner, std::uint32_t occurrence,
+                            std::uint32_t step,
+                            std::chrono::milliseconds unix_now) const
+{
+    const auto& definition = owner.definition();
+    const auto begin = definition.repeats.count > 0
+                           ? owner.occurrences()[occurrence].due
+                           : definition.accepted_at;
+    const auto chain = longest_chain(definition.steps);
+    const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
+        chain * definition.terms.stretch + definition.terms.slack);
+    // What is left of the chain: at least this step.
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        definition.steps[step].estimate);
+    candidate c{&owner, occurrence, step, group_in_time, begin + target - left};
+    if (definition.steps[step].is_lasting)
+    {
+        c.group = group_lasting;
+    }
+    else if (unix_now > begin + late_factor * target - left)
+    {
+        c.group = group_lost;
+    }
+    else if (unix_now > c.latest_start)
+    {
+        c.group = group_late;
+    }
+    return c;
+}
+
+std::vector<fleet_worker*> task_placer::usable_workers(time_point now) const
+{
+    std::vector<fleet_worker*> out;
+    for (auto& [id, worker] : state_.fleet)
+    {
+        const bool is_open = !worker.is_unlisted && !worker.entry.is_leaving &&
+                             worker.is_recorded &&
+                             !state_.closed_zones.contains(worker.entry.zone);
+        const bool is_sound =
+            worker.knows_clock() &&
+            worker.is_reachable(now, state_.options.contact_limit) &&
+            worker.full_until <= now && worker.health.avoided_until <= now;
+        if (is_open && is_sound)
+        {
+            out.push_back(&worker);
+        }
+    }
+    return out;
+}
+
+void task_placer::place_step(const candidate& c, time_point now)
+{
+    const auto& definition = c.owner->definition();
+    const auto count = definition.steps[c.step].task_count;
+    bool has_room = true;
+    for (std::uint32_t i = 0; i < count; ++i)
+    {
+        const task_key key{definition.id, c.occurrence, c.step, i};
+        const auto& task = c.owner->task(key);
+        if (task.phase != task_phase::waiting || task.may_run_elsewhere ||
+            task.not_before > now)
+        {
+            continue;
+        }
+        auto* const worker =
+            has_room ? choose(*c.owner, key, task, now) : nullptr;
+        if (worker == nullptr)
+        {
+            // The other tasks of the step are of the same size.
+            has_room = false;
+            ++without_room_;
+            continue;
+        }
+        order_start(*c.owner, key, *worker, state_.next_run(task), now);
+    }
+}
+
+void task_placer::place_gang(const candidate& c, time_point now)
+{
+    const auto& definition = c.owner->definition();
+    const auto count = definition.steps[c.step].task_count;
+    std::uint32_t run = 0;
+    for (std::uint32_t i = 0; i < count; ++i)
+    {
+        const auto& task =
+            c.owner->task({definition.id, c.occurrence, c.step, i});
+        if (task.phase != task_phase::waiting || task.may_run_elsewhere)
+        {
+            return;
+        }
+        run = std::max(run, state_.next_run(task));
+    }
+    // Room is found with the members entered in the ledgers; they are taken
+    // out again when one finds none.
+    std::vector<std::pair<task_key, fleet_worker*>> places;
+    for (std::uint32_t i = 0; i < count; ++i)
+    {
+        const task_key key{definition.id, c.occurrence, c.step, i};
+        auto* const worker = choose(*c.owner, key, c.owner->task(key), now);
+        if (worker == nullptr)
+        {
+            break;
+        }
+        run_record planned;
+        planned.size = definition.steps[c.step].size;
+        worker->add_run(key, planned);
+        places.emplace_back(key, worker);
+    }
+    for (const auto& [key, worker] : places)
+    {
+        worker->erase_run(key);
+    }
+    if (places.size() < count)
+    {
+        without_room_ += count;
+        return;
+    }
+    for (const auto& [key, worker] : places)
+    {
+        order_start(*c.owner, key, *worker, run, now);
+    }
+}
+
+fleet_worker* task_placer::choose(const live_job& owner, const task_key& key,
+                                  const task_record& task,
+                                  time_point /*now*/) const
+{
+    const auto& s = owner.step_of(key);
+    fleet_worker* best = nullptr;
+    double least = std::numeric_limits<double>::max();
+    for (auto* const worker : usable_)
+    {
+        if (!has_room(*worker, s) || !is_eligible(*worker, owner, key))
+        {
+            continue;
+        }
+        const double price = cost(*worker, s, task);
+        if (price < least)
+        {
+            least = price;
+            best = worker;
+        }
+    }
+    return best;
+}
+
+bool task_placer::has_room(const fleet_worker& worker, const step& s) const
+{
+    const auto& used = worker.room_used();
+    const auto& room = worker.entry.capacity;
+    if (used.memory_mb + s.size.memory_mb > room.memory_mb ||
+        used.accelerators + s.size.accelerators > room.accelerators)
+    {
+        return false;
+    }
+    const auto reserved = used.processor_millis + s.size.processor_millis;
+    if (!s.fills)
+    {
+        return reserved <= room.processor_millis;
+    }
+    const auto limit = static_cast<std::int64_t>(
+        static_cast<double>(room.processor_millis) * state_.options.fill_limit);
+    return worker.serving_count() == 0 &&
+           reserved + worker.fill_demand() <= limit;
+}
+
+bool task_placer::is_eligible(const fleet_worker& worker, const live_job& owner,
+                              const task_key& key) const
+{
+    const auto& s = owner.step_of(key);
+    const auto& terms = owner.definition().terms;
+    if (worker.entry.service != terms.service)
+    {
+        return false;
+    }
+    if (!terms.regions.empty() &&
+        std::ranges::find(terms.regions, worker.entry.region) ==
+            terms.regions.end())
+    {
+        return false;
+    }
+    if (!s.required_label.empty() && !has_label(worker.entry, s.required_label))
+    {
+        return false;
+    }
+    // A run of the task that may still be there would take the place of this
+    // one in the ledger.
+    if (worker.runs().contains(key))
+    {
+        return false;
+    }
+    return s.most_per_worker == 0 ||
+           worker.runs_of_step(key) < s.most_per_worker;
+}
+
+double task_placer::cost(const fleet_worker& worker, const step& s,
+                         const task_record& task) const
+{
+    constexpr double weight_of_rack = 4.0;
+    constexpr double weight_of_load = 1.0;
+    constexpr double weight_of_neighbours = 2.0;
+    constexpr double weight_of_failure = 3.0;
+    const auto& room = worker.entry.capacity;
+    const auto demand = worker.room_used().processor_millis +
+                        worker.fill_demand() + s.size.processor_millis;
+    const double load = static_cast<double>(demand) /
+                        static_cast<double>(std::max<std::int64_t>(
+                            room.processor_millis, 1));
+    double sum = worker.health.slowness;
+    if (!s.preferred_rack.empty() && !has_label(worker.entry, s.preferred_rack))
+    {
+        sum += weight_of_rack * (state_.options.far_factor - 1.0);
+    }
+    if (task.failed_on == worker.entry.id)
+    {
+        sum += weight_of_failure;
+    }
+    if (s.fills)
+    {
+        return sum + weight_of_load * load;
+    }
+    if (s.tail_target > duration{})
+    {
+        // Packed beside other serving tasks, away from tasks that fill.
+        const double fills = static_cast<double>(worker.fill_count());
+        return sum + weight_of_neighbours * fills - weight_of_load * load -
+               (worker.serving_count() > 0 ? weight_of_neighbours : 0.0);
+    }
+    // Work that disturbs nobody goes where fill tasks may not.
+    const bool beside_serving = worker.serving_count() > 0;
+    const double over = std::max(0.0, load - 1.0);
+    return sum + weight_of_load * load + weight_of_neighbours * over -
+           (beside_serving ? weight_of_neighbours : 0.0);
+}
+
+void task_placer::order_start(live_job& owner, const task_key& key,
+                              fleet_worker& worker, std::uint32_t run,
+                              time_point now)
+{
+    const auto& definition = owner.definition();
+    const auto deadline =
+        worker.clock_at(now) + std::chrono::duration_cast<worker_clock>(
+                                   state_.options.start_validity);
+    auto record = make_run(owner.step_of(key), run, now);
+    record.start_deadline = deadline;
+    record.checkpoint = owner.task(key).checkpoint;
+    worker.add_run(key, record);
+    worker.note_deadline(deadline);
+    worker.next_look = std::min(worker.next_look, now + state_.options.look_gap);
+    owner.set_placed(key, worker.entry.id, run);
+    state_.say("task is placed",
+               {{"task", to_text(key)},
+                {"run", std::to_string(run)},
+                {"worker", worker.entry.id.value()},
+                {"processors_reserved",
+                 std::to_string(worker.room_used().processor_millis)},
+                {"fill_demand", std::to_string(worker.fill_demand())}});
+    state_.orders.emplace_back(start_order{worker.entry.id, key, run,
+                                           definition.payload,
+                                           record.checkpoint, deadline, {}});
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/task_placer.hpp
@@ -0,0 +1,62 @@
+// Chooses workers for waiting tasks and orders their starts.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "jobs/scheduler_state.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+class task_placer
+{
+public:
+    explicit task_placer(scheduler_state& state) : state_(state) {}
+
+    // Orders a start for each task that may start and has room somewhere.
+    void place(time_point now, std::chrono::milliseconds unix_now);
+
+    // Tasks that may start and found no room in the last pass.
+    std::size_t tasks_without_room() const { return without_room_; }
+
+private:
+    // A step of one occurrence with waiting tasks.
+    struct candidate
+    {
+        live_job* owner = nullptr;
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        // Lower goes first.
+        int group = 0;
+        std::chrono::milliseconds latest_start{};
+    };
+
+    std::vector<candidate> candidates(std::chrono::milliseconds unix_now) const;
+    candidate make_candidate(live_job& owner, std::uint32_t occurrence,
+                             std::uint32_t step,
+                             std::chrono::milliseconds unix_now) const;
+    std::vector<fleet_worker*> usable_workers(time_point now) const;
+
+    void place_step(const candidate& c, time_point now);
+    void place_gang(const candidate& c, time_point now);
+    fleet_worker* choose(const live_job& owner, const task_key& key,
+                         const task_record& task, time_point now) const;
+    bool is_eligible(const fleet_worker& worker, const live_job& owner,
+                     const task_key& key) const;
+    bool has_room(const fleet_worker& worker, const step& s) const;
+    // Lower is better; in parts of the task's duration.
+    double cost(const fleet_worker& worker, const step& s,
+                const task_record& task) const;
+    void order_start(live_job& owner, const task_key& key,
+                     fleet_worker& worker, std::uint32_t run, time_point now);
+
+    scheduler_state& state_;
+    // Workers that take tasks in this pass.
+    std::vector<fleet_worker*> usable_;
+    std::size_t without_room_ = 0;
+};
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/worker_report.cpp
@@ -0,0 +1,24 @@
+// Names of answers and ends in logs.
+#include "jobs/worker_report.hpp"
+
+#include <array>
+
+namespace hemlockdeal::jobs
+{
+
+std::string_view to_text(start_answer answer)
+{
+    constexpr std::array<std::string_view, 10> names = {
+        "accepted",  "no_room",   "superseded", "run_too_low",  "deadline_passed",
+        "no_ticket", "unhealthy", "malformed",  "other_worker", "unknown"};
+    return names.at(static_cast<std::size_t>(answer));
+}
+
+std::string_view to_text(run_end how)
+{
+    constexpr std::array<std::string_view, 6> names = {
+        "done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return names.at(static_cast<std::size_t>(how));
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/node/concepts.hpp
@@ -0,0 +1,79 @@
+// What the node needs from a platform.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jobs/jobs.hpp"
+#include "node/store_message.hpp"
+
+namespace hemlockdeal::node
+{
+
+// Calls answer later, once, from the event loop.
+template <typename Store>
+concept row_store = requires(
+    Store& store, transaction t, row_range r, std::string table,
+    row_version after, duration time,
+    std::function<void(transaction_outcome)> on_transaction,
+    std::function<void(read_outcome)> on_read,
+    std::function<void(feed_outcome)> on_feed) {
+    store.transact(t, time, on_transaction);
+    store.read(r, time, on_read);
+    // Rows of the table that changed after a version; waits for the first.
+    store.feed(table, after, time, on_feed);
+};
+
+// An answer to a look; empty when none came.
+struct look_answer
+{
+    std::optional<jobs::worker_report> report;
+    // The worker follows a later leader.
+    bool is_superseded = false;
+};
+
+// Orders to workers; `epoch` tells them who leads.
+template <typename Workers>
+concept worker_port = requires(
+    Workers& workers, const jobs::worker_entry& worker, std::uint64_t epoch,
+    jobs::start_order start, jobs::stop_order stop, jobs::pace_order pace,
+    jobs::look_order look, std::function<void(jobs::start_answer)> on_start,
+    std::function<void(bool)> on_done,
+    std::function<void(look_answer)> on_look) {
+    workers.start(worker, start, epoch, on_start);
+    workers.stop(worker, stop, epoch, on_done);
+    workers.pace(worker, pace, epoch, on_done);
+    workers.look(worker, look, epoch, on_look);
+};
+
+// A change in the list of workers.
+struct worker_change
+{
+    worker_id id;
+    // Empty when the entry was removed or cannot be read.
+    std::optional<jobs::worker_entry> entry;
+};
+
+struct worker_changes
+{
+    std::vector<worker_change> changes;
+    row_version newest;
+    // The list holds all workers, not only what changed.
+    bool is_whole = false;
+};
+
+using worker_list_outcome = std::variant<worker_changes, history_lost, not_done>;
+
+// The platform's list of workers.
+template <typename List>
+concept worker_list = requires(
+    List& list, row_version after,
+    std::function<void(worker_list_outcome)> on_changes) {
+    list.read_all(on_changes);
+    list.read_changes(after, on_changes);
+};
+
+} // namespace hemlockdeal::node
--- /dev/null
+++ b/src/node/leader_figures.hpp
@@ -0,0 +1,26 @@
+// Counts of the leading VM for metrics and logs.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace hemlockdeal::node
+{
+
+struct leader_figures
+{
+    bool leads = false;
+    std::uint64_t epoch = 0;
+    std::size_t live_jobs = 0;
+    std::size_t workers = 0;
+    std::size_t tasks_without_room = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t starts_refused = 0;
+    std::uint64_t stops = 0;
+    std::uint64_t paces = 0;
+    std::uint64_t looks = 0;
+    std::uint64_t looks_failed = 0;
+    std::uint64_t transactions = 0;
+};
+
+} // namespace hemlockdeal::node
--- /dev/null
+++ b/src/node/operator_watch.hpp
@@ -0,0 +1,151 @@
+// Follows what the operators declare: the configuration and the availability
+// zones that are out of service. Never goes back to an older configuration.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jobs/jobs.hpp"
+#include "node/store_health.hpp"
+#include "node/store_message.hpp"
+#include "observe/logging.hpp"
+
+namespace hemlockdeal::node
+{
+
+struct operator_changes
+{
+    std::optional<jobs::queue_directory::content> configuration;
+    // Zones that were taken out of service (true) or back.
+    std::vector<std::pair<availability_zone_id, bool>> zones;
+    row_version newest;
+    // All that the operators declare, not only what changed.
+    bool is_whole = false;
+};
+
+using operator_outcome = std::variant<operator_changes, history_lost, not_done>;
+
+template <typename Source>
+concept operator_source = requires(
+    Source& source, row_version after, duration wait,
+    std::function<void(operator_outcome)> on_changes) {
+    source.read_all(on_changes);
+    source.read_changes(after, wait, on_changes);
+};
+
+struct operator_watch_options
+{
+    // A connection to the store that went silent shows after this long.
+    duration wait = std::chrono::milliseconds(1200);
+    duration retry = std::chrono::milliseconds(150);
+};
+
+template <operator_source Source>
+class operator_watch
+{
+public:
+    struct listeners
+    {
+        std::function<void(const jobs::queue_directory&)> on_configuration;
+        std::function<void(const std::set<availability_zone_id>&)> on_zones;
+    };
+
+    operator_watch(Source& source, std::function<time_point()> now,
+                   store_health& health, operator_watch_options options,
+                   listeners told)
+        : source_(source), now_(std::move(now)), health_(health),
+          options_(options), told_(std::move(told))
+    {}
+
+    // To be called every few milliseconds.
+    void tick()
+    {
+        if (is_waiting_ || now_() < next_)
+        {
+            return;
+        }
+        is_waiting_ = true;
+        const auto taken = [this](const operator_outcome& outcome) {
+            is_waiting_ = false;
+            take(outcome);
+        };
+        if (position_ == row_version(0))
+        {
+            source_.read_all(taken);
+            return;
+        }
+        source_.read_changes(position_, options_.wait, taken);
+    }
+
+    const jobs::queue_directory& queues() const { return queues_; }
+
+private:
+    void take(const operator_outcome& outcome)
+    {
+        if (const auto* const failed = std::get_if<not_done>(&outcome))
+        {
+            health_.on_failure(failed->reason);
+            next_ = now_() + options_.retry;
+            return;
+        }
+        health_.on_answer(now_());
+        if (std::holds_alternative<history_lost>(outcome))
+        {
+            log(log_level::warning, "history of the declarations is lost");
+            position_ = row_version(0);
+            return;
+        }
+        const auto& changes = std::get<operator_changes>(outcome);
+        position_ = std::max(position_, changes.newest);
+        if (changes.configuration && queues_.adopt(*changes.configuration))
+        {
+            log(log_level::info, "configuration is in force",
+                {{"version", std::to_string(queues_.version().value())},
+                 {"routes", std::to_string(queues_.all().routes.size())}});
+            told_.on_configuration(queues_);
+        }
+        take_zones(changes);
+    }
+
+    void take_zones(const operator_changes& changes)
+    {
+        auto closed =
+            changes.is_whole ? std::set<availability_zone_id>{} : closed_;
+        for (const auto& [zone, is_out] : changes.zones)
+        {
+            if (is_out)
+            {
+                closed.insert(zone);
+            }
+            else
+            {
+                closed.erase(zone);
+            }
+        }
+        if (closed != closed_)
+        {
+            closed_ = std::move(closed);
+            told_.on_zones(closed_);
+        }
+    }
+
+    Source& source_;
+    std::function<time_point()> now_;
+    store_health& health_;
+    operator_watch_options options_;
+    listeners told_;
+    jobs::queue_directory queues_;
+    std::set<availability_zone_id> closed_;
+    row_version position_;
+    bool is_waiting_ = false;
+    time_point next_{};
+};
+
+} // namespace hemlockdeal::node
--- /dev/null
+++ b/src/node/store_message.hpp
@@ -0,0 +1,108 @@
+// Calls to the platform's transactional row store and their outcomes.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/core.hpp"
+
+namespace hemlockdeal::node
+{
+
+struct stored_row
+{
+    std::string table;
+    std::string part;
+    std::string key;
+    std::string value;
+    row_version version;
+    // In a feed: the row was deleted.
+    bool is_removed = false;
+};
+
+// The row must have this version; 0 means that it must not exist.
+struct row_condition
+{
+    std::string table;
+    std::string key;
+    row_version version;
+};
+
+struct row_write
+{
+    std::string table;
+    std::string key;
+    std::string value;
+};
+
+struct row_name
+{
+    std::string table;
+    std::string key;
+};
+
+// Atomic over the rows of one part.
+struct transaction
+{
+    std::string part;
+    std::vector<row_condition> conditions;
+    std::vector<row_write> writes;
+    std::vector<row_name> deletes;
+};
+
+struct committed
+{
+    row_version version;
+};
+
+// A condition does not hold; nothing was done.
+struct conflict
+{
+    // The rows of the conditions as they are.
+    std::vector<stored_row> current;
+};
+
+// The store refused or was not reached; nothing was done.
+struct not_done
+{
+    std::string reason;
+};
+
+// The call may have been carried out, or may still be.
+struct outcome_unknown
+{
+    std::string reason;
+};
+
+using transaction_outcome =
+    std::variant<committed, conflict, not_done, outcome_unknown>;
+
+// Rows with from <= key < to; an empty `to` means no bound.
+struct row_range
+{
+    std::string table;
+    std::string part;
+    std::string from;
+    std::string to;
+    std::size_t limit = 500;
+};
+
+struct read_rows
+{
+    std::vector<stored_row> rows;
+    bool has_more = false;
+    // The newest version in the store at the time of the read.
+    row_version newest;
+};
+
+using read_outcome = std::variant<read_rows, not_done>;
+
+// The feed's position is older than what the store keeps.
+struct history_lost
+{};
+
+using feed_outcome = std::variant<read_rows, history_lost, not_done>;
+
+} // namespace hemlockdeal::node
--- /dev/null
+++ b/src/node/store_tables.hpp
@@ -0,0 +1,42 @@
+// The product's tables in the store. Submissions lie in a part of their own,
+// so that callers' writes and the leader's do not wait for one another.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/core.hpp"
+
+namespace hemlockdeal::node
+{
+
+// Part "jobs": one row a job, created by the VM that accepted it, and one row
+// for its cancellation.
+inline const std::string inbox_table = "inbox";
+inline const std::string jobs_part = "jobs";
+
+// Part "lead": written by the leading VM only.
+inline const std::string lead_part = "lead";
+inline const std::string lease_table = "lease";
+inline const std::string lease_key = "leader";
+inline const std::string progress_table = "progress";
+inline const std::string fleet_table = "fleet";
+inline const std::string fleet_key = "workers";
+inline const std::string pending_table = "pending";
+inline const std::string pending_key = "queues";
+
+constexpr std::string_view cancel_suffix = ".c";
+
+inline std::string cancel_key(const job_id& id)
+{
+    return id.value() + std::string(cancel_suffix);
+}
+
+// The first key after all keys that begin with the job's id; ids are
+// hexadecimal.
+inline std::string end_of_job_keys(const job_id& id)
+{
+    return id.value() + "~";
+}
+
+} // namespace hemlockdeal::node
--- a/src/observe/logging.cpp
+++ b/src/observe/logging.cpp
@@ -5,6 +5,9 @@
 #include <atomic>
 #include <memory>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -19,6 +22,59 @@
 
 std::atomic<bool> is_set_up = false;
 
+const log4cplus::tstring line_pattern = LOG4CPLUS_TEXT(
+    "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p thread=%t %m%n");
+
+// Holds lines until they are flushed. log4cplus locks an appender while it
+// appends; flush() takes the same lock.
+class buffer_appender : public log4cplus::Appender
+{
+public:
+    ~buffer_appender() override { destructorImpl(); }
+
+    void close() override { closed = true; }
+
+    void flush()
+    {
+        const log4cplus::thread::MutexGuard guard(access_mutex);
+        if (unreported_ > 0 && pending_.size() < capacity)
+        {
+            pending_ += "level=WARN message=\"log lines left out\" count=" +
+                        std::to_string(unreported_) + '\n';
+            unreported_ = 0;
+        }
+        const auto written =
+            ::write(STDOUT_FILENO, pending_.data(), pending_.size());
+        if (written > 0)
+        {
+            pending_.erase(0, static_cast<std::size_t>(written));
+        }
+    }
+
+    std::uint64_t left_out() const { return left_out_; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        if (pending_.size() >= capacity)
+        {
+            ++left_out_;
+            ++unreported_;
+            return;
+        }
+        pending_ += formatEvent(event);
+    }
+
+private:
+    static constexpr std::size_t capacity = 512ULL * 1024;
+
+    std::string pending_;
+    std::uint64_t unreported_ = 0;
+    std::atomic<std::uint64_t> left_out_ = 0;
+};
+
+log4cplus::helpers::SharedObjectPtr<buffer_appender> buffer;
+
 bool is_plain(char c)
 {
     return c > ' ' && c <= '~' && c != '"' && c != '=' && c != '\\';
@@ -70,6 +126,17 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
+void attach(log4cplus::SharedAppenderPtr appender, log_level level)
+{
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>(line_pattern));
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+    root.setLogLevel(to_log4cplus(level));
+    is_set_up.store(true, std::memory_order_release);
+}
+
 } // namespace
 
 std::optional<log_level> parse_log_level(std::string_view text)
@@ -99,14 +166,33 @@
     static const log4cplus::Initializer initializer;
     auto appender = log4cplus::SharedAppenderPtr(
         new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-        LOG4CPLUS_TEXT("time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p thread=%t "
-                       "%m%n")));
-    auto root = log4cplus::Logger::getRoot();
-    root.removeAllAppenders();
-    root.addAppender(appender);
-    root.setLogLevel(to_log4cplus(level));
-    is_set_up.store(true, std::memory_order_release);
+    attach(appender, level);
+}
+
+void set_up_buffered_logging(log_level level)
+{
+    static const log4cplus::Initializer initializer;
+    // A reader that stops must not stop this process.
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+    {
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+    buffer = new buffer_appender;
+    attach(log4cplus::SharedAppenderPtr(buffer.get()), level);
+}
+
+void flush_log()
+{
+    if (buffer)
+    {
+        buffer->flush();
+    }
+}
+
+std::uint64_t log_lines_left_out()
+{
+    return buffer ? buffer->left_out() : 0;
 }
 
 std::string to_log_line(std::string_view message, const log_fields& fields)
--- a/src/observe/logging.hpp
+++ b/src/observe/logging.hpp
@@ -1,6 +1,7 @@
 // Log lines of the form key=value on the standard error stream.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,6 +26,17 @@
 // be called once, before other threads log.
 void set_up_logging(log_level level);
 
+// Collects log lines in memory and writes them to standard output when
+// flush_log() is called, without ever waiting for the reader. Lines beyond a
+// bound are left out and counted.
+void set_up_buffered_logging(log_level level);
+
+// Writes what standard output takes at once; to be called from one thread.
+void flush_log();
+
+// Lines that were left out since the start.
+std::uint64_t log_lines_left_out();
+
 using log_fields = std::vector<std::pair<std::string_view, std::string>>;
 
 // Writes one line with the time, level, thread, message and fields. Any
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -3,7 +3,7 @@
 // in one thread with one event loop and never blocks.
 #pragma once
 
-#include "proxy/epoll_dispatcher.hpp"
+#include "http/epoll_dispatcher.hpp"
 #include "proxy/proxy_limits.hpp"
 #include "proxy/proxy_outputs.hpp"
 #include "proxy/proxy_server.hpp"
