--- a/src/observe/logging.cpp
+++ b/src/observe/logging.cpp
@@ -43,12 +43,18 @@
                         std::to_string(unreported_) + '\n';
             unreported_ = 0;
         }
-        const auto written =
-            ::write(STDOUT_FILENO, pending_.data(), pending_.size());
-        if (written > 0)
+        std::size_t sent = 0;
+        while (sent < pending_.size())
         {
-            pending_.erase(0, static_cast<std::size_t>(written));
+            const auto written = ::write(STDOUT_FILENO, pending_.data() + sent,
+                                         whole_lines(sent));
+            if (written <= 0)
+            {
+                break;
+            }
+            sent += static_cast<std::size_t>(written);
         }
+        pending_.erase(0, sent);
     }
 
     std::uint64_t left_out() const { return left_out_; }
@@ -67,6 +73,16 @@
 
 private:
     static constexpr std::size_t capacity = 512ULL * 1024;
+    // Writes up to this size to a pipe are atomic.
+    static constexpr std::size_t atomic_write = 4096;
+
+    // Bytes from `begin` on that end with a line and fit into one write.
+    std::size_t whole_lines(std::size_t begin) const
+    {
+        const auto last = pending_.rfind('\n', begin + atomic_write - 1);
+        const bool fits = last != std::string::npos && last >= begin;
+        return (fits ? last : pending_.find('\n', begin)) + 1 - begin;
+    }
 
     std::string pending_;
     std::uint64_t unreported_ = 0;
