Learn interference by image pairs and pace, place and move fill tasks by it

Readings fit tail = base / (1 - load x (1 + pressure x share)), with pressures near 1 or near 7 by image pair.

--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -13,8 +13,23 @@
 
 constexpr duration lapse_margin = std::chrono::milliseconds(100);
 
+// A slowed task will go on at full pace before long.
+constexpr int least_demand_percent = 25;
+constexpr int slow_percent = 60;
+
+std::int64_t demand_at_pace(const run_record& run)
+{
+    return run.size.processor_millis *
+           std::max(run.pace, least_demand_percent) / 100;
+}
+
 } // namespace
 
+image_number to_image(const std::string& name)
+{
+    return image_number(stable_hash(name));
+}
+
 run_record make_run(const step& s, std::uint32_t run, time_point now)
 {
     run_record record;
@@ -23,11 +38,12 @@
     record.fills = s.fills;
     record.is_lasting = s.is_lasting;
     record.saves_progress = s.saves_progress;
-    record.image = s.image;
+    record.image = to_image(s.image);
     record.estimate = s.estimate;
     record.tail_target = s.tail_target;
     record.ordered_at = now;
     record.progressed_at = now;
+    record.changed_at = now;
     return record;
 }
 
@@ -76,12 +92,40 @@
     return static_cast<std::size_t>(std::distance(first, last));
 }
 
+void fleet_worker::set_pace(run_record& run, int percent, time_point now)
+{
+    fill_demand_ -= run.fills ? demand_at_pace(run) : 0;
+    run.pace = percent;
+    fill_demand_ += run.fills ? demand_at_pace(run) : 0;
+    pressed.is_stale = true;
+    run.progressed_at = now;
+    run.changed_at = now;
+    if (percent >= slow_percent)
+    {
+        run.slowed_since.reset();
+    }
+    else if (!run.slowed_since)
+    {
+        run.slowed_since = now;
+    }
+}
+
+double fleet_worker::likely_unused(double serving_use) const
+{
+    const auto others = used_.processor_millis - serving_reserve_;
+    return static_cast<double>(entry.capacity.processor_millis - others) -
+           serving_use * static_cast<double>(serving_reserve_);
+}
+
 void fleet_worker::account(const run_record& run, int sign)
 {
+    pressed.is_stale = true;
     used_.processor_millis += run.fills ? 0 : sign * run.size.processor_millis;
     used_.memory_mb += sign * run.size.memory_mb;
     used_.accelerators += sign * run.size.accelerators;
-    fill_demand_ += run.fills ? sign * run.size.processor_millis : 0;
+    fill_demand_ += run.fills ? sign * demand_at_pace(run) : 0;
+    serving_reserve_ +=
+        run.is_serving() ? sign * run.size.processor_millis : 0;
     const auto step = static_cast<std::size_t>(sign);
     serving_ += run.is_serving() ? step : 0;
     fills_ += run.fills ? step : 0;
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "jobs/scheduler_options.hpp"
 #include "jobs/worker_report.hpp"
@@ -13,6 +14,23 @@
 namespace hemlockdeal::jobs
 {
 
+// An image by the hash of its name: images are compared often.
+enum class image_number : std::uint64_t
+{
+};
+
+image_number to_image(const std::string& name);
+
+// Serving tasks of one image on a worker, as fill tasks press them.
+struct pressed_image
+{
+    image_number image{};
+    // Pressure times processor millis, summed over the worker's fill tasks.
+    double weight = 0.0;
+    // Slowdown that the tightest of the tasks bears at its mean load.
+    double room = 0.0;
+};
+
 // A run that is, or may be, on a worker. It counts against the worker's room
 // until it is known to be over.
 struct run_record
@@ -22,7 +40,7 @@
     bool fills = false;
     bool is_lasting = false;
     bool saves_progress = false;
-    std::string image;
+    image_number image{};
     duration estimate{};
     duration tail_target{};
 
@@ -41,6 +59,10 @@
     time_point progressed_at{};
     std::int64_t figure = -1;
     int pace = 100;
+    // Since when the pace has been low.
+    std::optional<time_point> slowed_since;
+    // When it was started or its pace was changed.
+    time_point changed_at{};
     std::string checkpoint;
 
     bool is_serving() const { return tail_target > duration{}; }
@@ -102,8 +124,12 @@
 
     // Room that is reserved; fill tasks reserve memory only.
     const task_size& room_used() const { return used_; }
-    // Processors that fill tasks ask for.
+    // Processors that fill tasks ask for at their present pace.
     std::int64_t fill_demand() const { return fill_demand_; }
+    void set_pace(run_record& run, int percent, time_point now);
+    // Processors that are left to fill tasks when serving tasks use this
+    // share of what they reserve.
+    double likely_unused(double serving_use) const;
     std::size_t serving_count() const { return serving_; }
     std::size_t fill_count() const { return fills_; }
 
@@ -119,6 +145,15 @@
     // The worker has started again: it runs nothing and remembers nothing.
     void restart(worker_birth born);
 
+    // Kept by interference_model::pressed_images().
+    struct pressed_cache
+    {
+        std::vector<pressed_image> images;
+        time_point made_at{};
+        bool is_stale = true;
+    };
+    mutable pressed_cache pressed;
+
 private:
     void account(const run_record& run, int sign);
 
@@ -126,6 +161,7 @@
     std::map<task_key, run_record> runs_;
     task_size used_;
     std::int64_t fill_demand_ = 0;
+    std::int64_t serving_reserve_ = 0;
     std::size_t serving_ = 0;
     std::size_t fills_ = 0;
 
--- a/src/jobs/look_planner.cpp
+++ b/src/jobs/look_planner.cpp
@@ -46,8 +46,11 @@
                           worker.failed_looks == 0 && !worker.runs().empty();
     if (may_wait)
     {
+        const bool is_mixed =
+            worker.serving_count() > 0 && worker.fill_count() > 0;
         look.wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-            state_.options.look_wait);
+            is_mixed ? state_.options.mixed_look_wait
+                     : state_.options.look_wait);
     }
     worker.look_sent_at = now;
     state_.orders.emplace_back(look);
--- /dev/null
+++ b/src/jobs/pressure_fit.cpp
@@ -0,0 +1,87 @@
+// Implements the fit by coordinate descent; pressures are not negative.
+#include "jobs/pressure_fit.hpp"
+
+#include <algorithm>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+// Most pairs press little; the prior keeps a pair that was hardly seen there.
+constexpr double prior_pressure = 1.5;
+constexpr double prior_weight = 0.08;
+constexpr double highest_pressure = 12.0;
+constexpr double forgetting = 0.985;
+constexpr int rounds = 6;
+
+} // namespace
+
+std::size_t pressure_fit::index_of(image_number fill_image)
+{
+    const auto found = std::ranges::find(images_, fill_image);
+    if (found != images_.end())
+    {
+        return static_cast<std::size_t>(found - images_.begin());
+    }
+    images_.push_back(fill_image);
+    for (auto& row : products_)
+    {
+        row.push_back(0.0);
+    }
+    products_.emplace_back(images_.size(), 0.0);
+    targets_.push_back(0.0);
+    pressures_.push_back(prior_pressure);
+    return images_.size() - 1;
+}
+
+void pressure_fit::add(const shares& used, double slowdown)
+{
+    std::vector<std::pair<std::size_t, double>> indexed;
+    for (const auto& [image, share] : used)
+    {
+        indexed.emplace_back(index_of(image), share);
+    }
+    for (const auto& [i, share] : indexed)
+    {
+        targets_[i] += share * slowdown;
+        for (const auto& [k, other] : indexed)
+        {
+            products_[i][k] += share * other;
+        }
+    }
+}
+
+void pressure_fit::solve()
+{
+    for (int round = 0; round < rounds; ++round)
+    {
+        for (std::size_t i = 0; i < pressures_.size(); ++i)
+        {
+            double rest = targets_[i] + prior_weight * prior_pressure;
+            for (std::size_t k = 0; k < pressures_.size(); ++k)
+            {
+                rest -= k == i ? 0.0 : products_[i][k] * pressures_[k];
+            }
+            pressures_[i] = std::clamp(rest / (products_[i][i] + prior_weight),
+                                       0.0, highest_pressure);
+        }
+    }
+    for (std::size_t i = 0; i < pressures_.size(); ++i)
+    {
+        targets_[i] *= forgetting;
+        std::ranges::for_each(products_[i],
+                              [](double& sum) { sum *= forgetting; });
+    }
+}
+
+double pressure_fit::pressure(image_number fill_image) const
+{
+    const auto found = std::ranges::find(images_, fill_image);
+    return found == images_.end()
+               ? prior_pressure
+               : pressures_[static_cast<std::size_t>(found - images_.begin())];
+}
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -159,6 +159,7 @@
     }
     worker->look_sent_at.reset();
     intake_.on_report(*worker, report, sent_at, now);
+    state_.interference.learn(*worker, now);
     pacer_.adjust(*worker, now);
     worker->next_look =
         now + (worker->has_unstored_ends() ? state_.options.look_while_unstored
@@ -257,6 +258,7 @@
     if (may_start)
     {
         placer_.place(now, unix_now);
+        placer_.move_slowed(now);
     }
     looks_.plan(now, may_prolong);
     return std::exchange(state_.orders, {});
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -21,6 +21,8 @@
     duration look_gap = std::chrono::milliseconds(40);
     // How long a look waits for an end.
     duration look_wait = std::chrono::milliseconds(1500);
+    // The same on a worker where fill tasks press serving ones.
+    duration mixed_look_wait = std::chrono::milliseconds(400);
     // A look while results wait for the store.
     duration look_while_unstored = std::chrono::milliseconds(400);
     // A worker without an answer for this long gets no new tasks.
@@ -37,8 +39,13 @@
     duration due_margin = std::chrono::milliseconds(50);
     // How many times longer a task takes away from its preferred rack.
     double far_factor = 2.0;
-    // Fill tasks on one worker may ask for this share of its processors.
-    double fill_limit = 1.0;
+    // A fill task that is slowed for this long may be moved.
+    duration slowed_limit = std::chrono::milliseconds(700);
+    // Fill tasks may ask for this many times the processors that are likely
+    // to be unused.
+    double fill_limit = 1.1;
+    // Serving tasks use this share of what they reserve, on average.
+    double serving_use = 0.5;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "jobs/fleet_worker.hpp"
+#include "jobs/interference_model.hpp"
 #include "jobs/job_book.hpp"
 #include "jobs/order.hpp"
 #include "jobs/queue_directory.hpp"
@@ -32,6 +33,7 @@
     std::map<worker_id, fleet_worker> fleet;
     std::map<service_id, service_terms> services;
     std::set<availability_zone_id> closed_zones;
+    interference_model interference;
     // A worker follows a later leader.
     bool is_superseded = false;
 
--- a/src/jobs/tail_pacer.cpp
+++ b/src/jobs/tail_pacer.cpp
@@ -1,7 +1,10 @@
-// Implements the pacing.
+// Implements the pacing: fill tasks that press least go at full pace, and the
+// others share what room is left.
 #include "jobs/tail_pacer.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <vector>
 
 namespace hemlockdeal::jobs
 {
@@ -9,28 +12,49 @@
 namespace
 {
 
-// Parts of the target. The figures are rough and half a second old.
-constexpr double high_pressure = 0.8;
-constexpr double low_pressure = 0.5;
+// Part of the utilisation limit that is planned for: figures are rough and
+// half a second old.
+constexpr double planned_part = 0.93;
+constexpr double tiny_room = 0.02;
 constexpr int full_pace = 100;
-constexpr int pace_step_up = 25;
+// Smaller changes are not worth an order.
+constexpr int smallest_change = 15;
+// A tail above this part of its target is met by a stop of the heavy ones,
+// whatever the model expects.
+constexpr double alarm_part = 0.9;
+
+bool is_over(const run_record& run)
+{
+    const auto target =
+        std::chrono::duration<double, std::milli>(run.tail_target).count();
+    return run.is_serving() &&
+           static_cast<double>(run.figure) > alarm_part * target;
+}
 
 } // namespace
 
-double tail_pacer::pressure(const fleet_worker& worker)
+double tail_pacer::burden(const fleet_worker& worker, const run_record& fill,
+                          time_point now) const
 {
-    double largest = 0.0;
+    const auto& model = state_.interference;
+    const double share =
+        static_cast<double>(fill.size.processor_millis) /
+        static_cast<double>(std::max<std::int64_t>(
+            1, worker.entry.capacity.processor_millis));
+    double most = 0.0;
     for (const auto& [key, run] : worker.runs())
     {
-        if (run.is_serving() && run.figure >= 0)
+        if (!run.is_serving())
         {
-            const auto target = std::chrono::duration<double, std::milli>(
-                run.tail_target);
-            largest = std::max(largest, static_cast<double>(run.figure) /
-                                            target.count());
+            continue;
         }
+        const double limit = planned_part * model.utilisation_limit(run);
+        const double room =
+            limit / model.expected_load(key.job, now) - 1.0;
+        most = std::max(most, model.pressure(fill.image, run.image) * share /
+                                  std::max(room, tiny_room));
     }
-    return largest;
+    return most;
 }
 
 void tail_pacer::adjust(fleet_worker& worker, time_point now)
@@ -39,35 +63,50 @@
     {
         return;
     }
-    const double now_at = pressure(worker);
-    for (const auto& [key, shown] : worker.runs())
+    struct fill
     {
-        auto& run = *worker.find_run(key);
-        if (!run.fills || !run.confirmed_at || run.stop_ordered_at)
-        {
-            continue;
-        }
-        int pace = run.pace;
-        if (now_at > high_pressure)
-        {
-            pace = 0;
-        }
-        else if (now_at < low_pressure)
-        {
-            pace = std::min(full_pace, run.pace + pace_step_up);
-        }
-        if (pace == run.pace)
+        task_key key;
+        double burden = 0.0;
+    };
+    std::vector<fill> fills;
+    bool is_alarm = false;
+    for (const auto& [key, run] : worker.runs())
+    {
+        is_alarm = is_alarm || is_over(run);
+        if (run.fills && run.confirmed_at && !run.stop_ordered_at)
         {
-            continue;
+            fills.push_back({key, burden(worker, run, now)});
         }
-        run.pace = pace;
-        run.progressed_at = now;
-        state_.say("run is paced", {{"task", to_text(key)},
-                                    {"percent", std::to_string(pace)},
-                                    {"pressure", std::to_string(now_at)}});
-        state_.orders.emplace_back(
-            pace_order{worker.entry.id, key, run.run, pace});
     }
+    std::ranges::sort(fills, {}, &fill::burden);
+    // After an alarm only half of what the model allows.
+    double left = is_alarm ? 0.5 : 1.0;
+    for (const auto& f : fills)
+    {
+        const double part =
+            f.burden <= 0.0 ? 1.0 : std::clamp(left / f.burden, 0.0, 1.0);
+        left -= part * f.burden;
+        set_pace(worker, f.key, static_cast<int>(std::lround(part * full_pace)),
+                 now);
+    }
+}
+
+void tail_pacer::set_pace(fleet_worker& worker, const task_key& key,
+                          int percent, time_point now)
+{
+    auto& run = *worker.find_run(key);
+    const bool is_end = percent == 0 || percent == full_pace;
+    const int change = std::abs(percent - run.pace);
+    if (change == 0 || (change < smallest_change && !is_end))
+    {
+        return;
+    }
+    worker.set_pace(run, percent, now);
+    state_.say("run is paced", {{"task", to_text(key)},
+                                {"worker", worker.entry.id.value()},
+                                {"percent", std::to_string(percent)}});
+    state_.orders.emplace_back(
+        pace_order{worker.entry.id, key, run.run, percent});
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/tail_pacer.hpp
+++ b/src/jobs/tail_pacer.hpp
@@ -1,5 +1,5 @@
-// Slows fill tasks down beside serving tasks whose tail latency is near its
-// target, and lets them go on when it is calm.
+// Slows fill tasks down beside serving tasks whose tails would pass their
+// targets, and lets them go on when it is calm.
 #pragma once
 
 #include "jobs/scheduler_state.hpp"
@@ -16,8 +16,12 @@
     void adjust(fleet_worker& worker, time_point now);
 
 private:
-    // Largest ratio of tail to target of the serving tasks.
-    static double pressure(const fleet_worker& worker);
+    // What a fill task at full pace takes of the most pressed serving task's
+    // room for slowdown; the sum over the worker must stay below 1.
+    double burden(const fleet_worker& worker, const run_record& fill,
+                  time_point now) const;
+    void set_pace(fleet_worker& worker, const task_key& key, int percent,
+                  time_point now);
 
     scheduler_state& state_;
 };
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -15,6 +15,17 @@
 // A job that finishes after this many times its target earns nothing.
 constexpr int late_factor = 3;
 
+// Weights of the cost of a place, in parts of the task's duration.
+constexpr double weight_of_rack = 4.0;
+constexpr double weight_of_failure = 3.0;
+constexpr double weight_of_second = 0.2;
+constexpr double weight_of_neighbours = 0.1;
+constexpr double weight_of_image = 1.0;
+// A place with this cost lets a fill task run at full pace.
+constexpr double good_place = 0.8;
+constexpr std::size_t moves_at_once = 4;
+constexpr int little_progress_percent = 15;
+
 enum order_group
 {
     // Serving tasks earn by the time that they are at work.
@@ -195,7 +206,7 @@
 
 fleet_worker* task_placer::choose(const live_job& owner, const task_key& key,
                                   const task_record& task,
-                                  time_point /*now*/) const
+                                  time_point now) const
 {
     const auto& s = owner.step_of(key);
     fleet_worker* best = nullptr;
@@ -206,7 +217,7 @@
         {
             continue;
         }
-        const double price = cost(*worker, s, task);
+        const double price = cost(*worker, s, task, now);
         if (price < least)
         {
             least = price;
@@ -230,10 +241,10 @@
     {
         return reserved <= room.processor_millis;
     }
-    const auto limit = static_cast<std::int64_t>(
-        static_cast<double>(room.processor_millis) * state_.options.fill_limit);
-    return worker.serving_count() == 0 &&
-           reserved + worker.fill_demand() <= limit;
+    const auto unused = worker.likely_unused(state_.options.serving_use);
+    return static_cast<double>(worker.fill_demand() +
+                               s.size.processor_millis) <=
+           unused * state_.options.fill_limit;
 }
 
 bool task_placer::is_eligible(const fleet_worker& worker, const live_job& owner,
@@ -265,19 +276,56 @@
            worker.runs_of_step(key) < s.most_per_worker;
 }
 
+double task_placer::fill_cost(const fleet_worker& worker, const step& s,
+                              time_point now) const
+{
+    const auto& model = state_.interference;
+    const auto image = to_image(s.image);
+    const auto size = static_cast<double>(s.size.processor_millis);
+    const auto capacity = static_cast<double>(
+        std::max<std::int64_t>(1, worker.entry.capacity.processor_millis));
+    // The part of the serving tasks' room for slowdown that the fill tasks
+    // would take together.
+    double pressed = 0.0;
+    for (const auto& serving : model.pressed_images(worker, now))
+    {
+        const double weight =
+            serving.weight + model.pressure(image, serving.image) * size;
+        pressed = std::max(pressed, weight / capacity / serving.room);
+    }
+    const double unused = std::max(
+        1.0, worker.likely_unused(state_.options.serving_use));
+    const double crowded =
+        (static_cast<double>(worker.fill_demand()) + size) / unused;
+    // The larger of the two says how much longer the task takes.
+    return std::max(pressed, crowded) + weight_of_second * (pressed + crowded);
+}
+
+double task_placer::serving_cost(const fleet_worker& worker,
+                                 const step& s) const
+{
+    const auto image = to_image(s.image);
+    double sum = 0.0;
+    for (const auto& [key, run] : worker.runs())
+    {
+        if (run.fills)
+        {
+            sum += state_.interference.pressure(run.image, image) *
+                   weight_of_neighbours;
+        }
+        // Tasks of one image bear the same fill tasks: together they leave
+        // other workers to fill tasks that press them.
+        if (run.is_serving())
+        {
+            sum += run.image == image ? -weight_of_image : weight_of_image;
+        }
+    }
+    return sum;
+}
+
 double task_placer::cost(const fleet_worker& worker, const step& s,
-                         const task_record& task) const
+                         const task_record& task, time_point now) const
 {
-    constexpr double weight_of_rack = 4.0;
-    constexpr double weight_of_load = 1.0;
-    constexpr double weight_of_neighbours = 2.0;
-    constexpr double weight_of_failure = 3.0;
-    const auto& room = worker.entry.capacity;
-    const auto demand = worker.room_used().processor_millis +
-                        worker.fill_demand() + s.size.processor_millis;
-    const double load = static_cast<double>(demand) /
-                        static_cast<double>(std::max<std::int64_t>(
-                            room.processor_millis, 1));
     double sum = worker.health.slowness;
     if (!s.preferred_rack.empty() && !has_label(worker.entry, s.preferred_rack))
     {
@@ -289,20 +337,61 @@
     }
     if (s.fills)
     {
-        return sum + weight_of_load * load;
+        return sum + fill_cost(worker, s, now);
     }
+    const auto& room = worker.entry.capacity;
+    const auto demand = worker.room_used().processor_millis +
+                        worker.fill_demand() + s.size.processor_millis;
+    const double load = static_cast<double>(demand) /
+                        static_cast<double>(std::max<std::int64_t>(
+                            room.processor_millis, 1));
     if (s.tail_target > duration{})
     {
-        // Packed beside other serving tasks, away from tasks that fill.
-        const double fills = static_cast<double>(worker.fill_count());
-        return sum + weight_of_neighbours * fills - weight_of_load * load -
-               (worker.serving_count() > 0 ? weight_of_neighbours : 0.0);
+        return sum + serving_cost(worker, s) - load;
+    }
+    return sum + load;
+}
+
+void task_placer::move_slowed(time_point now)
+{
+    std::vector<std::pair<fleet_worker*, task_key>> moved;
+    for (auto& [id, worker] : state_.fleet)
+    {
+        if (worker.fill_count() == 0 || worker.serving_count() == 0)
+        {
+            continue;
+        }
+        for (const auto& [key, run] : worker.runs())
+        {
+            if (moved.size() < moves_at_once &&
+                should_move(worker, key, run, now))
+            {
+                moved.emplace_back(&worker, key);
+            }
+        }
+    }
+    for (const auto& [worker, key] : moved)
+    {
+        state_.order_stop(*worker, key, now, "slowed, and there is room elsewhere");
+    }
+}
+
+bool task_placer::should_move(const fleet_worker& worker, const task_key& key,
+                              const run_record& run, time_point now)
+{
+    const bool is_slowed =
+        run.fills && run.slowed_since &&
+        now - *run.slowed_since > state_.options.slowed_limit;
+    const bool loses_little =
+        run.saves_progress || run.percent <= little_progress_percent;
+    auto* const owner = state_.book.find(key.job);
+    if (!is_slowed || !loses_little || run.stop_ordered_at || owner == nullptr)
+    {
+        return false;
     }
-    // Work that disturbs nobody goes where fill tasks may not.
-    const bool beside_serving = worker.serving_count() > 0;
-    const double over = std::max(0.0, load - 1.0);
-    return sum + weight_of_load * load + weight_of_neighbours * over -
-           (beside_serving ? weight_of_neighbours : 0.0);
+    const auto* const better = choose(*owner, key, owner->task(key), now);
+    return better != nullptr && better != &worker &&
+           fill_cost(*better, owner->step_of(key), now) < good_place;
 }
 
 void task_placer::order_start(live_job& owner, const task_key& key,
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -19,6 +19,10 @@
     // Orders a start for each task that may start and has room somewhere.
     void place(time_point now, std::chrono::milliseconds unix_now);
 
+    // Stops fill tasks that are slowed for long where another worker has a
+    // better place; they resume there.
+    void move_slowed(time_point now);
+
     // Tasks that may start and found no room in the last pass.
     std::size_t tasks_without_room() const { return without_room_; }
 
@@ -47,9 +51,14 @@
     bool is_eligible(const fleet_worker& worker, const live_job& owner,
                      const task_key& key) const;
     bool has_room(const fleet_worker& worker, const step& s) const;
+    bool should_move(const fleet_worker& worker, const task_key& key,
+                     const run_record& run, time_point now);
+    double fill_cost(const fleet_worker& worker, const step& s,
+                     time_point now) const;
+    double serving_cost(const fleet_worker& worker, const step& s) const;
     // Lower is better; in parts of the task's duration.
     double cost(const fleet_worker& worker, const step& s,
-                const task_record& task) const;
+                const task_record& task, time_point now) const;
     void order_start(live_job& owner, const task_key& key,
                      fleet_worker& worker, std::uint32_t run, time_point now);
 
