--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -47,6 +47,12 @@
     return record;
 }
 
+bool is_over_target(const run_record& run)
+{
+    return run.is_serving() &&
+           std::chrono::milliseconds(run.figure) > run.tail_target;
+}
+
 fleet_worker::fleet_worker(worker_entry e) : entry(std::move(e)) {}
 
 bool fleet_worker::is_reachable(time_point now, duration limit) const
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -71,6 +71,9 @@
 // The record of a run of this step that is ordered now.
 run_record make_run(const step& s, std::uint32_t run, time_point now);
 
+// True if the tail that was reported last is above its target.
+bool is_over_target(const run_record& run);
+
 // Repeated failures by the same worker's fault.
 struct worker_health
 {
--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -30,7 +30,8 @@
 constexpr duration figure_window = std::chrono::milliseconds(700);
 constexpr int at_work = 100;
 // Of a serving task that is at its limit by its own load.
-constexpr double smallest_room = 0.05;
+constexpr double smallest_room = 0.02;
+constexpr double full_pace = 100.0;
 constexpr duration pressed_cache_age = std::chrono::milliseconds(300);
 
 bool has_figure(const run_record& run, time_point now)
@@ -73,7 +74,7 @@
     {
         if (run.is_serving())
         {
-            add_pressed(worker, key, run, cache.images);
+            add_pressed(worker, key, run, now, cache.images);
         }
     }
     cache.made_at = now;
@@ -83,12 +84,13 @@
 
 void interference_model::add_pressed(const fleet_worker& worker,
                                      const task_key& key,
-                                     const run_record& serving,
+                                     const run_record& serving, time_point now,
                                      std::vector<pressed_image>& images) const
 {
-    const double room =
-        std::max(utilisation_limit(serving) / mean_load(key.job) - 1.0,
-                 smallest_room);
+    const double load =
+        std::max(mean_load(key.job), expected_load(key.job, now));
+    const double room = std::max(
+        planned_part * utilisation_limit(serving) / load - 1.0, smallest_room);
     const auto known =
         std::ranges::find(images, serving.image, &pressed_image::image);
     if (known != images.end())
@@ -101,7 +103,8 @@
     {
         weight += run.fills
                       ? pressure(run.image, serving.image) *
-                            static_cast<double>(run.size.processor_millis)
+                            static_cast<double>(run.size.processor_millis) *
+                            run.pace / full_pace
                       : 0.0;
     }
     images.push_back({serving.image, weight, room});
--- a/src/jobs/interference_model.hpp
+++ b/src/jobs/interference_model.hpp
@@ -22,6 +22,10 @@
 class interference_model
 {
 public:
+    // Part of the utilisation limit that is planned for: figures are rough
+    // and half a second old.
+    static constexpr double planned_part = 0.9;
+
     // Learns from the figures of one report.
     void learn(const fleet_worker& worker, time_point now);
 
@@ -29,7 +33,7 @@
     // processors that the fill image uses.
     double pressure(image_number fill_image, image_number serving_image) const;
 
-    // The serving images on a worker with what presses them, at mean load.
+    // The serving images on a worker with what presses them now.
     const std::vector<pressed_image>&
     pressed_images(const fleet_worker& worker, time_point now) const;
 
@@ -42,7 +46,7 @@
 
 private:
     void add_pressed(const fleet_worker& worker, const task_key& key,
-                     const run_record& serving,
+                     const run_record& serving, time_point now,
                      std::vector<pressed_image>& images) const;
     struct load_estimate
     {
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -13,6 +13,7 @@
 // Rows that fit into one transaction beside the leader's own.
 constexpr std::size_t jobs_of_one_change = 60;
 constexpr unsigned most_look_backoff = 4;
+constexpr duration load_interval = std::chrono::seconds(2);
 
 } // namespace
 
@@ -261,9 +262,54 @@
         placer_.move_slowed(now);
     }
     looks_.plan(now, may_prolong);
+    say_load(now);
     return std::exchange(state_.orders, {});
 }
 
+void scheduler::say_load(time_point now)
+{
+    if (now - load_said_at_ < load_interval)
+    {
+        return;
+    }
+    load_said_at_ = now;
+    std::size_t fills = 0;
+    std::size_t slowed = 0;
+    std::size_t serving = 0;
+    std::size_t over_target = 0;
+    std::int64_t room = 0;
+    std::int64_t reserved = 0;
+    std::int64_t fill_use = 0;
+    std::int64_t fill_demand = 0;
+    for (const auto& [id, worker] : state_.fleet)
+    {
+        room += worker.entry.capacity.processor_millis;
+        reserved += worker.room_used().processor_millis;
+        for (const auto& [key, run] : worker.runs())
+        {
+            fills += run.fills ? 1 : 0;
+            slowed += run.slowed_since ? 1 : 0;
+            fill_use += run.fills ? std::max<std::int64_t>(run.figure, 0) : 0;
+            fill_demand += run.fills ? run.size.processor_millis : 0;
+            serving += run.is_serving() ? 1 : 0;
+            over_target += is_over_target(run) ? 1 : 0;
+        }
+    }
+    state_.say("load",
+               {{"workers", std::to_string(state_.fleet.size())},
+                {"jobs", std::to_string(state_.book.live().size())},
+                {"tasks_without_room",
+                 std::to_string(placer_.tasks_without_room())},
+                {"fills", std::to_string(fills)},
+                {"slowed", std::to_string(slowed)},
+                {"serving", std::to_string(serving)},
+                {"over_target", std::to_string(over_target)},
+                {"processors", std::to_string(room / 1000)},
+                {"reserved", std::to_string(reserved / 1000)},
+                {"fill_demand", std::to_string(fill_demand / 1000)},
+                {"fill_use", std::to_string(fill_use / 1000)}});
+}
+
 bool scheduler::has_changes() const
 {
     return state_.book.has_changes() || fleet_changed_ ||
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -94,6 +94,8 @@
     void check_accounts(time_point now);
     void relieve_leaving_worker(fleet_worker& worker, time_point now);
     void forget_gone_workers(time_point now);
+    // A line every few seconds that shows where tasks wait.
+    void say_load(time_point now);
 
     scheduler_state state_;
     report_intake intake_;
@@ -105,6 +107,7 @@
     std::set<worker_id> unaccounted_;
     time_point leases_ended_at_{};
     bool fleet_changed_ = false;
+    time_point load_said_at_{};
     // Named in the list that is on its way to the store.
     std::vector<worker_id> being_recorded_;
     bool begun_ = false;
--- a/src/jobs/tail_pacer.cpp
+++ b/src/jobs/tail_pacer.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-// Part of the utilisation limit that is planned for: figures are rough and
-// half a second old.
-constexpr double planned_part = 0.93;
 constexpr double tiny_room = 0.02;
 constexpr int full_pace = 100;
 // Smaller changes are not worth an order.
@@ -48,7 +45,7 @@
         {
             continue;
         }
-        const double limit = planned_part * model.utilisation_limit(run);
+        const double limit = interference_model::planned_part * model.utilisation_limit(run);
         const double room =
             limit / model.expected_load(key.job, now) - 1.0;
         most = std::max(most, model.pressure(fill.image, run.image) * share /
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -23,6 +23,8 @@
 constexpr double weight_of_image = 1.0;
 // A place with this cost lets a fill task run at full pace.
 constexpr double good_place = 0.8;
+// Beyond this a fill task waits: it would hardly run, and slow others down.
+constexpr double highest_fill_cost = 1.3;
 constexpr std::size_t moves_at_once = 4;
 constexpr int little_progress_percent = 15;
 
@@ -218,6 +220,10 @@
             continue;
         }
         const double price = cost(*worker, s, task, now);
+        if (s.fills && price > highest_fill_cost)
+        {
+            continue;
+        }
         if (price < least)
         {
             least = price;
