--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -17,6 +17,8 @@
 constexpr double steepest_slope_per_s = 0.15;
 // Half the age of the figures; the slope is rough.
 constexpr double look_ahead_s = 0.4;
+// Over which a fill task that starts now runs, roughly.
+constexpr double task_time_s = 2.0;
 constexpr duration load_window = std::chrono::milliseconds(800);
 constexpr double mean_weight = 0.01;
 constexpr duration solve_interval = std::chrono::milliseconds(500);
@@ -87,8 +89,7 @@
                                      const run_record& serving, time_point now,
                                      std::vector<pressed_image>& images) const
 {
-    const double load =
-        std::max(mean_load(key.job), expected_load(key.job, now));
+    const double load = load_soon(key.job, now);
     const double room = std::max(
         planned_part * utilisation_limit(serving) / load - 1.0, smallest_room);
     const auto known =
@@ -242,29 +243,37 @@
     return level <= 0.0 ? first_load : level;
 }
 
-double interference_model::expected_load(const job_id& job,
-                                         time_point now) const
+double interference_model::slope_per_s(const job_id& job, time_point now) const
 {
     const auto found = loads_.find(job);
     if (found == loads_.end())
     {
-        return first_load;
+        return 0.0;
     }
-    const auto& known = found->second;
-    const double level = median_between(known, now - load_window, now);
-    if (level <= 0.0)
+    const double level = median_between(found->second, now - load_window, now);
+    const double earlier = median_between(found->second, now - 2 * load_window,
+                                          now - load_window);
+    if (level <= 0.0 || earlier <= 0.0)
     {
-        return std::max(known.mean, first_load);
+        return 0.0;
     }
-    const double earlier =
-        median_between(known, now - 2 * load_window, now - load_window);
     const double seconds = std::chrono::duration<double>(load_window).count();
-    const double slope =
-        earlier <= 0.0 ? 0.0
-                       : std::clamp((level - earlier) / seconds,
-                                    -steepest_slope_per_s,
-                                    steepest_slope_per_s);
-    return std::clamp(level + slope * look_ahead_s, lowest_load, highest_load);
+    return std::clamp((level - earlier) / seconds, -steepest_slope_per_s,
+                      steepest_slope_per_s);
+}
+
+double interference_model::expected_load(const job_id& job,
+                                         time_point now) const
+{
+    return std::clamp(load_level(job, now) +
+                          slope_per_s(job, now) * look_ahead_s,
+                      lowest_load, highest_load);
+}
+
+double interference_model::load_soon(const job_id& job, time_point now) const
+{
+    const double rise = std::max(0.0, slope_per_s(job, now)) * task_time_s;
+    return std::clamp(load_level(job, now) + rise, lowest_load, highest_load);
 }
 
 double interference_model::mean_load(const job_id& job) const
--- a/src/jobs/interference_model.hpp
+++ b/src/jobs/interference_model.hpp
@@ -24,7 +24,7 @@
 public:
     // Part of the utilisation limit that is planned for: figures are rough
     // and half a second old.
-    static constexpr double planned_part = 0.9;
+    static constexpr double planned_part = 1.06;
 
     // Learns from the figures of one report.
     void learn(const fleet_worker& worker, time_point now);
@@ -39,6 +39,8 @@
 
     // Load of a job's serving tasks a moment from now, and on average.
     double expected_load(const job_id& job, time_point now) const;
+    // The highest load that is likely while a fill task runs that starts now.
+    double load_soon(const job_id& job, time_point now) const;
     double mean_load(const job_id& job) const;
 
     // Utilisation at which the tail reaches the target.
@@ -66,6 +68,7 @@
     void learn_from(const fleet_worker& worker, const job_id& job,
                     const run_record& serving, time_point now);
     void observe_load(const job_id& job, double load, time_point now);
+    double slope_per_s(const job_id& job, time_point now) const;
     double load_level(const job_id& job, time_point now) const;
     static double median_between(const job_load& known, time_point from,
                                  time_point to);
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -419,6 +419,8 @@
                {{"task", to_text(key)},
                 {"run", std::to_string(run)},
                 {"worker", worker.entry.id.value()},
+                {"image", owner.step_of(key).image},
+                {"serving", std::to_string(worker.serving_count())},
                 {"processors_reserved",
                  std::to_string(worker.room_used().processor_millis)},
                 {"fill_demand", std::to_string(worker.fill_demand())}});
