--- a/src/jobs/look_planner.cpp
+++ b/src/jobs/look_planner.cpp
@@ -35,7 +35,9 @@
 void look_planner::order_look(fleet_worker& worker, time_point now)
 {
     look_order look{worker.entry.id, std::nullopt, worker.stored_ends, {}};
-    if (worker.knows_clock())
+    // A look without an answer may have been carried out. If looks at a silent
+    // worker prolonged its leases, its tasks could never be placed anew.
+    if (worker.knows_clock() && worker.failed_looks == 0)
     {
         look.deadline =
             worker.clock_at(now) + std::chrono::duration_cast<worker_clock>(
