--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -58,6 +58,8 @@
     int percent = 0;
     time_point progressed_at{};
     std::int64_t figure = -1;
+    // Of a serving task: since when its tail has been above its target.
+    std::optional<time_point> over_since;
     int pace = 100;
     // Since when the pace has been low.
     std::optional<time_point> slowed_since;
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -242,6 +242,14 @@
                                    time_point now)
 {
     run.figure = shown.figure;
+    if (!is_over_target(run))
+    {
+        run.over_since.reset();
+    }
+    else if (!run.over_since)
+    {
+        run.over_since = now;
+    }
     if (shown.percent != run.percent || shown.checkpoint != run.checkpoint)
     {
         run.percent = shown.percent;
--- a/src/jobs/tail_pacer.cpp
+++ b/src/jobs/tail_pacer.cpp
@@ -19,6 +19,9 @@
 // A tail above this part of its target is met by a stop of the heavy ones,
 // whatever the model expects.
 constexpr double alarm_part = 0.9;
+// A task that has been over its target for this long is not explained by the
+// model: nothing that fills may work beside it.
+constexpr duration longest_over_target = std::chrono::milliseconds(1100);
 
 bool is_over(const run_record& run)
 {
@@ -28,6 +31,14 @@
            static_cast<double>(run.figure) > alarm_part * target;
 }
 
+bool is_long_over(const fleet_worker& worker, time_point now)
+{
+    return std::ranges::any_of(worker.runs(), [&](const auto& entry) {
+        const auto& run = entry.second;
+        return run.over_since && now - *run.over_since > longest_over_target;
+    });
+}
+
 } // namespace
 
 double tail_pacer::burden(const fleet_worker& worker, const run_record& fill,
@@ -78,6 +89,11 @@
     std::ranges::sort(fills, {}, &fill::burden);
     // After an alarm only half of what the model allows.
     double left = is_alarm ? 0.5 : 1.0;
+    if (is_long_over(worker, now))
+    {
+        std::ranges::for_each(fills, [](fill& f) { f.burden = 1.0; });
+        left = 0.0;
+    }
     for (const auto& f : fills)
     {
         const double part =
