--- a/src/node/front_desk.hpp
+++ b/src/node/front_desk.hpp
@@ -2,12 +2,15 @@
 // them. Everything goes through the store, so that any VM can answer.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 
 #include <boost/json.hpp>
@@ -35,9 +38,13 @@
 
 struct desk_options
 {
-    // A call to the store.
-    duration call_timeout = std::chrono::milliseconds(900);
+    // A read.
+    duration call_timeout = std::chrono::milliseconds(1500);
+    // A write has until the caller's deadline; a second call goes out after
+    // this time without an answer.
+    duration second_call = std::chrono::milliseconds(1000);
     duration first_retry = std::chrono::milliseconds(40);
+    unsigned most_attempts = 5;
     // A cached count of waiting jobs.
     duration pending_age = std::chrono::milliseconds(700);
     std::size_t remembered_jobs = 20000;
@@ -79,11 +86,11 @@
             answer(desk_answer::refused);
             return;
         }
-        transaction t{jobs_part,
+        transaction t{inbox_part(j.id),
                       {{inbox_table, j.id.value(), row_version(0)}},
                       {{inbox_table, j.id.value(), jobs::encode_job(j)}},
                       {}};
-        create(std::move(t), deadline, options_.first_retry, false,
+        create(std::move(t), deadline,
                [this, id = j.id, answer = std::move(answer)](desk_answer a) {
                    if (a == desk_answer::done)
                    {
@@ -174,57 +181,107 @@
 private:
     using found_in_inbox = std::function<void(std::variant<bool, not_done>)>;
 
-    // Creates rows that nobody changes; repeating the call is harmless, and a
-    // conflict means that they are there.
-    void create(transaction t, time_point deadline, duration retry,
-                bool maybe_done, on_desk_answer answer)
+    // Rows on their way into the store. Nobody changes them, so that the call
+    // may be repeated, and a conflict means that they are there.
+    struct creation
     {
-        const auto left = deadline - now_();
-        const auto timeout = std::min<duration>(options_.call_timeout, left);
-        if (timeout <= duration{})
+        transaction t;
+        time_point deadline;
+        on_desk_answer answer;
+        unsigned attempts = 0;
+        unsigned outstanding = 0;
+        duration retry{};
+        bool maybe_done = false;
+        bool is_answered = false;
+    };
+    using shared_creation = std::shared_ptr<creation>;
+
+    void create(transaction t, time_point deadline, on_desk_answer answer)
+    {
+        auto c = std::make_shared<creation>();
+        c->t = std::move(t);
+        c->deadline = deadline;
+        c->answer = std::move(answer);
+        c->retry = options_.first_retry;
+        timer_(std::max(deadline - now_(), duration{}), [this, c] {
+            finish(c, c->maybe_done || c->outstanding > 0
+                          ? desk_answer::unknown
+                          : desk_answer::refused);
+        });
+        attempt(c);
+    }
+
+    void attempt(const shared_creation& c)
+    {
+        const auto left = c->deadline - now_();
+        if (c->is_answered || left <= duration{} ||
+            c->attempts >= options_.most_attempts)
         {
-            answer(maybe_done ? desk_answer::unknown : desk_answer::refused);
             return;
         }
-        store_.transact(
-            t, timeout,
-            [this, t, deadline, retry, maybe_done,
-             answer = std::move(answer)](const transaction_outcome& outcome) {
-                note(outcome);
-                if (std::holds_alternative<committed>(outcome) ||
-                    std::holds_alternative<conflict>(outcome))
-                {
-                    answer(desk_answer::done);
-                    return;
-                }
-                const bool unknown =
-                    maybe_done ||
-                    std::holds_alternative<outcome_unknown>(outcome);
-                if (!unknown && health_.is_away(now_()))
-                {
-                    answer(desk_answer::refused);
-                    return;
-                }
-                timer_(retry, [this, t, deadline, retry, unknown, answer] {
-                    create(t, deadline, retry * 2, unknown, answer);
-                });
-            });
+        ++c->attempts;
+        ++c->outstanding;
+        store_.transact(c->t, left, [this, c](const transaction_outcome& o) {
+            note(o);
+            --c->outstanding;
+            take(c, o);
+        });
+        // The connection may have gone silent, or the store may be slow: a
+        // second call goes out, and the first one may still answer.
+        timer_(options_.second_call, [this, c] {
+            if (c->outstanding > 0)
+            {
+                attempt(c);
+            }
+        });
+    }
+
+    void take(const shared_creation& c, const transaction_outcome& outcome)
+    {
+        if (std::holds_alternative<committed>(outcome) ||
+            std::holds_alternative<conflict>(outcome))
+        {
+            finish(c, desk_answer::done);
+            return;
+        }
+        c->maybe_done = c->maybe_done ||
+                        std::holds_alternative<outcome_unknown>(outcome);
+        if (c->outstanding > 0)
+        {
+            return;
+        }
+        // A caller that hears at once can go to another VM.
+        if (health_.is_away(now_()) || c->attempts >= options_.most_attempts)
+        {
+            finish(c, c->maybe_done ? desk_answer::unknown
+                                    : desk_answer::refused);
+            return;
+        }
+        timer_(c->retry, [this, c] { attempt(c); });
+        c->retry *= 2;
+    }
+
+    void finish(const shared_creation& c, desk_answer answer)
+    {
+        if (!std::exchange(c->is_answered, true))
+        {
+            c->answer(answer);
+        }
     }
 
     void store_cancellation(const job_id& id, time_point deadline,
                             on_desk_answer answer)
     {
-        transaction t{jobs_part,
+        transaction t{inbox_part(id),
                       {{inbox_table, cancel_key(id), row_version(0)}},
                       {{inbox_table, cancel_key(id), "{}"}},
                       {}};
-        create(std::move(t), deadline, options_.first_retry, false,
-               std::move(answer));
+        create(std::move(t), deadline, std::move(answer));
     }
 
     void find_in_inbox(const job_id& id, found_in_inbox found)
     {
-        row_range range{inbox_table, jobs_part, id.value(),
+        row_range range{inbox_table, inbox_part(id), id.value(),
                         end_of_job_keys(id), 1};
         store_.read(range, options_.call_timeout,
                     [this, id, found = std::move(found)](read_outcome outcome) {
--- a/src/node/leader_duty.hpp
+++ b/src/node/leader_duty.hpp
@@ -28,7 +28,10 @@
     jobs::scheduler_options scheduler;
     // Reads of the lease row while another VM leads.
     duration lease_poll = std::chrono::milliseconds(500);
-    duration call_timeout = std::chrono::milliseconds(900);
+    // A transaction; a slow store may need most of this.
+    duration call_timeout = std::chrono::milliseconds(2000);
+    // A read; a connection that went silent must not hold it for longer.
+    duration read_timeout = std::chrono::milliseconds(1000);
     // Shortest time between two of the leader's transactions.
     duration flush_gap = std::chrono::milliseconds(20);
     // A transaction that only renews the lease.
@@ -124,6 +127,9 @@
     void begin_recovery();
     void read_table(row_range range, std::uint64_t epoch,
                     std::function<void(read_rows)> done);
+    // Reads all parts of the inbox and sets the feed's position.
+    void read_inbox(std::function<void(const stored_row&)> each,
+                    std::function<void()> done);
     void recover_inbox();
     void recover_workers();
     void finish_recovery();
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -55,7 +55,7 @@
     is_polling_lease_ = true;
     next_lease_poll_ = now + options_.lease_poll;
     row_range range{lease_table, lead_part, lease_key, {}, 1};
-    store_.read(range, options_.call_timeout, [this](read_outcome outcome) {
+    store_.read(range, options_.read_timeout, [this](read_outcome outcome) {
         is_polling_lease_ = false;
         if (const auto* const failed = std::get_if<not_done>(&outcome))
         {
@@ -156,7 +156,7 @@
     has_flight_ = true;
     row_range range{lease_table, lead_part, lease_key, {}, 1};
     store_.read(
-        range, options_.call_timeout, [this, f](read_outcome outcome) {
+        range, options_.read_timeout, [this, f](read_outcome outcome) {
             has_flight_ = false;
             if (const auto* const failed = std::get_if<not_done>(&outcome))
             {
@@ -262,7 +262,7 @@
 void leader_duty<Store, Workers, List>::read_table(
     row_range range, std::uint64_t epoch, std::function<void(read_rows)> done)
 {
-    store_.read(range, options_.call_timeout,
+    store_.read(range, options_.read_timeout,
                 [this, range, epoch, done](read_outcome outcome) {
                     if (!is_current(epoch))
                     {
@@ -295,45 +295,61 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::recover_inbox()
+void leader_duty<Store, Workers, List>::read_inbox(
+    std::function<void(const stored_row&)> each, std::function<void()> done)
 {
     inbox_position_ = row_version(0);
+    auto left = std::make_shared<std::uint64_t>(inbox_parts);
+    for (std::uint64_t part = 0; part < inbox_parts; ++part)
+    {
+        auto is_first = std::make_shared<bool>(true);
+        read_table({inbox_table, inbox_part_name(part), {}, {}, 500}, epoch_,
+                   [this, each, done, left, is_first](const read_rows& read) {
+                       // Changes after the earliest page come again through
+                       // the feed.
+                       if (std::exchange(*is_first, false))
+                       {
+                           inbox_position_ =
+                               inbox_position_ == row_version(0)
+                                   ? read.newest
+                                   : std::min(inbox_position_, read.newest);
+                       }
+                       std::ranges::for_each(read.rows, each);
+                       if (!read.has_more && --*left == 0)
+                       {
+                           done();
+                       }
+                   });
+    }
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::recover_inbox()
+{
     auto cancelled = std::make_shared<std::vector<job_id>>();
-    read_table(
-        {inbox_table, jobs_part, {}, {}, 500}, epoch_,
-        [this, cancelled](const read_rows& read) {
-            // Changes after the first page come again through the feed.
-            if (inbox_position_ == row_version(0))
+    read_inbox(
+        [this, cancelled](const stored_row& row) {
+            if (row.key.ends_with(cancel_suffix))
             {
-                inbox_position_ = read.newest;
-            }
-            for (const auto& row : read.rows)
-            {
-                if (row.key.ends_with(cancel_suffix))
-                {
-                    cancelled->emplace_back(row.key.substr(
-                        0, row.key.size() - cancel_suffix.size()));
-                    continue;
-                }
-                const job_id id(row.key);
-                auto definition = jobs::decode_job(id, row.value);
-                if (!definition)
-                {
-                    log(log_level::error, "stored job cannot be read",
-                        {{"job", row.key}});
-                    continue;
-                }
-                const auto known = recovered_progress_.find(id);
-                scheduler_->recover_job(
-                    std::move(*definition),
-                    known == recovered_progress_.end()
-                        ? std::nullopt
-                        : std::optional(known->second));
+                cancelled->emplace_back(row.key.substr(
+                    0, row.key.size() - cancel_suffix.size()));
+                return;
             }
-            if (read.has_more)
+            const job_id id(row.key);
+            auto definition = jobs::decode_job(id, row.value);
+            if (!definition)
             {
+                log(log_level::error, "stored job cannot be read",
+                    {{"job", row.key}});
                 return;
             }
+            const auto known = recovered_progress_.find(id);
+            scheduler_->recover_job(std::move(*definition),
+                                    known == recovered_progress_.end()
+                                        ? std::nullopt
+                                        : std::optional(known->second));
+        },
+        [this, cancelled] {
             for (const auto& [id, state] : scheduler_->book().over())
             {
                 stored_ends_.try_emplace(id, state);
@@ -425,19 +441,8 @@
                 log(log_level::warning, "history of the inbox is lost",
                     {{"position", std::to_string(inbox_position_.value())}});
                 is_polling_inbox_ = true;
-                inbox_position_ = row_version(0);
-                read_table({inbox_table, jobs_part, {}, {}, 500}, epoch,
-                           [this](const read_rows& read) {
-                               if (inbox_position_ == row_version(0))
-                               {
-                                   inbox_position_ = read.newest;
-                               }
-                               std::ranges::for_each(
-                                   read.rows, [this](const stored_row& row) {
-                                       take_inbox_row(row);
-                                   });
-                               is_polling_inbox_ = read.has_more;
-                           });
+                read_inbox([this](const stored_row& row) { take_inbox_row(row); },
+                           [this] { is_polling_inbox_ = false; });
                 return;
             }
             if (const auto* const failed = std::get_if<not_done>(&outcome))
--- a/src/node/store_tables.hpp
+++ b/src/node/store_tables.hpp
@@ -2,6 +2,7 @@
 // so that callers' writes and the leader's do not wait for one another.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -10,10 +11,21 @@
 namespace hemlockdeal::node
 {
 
-// Part "jobs": one row a job, created by the VM that accepted it, and one row
-// for its cancellation.
+// One row a job, created by the VM that accepted it, and one row for its
+// cancellation. The store carries out the transactions of one part one after
+// another; several parts keep a slow store from making callers queue.
 inline const std::string inbox_table = "inbox";
-inline const std::string jobs_part = "jobs";
+constexpr std::uint64_t inbox_parts = 8;
+
+inline std::string inbox_part_name(std::uint64_t number)
+{
+    return "jobs-" + std::to_string(number);
+}
+
+inline std::string inbox_part(const job_id& id)
+{
+    return inbox_part_name(stable_hash(id.value()) % inbox_parts);
+}
 
 // Part "lead": written by the leading VM only.
 inline const std::string lead_part = "lead";
