--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -82,8 +82,7 @@
             parser_->header_limit(header_limit);
         }
         boost::beast::error_code error;
-        const auto used =
-            parser_->put(boost::asio::buffer(received_), error);
+        const auto used = parser_->put(boost::asio::buffer(received_), error);
         received_.erase(0, used);
         if (error == boost::beast::http::error::need_more)
         {
--- a/src/http/http_client_connection.hpp
+++ b/src/http/http_client_connection.hpp
@@ -30,8 +30,8 @@
     bool was_connected() const { return connected_; }
 
 private:
-    using parser = boost::beast::http::response_parser<
-        boost::beast::http::string_body>;
+    using parser =
+        boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     void on_writable();
     void on_readable();
--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -45,8 +45,7 @@
                               std::string_view name)
 {
     const auto found = std::ranges::find_if(headers, [&](const auto& header) {
-        return boost::beast::iequals(header.first,
-                                     {name.data(), name.size()});
+        return boost::beast::iequals(header.first, {name.data(), name.size()});
     });
     return found == headers.end() ? std::string_view{} : found->second;
 }
--- a/src/http/http_server_connection.cpp
+++ b/src/http/http_server_connection.cpp
@@ -158,8 +158,8 @@
     {
         return false;
     }
-    const auto limit = parser_ ? server_.limits().request_time
-                               : server_.limits().idle_time;
+    const auto limit =
+        parser_ ? server_.limits().request_time : server_.limits().idle_time;
     return now - quiet_since_ > limit;
 }
 
--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+constexpr duration slowness_fades_in = std::chrono::seconds(6);
+constexpr double slow_ratio = 2.5;
 constexpr duration lapse_margin = std::chrono::milliseconds(100);
 
 // A slowed task will go on at full pace before long.
@@ -25,6 +27,18 @@
 
 } // namespace
 
+double worker_health::slowness_at(time_point now) const
+{
+    const double faded = std::chrono::duration<double>(now - slowness_seen_at) /
+                         std::chrono::duration<double>(slowness_fades_in);
+    return 1.0 + (slowness - 1.0) * std::max(0.0, 1.0 - faded);
+}
+
+bool worker_health::is_slow(time_point now) const
+{
+    return slowness_at(now) > slow_ratio;
+}
+
 image_number to_image(const std::string& name)
 {
     return image_number(stable_hash(name));
@@ -53,7 +67,8 @@
            std::chrono::milliseconds(run.figure) > run.tail_target;
 }
 
-fleet_worker::fleet_worker(worker_entry e) : entry(std::move(e)) {}
+fleet_worker::fleet_worker(worker_entry e) : entry(std::move(e))
+{}
 
 bool fleet_worker::is_reachable(time_point now, duration limit) const
 {
@@ -94,7 +109,8 @@
 {
     const auto first =
         runs_.lower_bound({key.job, key.occurrence, key.step, 0});
-    const auto last = runs_.lower_bound({key.job, key.occurrence, key.step + 1, 0});
+    const auto last =
+        runs_.lower_bound({key.job, key.occurrence, key.step + 1, 0});
     return static_cast<std::size_t>(std::distance(first, last));
 }
 
@@ -130,8 +146,7 @@
     used_.memory_mb += sign * run.size.memory_mb;
     used_.accelerators += sign * run.size.accelerators;
     fill_demand_ += run.fills ? sign * demand_at_pace(run) : 0;
-    serving_reserve_ +=
-        run.is_serving() ? sign * run.size.processor_millis : 0;
+    serving_reserve_ += run.is_serving() ? sign * run.size.processor_millis : 0;
     const auto step = static_cast<std::size_t>(sign);
     serving_ += run.is_serving() ? step : 0;
     fills_ += run.fills ? step : 0;
@@ -146,8 +161,8 @@
 
 worker_clock fleet_worker::clock_at(time_point now) const
 {
-    return clock_ + std::chrono::duration_cast<worker_clock>(
-                        now - clock_read_at_);
+    return clock_ +
+           std::chrono::duration_cast<worker_clock>(now - clock_read_at_);
 }
 
 void fleet_worker::note_deadline(worker_clock deadline)
@@ -157,10 +172,10 @@
 
 time_point fleet_worker::lapses_at(double clock_error) const
 {
-    const auto left = std::chrono::duration_cast<duration>(
-        latest_deadline_ - clock_);
-    const auto slowest = std::chrono::duration_cast<duration>(
-        left / (1.0 - clock_error));
+    const auto left =
+        std::chrono::duration_cast<duration>(latest_deadline_ - clock_);
+    const auto slowest =
+        std::chrono::duration_cast<duration>(left / (1.0 - clock_error));
     return clock_read_at_ + slowest + lapse_margin;
 }
 
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -66,6 +66,8 @@
     // When it was started or its pace was changed.
     time_point changed_at{};
     std::string checkpoint;
+    // From which the run resumed.
+    std::string checkpoint_at_start;
 
     bool is_serving() const { return tail_target > duration{}; }
 };
@@ -84,8 +86,13 @@
     job_id last_failed_job;
     time_point avoided_until{};
     duration avoidance{};
-    // Duration of runs against their estimate, smoothed; 0 if unknown.
-    double slowness = 0.0;
+    // Duration of runs against their siblings elsewhere, smoothed.
+    double slowness = 1.0;
+    time_point slowness_seen_at{};
+
+    // Fades while nothing is seen, so that the worker is tried again.
+    double slowness_at(time_point now) const;
+    bool is_slow(time_point now) const;
 };
 
 class fleet_worker
--- /dev/null
+++ b/src/jobs/interference_codec.cpp
@@ -0,0 +1,85 @@
+// The stored form of what was learnt about interference.
+#include <boost/json.hpp>
+
+#include "jobs/interference_model.hpp"
+#include "jobs/json_value.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+std::string to_name(image_number image)
+{
+    return std::to_string(static_cast<std::uint64_t>(image));
+}
+
+image_number from_name(std::string_view name)
+{
+    return image_number(std::strtoull(std::string(name).c_str(), nullptr, 10));
+}
+
+// Two digits are enough, and shorter.
+double rounded(double value)
+{
+    return static_cast<double>(static_cast<int>(value * 100.0)) / 100.0;
+}
+
+} // namespace
+
+std::string interference_model::encode() const
+{
+    json::object out;
+    for (const auto& [serving, lowest] : lowest_tails_)
+    {
+        json::object pressures;
+        if (const auto fit = fits_.find(serving); fit != fits_.end())
+        {
+            for (const auto& [fill, pressure] : fit->second.pressures())
+            {
+                pressures[to_name(fill)] = rounded(pressure);
+            }
+        }
+        out[to_name(serving)] =
+            json::object{{"t", lowest}, {"p", std::move(pressures)}};
+    }
+    return json::serialize(out);
+}
+
+void interference_model::restore(std::string_view text)
+{
+    json::error_code error;
+    const auto parsed = json::parse({text.data(), text.size()}, error);
+    if (error || !parsed.is_object())
+    {
+        return;
+    }
+    for (const auto& entry : parsed.get_object())
+    {
+        if (!entry.value().is_object())
+        {
+            continue;
+        }
+        const auto serving = from_name(entry.key());
+        const auto& learnt = entry.value().get_object();
+        lowest_tails_[serving] = real_in(learnt, "t");
+        const auto* const pressures = learnt.if_contains("p");
+        if (pressures == nullptr || !pressures->is_object())
+        {
+            continue;
+        }
+        for (const auto& fill : pressures->get_object())
+        {
+            const auto pressure = fill.value().to_number<double>(error);
+            if (!error)
+            {
+                fits_[serving].restore(from_name(fill.key()), pressure);
+            }
+        }
+    }
+}
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -44,11 +44,11 @@
 
 double share_of(const run_record& fill, const fleet_worker& worker)
 {
-    const auto used = fill.figure >= 0 ? fill.figure
-                                       : fill.size.processor_millis;
+    const auto used =
+        fill.figure >= 0 ? fill.figure : fill.size.processor_millis;
     return static_cast<double>(used) /
-           static_cast<double>(
-               std::max<std::int64_t>(1, worker.entry.capacity.processor_millis));
+           static_cast<double>(std::max<std::int64_t>(
+               1, worker.entry.capacity.processor_millis));
 }
 
 } // namespace
@@ -228,7 +228,8 @@
     {
         return 0.0;
     }
-    const auto middle = loads.begin() + static_cast<std::ptrdiff_t>(loads.size() / 2);
+    const auto middle =
+        loads.begin() + static_cast<std::ptrdiff_t>(loads.size() / 2);
     std::ranges::nth_element(loads, middle);
     return *middle;
 }
@@ -251,8 +252,8 @@
         return 0.0;
     }
     const double level = median_between(found->second, now - load_window, now);
-    const double earlier = median_between(found->second, now - 2 * load_window,
-                                          now - load_window);
+    const double earlier =
+        median_between(found->second, now - 2 * load_window, now - load_window);
     if (level <= 0.0 || earlier <= 0.0)
     {
         return 0.0;
--- a/src/jobs/interference_model.hpp
+++ b/src/jobs/interference_model.hpp
@@ -4,6 +4,8 @@
 
 #include <deque>
 #include <map>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "jobs/fleet_worker.hpp"
@@ -34,11 +36,15 @@
     double pressure(image_number fill_image, image_number serving_image) const;
 
     // The serving images on a worker with what presses them now.
-    const std::vector<pressed_image>&
-    pressed_images(const fleet_worker& worker, time_point now) const;
+    const std::vector<pressed_image>& pressed_images(const fleet_worker& worker,
+                                                     time_point now) const;
 
     // Load of a job's serving tasks a moment from now, and on average.
     double expected_load(const job_id& job, time_point now) const;
+    // Text for the store, and taking it over from an earlier leader.
+    std::string encode() const;
+    void restore(std::string_view text);
+
     // The highest load that is likely while a fill task runs that starts now.
     double load_soon(const job_id& job, time_point now) const;
     double mean_load(const job_id& job) const;
@@ -64,7 +70,8 @@
     };
 
     double base_tail(const run_record& serving) const;
-    double slowdown(const fleet_worker& worker, const run_record& serving) const;
+    double slowdown(const fleet_worker& worker,
+                    const run_record& serving) const;
     void learn_from(const fleet_worker& worker, const job_id& job,
                     const run_record& serving, time_point now);
     void observe_load(const job_id& job, double load, time_point now);
--- a/src/jobs/json_value.hpp
+++ b/src/jobs/json_value.hpp
@@ -41,8 +41,7 @@
                            std::string_view name)
 {
     const auto* const found = object.if_contains(name);
-    const auto* const text =
-        found == nullptr ? nullptr : found->if_string();
+    const auto* const text = found == nullptr ? nullptr : found->if_string();
     return text == nullptr ? std::string{}
                            : std::string(text->data(), text->size());
 }
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -35,9 +35,8 @@
             occurrences_[k].due =
                 job_.repeats.first_due + k * job_.repeats.interval;
         }
-        std::ranges::transform(job_.steps,
-                               std::back_inserter(occurrences_[k].steps),
-                               unstarted);
+        std::ranges::transform(
+            job_.steps, std::back_inserter(occurrences_[k].steps), unstarted);
     }
 }
 
@@ -66,11 +65,11 @@
     {
         return false;
     }
-    return std::ranges::all_of(
-        job_.steps[step].after, [&](std::uint32_t before) {
-            const auto& earlier = record.steps[before];
-            return earlier.done == earlier.tasks.size();
-        });
+    return std::ranges::all_of(job_.steps[step].after,
+                               [&](std::uint32_t before) {
+                                   const auto& earlier = record.steps[before];
+                                   return earlier.done == earlier.tasks.size();
+                               });
 }
 
 task_record& live_job::set_phase(const task_key& key, task_phase phase)
@@ -211,8 +210,7 @@
         for (auto& step : occurrence.steps)
         {
             std::ranges::for_each(step.tasks, [](task_record& record) {
-                record.may_run_elsewhere =
-                    record.phase == task_phase::waiting;
+                record.may_run_elsewhere = record.phase == task_phase::waiting;
             });
         }
     }
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -35,6 +35,8 @@
     // An earlier leader may have ordered it to a worker that has not been
     // looked at.
     bool may_run_elsewhere = false;
+    // Whole duration of a run at full speed, as its progress promises.
+    duration duration_seen{};
     time_point not_before{};
 };
 
@@ -81,7 +83,10 @@
     // False if this failure was counted before.
     bool add_failure(const task_key& key, std::uint32_t run);
     bool has_failed(const task_key& key) const;
-    bool is_complete() const { return done_occurrences_ == job_.repeats_count(); }
+    bool is_complete() const
+    {
+        return done_occurrences_ == job_.repeats_count();
+    }
 
     job_state state() const { return state_; }
     void set_state(job_state state) { state_ = state; }
--- a/src/jobs/pressure_fit.cpp
+++ b/src/jobs/pressure_fit.cpp
@@ -15,6 +15,8 @@
 constexpr double highest_pressure = 12.0;
 constexpr double forgetting = 0.985;
 constexpr int rounds = 6;
+// What was taken over counts like this many observations of a full worker.
+constexpr double restored_weight = 0.4;
 
 } // namespace
 
@@ -84,4 +86,22 @@
                : pressures_[static_cast<std::size_t>(found - images_.begin())];
 }
 
+pressure_fit::shares pressure_fit::pressures() const
+{
+    shares out;
+    for (std::size_t i = 0; i < images_.size(); ++i)
+    {
+        out.emplace_back(images_[i], pressures_[i]);
+    }
+    return out;
+}
+
+void pressure_fit::restore(image_number fill_image, double pressure)
+{
+    const auto i = index_of(fill_image);
+    pressures_[i] = pressure;
+    products_[i][i] += restored_weight;
+    targets_[i] += restored_weight * pressure;
+}
+
 } // namespace hemlockdeal::jobs
--- a/src/jobs/pressure_fit.hpp
+++ b/src/jobs/pressure_fit.hpp
@@ -27,6 +27,10 @@
 
     double pressure(image_number fill_image) const;
 
+    // What was learnt, and taking it over from an earlier leader.
+    shares pressures() const;
+    void restore(image_number fill_image, double pressure);
+
 private:
     std::size_t index_of(image_number fill_image);
 
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -190,8 +190,8 @@
         return false;
     }
     const auto& task = owner->task(key);
-    return task.phase == task_phase::placed &&
-           task.worker == worker.entry.id && task.last_run == run;
+    return task.phase == task_phase::placed && task.worker == worker.entry.id &&
+           task.last_run == run;
 }
 
 void report_intake::take_running(fleet_worker& worker,
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -34,8 +34,7 @@
                       const ended_run& end, bool is_current, time_point now);
     void take_running(fleet_worker& worker, const running_task& shown,
                       time_point now);
-    void adopt(fleet_worker& worker, const running_task& shown,
-               time_point now);
+    void adopt(fleet_worker& worker, const running_task& shown, time_point now);
     void watch_progress(fleet_worker& worker, const task_key& key,
                         run_record& run, const running_task& shown,
                         time_point now);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -18,7 +18,8 @@
 } // namespace
 
 scheduler::scheduler(scheduler_options options, std::uint64_t epoch)
-    : intake_(state_), placer_(state_), looks_(state_), pacer_(state_)
+    : intake_(state_), placer_(state_), looks_(state_), pacer_(state_),
+      speeds_(state_)
 {
     state_.options = options;
     state_.epoch = epoch;
@@ -40,6 +41,11 @@
     unaccounted_.insert(may_run_tasks.begin(), may_run_tasks.end());
 }
 
+void scheduler::recover_interference(std::string_view learnt)
+{
+    state_.interference.restore(learnt);
+}
+
 void scheduler::begin(time_point now)
 {
     const auto& options = state_.options;
@@ -162,6 +168,8 @@
     intake_.on_report(*worker, report, sent_at, now);
     state_.interference.learn(*worker, now);
     pacer_.adjust(*worker, now);
+    speeds_.observe(*worker, now);
+    speeds_.relieve(*worker, now);
     worker->next_look =
         now + (worker->has_unstored_ends() ? state_.options.look_while_unstored
                                            : state_.options.look_gap);
@@ -182,9 +190,9 @@
         state_.say("worker does not answer", {{"worker", id.value()}});
     }
     ++worker->failed_looks;
-    worker->next_look = now + state_.options.look_retry *
-                                  std::min(worker->failed_looks,
-                                           most_look_backoff);
+    worker->next_look =
+        now + state_.options.look_retry *
+                  std::min(worker->failed_looks, most_look_backoff);
 }
 
 void scheduler::on_start_answer(const worker_id& id, const task_key& key,
@@ -295,19 +303,18 @@
             over_target += is_over_target(run) ? 1 : 0;
         }
     }
-    state_.say("load",
-               {{"workers", std::to_string(state_.fleet.size())},
-                {"jobs", std::to_string(state_.book.live().size())},
-                {"tasks_without_room",
-                 std::to_string(placer_.tasks_without_room())},
-                {"fills", std::to_string(fills)},
-                {"slowed", std::to_string(slowed)},
-                {"serving", std::to_string(serving)},
-                {"over_target", std::to_string(over_target)},
-                {"processors", std::to_string(room / 1000)},
-                {"reserved", std::to_string(reserved / 1000)},
-                {"fill_demand", std::to_string(fill_demand / 1000)},
-                {"fill_use", std::to_string(fill_use / 1000)}});
+    state_.say("load", {{"workers", std::to_string(state_.fleet.size())},
+                        {"jobs", std::to_string(state_.book.live().size())},
+                        {"tasks_without_room",
+                         std::to_string(placer_.tasks_without_room())},
+                        {"fills", std::to_string(fills)},
+                        {"slowed", std::to_string(slowed)},
+                        {"serving", std::to_string(serving)},
+                        {"over_target", std::to_string(over_target)},
+                        {"processors", std::to_string(room / 1000)},
+                        {"reserved", std::to_string(reserved / 1000)},
+                        {"fill_demand", std::to_string(fill_demand / 1000)},
+                        {"fill_use", std::to_string(fill_use / 1000)}});
 }
 
 bool scheduler::has_changes() const
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -12,6 +12,7 @@
 #include "jobs/look_planner.hpp"
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
+#include "jobs/speed_monitor.hpp"
 #include "jobs/tail_pacer.hpp"
 #include "jobs/task_placer.hpp"
 
@@ -39,6 +40,8 @@
     // Recovery, in this order, before anything else.
     void recover_job(job definition, const std::optional<job_progress>& known);
     void recover_fleet(const std::vector<worker_id>& may_run_tasks);
+    // What an earlier leader learnt about interference.
+    void recover_interference(std::string_view learnt);
     // From now on decisions are made. Tasks of recovered jobs wait until
     // every worker that may run them has been seen, or their leases have
     // ended.
@@ -78,6 +81,9 @@
 
     std::vector<decision_event> take_events();
 
+    // What was learnt, for the next leader.
+    std::string interference() const { return state_.interference.encode(); }
+
     const job_book& book() const { return state_.book; }
     void forget_job(const job_id& id) { state_.book.forget(id); }
     const std::map<worker_id, fleet_worker>& fleet() const
@@ -102,6 +108,7 @@
     task_placer placer_;
     look_planner looks_;
     tail_pacer pacer_;
+    speed_monitor speeds_;
     // Workers on which an earlier leader may have started tasks, and that
     // have not been seen.
     std::set<worker_id> unaccounted_;
--- a/src/jobs/scheduler_state.cpp
+++ b/src/jobs/scheduler_state.cpp
@@ -51,9 +51,8 @@
                                  time_point now, std::string_view why)
 {
     auto* const run = worker.find_run(key);
-    if (run == nullptr ||
-        (run->stop_ordered_at &&
-         now - *run->stop_ordered_at < options.stop_retry))
+    if (run == nullptr || (run->stop_ordered_at &&
+                           now - *run->stop_ordered_at < options.stop_retry))
     {
         return;
     }
--- a/src/jobs/tail_pacer.cpp
+++ b/src/jobs/tail_pacer.cpp
@@ -45,10 +45,9 @@
                           time_point now) const
 {
     const auto& model = state_.interference;
-    const double share =
-        static_cast<double>(fill.size.processor_millis) /
-        static_cast<double>(std::max<std::int64_t>(
-            1, worker.entry.capacity.processor_millis));
+    const double share = static_cast<double>(fill.size.processor_millis) /
+                         static_cast<double>(std::max<std::int64_t>(
+                             1, worker.entry.capacity.processor_millis));
     double most = 0.0;
     for (const auto& [key, run] : worker.runs())
     {
@@ -56,9 +55,9 @@
         {
             continue;
         }
-        const double limit = interference_model::planned_part * model.utilisation_limit(run);
-        const double room =
-            limit / model.expected_load(key.job, now) - 1.0;
+        const double limit =
+            interference_model::planned_part * model.utilisation_limit(run);
+        const double room = limit / model.expected_load(key.job, now) - 1.0;
         most = std::max(most, model.pressure(fill.image, run.image) * share /
                                   std::max(room, tiny_room));
     }
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -18,6 +18,7 @@
 // Weights of the cost of a place, in parts of the task's duration.
 constexpr double weight_of_rack = 4.0;
 constexpr double weight_of_failure = 3.0;
+constexpr double weight_of_slowness = 1.0;
 constexpr double weight_of_second = 0.2;
 constexpr double weight_of_neighbours = 0.1;
 constexpr double weight_of_image = 1.0;
@@ -124,7 +125,8 @@
         const bool is_sound =
             worker.knows_clock() &&
             worker.is_reachable(now, state_.options.contact_limit) &&
-            worker.full_until <= now && worker.health.avoided_until <= now;
+            worker.full_until <= now &&
+            worker.health.avoided_until <= now && !worker.health.is_slow(now);
         if (is_open && is_sound)
         {
             out.push_back(&worker);
@@ -207,8 +209,7 @@
 }
 
 fleet_worker* task_placer::choose(const live_job& owner, const task_key& key,
-                                  const task_record& task,
-                                  time_point now) const
+                                  const task_record& task, time_point now) const
 {
     const auto& s = owner.step_of(key);
     fleet_worker* best = nullptr;
@@ -299,8 +300,8 @@
             serving.weight + model.pressure(image, serving.image) * size;
         pressed = std::max(pressed, weight / capacity / serving.room);
     }
-    const double unused = std::max(
-        1.0, worker.likely_unused(state_.options.serving_use));
+    const double unused =
+        std::max(1.0, worker.likely_unused(state_.options.serving_use));
     const double crowded =
         (static_cast<double>(worker.fill_demand()) + size) / unused;
     // The larger of the two says how much longer the task takes.
@@ -332,7 +333,8 @@
 double task_placer::cost(const fleet_worker& worker, const step& s,
                          const task_record& task, time_point now) const
 {
-    double sum = worker.health.slowness;
+    double sum =
+        weight_of_slowness * (worker.health.slowness_at(now) - 1.0);
     if (!s.preferred_rack.empty() && !has_label(worker.entry, s.preferred_rack))
     {
         sum += weight_of_rack * (state_.options.far_factor - 1.0);
@@ -348,9 +350,9 @@
     const auto& room = worker.entry.capacity;
     const auto demand = worker.room_used().processor_millis +
                         worker.fill_demand() + s.size.processor_millis;
-    const double load = static_cast<double>(demand) /
-                        static_cast<double>(std::max<std::int64_t>(
-                            room.processor_millis, 1));
+    const double load =
+        static_cast<double>(demand) /
+        static_cast<double>(std::max<std::int64_t>(room.processor_millis, 1));
     if (s.tail_target > duration{})
     {
         return sum + serving_cost(worker, s) - load;
@@ -378,7 +380,8 @@
     }
     for (const auto& [worker, key] : moved)
     {
-        state_.order_stop(*worker, key, now, "slowed, and there is room elsewhere");
+        state_.order_stop(*worker, key, now,
+                          "slowed, and there is room elsewhere");
     }
 }
 
@@ -406,14 +409,16 @@
 {
     const auto& definition = owner.definition();
     const auto deadline =
-        worker.clock_at(now) + std::chrono::duration_cast<worker_clock>(
-                                   state_.options.start_validity);
+        worker.clock_at(now) +
+        std::chrono::duration_cast<worker_clock>(state_.options.start_validity);
     auto record = make_run(owner.step_of(key), run, now);
     record.start_deadline = deadline;
     record.checkpoint = owner.task(key).checkpoint;
+    record.checkpoint_at_start = record.checkpoint;
     worker.add_run(key, record);
     worker.note_deadline(deadline);
-    worker.next_look = std::min(worker.next_look, now + state_.options.look_gap);
+    worker.next_look =
+        std::min(worker.next_look, now + state_.options.look_gap);
     owner.set_placed(key, worker.entry.id, run);
     state_.say("task is placed",
                {{"task", to_text(key)},
@@ -424,9 +429,13 @@
                 {"processors_reserved",
                  std::to_string(worker.room_used().processor_millis)},
                 {"fill_demand", std::to_string(worker.fill_demand())}});
-    state_.orders.emplace_back(start_order{worker.entry.id, key, run,
+    state_.orders.emplace_back(start_order{worker.entry.id,
+                                           key,
+                                           run,
                                            definition.payload,
-                                           record.checkpoint, deadline, {}});
+                                           record.checkpoint,
+                                           deadline,
+                                           {}});
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -59,8 +59,8 @@
     // Lower is better; in parts of the task's duration.
     double cost(const fleet_worker& worker, const step& s,
                 const task_record& task, time_point now) const;
-    void order_start(live_job& owner, const task_key& key,
-                     fleet_worker& worker, std::uint32_t run, time_point now);
+    void order_start(live_job& owner, const task_key& key, fleet_worker& worker,
+                     std::uint32_t run, time_point now);
 
     scheduler_state& state_;
     // Workers that take tasks in this pass.
--- a/src/node/concepts.hpp
+++ b/src/node/concepts.hpp
@@ -15,12 +15,13 @@
 
 // Calls answer later, once, from the event loop.
 template <typename Store>
-concept row_store = requires(
-    Store& store, transaction t, row_range r, std::string table,
-    row_version after, duration time,
-    std::function<void(transaction_outcome)> on_transaction,
-    std::function<void(read_outcome)> on_read,
-    std::function<void(feed_outcome)> on_feed) {
+concept row_store =
+    requires(Store& store, transaction t, row_range r, std::string table,
+             row_version after, duration time,
+             std::function<void(transaction_outcome)> on_transaction,
+             std::function<void(read_outcome)> on_read,
+             std::function<void(feed_outcome)> on_feed)
+{
     store.transact(t, time, on_transaction);
     store.read(r, time, on_read);
     // Rows of the table that changed after a version; waits for the first.
@@ -41,8 +42,8 @@
     Workers& workers, const jobs::worker_entry& worker, std::uint64_t epoch,
     jobs::start_order start, jobs::stop_order stop, jobs::pace_order pace,
     jobs::look_order look, std::function<void(jobs::start_answer)> on_start,
-    std::function<void(bool)> on_done,
-    std::function<void(look_answer)> on_look) {
+    std::function<void(bool)> on_done, std::function<void(look_answer)> on_look)
+{
     workers.start(worker, start, epoch, on_start);
     workers.stop(worker, stop, epoch, on_done);
     workers.pace(worker, pace, epoch, on_done);
@@ -65,13 +66,15 @@
     bool is_whole = false;
 };
 
-using worker_list_outcome = std::variant<worker_changes, history_lost, not_done>;
+using worker_list_outcome =
+    std::variant<worker_changes, history_lost, not_done>;
 
 // The platform's list of workers.
 template <typename List>
-concept worker_list = requires(
-    List& list, row_version after,
-    std::function<void(worker_list_outcome)> on_changes) {
+concept worker_list =
+    requires(List& list, row_version after,
+             std::function<void(worker_list_outcome)> on_changes)
+{
     list.read_all(on_changes);
     list.read_changes(after, on_changes);
 };
--- a/src/node/front_desk.hpp
+++ b/src/node/front_desk.hpp
@@ -67,8 +67,7 @@
     // Empty: no such job.
     using state_answer = std::variant<std::optional<jobs::job_state>, not_done>;
     using on_state = std::function<void(state_answer)>;
-    using on_pending =
-        std::function<void(std::variant<std::size_t, not_done>)>;
+    using on_pending = std::function<void(std::variant<std::size_t, not_done>)>;
 
     // `timer(delay, call)` calls later; `now()` reads the clock of leases.
     front_desk(Store& store, Timer timer, std::function<time_point()> now,
@@ -163,19 +162,18 @@
             return;
         }
         row_range range{pending_table, lead_part, pending_key, {}, 1};
-        store_.read(range, options_.call_timeout,
-                    [this, queue, answer = std::move(answer)](
-                        read_outcome outcome) {
-                        note(outcome);
-                        if (const auto* const failed =
-                                std::get_if<not_done>(&outcome))
-                        {
-                            answer(*failed);
-                            return;
-                        }
-                        take_pending(std::get<read_rows>(outcome));
-                        answer(pending_of(queue));
-                    });
+        store_.read(
+            range, options_.call_timeout,
+            [this, queue, answer = std::move(answer)](read_outcome outcome) {
+                note(outcome);
+                if (const auto* const failed = std::get_if<not_done>(&outcome))
+                {
+                    answer(*failed);
+                    return;
+                }
+                take_pending(std::get<read_rows>(outcome));
+                answer(pending_of(queue));
+            });
     }
 
 private:
@@ -244,8 +242,8 @@
             finish(c, desk_answer::done);
             return;
         }
-        c->maybe_done = c->maybe_done ||
-                        std::holds_alternative<outcome_unknown>(outcome);
+        c->maybe_done =
+            c->maybe_done || std::holds_alternative<outcome_unknown>(outcome);
         if (c->outstanding > 0)
         {
             return;
@@ -253,8 +251,8 @@
         // A caller that hears at once can go to another VM.
         if (health_.is_away(now_()) || c->attempts >= options_.most_attempts)
         {
-            finish(c, c->maybe_done ? desk_answer::unknown
-                                    : desk_answer::refused);
+            finish(c,
+                   c->maybe_done ? desk_answer::unknown : desk_answer::refused);
             return;
         }
         timer_(c->retry, [this, c] { attempt(c); });
--- a/src/node/leader_duty.hpp
+++ b/src/node/leader_duty.hpp
@@ -40,6 +40,8 @@
     duration feed_wait = std::chrono::milliseconds(1500);
     duration worker_poll = std::chrono::milliseconds(500);
     duration pending_gap = std::chrono::milliseconds(500);
+    // What was learnt is stored this often; it is worth little more.
+    duration learnt_gap = std::chrono::seconds(3);
     // Time-based decisions without an event.
     duration idle_decision = std::chrono::milliseconds(60);
     duration decision_gap = std::chrono::milliseconds(8);
@@ -131,7 +133,8 @@
     void read_inbox(std::function<void(const stored_row&)> each,
                     std::function<void()> done);
     void recover_inbox();
-    void recover_workers();
+    void recover_fleet();
+    void recover_learnt();
     void finish_recovery();
 
     void poll_inbox();
@@ -141,6 +144,9 @@
 
     void flush(time_point now);
     flight make_flight(time_point now);
+    void add_changes(flight& f);
+    void add_pending(flight& f, time_point now);
+    void add_learnt(flight& f, time_point now);
     void decide(time_point now);
     void carry_out(const jobs::start_order& order);
     void carry_out(const jobs::stop_order& order);
@@ -180,6 +186,7 @@
     time_point last_flush_{};
     time_point last_decision_{};
     time_point last_pending_{};
+    time_point last_learnt_{};
     std::map<std::string, std::size_t> shown_pending_;
     // Ends that the store has.
     std::map<job_id, jobs::job_state> stored_ends_;
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -106,12 +106,12 @@
     last_flush_ = f.sent_at;
     ++counts_.transactions;
     auto t = f.t;
-    store_.transact(std::move(t), options_.call_timeout,
-                    [this, f = std::move(f)](
-                        const transaction_outcome& outcome) {
-                        has_flight_ = false;
-                        on_outcome(f, outcome);
-                    });
+    store_.transact(
+        std::move(t), options_.call_timeout,
+        [this, f = std::move(f)](const transaction_outcome& outcome) {
+            has_flight_ = false;
+            on_outcome(f, outcome);
+        });
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
@@ -155,38 +155,36 @@
 {
     has_flight_ = true;
     row_range range{lease_table, lead_part, lease_key, {}, 1};
-    store_.read(
-        range, options_.read_timeout, [this, f](read_outcome outcome) {
-            has_flight_ = false;
-            if (const auto* const failed = std::get_if<not_done>(&outcome))
-            {
-                health_.on_failure(failed->reason);
-                retry_later(f);
-                return;
-            }
-            health_.on_answer(clock_.now());
-            const auto& rows = std::get<read_rows>(outcome).rows;
-            const bool is_there = !rows.empty();
-            const auto row =
-                is_there ? jobs::decode_lease(rows.front().value) : std::nullopt;
-            const auto version =
-                is_there ? rows.front().version : row_version(0);
-            const bool led = lead_.leads();
-            if (lead_.on_conflict(f.lease, row, version, f.sent_at))
-            {
-                on_committed(f, version);
-                return;
-            }
-            if (lead_.leads())
-            {
-                retry_later(f);
-                return;
-            }
-            if (led)
-            {
-                on_lost("another VM has taken the lead");
-            }
-        });
+    store_.read(range, options_.read_timeout, [this, f](read_outcome outcome) {
+        has_flight_ = false;
+        if (const auto* const failed = std::get_if<not_done>(&outcome))
+        {
+            health_.on_failure(failed->reason);
+            retry_later(f);
+            return;
+        }
+        health_.on_answer(clock_.now());
+        const auto& rows = std::get<read_rows>(outcome).rows;
+        const bool is_there = !rows.empty();
+        const auto row =
+            is_there ? jobs::decode_lease(rows.front().value) : std::nullopt;
+        const auto version = is_there ? rows.front().version : row_version(0);
+        const bool led = lead_.leads();
+        if (lead_.on_conflict(f.lease, row, version, f.sent_at))
+        {
+            on_committed(f, version);
+            return;
+        }
+        if (lead_.leads())
+        {
+            retry_later(f);
+            return;
+        }
+        if (led)
+        {
+            on_lost("another VM has taken the lead");
+        }
+    });
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
@@ -232,8 +230,7 @@
     epoch_ = lead_.epoch();
     begun_ = false;
     log(log_level::info, "lead is taken", {{"epoch", std::to_string(epoch_)}});
-    scheduler_ =
-        std::make_unique<jobs::scheduler>(options_.scheduler, epoch_);
+    scheduler_ = std::make_unique<jobs::scheduler>(options_.scheduler, epoch_);
     scheduler_->set_services(services_);
     scheduler_->set_closed_zones(closed_zones_);
     recovered_progress_.clear();
@@ -270,8 +267,7 @@
                     }
                     if (std::holds_alternative<not_done>(outcome))
                     {
-                        health_.on_failure(
-                            std::get<not_done>(outcome).reason);
+                        health_.on_failure(std::get<not_done>(outcome).reason);
                         clock_.later(options_.retry, [=, this] {
                             if (is_current(epoch))
                             {
@@ -331,8 +327,8 @@
         [this, cancelled](const stored_row& row) {
             if (row.key.ends_with(cancel_suffix))
             {
-                cancelled->emplace_back(row.key.substr(
-                    0, row.key.size() - cancel_suffix.size()));
+                cancelled->emplace_back(
+                    row.key.substr(0, row.key.size() - cancel_suffix.size()));
                 return;
             }
             const job_id id(row.key);
@@ -358,12 +354,12 @@
             {
                 scheduler_->cancel_job(id, clock_.now());
             }
-            recover_workers();
+            recover_fleet();
         });
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::recover_workers()
+void leader_duty<Store, Workers, List>::recover_fleet()
 {
     read_table({fleet_table, lead_part, fleet_key, {}, 1}, epoch_,
                [this](const read_rows& read) {
@@ -382,6 +378,20 @@
                        }
                    }
                    scheduler_->recover_fleet(ids);
+                   recover_learnt();
+               });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::recover_learnt()
+{
+    read_table({learnt_table, lead_part, interference_key, {}, 1}, epoch_,
+               [this](const read_rows& read) {
+                   if (!read.rows.empty())
+                   {
+                       scheduler_->recover_interference(
+                           read.rows.front().value);
+                   }
                    finish_recovery();
                });
 }
@@ -441,8 +451,9 @@
                 log(log_level::warning, "history of the inbox is lost",
                     {{"position", std::to_string(inbox_position_.value())}});
                 is_polling_inbox_ = true;
-                read_inbox([this](const stored_row& row) { take_inbox_row(row); },
-                           [this] { is_polling_inbox_ = false; });
+                read_inbox(
+                    [this](const stored_row& row) { take_inbox_row(row); },
+                    [this] { is_polling_inbox_ = false; });
                 return;
             }
             if (const auto* const failed = std::get_if<not_done>(&outcome))
@@ -571,7 +582,8 @@
         f.lease = lead_.release();
         f.t.part = lead_part;
         f.t.conditions = {{lease_table, lease_key, f.lease.expected}};
-        f.t.writes = {{lease_table, lease_key, jobs::encode_lease(f.lease.row)}};
+        f.t.writes = {
+            {lease_table, lease_key, jobs::encode_lease(f.lease.row)}};
         send(std::move(f));
         return;
     }
@@ -594,6 +606,15 @@
     {
         return f;
     }
+    add_changes(f);
+    add_pending(f, now);
+    add_learnt(f, now);
+    return f;
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::add_changes(flight& f)
+{
     auto changes = scheduler_->take_changes();
     f.has_changes = true;
     const auto& over = scheduler_->book().over();
@@ -615,23 +636,41 @@
         f.t.writes.push_back(
             {fleet_table, fleet_key, boost::json::serialize(list)});
     }
-    if (now - last_pending_ >= options_.pending_gap)
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::add_pending(flight& f, time_point now)
+{
+    if (now - last_pending_ < options_.pending_gap)
     {
-        auto pending = scheduler_->book().pending();
-        if (pending != shown_pending_)
-        {
-            boost::json::object counts;
-            for (const auto& [queue, count] : pending)
-            {
-                counts[queue] = count;
-            }
-            f.t.writes.push_back(
-                {pending_table, pending_key, boost::json::serialize(counts)});
-            shown_pending_ = std::move(pending);
-            last_pending_ = now;
-        }
+        return;
     }
-    return f;
+    auto pending = scheduler_->book().pending();
+    if (pending == shown_pending_)
+    {
+        return;
+    }
+    boost::json::object counts;
+    for (const auto& [queue, count] : pending)
+    {
+        counts[queue] = count;
+    }
+    f.t.writes.push_back(
+        {pending_table, pending_key, boost::json::serialize(counts)});
+    shown_pending_ = std::move(pending);
+    last_pending_ = now;
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::add_learnt(flight& f, time_point now)
+{
+    if (now - last_learnt_ < options_.learnt_gap)
+    {
+        return;
+    }
+    last_learnt_ = now;
+    f.t.writes.push_back(
+        {learnt_table, interference_key, scheduler_->interference()});
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
@@ -642,8 +681,8 @@
     const bool may_start = lead_.is_valid(now) && !is_leaving_;
     const bool may_prolong =
         now < lead_.valid_until() + options_.scheduler.holding_time;
-    const auto orders = scheduler_->decide(now, clock_.unix_now(), may_start,
-                                           may_prolong);
+    const auto orders =
+        scheduler_->decide(now, clock_.unix_now(), may_start, may_prolong);
     for (const auto& order : orders)
     {
         std::visit([this](const auto& o) { carry_out(o); }, order);
--- a/src/node/operator_watch.hpp
+++ b/src/node/operator_watch.hpp
@@ -33,9 +33,10 @@
 using operator_outcome = std::variant<operator_changes, history_lost, not_done>;
 
 template <typename Source>
-concept operator_source = requires(
-    Source& source, row_version after, duration wait,
-    std::function<void(operator_outcome)> on_changes) {
+concept operator_source =
+    requires(Source& source, row_version after, duration wait,
+             std::function<void(operator_outcome)> on_changes)
+{
     source.read_all(on_changes);
     source.read_changes(after, wait, on_changes);
 };
--- a/src/node/store_tables.hpp
+++ b/src/node/store_tables.hpp
@@ -34,6 +34,8 @@
 inline const std::string progress_table = "progress";
 inline const std::string fleet_table = "fleet";
 inline const std::string fleet_key = "workers";
+inline const std::string learnt_table = "learnt";
+inline const std::string interference_key = "interference";
 inline const std::string pending_table = "pending";
 inline const std::string pending_key = "queues";
 
--- a/src/observe/logging.cpp
+++ b/src/observe/logging.cpp
@@ -22,8 +22,8 @@
 
 std::atomic<bool> is_set_up = false;
 
-const log4cplus::tstring line_pattern = LOG4CPLUS_TEXT(
-    "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p thread=%t %m%n");
+const log4cplus::tstring line_pattern =
+    LOG4CPLUS_TEXT("time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p thread=%t %m%n");
 
 // Holds lines until they are flushed. log4cplus locks an appender while it
 // appends; flush() takes the same lock.
