--- /dev/null
+++ b/tests/jobs/fake_worker.hpp
@@ -0,0 +1,212 @@
+// A worker as the platform describes it: leases by its own clock, the highest
+// epoch that it has seen, runs that were stopped before they came, and ends
+// that it lists until they are acknowledged.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jobs/jobs.hpp"
+
+namespace hemlockdeal::jobs::test
+{
+
+class fake_worker
+{
+public:
+    struct active_run
+    {
+        std::uint32_t run = 0;
+        time_point ends_at{};
+        bool will_fail = false;
+        task_size size;
+    };
+
+    worker_entry entry;
+    // Parts of true time; a worker's clock may be slow.
+    double clock_rate = 1.0;
+    time_point started_at{};
+    bool is_up = true;
+
+    worker_clock clock(time_point now) const
+    {
+        const auto passed = std::chrono::duration<double, std::milli>(
+            (now - started_at) * clock_rate);
+        return worker_clock(static_cast<std::int64_t>(passed.count()));
+    }
+
+    const std::map<task_key, active_run>& running() const { return running_; }
+
+    // Ends leases and runs whose time has come.
+    void advance(time_point now)
+    {
+        if (!is_up)
+        {
+            return;
+        }
+        if (lease_ && clock(now) > *lease_)
+        {
+            while (!running_.empty())
+            {
+                end(running_.begin()->first, run_end::lapsed);
+            }
+            lease_.reset();
+            unacknowledged_at_lapse_ = ended_.empty() ? 0 : ended_.back().number;
+        }
+        std::vector<task_key> over;
+        for (const auto& [key, run] : running_)
+        {
+            if (run.ends_at <= now)
+            {
+                over.push_back(key);
+            }
+        }
+        for (const auto& key : over)
+        {
+            end(key, running_.at(key).will_fail ? run_end::failed
+                                                : run_end::done);
+        }
+    }
+
+    struct start_result
+    {
+        start_answer answer = start_answer::accepted;
+        bool has_begun = false;
+    };
+
+    start_result start(const start_order& order, std::uint64_t epoch,
+                       const task_size& size, duration work, bool will_fail,
+                       time_point now)
+    {
+        if (epoch < epoch_)
+        {
+            return {start_answer::superseded, false};
+        }
+        epoch_ = epoch;
+        const auto known = running_.find(order.task);
+        if (known != running_.end() && known->second.run == order.run)
+        {
+            return {start_answer::accepted, false};
+        }
+        if (known != running_.end() || order.run <= highest_over_[order.task])
+        {
+            return {start_answer::run_too_low, false};
+        }
+        if (order.deadline <= clock(now))
+        {
+            return {start_answer::deadline_passed, false};
+        }
+        prolong(order.deadline, now);
+        running_[order.task] = {order.run, now + work, will_fail, size};
+        return {start_answer::accepted, true};
+    }
+
+    // False if the worker follows a later leader.
+    bool stop(const stop_order& order, std::uint64_t epoch)
+    {
+        if (epoch < epoch_)
+        {
+            return false;
+        }
+        epoch_ = epoch;
+        auto& highest = highest_over_[order.task];
+        highest = std::max(highest, order.run);
+        const auto known = running_.find(order.task);
+        if (known != running_.end() && known->second.run <= order.run)
+        {
+            end(order.task, run_end::stopped);
+        }
+        return true;
+    }
+
+    // Empty if the worker follows a later leader.
+    std::optional<worker_report> look(const look_order& order,
+                                      std::uint64_t epoch, time_point now,
+                                      std::vector<ended_run>& acknowledged)
+    {
+        if (epoch < epoch_)
+        {
+            return std::nullopt;
+        }
+        epoch_ = epoch;
+        if (order.deadline)
+        {
+            prolong(*order.deadline, now);
+        }
+        while (!ended_.empty() && ended_.front().number <= order.acknowledged)
+        {
+            // Ends from before a lapse need not be known to be stored.
+            if (ended_.front().number > unacknowledged_at_lapse_)
+            {
+                acknowledged.push_back(ended_.front());
+            }
+            ended_.pop_front();
+        }
+        worker_report report;
+        report.clock = clock(now);
+        report.born = entry.born;
+        for (const auto& [key, run] : running_)
+        {
+            report.running.push_back({key, run.run, "", 50, -1});
+        }
+        report.ended.assign(ended_.begin(), ended_.end());
+        return report;
+    }
+
+    // Crashes and starts again under the same id.
+    void restart(time_point now)
+    {
+        running_.clear();
+        ended_.clear();
+        highest_over_.clear();
+        epoch_ = 0;
+        number_ = 0;
+        unacknowledged_at_lapse_ = 0;
+        lease_.reset();
+        started_at = now;
+        ++entry.born;
+    }
+
+    task_size used() const
+    {
+        task_size sum;
+        for (const auto& [key, run] : running_)
+        {
+            sum.processor_millis += run.size.processor_millis;
+            sum.memory_mb += run.size.memory_mb;
+        }
+        return sum;
+    }
+
+private:
+    static constexpr worker_clock longest_lease{6000};
+
+    void prolong(worker_clock deadline, time_point now)
+    {
+        const auto until = std::min(deadline, clock(now) + longest_lease);
+        lease_ = lease_ ? std::max(*lease_, until) : until;
+    }
+
+    void end(const task_key& key, run_end how)
+    {
+        const auto run = running_.at(key).run;
+        running_.erase(key);
+        auto& highest = highest_over_[key];
+        highest = std::max(highest, run);
+        ended_.push_back({++number_, key, run, how, ""});
+    }
+
+    std::map<task_key, active_run> running_;
+    std::deque<ended_run> ended_;
+    std::map<task_key, std::uint32_t> highest_over_;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t number_ = 0;
+    std::uint64_t unacknowledged_at_lapse_ = 0;
+    std::optional<worker_clock> lease_;
+};
+
+} // namespace hemlockdeal::jobs::test
--- /dev/null
+++ b/tests/jobs/fleet_property_test.cpp
@@ -0,0 +1,68 @@
+// Guards against tasks that run twice, too early or too often, results that
+// are acknowledged before they are stored, workers beyond their capacity, and
+// jobs that never end, under kills of the leader, restarted and cut-off
+// workers, and orders that are lost or carried out up to 12 s late.
+#include <string>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "fleet_world.hpp"
+
+using namespace hemlockdeal::jobs::test;
+
+namespace
+{
+
+constexpr std::uint32_t break_seeds = 60;
+
+bool is_noticed(removed_safeguard removed)
+{
+    for (std::uint32_t seed = 0; seed < break_seeds; ++seed)
+    {
+        fleet_world world(seed, removed);
+        world.play();
+        if (!world.broken().empty())
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+// Failure: any of the promises above is broken for some order of faults.
+TEST(jobs_fleet, promises_hold_under_random_faults)
+{
+    const bool holds = rc::check([](std::uint32_t seed) {
+        fleet_world world(seed, removed_safeguard::none);
+        const bool all_over = world.play();
+        if (!world.broken().empty())
+        {
+            RC_FAIL("seed " + std::to_string(seed) + ": " +
+                    world.broken().front());
+        }
+        if (!all_over)
+        {
+            RC_FAIL("seed " + std::to_string(seed) + ": a job did not end");
+        }
+    });
+    EXPECT_TRUE(holds);
+}
+
+// Failure: the checks above cannot fail.
+TEST(jobs_fleet, lost_results_are_noticed)
+{
+    EXPECT_TRUE(is_noticed(removed_safeguard::store_before_acknowledge));
+}
+
+TEST(jobs_fleet, a_takeover_without_waiting_is_noticed)
+{
+    EXPECT_TRUE(is_noticed(removed_safeguard::wait_for_unseen_workers));
+}
+
+TEST(jobs_fleet, an_epoch_that_does_not_rise_is_noticed)
+{
+    EXPECT_TRUE(is_noticed(removed_safeguard::higher_epoch));
+}
--- /dev/null
+++ b/tests/jobs/fleet_world.cpp
@@ -0,0 +1,452 @@
+// Implements the fleet world.
+#include "fleet_world.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace hemlockdeal::jobs::test
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int worker_count = 4;
+constexpr int job_count = 5;
+constexpr duration step_time = milliseconds(20);
+constexpr duration faulty_time = seconds(16);
+constexpr duration calm_time = seconds(60);
+constexpr duration takeover_time = milliseconds(2600);
+constexpr std::uint32_t most_attempts = 3;
+// Shares of orders and of steps.
+constexpr double lost_answers = 0.04;
+constexpr double late_orders = 0.03;
+constexpr double leader_kills = 0.004;
+constexpr double worker_restarts = 0.002;
+constexpr double cuts = 0.006;
+constexpr double failing_runs = 0.08;
+
+scheduler_options options_of(removed_safeguard removed)
+{
+    scheduler_options options;
+    if (removed == removed_safeguard::wait_for_unseen_workers)
+    {
+        options.holding_time = -options.longest_lease * 2;
+    }
+    return options;
+}
+
+} // namespace
+
+fleet_world::fleet_world(std::uint32_t seed, removed_safeguard removed)
+    : random_(seed), removed_(removed)
+{
+    for (int i = 0; i < worker_count; ++i)
+    {
+        fake_worker w;
+        w.entry.id = worker_id("w" + std::to_string(i));
+        w.entry.service = service_id("s");
+        w.entry.zone = availability_zone_id("z");
+        w.entry.capacity = {4000, 4000, 0};
+        w.entry.born = 1;
+        w.clock_rate = i % 2 == 0 ? 1.0 : 0.98;
+        w.started_at = now_ - seconds(10 + i);
+        workers_.emplace(w.entry.id, w);
+    }
+    for (int i = 0; i < job_count; ++i)
+    {
+        add_job();
+    }
+    next_leader_at_ = now_;
+}
+
+void fleet_world::add_job()
+{
+    job j;
+    j.id = job_id("j" + std::to_string(submitted_.size()));
+    j.terms.service = service_id("s");
+    j.terms.most_attempts = most_attempts;
+    j.terms.stretch = 2.0;
+    step first;
+    first.task_count = 1 + random_() % 4;
+    first.size = {1000 + static_cast<std::int64_t>(random_() % 1500), 500, 0};
+    first.estimate = milliseconds(500 + random_() % 2000);
+    j.steps.push_back(first);
+    if (random_() % 2 == 0)
+    {
+        first.after = {0};
+        j.steps.push_back(first);
+    }
+    submitted_.emplace(j.id, j);
+    if (leader_)
+    {
+        leader_->add_job(j);
+    }
+}
+
+bool fleet_world::happens(double share)
+{
+    return has_faults_ &&
+           std::uniform_real_distribution<double>(0.0, 1.0)(random_) < share;
+}
+
+void fleet_world::later(duration delay, std::function<void()> call)
+{
+    due_.push({now_ + delay, ++events_, std::move(call)});
+}
+
+bool fleet_world::is_cut(const worker_id& id) const
+{
+    const auto found = cut_until_.find(id);
+    return found != cut_until_.end() && found->second > now_;
+}
+
+bool fleet_world::play()
+{
+    const auto faults_end = now_ + faulty_time;
+    while (now_ < faults_end)
+    {
+        advance();
+    }
+    has_faults_ = false;
+    const auto end = now_ + calm_time;
+    while (now_ < end && broken_.empty())
+    {
+        advance();
+        const bool all_over =
+            std::ranges::all_of(submitted_, [&](const auto& entry) {
+                return is_final(stored_progress(entry.first).state);
+            });
+        if (all_over)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void fleet_world::advance()
+{
+    now_ += step_time;
+    for (auto& [id, w] : workers_)
+    {
+        w.advance(now_);
+    }
+    play_faults();
+    while (!due_.empty() && due_.top().at <= now_)
+    {
+        const auto call = due_.top().call;
+        due_.pop();
+        call();
+    }
+    if (!leader_ && now_ >= next_leader_at_)
+    {
+        lead();
+    }
+    if (!leader_)
+    {
+        return;
+    }
+    const auto unix_now = std::chrono::duration_cast<milliseconds>(
+        now_.time_since_epoch());
+    for (const auto& o : leader_->decide(now_, unix_now, true, true))
+    {
+        carry_out(o);
+    }
+    leader_->take_events();
+    flush();
+}
+
+void fleet_world::play_faults()
+{
+    if (happens(leader_kills))
+    {
+        kill_leader();
+    }
+    for (auto& [id, w] : workers_)
+    {
+        if (happens(worker_restarts))
+        {
+            w.restart(now_);
+        }
+        if (happens(cuts))
+        {
+            cut_until_[id] = now_ + milliseconds(500 + random_() % 9000);
+        }
+    }
+    if (happens(0.01) && submitted_.size() < 12)
+    {
+        add_job();
+    }
+    if (happens(0.002))
+    {
+        const auto& id = std::next(submitted_.begin(),
+                                   static_cast<long>(random_() %
+                                                     submitted_.size()))
+                             ->first;
+        cancelled_.insert(id);
+        if (leader_)
+        {
+            leader_->cancel_job(id, now_);
+        }
+    }
+}
+
+void fleet_world::lead()
+{
+    epoch_ += removed_ == removed_safeguard::higher_epoch && epoch_ > 0 ? 0 : 1;
+    leader_ = std::make_shared<scheduler>(options_of(removed_), epoch_);
+    is_flushing_ = false;
+    leader_->set_services({{service_id("s"), {}}});
+    for (const auto& [id, definition] : submitted_)
+    {
+        const auto row = progress_rows_.find(id);
+        leader_->recover_job(definition,
+                             row == progress_rows_.end()
+                                 ? std::nullopt
+                                 : decode_progress(row->second));
+    }
+    for (const auto& id : cancelled_)
+    {
+        leader_->cancel_job(id, now_);
+    }
+    leader_->recover_fleet(fleet_row_);
+    for (const auto& [id, w] : workers_)
+    {
+        leader_->set_worker(w.entry, now_);
+    }
+    leader_->begin(now_);
+}
+
+void fleet_world::kill_leader()
+{
+    leader_.reset();
+    next_leader_at_ = now_ + takeover_time;
+}
+
+void fleet_world::flush()
+{
+    if (is_flushing_ || !leader_->has_changes())
+    {
+        return;
+    }
+    is_flushing_ = true;
+    const auto changes = leader_->take_changes();
+    later(milliseconds(10 + random_() % 60),
+          [this, changes, sender = std::weak_ptr(leader_)] {
+              const bool is_lost =
+                  removed_ == removed_safeguard::store_before_acknowledge;
+              // A dead leader's write may still arrive, but not after the
+              // next leader has taken the lease row.
+              const bool is_late = leader_ && sender.lock() != leader_;
+              if (!is_lost && !is_late)
+              {
+                  for (const auto& [id, text] : changes.jobs)
+                  {
+                      progress_rows_[id] = text;
+                  }
+                  fleet_row_ = changes.fleet.value_or(fleet_row_);
+              }
+              if (const auto alive = sender.lock(); alive && alive == leader_)
+              {
+                  is_flushing_ = false;
+                  alive->on_changes_stored(now_);
+              }
+          });
+}
+
+void fleet_world::carry_out(const order& o)
+{
+    if (const auto* const start = std::get_if<start_order>(&o))
+    {
+        carry_out_start(*start, epoch_);
+    }
+    else if (const auto* const stop = std::get_if<stop_order>(&o))
+    {
+        carry_out_stop(*stop, epoch_);
+    }
+    else if (const auto* const look = std::get_if<look_order>(&o))
+    {
+        carry_out_look(*look, epoch_);
+    }
+}
+
+void fleet_world::carry_out_start(const start_order& o, std::uint64_t epoch)
+{
+    const std::weak_ptr<scheduler> sender = leader_;
+    const bool is_late = happens(late_orders);
+    const bool is_unanswered = is_late || happens(lost_answers);
+    const duration way =
+        is_late ? duration(milliseconds(2000 + random_() % 10000))
+                : duration(milliseconds(1 + random_() % 30));
+    const auto answer = [this, sender, o](start_answer a) {
+        if (const auto alive = sender.lock(); alive && alive == leader_)
+        {
+            alive->on_start_answer(o.worker, o.task, o.run, a, now_);
+        }
+    };
+    later(way, [this, o, epoch, is_unanswered, answer] {
+        auto& w = workers_.at(o.worker);
+        if (is_cut(o.worker))
+        {
+            return;
+        }
+        const auto& s = step_of(o.task);
+        const duration work = s.estimate * 3 / 4;
+        const auto result = w.start(o, epoch, s.size, work,
+                                    happens(failing_runs), now_);
+        if (result.has_begun)
+        {
+            begin_run(w, o);
+        }
+        if (!is_unanswered)
+        {
+            answer(result.answer);
+        }
+    });
+    if (is_unanswered || is_cut(o.worker))
+    {
+        later(milliseconds(700), [answer] { answer(start_answer::unknown); });
+    }
+}
+
+void fleet_world::begin_run(fake_worker& w, const start_order& o)
+{
+    const auto name = to_text(o.task);
+    for (const auto& [id, other] : workers_)
+    {
+        if (id != w.entry.id && other.running().contains(o.task))
+        {
+            break_rule(name + " runs on two workers");
+        }
+    }
+    if (done_and_acknowledged_.contains(o.task))
+    {
+        break_rule(name + " starts after its end was acknowledged");
+    }
+    if (failures_acknowledged_[o.task].size() >= most_attempts)
+    {
+        break_rule(name + " starts after its last attempt");
+    }
+    for (const auto before : step_of(o.task).after)
+    {
+        for (std::uint32_t i = 0;
+             i < submitted_.at(o.task.job).steps[before].task_count; ++i)
+        {
+            if (!done_at_worker_.contains(
+                    {o.task.job, o.task.occurrence, before, i}))
+            {
+                break_rule(name + " starts before an earlier step is done");
+            }
+        }
+    }
+    const auto used = w.used();
+    if (used.processor_millis > w.entry.capacity.processor_millis ||
+        used.memory_mb > w.entry.capacity.memory_mb)
+    {
+        break_rule(w.entry.id.value() + " is over its capacity");
+    }
+}
+
+void fleet_world::carry_out_stop(const stop_order& o, std::uint64_t epoch)
+{
+    const std::weak_ptr<scheduler> sender = leader_;
+    const bool is_unanswered = happens(lost_answers);
+    later(milliseconds(1 + random_() % 30), [=, this] {
+        if (is_cut(o.worker) || !workers_.at(o.worker).stop(o, epoch))
+        {
+            return;
+        }
+        if (const auto alive = sender.lock();
+            alive && alive == leader_ && !is_unanswered)
+        {
+            alive->on_stop_confirmed(o.worker, o.task, o.run, now_);
+        }
+    });
+}
+
+void fleet_world::carry_out_look(const look_order& o, std::uint64_t epoch)
+{
+    const std::weak_ptr<scheduler> sender = leader_;
+    const auto sent_at = now_;
+    const bool is_unanswered = happens(lost_answers);
+    later(milliseconds(1 + random_() % 30), [=, this] {
+        const auto alive = sender.lock();
+        const bool is_heard = alive && alive == leader_;
+        if (is_cut(o.worker))
+        {
+            if (is_heard)
+            {
+                alive->on_look_failed(o.worker, now_);
+            }
+            return;
+        }
+        auto& w = workers_.at(o.worker);
+        std::vector<ended_run> acknowledged;
+        const auto report = w.look(o, epoch, now_, acknowledged);
+        std::ranges::for_each(acknowledged, [this](const ended_run& end) {
+            check_acknowledged(end);
+        });
+        if (!report)
+        {
+            return;
+        }
+        for (const auto& end : report->ended)
+        {
+            if (end.how == run_end::done)
+            {
+                done_at_worker_.insert(end.task);
+            }
+        }
+        if (is_heard && is_unanswered)
+        {
+            alive->on_look_failed(o.worker, now_);
+        }
+        else if (is_heard)
+        {
+            alive->on_report(o.worker, *report, sent_at, now_);
+        }
+    });
+}
+
+void fleet_world::check_acknowledged(const ended_run& end)
+{
+    const auto progress = stored_progress(end.task.job);
+    const job_progress::task_place place{end.task.occurrence, end.task.step,
+                                         end.task.index};
+    if (end.how == run_end::done)
+    {
+        done_and_acknowledged_.insert(end.task);
+        const bool is_stored =
+            is_final(progress.state) ||
+            std::ranges::find(progress.done, place) != progress.done.end();
+        if (!is_stored)
+        {
+            break_rule(to_text(end.task) +
+                       " was acknowledged before it was stored");
+        }
+    }
+    if (end.how == run_end::failed)
+    {
+        failures_acknowledged_[end.task].insert(end.run);
+    }
+}
+
+job_progress fleet_world::stored_progress(const job_id& id) const
+{
+    const auto row = progress_rows_.find(id);
+    if (row == progress_rows_.end())
+    {
+        return {};
+    }
+    return decode_progress(row->second).value_or(job_progress{});
+}
+
+const step& fleet_world::step_of(const task_key& key) const
+{
+    return submitted_.at(key.job).steps[key.step];
+}
+
+} // namespace hemlockdeal::jobs::test
