--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -25,8 +25,7 @@
 {
     if (report.born != worker.entry.born)
     {
-        drop_runs(worker, "the worker has started again");
-        worker.restart(report.born);
+        take_rebirth(worker, report.born, sent_at);
     }
     worker.note_clock(report.clock, now);
     worker.contact_at = sent_at;
@@ -46,6 +45,30 @@
     check_missing(worker, report, sent_at, now);
 }
 
+void report_intake::take_rebirth(fleet_worker& worker, worker_birth born,
+                                 time_point sent_at)
+{
+    // A start that was on its way may have reached the new process. It stays
+    // in the ledger until a stop and a look have settled it.
+    std::vector<std::pair<task_key, run_record>> open;
+    for (const auto& [key, run] : worker.runs())
+    {
+        if (!run.confirmed_at || run.ordered_at >= sent_at)
+        {
+            open.emplace_back(key, run);
+        }
+    }
+    std::ranges::for_each(
+        open, [&](const auto& entry) { worker.erase_run(entry.first); });
+    drop_runs(worker, "the worker has started again");
+    worker.restart(born);
+    for (auto& [key, run] : open)
+    {
+        run.is_unresolved = !run.confirmed_at;
+        worker.add_run(key, run);
+    }
+}
+
 void report_intake::take_end(fleet_worker& worker, const ended_run& end,
                              time_point now)
 {
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -26,6 +26,9 @@
     void drop_runs(fleet_worker& worker, std::string_view why);
 
 private:
+    // The worker's process is another one than before.
+    void take_rebirth(fleet_worker& worker, worker_birth born,
+                      time_point sent_at);
     void take_end(fleet_worker& worker, const ended_run& end, time_point now);
     void take_done(fleet_worker& worker, live_job& owner, const task_key& key,
                    time_point now);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -91,8 +91,7 @@
     }
     if (entry.born > worker.entry.born)
     {
-        intake_.drop_runs(worker, "the worker has started again");
-        worker.restart(entry.born);
+        // Only a report tells which runs are on the new process.
         worker.next_look = now;
     }
     const bool starts_to_leave = entry.is_leaving && !worker.entry.is_leaving;
