--- /dev/null
+++ b/src/jobs/advice_book.cpp
@@ -0,0 +1,114 @@
+// Implements the book of advice.
+#include "jobs/advice_book.hpp"
+
+#include <algorithm>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+// The service takes time for each worker that is named.
+constexpr std::size_t workers_of_one_question = 30;
+constexpr duration retry = std::chrono::milliseconds(150);
+// A ticket that ends this soon is not used any more.
+constexpr duration ticket_margin = std::chrono::milliseconds(400);
+
+} // namespace
+
+std::string to_text(const step_key& key)
+{
+    return key.job.value() + '.' + std::to_string(key.occurrence) + '.' +
+           std::to_string(key.step);
+}
+
+std::optional<std::string> advice_book::ticket(const step_key& step,
+                                               const worker_id& worker,
+                                               time_point now) const
+{
+    const auto known = steps_.find(step);
+    if (known == steps_.end())
+    {
+        return std::nullopt;
+    }
+    const auto found = known->second.verdicts.find(worker);
+    const bool is_good = found != known->second.verdicts.end() &&
+                         !found->second.ticket.empty() &&
+                         found->second.expires > now + ticket_margin;
+    return is_good ? std::optional(found->second.ticket) : std::nullopt;
+}
+
+std::optional<advice_request>
+advice_book::ask(const step_key& step, const std::vector<worker_id>& workers,
+                 time_point now)
+{
+    auto& known = steps_[step];
+    if (known.is_asking || known.next_question > now)
+    {
+        return std::nullopt;
+    }
+    advice_request request{step, {}};
+    for (const auto& worker : workers)
+    {
+        const auto found = known.verdicts.find(worker);
+        const bool is_open = found == known.verdicts.end() ||
+                             (!found->second.ticket.empty() &&
+                              found->second.expires <= now + ticket_margin);
+        if (is_open && request.workers.size() < workers_of_one_question)
+        {
+            request.workers.push_back(worker);
+        }
+    }
+    if (request.workers.empty())
+    {
+        return std::nullopt;
+    }
+    known.is_asking = true;
+    return request;
+}
+
+void advice_book::on_answer(const advice_request& asked,
+                            const advice_answer& answer, time_point now)
+{
+    const auto known = steps_.find(asked.step);
+    if (known == steps_.end())
+    {
+        return;
+    }
+    known->second.is_asking = false;
+    for (const auto& worker : asked.workers)
+    {
+        known->second.verdicts[worker] = {};
+    }
+    for (const auto& [worker, ticket] : answer.good)
+    {
+        known->second.verdicts[worker] = {ticket, now + answer.valid_for};
+    }
+}
+
+void advice_book::on_failure(const advice_request& asked, time_point now)
+{
+    const auto known = steps_.find(asked.step);
+    if (known != steps_.end())
+    {
+        known->second.is_asking = false;
+        known->second.next_question = now + retry;
+    }
+}
+
+void advice_book::forget_worker(const worker_id& worker)
+{
+    for (auto& [step, known] : steps_)
+    {
+        known.verdicts.erase(worker);
+    }
+}
+
+void advice_book::forget_job(const job_id& job)
+{
+    std::erase_if(steps_,
+                  [&](const auto& entry) { return entry.first.job == job; });
+}
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -2,6 +2,7 @@
 // on workers, and the leadership that makes one VM at a time decide.
 #pragma once
 
+#include "jobs/advice_book.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_progress.hpp"
 #include "jobs/leadership.hpp"
--- a/src/jobs/order.hpp
+++ b/src/jobs/order.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include "jobs/advice_book.hpp"
 #include "jobs/job.hpp"
 #include "jobs/worker_report.hpp"
 
@@ -53,6 +54,7 @@
     std::chrono::milliseconds wait{};
 };
 
-using order = std::variant<start_order, stop_order, pace_order, look_order>;
+using order = std::variant<start_order, stop_order, pace_order, look_order,
+                           advice_request>;
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -62,6 +62,7 @@
         open, [&](const auto& entry) { worker.erase_run(entry.first); });
     drop_runs(worker, "the worker has started again");
     worker.restart(born);
+    state_.advice.forget_worker(worker.entry.id);
     for (auto& [key, run] : open)
     {
         run.is_unresolved = !run.confirmed_at;
@@ -384,6 +385,10 @@
     {
         worker.health.avoided_until = now + unhealthy_pause;
     }
+    if (answer == start_answer::no_ticket)
+    {
+        state_.advice.forget_worker(worker.entry.id);
+    }
     if (answer == start_answer::superseded)
     {
         state_.is_superseded = true;
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -64,6 +64,15 @@
                          time_point now);
     void on_stop_confirmed(const worker_id& id, const task_key& key,
                            std::uint32_t run, time_point now);
+    void on_advice(const advice_request& asked, const advice_answer& answer,
+                   time_point now)
+    {
+        state_.advice.on_answer(asked, answer, now);
+    }
+    void on_advice_failed(const advice_request& asked, time_point now)
+    {
+        state_.advice.on_failure(asked, now);
+    }
     // A worker answered that it follows a later leader.
     void on_superseded() { state_.is_superseded = true; }
     bool is_superseded() const { return state_.is_superseded; }
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -34,6 +34,7 @@
     std::map<service_id, service_terms> services;
     std::set<availability_zone_id> closed_zones;
     interference_model interference;
+    advice_book advice;
     // A worker follows a later leader.
     bool is_superseded = false;
 
--- a/src/jobs/speed_monitor.cpp
+++ b/src/jobs/speed_monitor.cpp
@@ -24,7 +24,8 @@
 bool ran_freely(const run_record& run)
 {
     constexpr int full_pace = 100;
-    const bool was_paced = run.pace < full_pace || run.changed_at > run.ordered_at;
+    const bool was_paced =
+        run.pace < full_pace || run.changed_at > run.ordered_at;
     return !was_paced && run.figure * 10 >= run.size.processor_millis * 7;
 }
 
@@ -72,8 +73,7 @@
     {
         const auto& sibling =
             owner.task({key.job, key.occurrence, key.step, i});
-        if (sibling.duration_seen > duration{} &&
-            sibling.worker != own.worker)
+        if (sibling.duration_seen > duration{} && sibling.worker != own.worker)
         {
             seen.push_back(sibling.duration_seen);
         }
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -125,8 +125,8 @@
         const bool is_sound =
             worker.knows_clock() &&
             worker.is_reachable(now, state_.options.contact_limit) &&
-            worker.full_until <= now &&
-            worker.health.avoided_until <= now && !worker.health.is_slow(now);
+            worker.full_until <= now && worker.health.avoided_until <= now &&
+            !worker.health.is_slow(now);
         if (is_open && is_sound)
         {
             out.push_back(&worker);
@@ -139,6 +139,7 @@
 {
     const auto& definition = c.owner->definition();
     const auto count = definition.steps[c.step].task_count;
+    ask_for_advice(c, now);
     bool has_room = true;
     for (std::uint32_t i = 0; i < count; ++i)
     {
@@ -162,9 +163,43 @@
     }
 }
 
+void task_placer::ask_for_advice(const candidate& c, time_point now)
+{
+    const auto& definition = c.owner->definition();
+    if (!definition.terms.needs_advice)
+    {
+        return;
+    }
+    const step_key step{definition.id, c.occurrence, c.step};
+    const task_key first{definition.id, c.occurrence, c.step, 0};
+    std::size_t with_ticket = 0;
+    std::vector<worker_id> workers;
+    for (const auto* const worker : usable_)
+    {
+        if (!has_room(*worker, c.owner->step_of(first)) ||
+            !fits(*worker, *c.owner, first))
+        {
+            continue;
+        }
+        const auto& id = worker->entry.id;
+        with_ticket += state_.advice.ticket(step, id, now) ? 1 : 0;
+        workers.push_back(id);
+    }
+    // Each question takes time for each worker named; enough is enough.
+    if (with_ticket >= definition.steps[c.step].task_count)
+    {
+        return;
+    }
+    if (auto request = state_.advice.ask(step, workers, now))
+    {
+        state_.orders.emplace_back(std::move(*request));
+    }
+}
+
 void task_placer::place_gang(const candidate& c, time_point now)
 {
     const auto& definition = c.owner->definition();
+    ask_for_advice(c, now);
     const auto count = definition.steps[c.step].task_count;
     std::uint32_t run = 0;
     for (std::uint32_t i = 0; i < count; ++i)
@@ -216,7 +251,7 @@
     double least = std::numeric_limits<double>::max();
     for (auto* const worker : usable_)
     {
-        if (!has_room(*worker, s) || !is_eligible(*worker, owner, key))
+        if (!has_room(*worker, s) || !is_eligible(*worker, owner, key, now))
         {
             continue;
         }
@@ -255,7 +290,19 @@
 }
 
 bool task_placer::is_eligible(const fleet_worker& worker, const live_job& owner,
-                              const task_key& key) const
+                              const task_key& key, time_point now) const
+{
+    if (!fits(worker, owner, key))
+    {
+        return false;
+    }
+    const step_key step{key.job, key.occurrence, key.step};
+    return !owner.definition().terms.needs_advice ||
+           state_.advice.ticket(step, worker.entry.id, now).has_value();
+}
+
+bool task_placer::fits(const fleet_worker& worker, const live_job& owner,
+                       const task_key& key) const
 {
     const auto& s = owner.step_of(key);
     const auto& terms = owner.definition().terms;
@@ -333,8 +380,7 @@
 double task_placer::cost(const fleet_worker& worker, const step& s,
                          const task_record& task, time_point now) const
 {
-    double sum =
-        weight_of_slowness * (worker.health.slowness_at(now) - 1.0);
+    double sum = weight_of_slowness * (worker.health.slowness_at(now) - 1.0);
     if (!s.preferred_rack.empty() && !has_label(worker.entry, s.preferred_rack))
     {
         sum += weight_of_rack * (state_.options.far_factor - 1.0);
@@ -411,6 +457,8 @@
     const auto deadline =
         worker.clock_at(now) +
         std::chrono::duration_cast<worker_clock>(state_.options.start_validity);
+    const auto ticket = state_.advice.ticket(
+        {key.job, key.occurrence, key.step}, worker.entry.id, now);
     auto record = make_run(owner.step_of(key), run, now);
     record.start_deadline = deadline;
     record.checkpoint = owner.task(key).checkpoint;
@@ -429,13 +477,9 @@
                 {"processors_reserved",
                  std::to_string(worker.room_used().processor_millis)},
                 {"fill_demand", std::to_string(worker.fill_demand())}});
-    state_.orders.emplace_back(start_order{worker.entry.id,
-                                           key,
-                                           run,
-                                           definition.payload,
-                                           record.checkpoint,
-                                           deadline,
-                                           {}});
+    state_.orders.emplace_back(
+        start_order{worker.entry.id, key, run, definition.payload,
+                    record.checkpoint, deadline, ticket.value_or("")});
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -48,8 +48,12 @@
     void place_gang(const candidate& c, time_point now);
     fleet_worker* choose(const live_job& owner, const task_key& key,
                          const task_record& task, time_point now) const;
+    void ask_for_advice(const candidate& c, time_point now);
     bool is_eligible(const fleet_worker& worker, const live_job& owner,
-                     const task_key& key) const;
+                     const task_key& key, time_point now) const;
+    // As above, but for the advice that the queue may need.
+    bool fits(const fleet_worker& worker, const live_job& owner,
+              const task_key& key) const;
     bool has_room(const fleet_worker& worker, const step& s) const;
     bool should_move(const fleet_worker& worker, const task_key& key,
                      const run_record& run, time_point now);
--- a/src/node/concepts.hpp
+++ b/src/node/concepts.hpp
@@ -41,13 +41,16 @@
 concept worker_port = requires(
     Workers& workers, const jobs::worker_entry& worker, std::uint64_t epoch,
     jobs::start_order start, jobs::stop_order stop, jobs::pace_order pace,
-    jobs::look_order look, std::function<void(jobs::start_answer)> on_start,
-    std::function<void(bool)> on_done, std::function<void(look_answer)> on_look)
+    jobs::look_order look, jobs::advice_request question,
+    std::function<void(jobs::start_answer)> on_start,
+    std::function<void(bool)> on_done, std::function<void(look_answer)> on_look,
+    std::function<void(std::optional<jobs::advice_answer>)> on_advice)
 {
     workers.start(worker, start, epoch, on_start);
     workers.stop(worker, stop, epoch, on_done);
     workers.pace(worker, pace, epoch, on_done);
     workers.look(worker, look, epoch, on_look);
+    workers.advise(question, on_advice);
 };
 
 // A change in the list of workers.
--- a/src/node/leader_duty.hpp
+++ b/src/node/leader_duty.hpp
@@ -152,6 +152,7 @@
     void carry_out(const jobs::stop_order& order);
     void carry_out(const jobs::pace_order& order);
     void carry_out(const jobs::look_order& order);
+    void carry_out(const jobs::advice_request& question);
     const jobs::worker_entry* entry_of(const worker_id& id) const;
     void log_events();
     void wake() { is_awake_ = true; }
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -791,6 +791,27 @@
                   });
 }
 
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::carry_out(
+    const jobs::advice_request& question)
+{
+    workers_.advise(
+        question, [this, epoch = epoch_,
+                   question](const std::optional<jobs::advice_answer>& answer) {
+            if (!is_current(epoch))
+            {
+                return;
+            }
+            wake();
+            if (!answer)
+            {
+                scheduler_->on_advice_failed(question, clock_.now());
+                return;
+            }
+            scheduler_->on_advice(question, *answer, clock_.now());
+        });
+}
+
 template <row_store Store, worker_port Workers, worker_list List>
 void leader_duty<Store, Workers, List>::log_events()
 {
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -73,10 +73,10 @@
 // Failure: a report's rows are mixed up.
 TEST(worker_codec, report_is_read)
 {
-    const auto read = decode_report(
-        R"({"clock_ms":482113,"born":17,)"
-        R"("running":[["5c0e.0.1.17",2,"ck",41,12]],)"
-        R"("ended":[[58,"5c0e.0.1.9",1,"lapsed","s"]]})");
+    const auto read =
+        decode_report(R"({"clock_ms":482113,"born":17,)"
+                      R"("running":[["5c0e.0.1.17",2,"ck",41,12]],)"
+                      R"("ended":[[58,"5c0e.0.1.9",1,"lapsed","s"]]})");
     ASSERT_TRUE(read);
     EXPECT_EQ(read->clock, jobs::worker_clock(482113));
     EXPECT_EQ(read->born, 17);
@@ -88,7 +88,8 @@
     EXPECT_EQ(read->ended[0].number, 58U);
     EXPECT_EQ(read->ended[0].how, jobs::run_end::lapsed);
     EXPECT_FALSE(decode_report("{}"));
-    EXPECT_FALSE(decode_report(R"({"clock_ms":1,"ended":[[1,"x",1,"done",""]]})"));
+    EXPECT_FALSE(
+        decode_report(R"({"clock_ms":1,"ended":[[1,"x",1,"done",""]]})"));
     EXPECT_FALSE(
         decode_report(R"({"clock_ms":1,"ended":[[1,"a.0.0.0",1,"odd",""]]})"));
 }
@@ -110,25 +111,30 @@
 TEST(worker_codec, orders_carry_epoch_run_and_deadline)
 {
     const jobs::task_key key{job_id("5c0e"), 0, 1, 17};
-    const auto start = encode(
-        jobs::start_order{worker_id("w"), key, 2, "text", "ck",
-                          jobs::worker_clock(486000), {}},
-        7);
+    const auto start = encode(jobs::start_order{worker_id("w"),
+                                                key,
+                                                2,
+                                                "text",
+                                                "ck",
+                                                jobs::worker_clock(486000),
+                                                {}},
+                              7);
     EXPECT_EQ(start, R"({"task":"5c0e.0.1.17","run":2,"fencing_token":7,)"
                      R"("spec":"text","deadline_ms":486000,)"
                      R"("checkpoint":"ck"})");
-    EXPECT_EQ(encode(jobs::look_order{worker_id("w"),
-                                      jobs::worker_clock(486000), 57,
-                                      milliseconds(1000)},
-                     7),
-              R"({"fencing_token":7,"seen_upto":57,"deadline_ms":486000,)"
-              R"("wait_ms":1000})");
+    EXPECT_EQ(
+        encode(jobs::look_order{worker_id("w"), jobs::worker_clock(486000), 57,
+                                milliseconds(1000)},
+               7),
+        R"({"fencing_token":7,"seen_upto":57,"deadline_ms":486000,)"
+        R"("wait_ms":1000})");
 }
 
 // Failure: a value does not survive the store's coding.
 TEST(store_codec, rows_are_read_back)
 {
-    node::transaction t{"p", {{"t", "k", row_version(0)}}, {{"t", "k", "a\"b"}}, {}};
+    node::transaction t{
+        "p", {{"t", "k", row_version(0)}}, {{"t", "k", "a\"b"}}, {}};
     EXPECT_EQ(encode_transaction(t),
               R"({"expect":[{"table":"t","part":"p","key":"k","ver":0}],)"
               R"("writes":[{"table":"t","part":"p","key":"k",)"
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -50,14 +50,15 @@
 TEST(http, answers_reach_their_calls)
 {
     const auto address = test_address();
-    http_server server(address, {}, [](const http_request& request,
-                                       const http_responder& responder) {
-        // Answers in another order than the requests came in.
-        const int delay = 20 - static_cast<int>(request.body.size());
-        QTimer::singleShot(delay, [responder, body = request.body] {
-            responder({200, {}, body});
+    http_server server(
+        address, {},
+        [](const http_request& request, const http_responder& responder) {
+            // Answers in another order than the requests came in.
+            const int delay = 20 - static_cast<int>(request.body.size());
+            QTimer::singleShot(delay, [responder, body = request.body] {
+                responder({200, {}, body});
+            });
         });
-    });
     http_client client(address, {4, 3});
     int right = 0;
     constexpr int calls = 18;
@@ -79,13 +80,13 @@
 {
     const auto address = test_address();
     int requests = 0;
-    http_server server(address, {}, [&](const http_request&,
-                                        const http_responder& responder) {
-        if (++requests > 1)
-        {
-            responder({200, {}, "late"});
-        }
-    });
+    http_server server(
+        address, {}, [&](const http_request&, const http_responder& responder) {
+            if (++requests > 1)
+            {
+                responder({200, {}, "late"});
+            }
+        });
     http_client client(address, {1, 1});
     std::optional<call_result> first;
     client.send({"GET", "/", {}, {}, {}}, milliseconds(100),
@@ -163,10 +164,10 @@
 {
     const auto address = test_address();
     std::optional<http_responder> open;
-    http_server server(address, {}, [&](const http_request&,
-                                        const http_responder& responder) {
-        open = responder;
-    });
+    http_server server(
+        address, {}, [&](const http_request&, const http_responder& responder) {
+            open = responder;
+        });
     http_client client(address, {1, 1});
     std::optional<call_result> result;
     client.send({"GET", "/", {}, {}, {}}, milliseconds(2000),
@@ -185,9 +186,9 @@
 {
     EXPECT_EQ(parse_socket_address("10.1.0.13:8161"),
               (socket_address{"10.1.0.13", 8161}));
-    for (const auto* wrong : {"", "10.1.0.13", "10.1.0:1", "10.1.0.13:",
-                              "10.1.0.13:0", "10.1.0.13:70000", "host:80",
-                              "10.1.0.13:80x"})
+    for (const auto* wrong :
+         {"", "10.1.0.13", "10.1.0:1", "10.1.0.13:", "10.1.0.13:0",
+          "10.1.0.13:70000", "host:80", "10.1.0.13:80x"})
     {
         EXPECT_FALSE(parse_socket_address(wrong)) << wrong;
     }
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -17,7 +17,7 @@
     j.payload = "text with \"quotes\"";
     j.accepted_at = milliseconds(1700000000123);
     j.repeats = {3, milliseconds(1700000001000), milliseconds(500)};
-    j.terms = {"queue",           service_id("s"),      2,    4, 1.5,
+    j.terms = {"queue",           service_id("s"),  2,   4, 1.5,
                milliseconds(300), {region_id("r")}, true};
     step first;
     first.task_count = 6;
@@ -100,7 +100,8 @@
     const task_key key{job_id("5c0e7a21d94b36f8"), 2, 1, 17};
     EXPECT_EQ(to_text(key), "5c0e7a21d94b36f8.2.1.17");
     EXPECT_EQ(parse_task_key(to_text(key)), key);
-    for (const auto* wrong : {"", "a", "a.1.2", "a.1.2.x", "a.1.2.3.4", ".1.2.3"})
+    for (const auto* wrong :
+         {"", "a", "a.1.2", "a.1.2.x", "a.1.2.3.4", ".1.2.3"})
     {
         EXPECT_FALSE(parse_task_key(wrong)) << wrong;
     }
--- a/tests/jobs/fake_worker.hpp
+++ b/tests/jobs/fake_worker.hpp
@@ -55,7 +55,8 @@
                 end(running_.begin()->first, run_end::lapsed);
             }
             lease_.reset();
-            unacknowledged_at_lapse_ = ended_.empty() ? 0 : ended_.back().number;
+            unacknowledged_at_lapse_ =
+                ended_.empty() ? 0 : ended_.back().number;
         }
         std::vector<task_key> over;
         for (const auto& [key, run] : running_)
@@ -67,8 +68,8 @@
         }
         for (const auto& key : over)
         {
-            end(key, running_.at(key).will_fail ? run_end::failed
-                                                : run_end::done);
+            end(key,
+                running_.at(key).will_fail ? run_end::failed : run_end::done);
         }
     }
 
--- a/tests/jobs/fleet_property_test.cpp
+++ b/tests/jobs/fleet_property_test.cpp
@@ -72,6 +72,6 @@
 
 TEST(jobs_fleet, late_starts_under_one_epoch_are_noticed)
 {
-    EXPECT_TRUE(is_noticed(
-        removed_safeguard::short_start_validity_and_higher_epoch));
+    EXPECT_TRUE(
+        is_noticed(removed_safeguard::short_start_validity_and_higher_epoch));
 }
--- a/tests/jobs/fleet_world.cpp
+++ b/tests/jobs/fleet_world.cpp
@@ -154,8 +154,8 @@
     {
         return;
     }
-    const auto unix_now = std::chrono::duration_cast<milliseconds>(
-        now_.time_since_epoch());
+    const auto unix_now =
+        std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
     for (const auto& o : leader_->decide(now_, unix_now, true, true))
     {
         carry_out(o);
@@ -187,10 +187,10 @@
     }
     if (happens(0.002))
     {
-        const auto& id = std::next(submitted_.begin(),
-                                   static_cast<long>(random_() %
-                                                     submitted_.size()))
-                             ->first;
+        const auto& id =
+            std::next(submitted_.begin(),
+                      static_cast<long>(random_() % submitted_.size()))
+                ->first;
         cancelled_.insert(id);
         if (leader_)
         {
@@ -210,10 +210,9 @@
     for (const auto& [id, definition] : submitted_)
     {
         const auto row = progress_rows_.find(id);
-        leader_->recover_job(definition,
-                             row == progress_rows_.end()
-                                 ? std::nullopt
-                                 : decode_progress(row->second));
+        leader_->recover_job(definition, row == progress_rows_.end()
+                                             ? std::nullopt
+                                             : decode_progress(row->second));
     }
     for (const auto& id : cancelled_)
     {
@@ -285,9 +284,9 @@
     const std::weak_ptr<scheduler> sender = leader_;
     const bool is_late = happens(late_orders);
     const bool is_unanswered = is_late || happens(lost_answers);
-    const duration way =
-        is_late ? duration(milliseconds(2000 + random_() % 10000))
-                : duration(milliseconds(1 + random_() % 30));
+    const duration way = is_late
+                             ? duration(milliseconds(2000 + random_() % 10000))
+                             : duration(milliseconds(1 + random_() % 30));
     const auto answer = [this, sender, o](start_answer a) {
         if (const auto alive = sender.lock(); alive && alive == leader_)
         {
@@ -308,8 +307,8 @@
         }
         const auto& s = step_of(o.task);
         const duration work = s.estimate * 3 / 4;
-        const auto result = w.start(o, epoch, s.size, work,
-                                    happens(failing_runs), now_);
+        const auto result =
+            w.start(o, epoch, s.size, work, happens(failing_runs), now_);
         if (result.has_begun)
         {
             begin_run(w, o);
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -57,7 +57,8 @@
         while (now < end)
         {
             now += milliseconds(20);
-            for (const auto& o : leader.decide(now, milliseconds(0), true, true))
+            for (const auto& o :
+                 leader.decide(now, milliseconds(0), true, true))
             {
                 kept.push_back(o);
                 answer(o);
@@ -99,8 +100,8 @@
     jobs::worker_report report_of(const worker_id& id)
     {
         jobs::worker_report r;
-        r.clock = std::chrono::duration_cast<worker_clock>(
-            now.time_since_epoch());
+        r.clock =
+            std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
         r.born = 1;
         r.running = running[id];
         r.ended = ended[id];
@@ -325,8 +326,9 @@
     leader.add_job(make_job("j", short_step(1)));
     settle();
     now += seconds(3);
-    EXPECT_TRUE(of<look_order>(leader.decide(now, milliseconds(0), false, false))
-                    .empty());
+    EXPECT_TRUE(
+        of<look_order>(leader.decide(now, milliseconds(0), false, false))
+            .empty());
 }
 
 // Failure: a worker that fails tasks of several jobs gets the next ones too.
@@ -352,3 +354,46 @@
         return o.worker == worker_id("b");
     }));
 }
+
+// Failure: a task of a queue with advice starts without a ticket, or on a
+// worker that the advice did not name.
+TEST_F(scheduler_test, queue_with_advice_starts_with_a_ticket)
+{
+    add_worker("a");
+    add_worker("b");
+    leader.begin(now);
+    settle();
+    auto j = make_job("j", short_step(2));
+    j.terms.needs_advice = true;
+    leader.add_job(j);
+    auto orders = settle(milliseconds(100));
+    EXPECT_TRUE(of<start_order>(orders).empty());
+    const auto questions = of<advice_request>(orders);
+    ASSERT_EQ(questions.size(), 1U);
+    EXPECT_EQ(to_text(questions[0].step), "j.0.0");
+    EXPECT_EQ(questions[0].workers.size(), 2U);
+    leader.on_advice(questions[0], {{{worker_id("b"), "t-1"}}, seconds(3)},
+                     now);
+    const auto starts = of<start_order>(settle(milliseconds(100)));
+    ASSERT_EQ(starts.size(), 2U);
+    for (const auto& start : starts)
+    {
+        EXPECT_EQ(start.worker, worker_id("b"));
+        EXPECT_EQ(start.ticket, "t-1");
+    }
+}
+
+// Failure: a question without an answer is never asked again.
+TEST_F(scheduler_test, advice_is_asked_for_again)
+{
+    add_worker("a");
+    leader.begin(now);
+    settle();
+    auto j = make_job("j", short_step(1));
+    j.terms.needs_advice = true;
+    leader.add_job(j);
+    const auto questions = of<advice_request>(settle(milliseconds(100)));
+    ASSERT_EQ(questions.size(), 1U);
+    leader.on_advice_failed(questions[0], now);
+    EXPECT_EQ(of<advice_request>(settle(milliseconds(400))).size(), 1U);
+}
