--- /dev/null
+++ b/soak/platform_standin.py
@@ -0,0 +1,339 @@
+"""Stand-in for the users' platform: its row store and its workers, over HTTP on
+loopback, with faults that can be switched on and a record of what ran."""
+
+import asyncio
+import base64
+import json
+import time
+from urllib.parse import parse_qs, unquote, urlsplit
+
+LONGEST_LEASE_MS = 6000
+HEARTBEAT_S = 0.5
+STOP_S = 0.05
+
+
+def now_ms():
+    return int(time.monotonic() * 1000)
+
+
+async def read_request(reader):
+    """Returns method, target and body, or None at the end of a connection."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    length = 0
+    for line in lines[1:]:
+        if line.lower().startswith("content-length:"):
+            length = int(line.split(":")[1])
+    return method, target, await reader.readexactly(length)
+
+
+def response(status, body):
+    data = json.dumps(body).encode()
+    return (f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n").encode() + data
+
+
+class Server:
+    """Answers requests with `handle(method, target, body)`: a pair of status
+    and body, or None to answer nothing and let the connection go silent."""
+
+    def __init__(self, handle):
+        self.handle = handle
+        self.server = None
+        self.writers = set()
+
+    async def listen(self, port):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                method, target, body = await read_request(reader)
+                answer = await self.handle(method, target, body)
+                if answer is None:
+                    await asyncio.sleep(3600)
+                writer.write(response(*answer))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Store:
+    """Linearizable rows; each VM reaches it at a port of its own, so that it
+    can be cut off for one VM alone."""
+
+    def __init__(self):
+        self.rows = {}
+        self.removed = {}
+        self.version = 1
+        self.oldest = 1
+        self.changed = asyncio.Event()
+        # By port: ok, busy, silent, lost or slow.
+        self.moods = {}
+        self.servers = {}
+
+    async def listen(self, port):
+        self.moods[port] = "ok"
+        server = Server(lambda *call: self.handle(port, *call))
+        await server.listen(port)
+        self.servers[port] = server
+
+    def put(self, table, part, key, value):
+        self.version += 1
+        self.rows[(table, part, key)] = (value, self.version)
+        self.removed.pop((table, part, key), None)
+        self.wake()
+
+    def drop(self, table, part, key):
+        if (table, part, key) in self.rows:
+            self.version += 1
+            del self.rows[(table, part, key)]
+            self.removed[(table, part, key)] = self.version
+            self.wake()
+
+    def wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def shown(self, name):
+        value, version = self.rows[name]
+        return {"table": name[0], "part": name[1], "key": name[2],
+                "value": base64.b64encode(value).decode(), "ver": version}
+
+    async def handle(self, port, method, target, body):
+        mood = self.moods[port]
+        if mood == "busy":
+            return 503, {}
+        if mood == "silent":
+            return None
+        if mood == "slow":
+            await asyncio.sleep(0.4)
+        url = urlsplit(target)
+        query = {k: unquote(v[0]) for k, v in
+                 parse_qs(url.query, keep_blank_values=True).items()}
+        if url.path == "/rows-tx":
+            answer = self.transact(json.loads(body))
+            return None if mood == "lost" else answer
+        if url.path == "/rows-get":
+            return self.read(query)
+        if url.path == "/rows-feed":
+            return await self.feed(query)
+        return 404, {}
+
+    def transact(self, call):
+        names = [(e["table"], e["part"], e["key"]) for e in call["expect"]]
+        for name, entry in zip(names, call["expect"]):
+            if self.rows.get(name, (None, 0))[1] != entry["ver"]:
+                return 412, {"rows": [self.shown(n) for n in names
+                                      if n in self.rows],
+                             "ver": self.version, "now_ms": now_ms()}
+        self.version += 1
+        for entry in call["writes"]:
+            name = (entry["table"], entry["part"], entry["key"])
+            self.rows[name] = (base64.b64decode(entry["value"]), self.version)
+            self.removed.pop(name, None)
+        for entry in call["deletes"]:
+            name = (entry["table"], entry["part"], entry["key"])
+            if self.rows.pop(name, None):
+                self.removed[name] = self.version
+        self.wake()
+        return 200, {"ver": self.version, "now_ms": now_ms()}
+
+    def read(self, query):
+        limit = min(int(query.get("limit", 500)), 500)
+        names = sorted(n for n in self.rows
+                       if n[0] == query["table"] and n[1] == query["part"]
+                       and n[2] >= query.get("from", "")
+                       and (not query.get("to") or n[2] < query["to"]))
+        return 200, {"rows": [self.shown(n) for n in names[:limit]],
+                     "more_pages": len(names) > limit, "ver": self.version,
+                     "now_ms": now_ms()}
+
+    async def feed(self, query):
+        after = int(query["after"])
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            rows = [self.shown(n) for n, r in self.rows.items()
+                    if n[0] == query["table"] and r[1] > after]
+            rows += [{"table": n[0], "part": n[1], "key": n[2], "ver": v,
+                      "removed": True} for n, v in self.removed.items()
+                     if n[0] == query["table"] and v > after]
+            left = end - time.monotonic()
+            if rows or left <= 0:
+                rows.sort(key=lambda row: row["ver"])
+                return 200, {"rows": rows, "ver": self.version,
+                             "now_ms": now_ms()}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Record:
+    """What the workers ran, and which promises were broken."""
+
+    def __init__(self):
+        self.jobs = {}
+        self.running = {}
+        self.done = {}
+        self.broken = []
+        self.starts = 0
+
+    def break_promise(self, text):
+        self.broken.append(text)
+
+    def on_start(self, task, worker):
+        self.starts += 1
+        job, occurrence, step, _ = task.split(".")
+        if task in self.running:
+            self.break_promise(f"{task} runs on {self.running[task]} and {worker}")
+        if self.done.get(task) == "acknowledged":
+            self.break_promise(f"{task} starts after its end was acknowledged")
+        if job not in self.jobs:
+            self.break_promise(f"{task} starts, and nobody submitted its job")
+            return
+        steps = self.jobs[job]["steps"]
+        for before in steps[int(step)].get("after", []):
+            for index in range(steps[before]["count"]):
+                if f"{job}.{occurrence}.{before}.{index}" not in self.done:
+                    self.break_promise(f"{task} starts before step {before} is done")
+        self.running[task] = worker
+
+
+class Worker:
+    """Runs tasks under leases by its own clock, as the platform's page says."""
+
+    def __init__(self, name, port, zone, store, record, rng):
+        self.name, self.port, self.zone = name, port, zone
+        self.store, self.record, self.rng = store, record, rng
+        self.server = Server(self.handle)
+        self.is_up = True
+        self.late_share = 0.0
+        self.restart()
+
+    def restart(self):
+        for task in list(getattr(self, "running", {})):
+            self.record.running.pop(task, None)
+        self.born = int(time.time() * 1000)
+        self.began = time.monotonic()
+        self.running, self.ended, self.over = {}, [], {}
+        self.fence, self.number, self.lease = 0, 0, None
+        self.event = asyncio.Event()
+
+    def clock(self):
+        return int((time.monotonic() - self.began) * 1000)
+
+    def entry(self):
+        return json.dumps({
+            "service": "s", "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone, "version": "v1", "slots": 8, "state": "ready",
+            "cold_left_ms": 0, "labels": ["a", "r1"], "born": self.born,
+            "capacity": {"cpu": 8000, "mem_mb": 16000, "gpu": 0},
+            "clock_ms": self.clock(), "seq": self.clock()}).encode()
+
+    def end(self, task, how):
+        run, _ = self.running.pop(task)
+        self.record.running.pop(task, None)
+        if how == "done":
+            self.record.done.setdefault(task, "listed")
+        self.over[task] = max(self.over.get(task, 0), run)
+        self.number += 1
+        self.ended.append([self.number, task, run, how, ""])
+        self.event.set()
+        self.event = asyncio.Event()
+
+    async def live(self):
+        while True:
+            await asyncio.sleep(0.02)
+            if not self.is_up:
+                continue
+            if self.lease is not None and self.clock() > self.lease:
+                for task in list(self.running):
+                    self.end(task, "lapsed")
+                self.lease = None
+            for task, (_, until) in list(self.running.items()):
+                if time.monotonic() >= until:
+                    self.end(task, "done")
+
+    async def beat(self):
+        while True:
+            if self.is_up:
+                self.store.put("servers", "", self.name, self.entry())
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def handle(self, method, target, body):
+        if not self.is_up:
+            return None
+        call = json.loads(body)
+        if target == "/run-start" and self.rng.random() < self.late_share:
+            born = self.born
+            await asyncio.sleep(self.rng.uniform(2, 6))
+            if born == self.born and self.is_up:
+                self.start(call)
+            return None
+        if call.get("fencing_token", 0) < self.fence:
+            return 409, {"clock_ms": self.clock(), "reason": "fence"}
+        self.fence = call.get("fencing_token", 0)
+        if target == "/run-start":
+            return self.start(call)
+        if target == "/run-stop":
+            return await self.stop(call)
+        if target == "/hold":
+            return await self.look(call)
+        return 200, {"clock_ms": self.clock()}
+
+    def prolong(self, deadline):
+        until = min(deadline, self.clock() + LONGEST_LEASE_MS)
+        self.lease = max(self.lease or 0, until)
+
+    def start(self, call):
+        task, run = call["task"], call["run"]
+        if call["fencing_token"] < self.fence:
+            return 409, {"clock_ms": self.clock(), "reason": "fence"}
+        if task in self.running and self.running[task][0] == run:
+            return 200, {"clock_ms": self.clock()}
+        if task in self.running or run <= self.over.get(task, 0):
+            return 409, {"clock_ms": self.clock(), "reason": "old"}
+        if call["deadline_ms"] <= self.clock():
+            return 409, {"clock_ms": self.clock(), "reason": "late"}
+        self.prolong(call["deadline_ms"])
+        self.record.on_start(task, self.name)
+        self.running[task] = (run, time.monotonic() + self.rng.uniform(0.2, 0.9))
+        return 200, {"clock_ms": self.clock()}
+
+    async def stop(self, call):
+        task, run = call["task"], call["run"]
+        self.over[task] = max(self.over.get(task, 0), run)
+        if task in self.running and self.running[task][0] <= run:
+            await asyncio.sleep(STOP_S)
+            if task in self.running:
+                self.end(task, "stopped")
+        return 200, {"clock_ms": self.clock()}
+
+    async def look(self, call):
+        for entry in self.ended:
+            if entry[0] <= call["seen_upto"] and entry[3] == "done":
+                self.record.done[entry[1]] = "acknowledged"
+        self.ended = [e for e in self.ended if e[0] > call["seen_upto"]]
+        if "deadline_ms" in call:
+            self.prolong(call["deadline_ms"])
+        if not self.ended and call.get("wait_ms"):
+            try:
+                await asyncio.wait_for(self.event.wait(), call["wait_ms"] / 1000)
+            except asyncio.TimeoutError:
+                pass
+        running = [[t, r, "", 50, -1] for t, (r, _) in self.running.items()]
+        return 200, {"clock_ms": self.clock(), "born": self.born,
+                     "running": running, "ended": self.ended}
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,267 @@
+#!/usr/bin/env python3
+"""Randomized soak: entry VMs as real processes against the platform's stand-in,
+with faults from outside. Checks the promises from what callers and workers see.
+
+Usage: soak/soak.py --seed N --seconds S [--daemons D] [--program PATH]
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+from platform_standin import Record, Store, Worker
+
+HOST, PREFIX, SERVICE = "q.example", "/q/", "s"
+CALM_S = 25
+ZONES = ["z1", "z2"]
+CONFIGURATION = {
+    "version": 1,
+    "routes": [{"name": "r", "host": HOST, "path_prefix": PREFIX,
+                "kind": "non_idempotent", "timeout_ms": 3000, "slo_ms": 500,
+                "priority": 0, "service": SERVICE, "max_attempts": 3,
+                "stretch": 2.0, "allowed_regions": []}],
+    "services": [{"name": SERVICE, "enforces_capacity": True}], "limits": {}}
+
+
+class Daemon:
+    """One entry VM: a process and its ports."""
+
+    def __init__(self, number, base, program, folder):
+        self.name = f"edge-{number}"
+        self.callers, self.ready, self.store = base, base + 1, base + 2
+        self.program = program
+        self.log = open(os.path.join(folder, f"{self.name}.log"), "ab")
+        self.file = os.path.join(folder, f"{self.name}.json")
+        with open(self.file, "w", encoding="utf-8") as settings:
+            json.dump({
+                "node_name": self.name, "zone": ZONES[number % len(ZONES)],
+                "zones": {zone: "region" for zone in ZONES},
+                "listen": {"front": f"127.0.0.1:{self.callers}",
+                           "ready": f"127.0.0.1:{self.ready}"},
+                "platform": {"address": f"127.0.0.1:{self.store}"},
+                "bounds": {"hold_max_ms": 6000, "grace_s": 6,
+                           "far_factor": 2}}, settings)
+        self.process = None
+        self.is_paused = False
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            self.program, "--settings", self.file, stdout=self.log,
+            stderr=self.log)
+
+    def send(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self):
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+
+
+async def call(port, method, path, body=None, timeout=3.0):
+    """Returns status and body, or None if no whole answer came."""
+    data = b"" if body is None else json.dumps(body).encode()
+    writer = None
+    try:
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection("127.0.0.1", port), timeout)
+        writer.write((f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+                      f"X-Deadline-Ms: {int(timeout * 1000)}\r\n"
+                      f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), timeout)
+        lines = head.decode().split("\r\n")
+        length = next(int(line.split(":")[1]) for line in lines
+                      if line.lower().startswith("content-length:"))
+        content = await asyncio.wait_for(reader.readexactly(length), timeout)
+        return int(lines[0].split(" ")[1]), json.loads(content or b"null")
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
+            StopIteration):
+        return None
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+class Soak:
+    def __init__(self, options, folder):
+        self.rng = random.Random(options.seed)
+        self.options = options
+        base = 11000 + (os.getpid() * 37 + options.seed) % 7000
+        self.record, self.store = Record(), Store()
+        self.daemons = [Daemon(i, base + 3 * i, options.program, folder)
+                        for i in range(options.daemons)]
+        self.workers = [Worker(f"w{i}", base + 100 + i, ZONES[i % 2],
+                               self.store, self.record, self.rng)
+                        for i in range(4)]
+        self.answers = {}
+        self.has_faults = True
+        self.faults = 0
+
+    async def start(self):
+        for daemon in self.daemons:
+            await self.store.listen(daemon.store)
+        self.store.put("op", "", "config", json.dumps(CONFIGURATION).encode())
+        for worker in self.workers:
+            await worker.server.listen(worker.port)
+            asyncio.ensure_future(worker.live())
+            asyncio.ensure_future(worker.beat())
+        for daemon in self.daemons:
+            await daemon.start()
+
+    async def submit(self, number):
+        job = f"{self.rng.getrandbits(64):016x}"
+        steps = [{"count": self.rng.randint(1, 4), "cpu": 1000, "mem_mb": 500,
+                  "estimate_ms": 600}]
+        if self.rng.random() < 0.5:
+            steps.append(dict(steps[0], after=[0]))
+        body = {"spec": str(number), "steps": steps}
+        self.record.jobs[job] = body
+        self.answers[job] = []
+        for _ in range(4):
+            daemon = self.rng.choice(self.daemons)
+            answer = await call(daemon.callers, "POST", PREFIX + job, body)
+            self.answers[job].append(answer and answer[0])
+            if answer and answer[0] == 200:
+                return
+            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+
+    async def load(self, seconds):
+        tasks, end, number = [], time.monotonic() + seconds, 0
+        while time.monotonic() < end:
+            number += 1
+            tasks.append(asyncio.ensure_future(self.submit(number)))
+            await asyncio.sleep(self.rng.uniform(0.1, 0.5))
+        await asyncio.gather(*tasks)
+
+    async def fault(self):
+        """One fault, with its end."""
+        self.faults += 1
+        daemon, worker = self.rng.choice(self.daemons), self.rng.choice(self.workers)
+        lasts = self.rng.uniform(0.3, 6.0)
+        kind = self.rng.choice(["kill", "pause", "stop", "store", "cut", "reset",
+                                "crash", "dark", "late", "history"])
+        if kind == "kill":
+            await daemon.kill()
+            await asyncio.sleep(lasts / 3)
+            await daemon.start()
+        elif kind == "pause":
+            daemon.send(signal.SIGSTOP)
+            await asyncio.sleep(lasts)
+            daemon.send(signal.SIGCONT)
+        elif kind == "stop":
+            daemon.send(signal.SIGTERM)
+            await asyncio.wait_for(daemon.process.wait(), 8)
+            await daemon.start()
+        elif kind in ("store", "cut"):
+            mood = self.rng.choice(["busy", "silent", "lost", "slow"])
+            ports = [d.store for d in self.daemons] if kind == "store" else [daemon.store]
+            for port in ports:
+                self.store.moods[port] = mood
+            await asyncio.sleep(lasts)
+            for port in ports:
+                self.store.moods[port] = "ok"
+        elif kind == "reset":
+            self.store.servers[daemon.store].reset()
+            worker.server.reset()
+        elif kind == "crash":
+            worker.restart()
+            worker.server.reset()
+        elif kind == "dark":
+            worker.is_up = False
+            await asyncio.sleep(lasts)
+            worker.restart()
+            worker.is_up = True
+        elif kind == "late":
+            worker.late_share = 0.5
+            await asyncio.sleep(lasts)
+            worker.late_share = 0.0
+        else:
+            self.store.oldest = self.store.version
+
+    async def play_faults(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+            await self.fault()
+            if self.record.broken:
+                return
+
+    async def state_of(self, job):
+        for daemon in self.daemons:
+            answer = await call(daemon.callers, "GET", PREFIX + job)
+            if answer:
+                return answer
+        return None
+
+    async def check_ends(self):
+        """Accepted jobs end; refused ones never ran."""
+        accepted = [j for j, answers in self.answers.items() if 200 in answers]
+        refused = [j for j, answers in self.answers.items()
+                   if answers and all(a in (429, 503) for a in answers)]
+        end = time.monotonic() + CALM_S
+        waiting = set(accepted)
+        while waiting and time.monotonic() < end:
+            for job in list(waiting):
+                answer = await self.state_of(job)
+                if answer and answer[0] == 410:
+                    self.record.break_promise(f"accepted job {job} is not known")
+                    waiting.discard(job)
+                elif answer and answer[1].get("state") == "completed":
+                    waiting.discard(job)
+            await asyncio.sleep(0.3)
+        for job in waiting:
+            self.record.break_promise(
+                f"accepted job {job} did not end: {await self.state_of(job)}")
+        for job in refused:
+            if any(t.startswith(job) for t in self.record.done):
+                self.record.break_promise(f"refused job {job} ran")
+        return len(accepted), len(refused)
+
+    async def run(self):
+        await self.start()
+        await asyncio.sleep(2.5)
+        await asyncio.gather(self.load(self.options.seconds),
+                             self.play_faults(self.options.seconds))
+        accepted, refused = await self.check_ends()
+        for daemon in self.daemons:
+            daemon.send(signal.SIGTERM)
+        for daemon in self.daemons:
+            await asyncio.wait_for(daemon.process.wait(), 8)
+        print(f"seed {self.options.seed}: {len(self.answers)} jobs, "
+              f"{accepted} accepted, {refused} refused, "
+              f"{self.record.starts} starts, {self.faults} faults, "
+              f"{len(self.record.broken)} promises broken")
+        for text in self.record.broken[:5]:
+            print("  " + text)
+        if accepted == 0:
+            print("  no job was accepted: the run shows nothing")
+        return 1 if self.record.broken or accepted == 0 else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--daemons", type=int, default=3)
+    parser.add_argument("--logs", help="keep the processes' logs here")
+    here = os.path.dirname(os.path.abspath(__file__))
+    parser.add_argument("--program", default=os.path.join(
+        here, "..", "build", "bin", "hemlockdeal-entry"))
+    options = parser.parse_args()
+    if not os.path.exists(options.program):
+        sys.exit(f"soak: {options.program} is not built")
+    with tempfile.TemporaryDirectory() as folder:
+        kept = options.logs or folder
+        os.makedirs(kept, exist_ok=True)
+        sys.exit(asyncio.run(Soak(options, kept).run()))
+
+
+if __name__ == "__main__":
+    main()
