--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -72,7 +72,7 @@
 
 bool fleet_worker::is_reachable(time_point now, duration limit) const
 {
-    if (!contact_at || failed_looks > 0)
+    if (!contact_at || failed_looks > 0 || has_restarted)
     {
         return false;
     }
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -120,6 +120,13 @@
     std::uint64_t acknowledged_ends = 0;
     std::uint64_t acknowledging = 0;
 
+    // Starts without an answer that were given up when all leases had ended.
+    // A worker that has restarted meanwhile knows neither deadline nor stop,
+    // and is told to refuse them as soon as it answers.
+    std::vector<std::pair<task_key, std::uint32_t>> given_up;
+    // The list shows another process than the one that answered last.
+    bool has_restarted = false;
+
     std::optional<time_point> look_sent_at;
     time_point next_look{};
     // The latest look that was answered, by the time when it was sent.
--- a/src/jobs/look_planner.cpp
+++ b/src/jobs/look_planner.cpp
@@ -27,9 +27,9 @@
     {
         return false;
     }
-    return !worker.has_been_seen() || !worker.knows_clock() ||
-           worker.failed_looks > 0 || !worker.runs().empty() ||
-           worker.has_unstored_ends();
+    return !worker.has_been_seen() || worker.has_restarted ||
+           !worker.knows_clock() || worker.failed_looks > 0 ||
+           !worker.runs().empty() || worker.has_unstored_ends();
 }
 
 void look_planner::order_look(fleet_worker& worker, time_point now)
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace hemlockdeal::jobs
 {
@@ -35,6 +36,11 @@
     worker.note_clock(report.clock, now);
     worker.contact_at = sent_at;
     worker.failed_looks = 0;
+    worker.has_restarted = false;
+    for (const auto& [key, run] : std::exchange(worker.given_up, {}))
+    {
+        state_.orders.emplace_back(stop_order{worker.entry.id, key, run});
+    }
     for (const auto& end : report.ended)
     {
         if (end.number > worker.taken_ends)
@@ -426,6 +432,13 @@
     if (!worker.runs().empty() && is_silent && worker.knows_clock() &&
         now > worker.lapses_at(state_.options.clock_error))
     {
+        for (const auto& [key, run] : worker.runs())
+        {
+            if (!run.confirmed_at)
+            {
+                worker.given_up.emplace_back(key, run.run);
+            }
+        }
         drop_runs(worker, "the worker's leases have ended");
     }
 }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -92,6 +92,7 @@
     if (entry.born > worker.entry.born)
     {
         // Only a report tells which runs are on the new process.
+        worker.has_restarted = true;
         worker.next_look = now;
     }
     const bool starts_to_leave = entry.is_leaving && !worker.entry.is_leaving;
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -439,3 +439,20 @@
     EXPECT_TRUE(std::ranges::all_of(
         acknowledged, [](std::uint64_t number) { return number == 0; }));
 }
+
+// Failure: a start goes to a worker whose clock and memory are known from its
+// last life only, so that neither deadline nor stop would bound it.
+TEST_F(scheduler_test, restarted_worker_is_looked_at_before_a_start)
+{
+    add_worker("a");
+    leader.begin(now);
+    settle();
+    silent.insert(worker_id("a"));
+    auto restarted = entry("a");
+    restarted.born = 2;
+    leader.set_worker(restarted, now);
+    leader.add_job(make_job("j", short_step(1)));
+    EXPECT_TRUE(of<start_order>(settle()).empty());
+    silent.clear();
+    EXPECT_EQ(of<start_order>(settle(seconds(1))).size(), 1U);
+}
