--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -79,7 +79,9 @@
     {
         message.set(name, value);
     }
-    if (!response.body.empty())
+    const bool has_type =
+        !header_value(response.headers, "Content-Type").empty();
+    if (!response.body.empty() && !has_type)
     {
         message.set(bhttp::field::content_type, "application/json");
     }
