--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -52,7 +52,7 @@
     : connection_(std::move(connection))
 {}
 
-void http_responder::operator()(http_response response) const
+void http_responder::operator()(const http_response& response) const
 {
     if (const auto connection = connection_.lock())
     {
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -36,7 +36,7 @@
 public:
     explicit http_responder(std::weak_ptr<http_server_connection> connection);
 
-    void operator()(http_response response) const;
+    void operator()(const http_response& response) const;
     // False when the caller has closed its connection.
     bool is_awaited() const;
 
--- a/src/node/front_desk.hpp
+++ b/src/node/front_desk.hpp
@@ -89,7 +89,7 @@
                       {{inbox_table, j.id.value(), row_version(0)}},
                       {{inbox_table, j.id.value(), jobs::encode_job(j)}},
                       {}};
-        create(std::move(t), deadline,
+        create(t, deadline,
                [this, id = j.id, answer = std::move(answer)](desk_answer a) {
                    if (a == desk_answer::done)
                    {
@@ -103,7 +103,7 @@
     {
         if (known_.contains(id))
         {
-            store_cancellation(id, deadline, std::move(answer));
+            store_cancellation(id, deadline, answer);
             return;
         }
         find_in_inbox(id, [this, id, deadline, answer = std::move(answer)](
@@ -194,12 +194,13 @@
     };
     using shared_creation = std::shared_ptr<creation>;
 
-    void create(transaction t, time_point deadline, on_desk_answer answer)
+    void create(const transaction& t, time_point deadline,
+                const on_desk_answer& answer)
     {
         auto c = std::make_shared<creation>();
-        c->t = std::move(t);
+        c->t = t;
         c->deadline = deadline;
-        c->answer = std::move(answer);
+        c->answer = answer;
         c->retry = options_.first_retry;
         timer_(std::max(deadline - now_(), duration{}), [this, c] {
             finish(c, c->maybe_done || c->outstanding > 0
@@ -268,13 +269,13 @@
     }
 
     void store_cancellation(const job_id& id, time_point deadline,
-                            on_desk_answer answer)
+                            const on_desk_answer& answer)
     {
         transaction t{inbox_part(id),
                       {{inbox_table, cancel_key(id), row_version(0)}},
                       {{inbox_table, cancel_key(id), "{}"}},
                       {}};
-        create(std::move(t), deadline, std::move(answer));
+        create(t, deadline, answer);
     }
 
     void find_in_inbox(const job_id& id, found_in_inbox found)
--- a/src/observe/logging.cpp
+++ b/src/observe/logging.cpp
@@ -142,7 +142,7 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
-void attach(log4cplus::SharedAppenderPtr appender, log_level level)
+void attach(const log4cplus::SharedAppenderPtr& appender, log_level level)
 {
     appender->setLayout(
         std::make_unique<log4cplus::PatternLayout>(line_pattern));
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -207,7 +207,9 @@
         to.sin_family = AF_INET;
         to.sin_port = htons(address.port);
         inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
-        connect(caller, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+        const int result =
+            connect(caller, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+        EXPECT_EQ(result, 0);
         return caller;
     };
     const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
