--- /dev/null
+++ b/tests/jobs/interference_test.cpp
@@ -0,0 +1,159 @@
+// Guards against fill tasks that keep a serving task over its target (HARM on
+// 3 of 40 hunted days), and against blame for images that only happen to be
+// present.
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+#include <gtest/gtest.h>
+
+#include "jobs/interference_model.hpp"
+#include "jobs/tail_pacer.hpp"
+
+using namespace hemlockdeal;
+using namespace hemlockdeal::jobs;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr double base_tail_ms = 4.0;
+constexpr std::int64_t worker_millis = 16000;
+
+class interference_test : public testing::Test
+{
+protected:
+    fleet_worker make_worker(const std::string& name)
+    {
+        worker_entry entry;
+        entry.id = worker_id(name);
+        entry.capacity = {worker_millis, 64000, 0};
+        return fleet_worker(entry);
+    }
+
+    run_record make(const std::string& image, std::int64_t millis)
+    {
+        step s;
+        s.image = image;
+        s.size = {millis, 1000, 0};
+        auto run = make_run(s, 1, now - std::chrono::seconds(10));
+        run.confirmed_at = now - std::chrono::seconds(10);
+        return run;
+    }
+
+    void add_fill(fleet_worker& worker, std::uint32_t index,
+                  const std::string& image, std::int64_t millis)
+    {
+        auto run = make(image, millis);
+        run.fills = true;
+        run.figure = millis;
+        worker.add_run({job_id("fill"), 0, 0, index}, run);
+    }
+
+    void add_serving(fleet_worker& worker, std::uint32_t index, double tail_ms)
+    {
+        auto run = make("serving", 3000);
+        run.is_lasting = true;
+        run.tail_target = milliseconds(18);
+        run.percent = 100;
+        run.figure = static_cast<std::int64_t>(tail_ms);
+        worker.add_run({job_id("serve"), 0, 0, index}, run);
+    }
+
+    time_point now{std::chrono::seconds(500)};
+};
+
+double tail_at(double load, double slowdown)
+{
+    return base_tail_ms / (1.0 - std::min(0.99, load * slowdown));
+}
+
+} // namespace
+
+// Failure: an image that presses little is blamed for one that presses much,
+// because the two were seen together.
+TEST_F(interference_test, heavy_and_light_images_are_told_apart)
+{
+    interference_model model;
+    std::mt19937 random(7);
+    for (int round = 0; round < 400; ++round)
+    {
+        now += milliseconds(100);
+        const double load = 0.42 * (1.0 + 0.5 * std::sin(0.0628 * round));
+        for (std::uint32_t w = 0; w < 6; ++w)
+        {
+            auto worker = make_worker("w");
+            const std::int64_t heavy = random() % 3 == 0 ? 1200 : 0;
+            const std::int64_t light = random() % 2 == 0 ? 3000 : 0;
+            const double slowdown = 1.0 + (7.0 * static_cast<double>(heavy) +
+                                           0.5 * static_cast<double>(light)) /
+                                              worker_millis;
+            add_serving(worker, w, tail_at(load, slowdown));
+            if (heavy > 0)
+            {
+                add_fill(worker, 0, "heavy", heavy);
+            }
+            if (light > 0)
+            {
+                add_fill(worker, 1, "light", light);
+            }
+            model.learn(worker, now);
+        }
+    }
+    const auto serving = to_image("serving");
+    EXPECT_GT(model.pressure(to_image("heavy"), serving), 3.5);
+    EXPECT_LT(model.pressure(to_image("light"), serving), 2.0);
+}
+
+// Failure: what was learnt is lost with the leader.
+TEST_F(interference_test, what_was_learnt_is_taken_over)
+{
+    interference_model model;
+    auto worker = make_worker("w");
+    add_serving(worker, 0, 5.0);
+    add_fill(worker, 0, "f", 4000);
+    for (int i = 0; i < 50; ++i)
+    {
+        now += milliseconds(100);
+        model.learn(worker, now);
+    }
+    interference_model next;
+    next.restore(model.encode());
+    EXPECT_EQ(next.encode(), model.encode());
+    next.restore("no json");
+    EXPECT_EQ(next.encode(), model.encode());
+}
+
+// Failure: fill tasks work on beside a task that stays over its target.
+TEST_F(interference_test, all_fill_tasks_stop_beside_a_task_long_over)
+{
+    scheduler_state state;
+    auto worker = make_worker("w");
+    add_serving(worker, 0, 40.0);
+    add_fill(worker, 0, "f", 1000);
+    add_fill(worker, 1, "g", 1000);
+    auto& serving = *worker.find_run({job_id("serve"), 0, 0, 0});
+    serving.over_since = now - milliseconds(1200);
+    tail_pacer(state).adjust(worker, now);
+    ASSERT_EQ(state.orders.size(), 2U);
+    EXPECT_TRUE(std::ranges::all_of(state.orders, [](const order& o) {
+        const auto* const pace = std::get_if<pace_order>(&o);
+        return pace != nullptr && pace->percent == 0;
+    }));
+}
+
+// Failure: fill tasks are slowed where there is room for them.
+TEST_F(interference_test, fill_tasks_run_freely_beside_calm_tasks)
+{
+    scheduler_state state;
+    auto worker = make_worker("w");
+    add_serving(worker, 0, 5.0);
+    add_fill(worker, 0, "f", 500);
+    for (int i = 0; i < 20; ++i)
+    {
+        now += milliseconds(100);
+        state.interference.learn(worker, now);
+    }
+    tail_pacer(state).adjust(worker, now);
+    EXPECT_TRUE(state.orders.empty());
+}
