--- a/src/node/leader_duty.hpp
+++ b/src/node/leader_duty.hpp
@@ -205,3 +205,5 @@
 } // namespace hemlockdeal::node
 
 #include "node/leader_duty.ipp"
+#include "node/leader_intake.ipp"
+#include "node/leader_orders.ipp"
--- /dev/null
+++ b/src/node/leader_intake.ipp
@@ -0,0 +1,355 @@
+// What the leader reads: recovery after a takeover, and the feeds of jobs and
+// workers.
+#pragma once
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockdeal::node
+{
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::begin_recovery()
+{
+    epoch_ = lead_.epoch();
+    begun_ = false;
+    log(log_level::info, "lead is taken", {{"epoch", std::to_string(epoch_)}});
+    scheduler_ = std::make_unique<jobs::scheduler>(options_.scheduler, epoch_);
+    scheduler_->set_services(services_);
+    scheduler_->set_closed_zones(closed_zones_);
+    recovered_progress_.clear();
+    stored_ends_.clear();
+    shown_pending_.clear();
+    is_polling_inbox_ = false;
+    is_polling_workers_ = false;
+    read_table({progress_table, lead_part, {}, {}, 500}, epoch_,
+               [this](const read_rows& read) {
+                   for (const auto& row : read.rows)
+                   {
+                       if (auto progress = jobs::decode_progress(row.value))
+                       {
+                           recovered_progress_[job_id(row.key)] =
+                               std::move(*progress);
+                       }
+                   }
+                   if (!read.has_more)
+                   {
+                       recover_inbox();
+                   }
+               });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::read_table(
+    row_range range, std::uint64_t epoch, std::function<void(read_rows)> done)
+{
+    store_.read(range, options_.read_timeout,
+                [this, range, epoch, done](read_outcome outcome) {
+                    if (!is_current(epoch))
+                    {
+                        return;
+                    }
+                    if (std::holds_alternative<not_done>(outcome))
+                    {
+                        health_.on_failure(std::get<not_done>(outcome).reason);
+                        clock_.later(options_.retry, [=, this] {
+                            if (is_current(epoch))
+                            {
+                                read_table(range, epoch, done);
+                            }
+                        });
+                        return;
+                    }
+                    health_.on_answer(clock_.now());
+                    const auto& read = std::get<read_rows>(outcome);
+                    done(read);
+                    if (read.has_more && !read.rows.empty())
+                    {
+                        auto next = range;
+                        // Keys are made of letters, digits and dots, all of
+                        // which come after '!'.
+                        next.from = read.rows.back().key + '!';
+                        read_table(next, epoch, done);
+                    }
+                });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::read_inbox(
+    std::function<void(const stored_row&)> each, std::function<void()> done)
+{
+    inbox_position_ = row_version(0);
+    auto left = std::make_shared<std::uint64_t>(inbox_parts);
+    for (std::uint64_t part = 0; part < inbox_parts; ++part)
+    {
+        auto is_first = std::make_shared<bool>(true);
+        read_table({inbox_table, inbox_part_name(part), {}, {}, 500}, epoch_,
+                   [this, each, done, left, is_first](const read_rows& read) {
+                       // Changes after the earliest page come again through
+                       // the feed.
+                       if (std::exchange(*is_first, false))
+                       {
+                           inbox_position_ =
+                               inbox_position_ == row_version(0)
+                                   ? read.newest
+                                   : std::min(inbox_position_, read.newest);
+                       }
+                       std::ranges::for_each(read.rows, each);
+                       if (!read.has_more && --*left == 0)
+                       {
+                           done();
+                       }
+                   });
+    }
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::recover_inbox()
+{
+    auto cancelled = std::make_shared<std::vector<job_id>>();
+    read_inbox(
+        [this, cancelled](const stored_row& row) {
+            if (row.key.ends_with(cancel_suffix))
+            {
+                cancelled->emplace_back(
+                    row.key.substr(0, row.key.size() - cancel_suffix.size()));
+                return;
+            }
+            const job_id id(row.key);
+            auto definition = jobs::decode_job(id, row.value);
+            if (!definition)
+            {
+                log(log_level::error, "stored job cannot be read",
+                    {{"job", row.key}});
+                return;
+            }
+            const auto known = recovered_progress_.find(id);
+            scheduler_->recover_job(std::move(*definition),
+                                    known == recovered_progress_.end()
+                                        ? std::nullopt
+                                        : std::optional(known->second));
+        },
+        [this, cancelled] {
+            for (const auto& [id, state] : scheduler_->book().over())
+            {
+                stored_ends_.try_emplace(id, state);
+            }
+            for (const auto& id : *cancelled)
+            {
+                scheduler_->cancel_job(id, clock_.now());
+            }
+            recover_fleet();
+        });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::recover_fleet()
+{
+    read_table({fleet_table, lead_part, fleet_key, {}, 1}, epoch_,
+               [this](const read_rows& read) {
+                   std::vector<worker_id> ids;
+                   if (!read.rows.empty())
+                   {
+                       boost::json::error_code error;
+                       const auto list =
+                           boost::json::parse(read.rows.front().value, error);
+                       if (!error && list.is_array())
+                       {
+                           for (const auto& id : list.get_array())
+                           {
+                               ids.emplace_back(std::string(id.get_string()));
+                           }
+                       }
+                   }
+                   scheduler_->recover_fleet(ids);
+                   recover_learnt();
+               });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::recover_learnt()
+{
+    read_table({learnt_table, lead_part, interference_key, {}, 1}, epoch_,
+               [this](const read_rows& read) {
+                   if (!read.rows.empty())
+                   {
+                       scheduler_->recover_interference(
+                           read.rows.front().value);
+                   }
+                   finish_recovery();
+               });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::finish_recovery()
+{
+    const auto epoch = epoch_;
+    list_.read_all([this, epoch](const worker_list_outcome& outcome) {
+        if (!is_current(epoch))
+        {
+            return;
+        }
+        if (!std::holds_alternative<worker_changes>(outcome))
+        {
+            clock_.later(options_.retry, [this, epoch] {
+                if (is_current(epoch))
+                {
+                    finish_recovery();
+                }
+            });
+            return;
+        }
+        take_workers(std::get<worker_changes>(outcome));
+        log(log_level::info, "lead begins",
+            {{"epoch", std::to_string(epoch_)},
+             {"jobs", std::to_string(scheduler_->book().live().size())},
+             {"jobs_over", std::to_string(scheduler_->book().over().size())},
+             {"workers", std::to_string(scheduler_->fleet().size())}});
+        scheduler_->begin(clock_.now());
+        recovered_progress_.clear();
+        begun_ = true;
+        wake();
+    });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::poll_inbox()
+{
+    const auto now = clock_.now();
+    if (is_polling_inbox_ || now < next_inbox_poll_)
+    {
+        return;
+    }
+    is_polling_inbox_ = true;
+    const auto epoch = epoch_;
+    store_.feed(
+        inbox_table, inbox_position_, options_.feed_wait,
+        [this, epoch](const feed_outcome& outcome) {
+            if (!is_current(epoch))
+            {
+                return;
+            }
+            is_polling_inbox_ = false;
+            if (std::holds_alternative<history_lost>(outcome))
+            {
+                log(log_level::warning, "history of the inbox is lost",
+                    {{"position", std::to_string(inbox_position_.value())}});
+                is_polling_inbox_ = true;
+                read_inbox(
+                    [this](const stored_row& row) { take_inbox_row(row); },
+                    [this] { is_polling_inbox_ = false; });
+                return;
+            }
+            if (const auto* const failed = std::get_if<not_done>(&outcome))
+            {
+                health_.on_failure(failed->reason);
+                next_inbox_poll_ = clock_.now() + options_.retry;
+                return;
+            }
+            health_.on_answer(clock_.now());
+            const auto& read = std::get<read_rows>(outcome);
+            inbox_position_ = std::max(inbox_position_, read.newest);
+            std::ranges::for_each(read.rows, [this](const stored_row& row) {
+                take_inbox_row(row);
+            });
+        });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::take_inbox_row(const stored_row& row)
+{
+    if (row.is_removed)
+    {
+        return;
+    }
+    wake();
+    if (row.key.ends_with(cancel_suffix))
+    {
+        scheduler_->cancel_job(
+            job_id(row.key.substr(0, row.key.size() - cancel_suffix.size())),
+            clock_.now());
+        return;
+    }
+    auto definition = jobs::decode_job(job_id(row.key), row.value);
+    if (!definition)
+    {
+        log(log_level::error, "stored job cannot be read", {{"job", row.key}});
+        return;
+    }
+    scheduler_->add_job(std::move(*definition));
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::poll_workers()
+{
+    const auto now = clock_.now();
+    if (is_polling_workers_ || now < next_worker_poll_)
+    {
+        return;
+    }
+    is_polling_workers_ = true;
+    next_worker_poll_ = now + options_.worker_poll;
+    const auto epoch = epoch_;
+    const auto taken = [this, epoch](const worker_list_outcome& outcome) {
+        if (!is_current(epoch))
+        {
+            return;
+        }
+        is_polling_workers_ = false;
+        if (std::holds_alternative<history_lost>(outcome))
+        {
+            log(log_level::warning, "history of the worker list is lost");
+            workers_position_ = row_version(0);
+            return;
+        }
+        if (const auto* const failed = std::get_if<not_done>(&outcome))
+        {
+            health_.on_failure(failed->reason);
+            return;
+        }
+        health_.on_answer(clock_.now());
+        take_workers(std::get<worker_changes>(outcome));
+    };
+    if (workers_position_ == row_version(0))
+    {
+        list_.read_all(taken);
+        return;
+    }
+    list_.read_changes(workers_position_, taken);
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_duty<Store, Workers, List>::take_workers(
+    const worker_changes& changes)
+{
+    const auto now = clock_.now();
+    workers_position_ = std::max(workers_position_, changes.newest);
+    std::set<worker_id> listed;
+    for (const auto& change : changes.changes)
+    {
+        if (!change.entry)
+        {
+            scheduler_->remove_worker(change.id, now);
+            continue;
+        }
+        listed.insert(change.id);
+        scheduler_->set_worker(*change.entry, now);
+    }
+    if (changes.is_whole)
+    {
+        std::vector<worker_id> gone;
+        for (const auto& [id, worker] : scheduler_->fleet())
+        {
+            if (!listed.contains(id) && !worker.is_unlisted)
+            {
+                gone.push_back(id);
+            }
+        }
+        std::ranges::for_each(gone, [&](const worker_id& id) {
+            scheduler_->remove_worker(id, now);
+        });
+    }
+    wake();
+}
+
+} // namespace hemlockdeal::node
