--- /dev/null
+++ b/tests/processes/soak_test.py
@@ -0,0 +1,24 @@
+"""Failure: entry VMs of the users' platform lose, double or reorder work while
+their processes are killed, paused and stopped, workers crash and the store
+misbehaves. Seed 3 is kept because it once showed a task that ran again after
+its end was acknowledged (a restarted worker was told to forget ends by a number
+of its last life)."""
+
+import os
+import subprocess
+import sys
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+SOAK = os.path.join(HERE, "..", "..", "soak", "soak.py")
+SEEDS = ["3", "101"]
+SECONDS = "8"
+
+
+def main():
+    for seed in SEEDS:
+        subprocess.run([sys.executable, SOAK, "--seed", seed, "--seconds",
+                        SECONDS], check=True, timeout=100)
+
+
+if __name__ == "__main__":
+    main()
