--- a/src/jobs/interference_model.hpp
+++ b/src/jobs/interference_model.hpp
@@ -24,8 +24,8 @@
 class interference_model
 {
 public:
-    // Part of the utilisation limit that is planned for: figures are rough
-    // and half a second old.
+    // Part of the utilisation limit that is planned for. Above 1 because the
+    // base tail, and with it the load, is estimated high.
     static constexpr double planned_part = 1.06;
 
     // Learns from the figures of one report.
