--- /dev/null
+++ b/bench/jobs/emulated_worker.hpp
@@ -0,0 +1,263 @@
+// An emulated worker: ordinary tasks run at full speed, fill tasks share what
+// the others leave unused, and serving tasks show a tail latency that rises
+// with their own load and with what presses them.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <numbers>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/jobs.hpp"
+
+namespace hemlockdeal::bench
+{
+
+using jobs::task_key;
+
+// How strongly each fill image presses each serving image, drawn from a seed.
+class pressure_table
+{
+public:
+    pressure_table(std::uint64_t seed, double heavy_share, double pressure)
+        : seed_(seed), heavy_share_(heavy_share), pressure_(pressure)
+    {}
+
+    double between(const std::string& fill, const std::string& serving) const
+    {
+        const auto draw =
+            stable_hash(fill + '/' + serving + std::to_string(seed_));
+        const bool is_heavy =
+            static_cast<double>(draw % 1000) < heavy_share_ * 1000.0;
+        return is_heavy ? pressure_ : pressure_ / 10.0;
+    }
+
+private:
+    std::uint64_t seed_;
+    double heavy_share_;
+    double pressure_;
+};
+
+// The load of serving tasks, the same for all tasks of a job.
+struct load_wave
+{
+    double mean = 0.42;
+    double swing = 0.5;
+    double period_s = 14.0;
+
+    double at(time_point now, const job_id& job) const
+    {
+        constexpr std::uint64_t phases = 1000;
+        const double phase =
+            static_cast<double>(stable_hash(job.value()) % phases) / phases;
+        const double seconds =
+            std::chrono::duration<double>(now.time_since_epoch()).count();
+        return mean *
+               (1.0 + swing * std::sin(2.0 * std::numbers::pi *
+                                       (seconds / period_s + phase)));
+    }
+};
+
+class emulated_worker
+{
+public:
+    struct active_run
+    {
+        std::uint32_t run = 0;
+        const jobs::step* what = nullptr;
+        double work_s = 0.0;
+        double done_s = 0.0;
+        double speed = 0.0;
+        double tail_ms = 0.0;
+        int pace = 100;
+    };
+
+    jobs::worker_entry entry;
+
+    const std::map<task_key, active_run>& running() const { return running_; }
+    bool has_ended() const { return !ended_.empty(); }
+
+    static jobs::worker_clock clock(time_point now)
+    {
+        return std::chrono::duration_cast<jobs::worker_clock>(
+            now.time_since_epoch());
+    }
+
+    jobs::start_answer start(const jobs::start_order& order,
+                             const jobs::step& what, double work_s)
+    {
+        std::int64_t reserved = what.fills ? 0 : what.size.processor_millis;
+        for (const auto& [key, run] : running_)
+        {
+            reserved += run.what->fills ? 0 : run.what->size.processor_millis;
+        }
+        if (reserved > entry.capacity.processor_millis)
+        {
+            return jobs::start_answer::no_room;
+        }
+        active_run run;
+        run.run = order.run;
+        run.what = &what;
+        run.work_s = work_s;
+        run.done_s = order.checkpoint.empty() ? 0.0 : std::stod(order.checkpoint);
+        running_[order.task] = run;
+        return jobs::start_answer::accepted;
+    }
+
+    void stop(const jobs::stop_order& order)
+    {
+        if (running_.contains(order.task))
+        {
+            end(order.task, jobs::run_end::stopped);
+        }
+    }
+
+    void pace(const jobs::pace_order& order)
+    {
+        if (const auto found = running_.find(order.task);
+            found != running_.end())
+        {
+            found->second.pace = order.percent;
+        }
+    }
+
+    jobs::worker_report look(const jobs::look_order& order, time_point now)
+    {
+        while (!ended_.empty() && ended_.front().number <= order.acknowledged)
+        {
+            ended_.pop_front();
+        }
+        jobs::worker_report report;
+        report.clock = clock(now);
+        report.born = entry.born;
+        for (const auto& [key, run] : running_)
+        {
+            report.running.push_back(
+                {key, run.run, checkpoint_of(run), percent_of(run),
+                 run.what->tail_target > duration{}
+                     ? static_cast<std::int64_t>(run.tail_ms)
+                     : static_cast<std::int64_t>(
+                           run.speed * static_cast<double>(
+                                           run.what->size.processor_millis))});
+        }
+        report.ended.assign(ended_.begin(), ended_.end());
+        return report;
+    }
+
+    void advance(time_point now, duration step, const load_wave& wave,
+                 const pressure_table& pressures)
+    {
+        set_speeds(now, wave);
+        set_tails(now, wave, pressures);
+        const double seconds = std::chrono::duration<double>(step).count();
+        std::vector<task_key> over;
+        for (auto& [key, run] : running_)
+        {
+            run.done_s += run.speed * seconds;
+            if (!run.what->is_lasting && run.done_s >= run.work_s)
+            {
+                over.push_back(key);
+            }
+        }
+        for (const auto& key : over)
+        {
+            end(key, jobs::run_end::done);
+        }
+    }
+
+private:
+    static int percent_of(const active_run& run)
+    {
+        constexpr double whole = 100.0;
+        return run.what->is_lasting
+                   ? static_cast<int>(whole)
+                   : static_cast<int>(whole * run.done_s / run.work_s);
+    }
+
+    static std::string checkpoint_of(const active_run& run)
+    {
+        return run.what->saves_progress && run.done_s >= 1.0
+                   ? std::to_string(std::floor(run.done_s))
+                   : std::string{};
+    }
+
+    void set_speeds(time_point now, const load_wave& wave)
+    {
+        auto unused = static_cast<double>(entry.capacity.processor_millis);
+        double wanted = 0.0;
+        for (auto& [key, run] : running_)
+        {
+            const auto size =
+                static_cast<double>(run.what->size.processor_millis);
+            run.speed = 1.0;
+            if (run.what->fills)
+            {
+                wanted += size * run.pace / 100.0;
+                continue;
+            }
+            unused -= run.what->is_lasting ? size * wave.at(now, key.job) : size;
+        }
+        const double part =
+            wanted <= 0.0 ? 1.0
+                          : std::clamp(unused / wanted, 0.0, 1.0);
+        for (auto& [key, run] : running_)
+        {
+            run.speed = run.what->fills ? part * run.pace / 100.0 : 1.0;
+        }
+    }
+
+    void set_tails(time_point now, const load_wave& wave,
+                   const pressure_table& pressures)
+    {
+        constexpr double target_factor = 4.5;
+        constexpr double highest_utilisation = 0.97;
+        const auto capacity =
+            static_cast<double>(entry.capacity.processor_millis);
+        for (auto& [key, run] : running_)
+        {
+            if (run.what->tail_target <= duration{})
+            {
+                continue;
+            }
+            double slowdown = 1.0;
+            for (const auto& [other, fill] : running_)
+            {
+                slowdown +=
+                    fill.what->fills
+                        ? pressures.between(fill.what->image, run.what->image) *
+                              fill.speed *
+                              static_cast<double>(
+                                  fill.what->size.processor_millis) /
+                              capacity
+                        : 0.0;
+            }
+            const double utilisation = std::min(
+                highest_utilisation, wave.at(now, key.job) * slowdown);
+            run.tail_ms = std::chrono::duration<double, std::milli>(
+                              run.what->tail_target)
+                              .count() /
+                          target_factor / (1.0 - utilisation);
+        }
+    }
+
+    void end(const task_key& key, jobs::run_end how)
+    {
+        const auto& run = running_.at(key);
+        ended_.push_back({++number_, key, run.run, how,
+                          how == jobs::run_end::stopped ? checkpoint_of(run)
+                                                        : std::string{}});
+        running_.erase(key);
+    }
+
+    std::map<task_key, active_run> running_;
+    std::deque<jobs::ended_run> ended_;
+    std::uint64_t number_ = 0;
+};
+
+} // namespace hemlockdeal::bench
--- /dev/null
+++ b/bench/jobs/leader_load.cpp
@@ -0,0 +1,427 @@
+// Plays a day of jobs on an emulated fleet under one leader, without faults
+// and without a network, and prints what callers would get and what the
+// leader's decisions cost.
+// Usage: leader_load [workers] [jobs a second] [seconds] [seed]
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "emulated_worker.hpp"
+
+namespace
+{
+
+using namespace hemlockdeal;
+using bench::emulated_worker;
+using std::chrono::milliseconds;
+
+constexpr duration step_time = milliseconds(5);
+constexpr duration way = milliseconds(6);
+constexpr duration store_time = milliseconds(12);
+constexpr std::size_t workers_of_rack = 8;
+
+enum class job_kind
+{
+    urgent,
+    fill,
+    lasting
+};
+constexpr std::size_t kinds = 3;
+
+struct kind_terms
+{
+    const char* name;
+    double share;
+    double work_s;
+    double width;
+    double processors;
+    double stretch;
+    duration slack;
+    int images;
+};
+
+// Shaped after the users' sheets: short urgent jobs, fill jobs in several
+// steps, and few lasting ones.
+constexpr kind_terms sheet[kinds] = {
+    {"urgent", 0.38, 0.8, 9.5, 5.4, 1.5, milliseconds(400), 1},
+    {"fill", 0.60, 2.2, 20.0, 3.5, 2.0, milliseconds(1000), 18},
+    {"lasting", 0.02, 0.4, 14.0, 6.4, 2.2, milliseconds(2500), 10}};
+
+struct played_job
+{
+    jobs::job definition;
+    job_kind kind = job_kind::urgent;
+    time_point handed_in{};
+    duration objective{};
+    bool is_over = false;
+};
+
+class played_day
+{
+public:
+    played_day(std::size_t workers, double jobs_a_second, std::uint32_t seed)
+        : random_(seed), rate_(jobs_a_second), leader_({}, 1),
+          pressures_(seed, 0.6, 5.0)
+    {
+        for (std::size_t i = 0; i < workers; ++i)
+        {
+            add_worker(i);
+        }
+        leader_.begin(now_);
+        // A day begins with most processors reserved by lasting tasks.
+        const auto first_jobs = workers / 3;
+        for (std::size_t i = 0; i < first_jobs; ++i)
+        {
+            add_job(job_kind::lasting);
+        }
+    }
+
+    void play(duration length)
+    {
+        const auto end = now_ + length;
+        while (now_ < end)
+        {
+            advance();
+        }
+    }
+
+    void print() const;
+
+private:
+    struct event
+    {
+        time_point at{};
+        std::uint64_t order = 0;
+        std::function<void()> call;
+        bool operator<(const event& other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    // Runs a call of the leader and adds its time to the sum.
+    template <typename Call>
+    auto timed(double& sum, Call&& call)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        struct adder
+        {
+            double& sum;
+            std::chrono::steady_clock::time_point begin;
+            ~adder()
+            {
+                sum += std::chrono::duration<double>(
+                           std::chrono::steady_clock::now() - begin)
+                           .count();
+            }
+        } adds{sum, begin};
+        return call();
+    }
+
+    void add_worker(std::size_t number);
+    void add_job(job_kind kind);
+    void arrive();
+    void advance();
+    void flush();
+    void observe();
+    void carry_out(const jobs::start_order& order);
+    void carry_out(const jobs::stop_order& order);
+    void carry_out(const jobs::pace_order& order);
+    void carry_out(const jobs::look_order& order);
+    void carry_out(const jobs::advice_request&) {}
+    void answer_look(const jobs::look_order& order, time_point sent_at,
+                     time_point until);
+    void later(duration delay, std::function<void()> call)
+    {
+        events_.push({now_ + delay, ++event_count_, std::move(call)});
+    }
+    double draw(double mean, double spread)
+    {
+        std::normal_distribution<double> normal(1.0, spread);
+        return mean * std::clamp(normal(random_), 0.3, 3.0);
+    }
+
+    std::mt19937 random_;
+    double rate_;
+    time_point now_{std::chrono::seconds(100)};
+    std::priority_queue<event> events_;
+    std::uint64_t event_count_ = 0;
+    jobs::scheduler leader_;
+    bench::pressure_table pressures_;
+    bench::load_wave wave_;
+    std::map<worker_id, emulated_worker> workers_;
+    std::map<job_id, played_job> jobs_;
+    bool is_flushing_ = false;
+
+    double decide_s_ = 0.0;
+    double report_s_ = 0.0;
+    std::size_t starts_ = 0;
+    std::size_t looks_ = 0;
+    std::size_t paces_ = 0;
+    std::size_t stops_ = 0;
+    std::size_t calm_ms_ = 0;
+    std::size_t over_ms_ = 0;
+    std::size_t ended_[kinds] = {};
+    std::size_t in_time_[kinds] = {};
+    std::size_t given_up_[kinds] = {};
+};
+
+void played_day::add_worker(std::size_t number)
+{
+    emulated_worker w;
+    w.entry.id = worker_id("i-" + std::to_string(stable_hash(std::to_string(number))));
+    w.entry.service = service_id("s");
+    w.entry.zone = availability_zone_id("z" + std::to_string(number % 3));
+    w.entry.capacity = {number % 3 == 2 ? 48000 : 32000, 128000, 0};
+    w.entry.labels = {"a", "rack-" + std::to_string(number / workers_of_rack)};
+    w.entry.born = 1;
+    leader_.set_worker(w.entry, now_);
+    workers_.emplace(w.entry.id, w);
+}
+
+void played_day::add_job(job_kind kind)
+{
+    const auto& terms = sheet[static_cast<std::size_t>(kind)];
+    played_job made;
+    made.kind = kind;
+    made.handed_in = now_;
+    auto& j = made.definition;
+    char id[17];
+    std::snprintf(id, sizeof id, "%016zx",
+                  stable_hash("job" + std::to_string(jobs_.size())));
+    j.id = job_id(id);
+    j.accepted_at = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
+    j.terms.queue = terms.name;
+    j.terms.service = service_id("s");
+    j.terms.most_attempts = 3;
+    j.terms.stretch = terms.stretch;
+    j.terms.slack = terms.slack;
+    j.terms.priority = kind == job_kind::fill ? 2 : 0;
+    const auto steps = kind == job_kind::lasting ? 1 : 1 + random_() % 3;
+    duration chain{};
+    for (std::uint32_t s = 0; s < steps; ++s)
+    {
+        jobs::step step;
+        step.task_count = static_cast<std::uint32_t>(
+            std::max(1.0, draw(terms.width, 0.6)));
+        step.size = {static_cast<std::int64_t>(draw(terms.processors, 0.3) * 1000),
+                     static_cast<std::int64_t>(draw(terms.processors * 2000, 0.3)),
+                     0};
+        step.estimate = milliseconds(
+            static_cast<std::int64_t>(draw(terms.work_s * 1000, 0.4)));
+        step.image = std::string(terms.name) +
+                     std::to_string(random_() % static_cast<unsigned>(terms.images));
+        step.fills = kind == job_kind::fill;
+        step.saves_progress = step.fills;
+        step.is_lasting = kind == job_kind::lasting;
+        step.tail_target = step.is_lasting ? milliseconds(45) : milliseconds(0);
+        if (s > 0)
+        {
+            step.after = {s - 1};
+        }
+        chain += step.estimate;
+        j.steps.push_back(step);
+    }
+    made.objective = std::chrono::duration_cast<duration>(chain * terms.stretch) + terms.slack;
+    leader_.add_job(j);
+    jobs_.emplace(j.id, std::move(made));
+}
+
+void played_day::arrive()
+{
+    const double per_step =
+        rate_ * std::chrono::duration<double>(step_time).count();
+    std::poisson_distribution<int> count(per_step);
+    for (int left = count(random_); left > 0; --left)
+    {
+        const double which =
+            std::uniform_real_distribution<double>(0.0, 1.0)(random_);
+        add_job(which < sheet[0].share                    ? job_kind::urgent
+                : which < sheet[0].share + sheet[1].share ? job_kind::fill
+                                                          : job_kind::lasting);
+    }
+}
+
+void played_day::advance()
+{
+    now_ += step_time;
+    arrive();
+    for (auto& [id, w] : workers_)
+    {
+        w.advance(now_, step_time, wave_, pressures_);
+    }
+    while (!events_.empty() && events_.top().at <= now_)
+    {
+        const auto call = events_.top().call;
+        events_.pop();
+        call();
+    }
+    const auto unix_now =
+        std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
+    const auto orders = timed(decide_s_, [&] {
+        return leader_.decide(now_, unix_now, true, true);
+    });
+    for (const auto& order : orders)
+    {
+        std::visit([this](const auto& o) { carry_out(o); }, order);
+    }
+    leader_.take_events();
+    flush();
+    observe();
+}
+
+void played_day::flush()
+{
+    if (is_flushing_ || !timed(decide_s_, [&] { return leader_.has_changes(); }))
+    {
+        return;
+    }
+    is_flushing_ = true;
+    timed(decide_s_, [&] { leader_.take_changes(); });
+    later(store_time, [this] {
+        is_flushing_ = false;
+        leader_.on_changes_stored(now_);
+    });
+}
+
+void played_day::observe()
+{
+    for (const auto& [id, w] : workers_)
+    {
+        for (const auto& [key, run] : w.running())
+        {
+            if (run.what->tail_target > duration{})
+            {
+                const bool is_over =
+                    run.tail_ms > std::chrono::duration<double, std::milli>(
+                                      run.what->tail_target)
+                                      .count();
+                ++(is_over ? over_ms_ : calm_ms_);
+            }
+        }
+    }
+    for (const auto& [id, state] : leader_.book().over())
+    {
+        auto& j = jobs_.at(id);
+        if (j.is_over)
+        {
+            continue;
+        }
+        j.is_over = true;
+        const auto kind = static_cast<std::size_t>(j.kind);
+        ++ended_[kind];
+        in_time_[kind] += now_ - j.handed_in <= j.objective ? 1 : 0;
+    }
+}
+
+void played_day::carry_out(const jobs::start_order& order)
+{
+    ++starts_;
+    later(way / 2, [this, order] {
+        const auto& what = jobs_.at(order.task.job).definition.steps[order.task.step];
+        const double work = draw(
+            std::chrono::duration<double>(what.estimate).count(), 0.2);
+        const auto answer =
+            workers_.at(order.worker).start(order, what, std::min(work, std::chrono::duration<double>(what.estimate).count() * 1.1));
+        later(way / 2, [this, order, answer] {
+            timed(report_s_, [&] {
+                leader_.on_start_answer(order.worker, order.task, order.run,
+                                        answer, now_);
+            });
+        });
+    });
+}
+
+void played_day::carry_out(const jobs::stop_order& order)
+{
+    ++stops_;
+    later(way / 2, [this, order] {
+        workers_.at(order.worker).stop(order);
+        later(way / 2, [this, order] {
+            leader_.on_stop_confirmed(order.worker, order.task, order.run, now_);
+        });
+    });
+}
+
+void played_day::carry_out(const jobs::pace_order& order)
+{
+    ++paces_;
+    later(way / 2, [this, order] { workers_.at(order.worker).pace(order); });
+}
+
+void played_day::carry_out(const jobs::look_order& order)
+{
+    ++looks_;
+    const auto sent_at = now_;
+    later(way / 2, [this, order, sent_at] {
+        answer_look(order, sent_at, now_ + order.wait);
+    });
+}
+
+void played_day::answer_look(const jobs::look_order& order, time_point sent_at,
+                             time_point until)
+{
+    auto& w = workers_.at(order.worker);
+    if (now_ < until && !w.has_ended())
+    {
+        later(step_time, [=, this] { answer_look(order, sent_at, until); });
+        return;
+    }
+    const auto report = w.look(order, now_);
+    later(way / 2, [=, this] {
+        timed(report_s_,
+              [&] { leader_.on_report(order.worker, report, sent_at, now_); });
+    });
+}
+
+void played_day::print() const
+{
+    const double seconds =
+        std::chrono::duration<double>(now_.time_since_epoch()).count() - 100.0;
+    for (std::size_t k = 0; k < kinds; ++k)
+    {
+        std::size_t due = 0;
+        for (const auto& [id, j] : jobs_)
+        {
+            due += static_cast<std::size_t>(j.kind) == k &&
+                           j.handed_in + 3 * j.objective < now_
+                       ? 1
+                       : 0;
+        }
+        std::printf("%-8s due %zu, ended %zu, in time %zu\n", sheet[k].name, due,
+                    ended_[k], in_time_[k]);
+    }
+    std::printf("serving tasks over their target: %.1f %% of their time\n",
+                100.0 * static_cast<double>(over_ms_) /
+                    static_cast<double>(std::max<std::size_t>(1, over_ms_ + calm_ms_)));
+    std::printf("a second: %.0f starts, %.0f looks, %.0f stops, %.0f paces\n",
+                static_cast<double>(starts_) / seconds,
+                static_cast<double>(looks_) / seconds,
+                static_cast<double>(stops_) / seconds,
+                static_cast<double>(paces_) / seconds);
+    std::printf("processor: decisions %.3f of a core, reports %.3f; %.0f us a start\n",
+                decide_s_ / seconds, report_s_ / seconds,
+                1e6 * (decide_s_ + report_s_) /
+                    static_cast<double>(std::max<std::size_t>(1, starts_)));
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto argument = [&](int i, double otherwise) {
+        return argc > i ? std::atof(argv[i]) : otherwise;
+    };
+    played_day day(static_cast<std::size_t>(argument(1, 490)),
+                   argument(2, 36), static_cast<std::uint32_t>(argument(4, 1)));
+    day.play(std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(argument(3, 30))));
+    day.print();
+}
--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -102,6 +102,7 @@
         return;
     }
     account(found->second, -1);
+    has_gained_room_ = true;
     runs_.erase(found);
 }
 
@@ -120,6 +121,7 @@
     run.pace = percent;
     fill_demand_ += run.fills ? demand_at_pace(run) : 0;
     pressed.is_stale = true;
+    has_gained_room_ = true;
     run.progressed_at = now;
     run.changed_at = now;
     if (percent >= slow_percent)
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jobs/scheduler_options.hpp"
@@ -52,6 +53,8 @@
     worker_clock start_deadline{};
     std::optional<time_point> stop_ordered_at;
     std::optional<time_point> stop_confirmed_at;
+    // When a report showed the run last.
+    time_point shown_at{};
     // Reports in a row that should have shown the run and did not.
     unsigned missing = 0;
 
@@ -156,6 +159,10 @@
     std::size_t serving_count() const { return serving_; }
     std::size_t fill_count() const { return fills_; }
 
+    // True if room may have been gained since the last call.
+    bool take_gained_room() { return std::exchange(has_gained_room_, false); }
+    void note_gained_room() { has_gained_room_ = true; }
+
     void note_clock(worker_clock clock, time_point received);
     bool knows_clock() const { return clock_known_; }
     // What the worker's clock shows now, if it runs at the right speed.
@@ -187,6 +194,7 @@
     std::int64_t serving_reserve_ = 0;
     std::size_t serving_ = 0;
     std::size_t fills_ = 0;
+    bool has_gained_room_ = true;
 
     bool clock_known_ = false;
     worker_clock clock_{};
--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -35,6 +35,8 @@
 constexpr double smallest_room = 0.02;
 constexpr double full_pace = 100.0;
 constexpr duration pressed_cache_age = std::chrono::milliseconds(300);
+// Medians are asked for several times for each report.
+constexpr duration level_cache_age = std::chrono::milliseconds(60);
 
 bool has_figure(const run_record& run, time_point now)
 {
@@ -234,33 +236,41 @@
     return *middle;
 }
 
-double interference_model::load_level(const job_id& job, time_point now) const
+const interference_model::job_load*
+interference_model::levels_of(const job_id& job, time_point now) const
 {
     const auto found = loads_.find(job);
-    const double level =
-        found == loads_.end()
-            ? 0.0
-            : median_between(found->second, now - load_window, now);
-    return level <= 0.0 ? first_load : level;
+    if (found == loads_.end())
+    {
+        return nullptr;
+    }
+    const auto& known = found->second;
+    if (now - known.levels_at >= level_cache_age)
+    {
+        known.level = median_between(known, now - load_window, now);
+        known.earlier_level =
+            median_between(known, now - 2 * load_window, now - load_window);
+        known.levels_at = now;
+    }
+    return &known;
+}
+
+double interference_model::load_level(const job_id& job, time_point now) const
+{
+    const auto* const known = levels_of(job, now);
+    return known == nullptr || known->level <= 0.0 ? first_load : known->level;
 }
 
 double interference_model::slope_per_s(const job_id& job, time_point now) const
 {
-    const auto found = loads_.find(job);
-    if (found == loads_.end())
-    {
-        return 0.0;
-    }
-    const double level = median_between(found->second, now - load_window, now);
-    const double earlier =
-        median_between(found->second, now - 2 * load_window, now - load_window);
-    if (level <= 0.0 || earlier <= 0.0)
+    const auto* const known = levels_of(job, now);
+    if (known == nullptr || known->level <= 0.0 || known->earlier_level <= 0.0)
     {
         return 0.0;
     }
     const double seconds = std::chrono::duration<double>(load_window).count();
-    return std::clamp((level - earlier) / seconds, -steepest_slope_per_s,
-                      steepest_slope_per_s);
+    return std::clamp((known->level - known->earlier_level) / seconds,
+                      -steepest_slope_per_s, steepest_slope_per_s);
 }
 
 double interference_model::expected_load(const job_id& job,
--- a/src/jobs/interference_model.hpp
+++ b/src/jobs/interference_model.hpp
@@ -67,6 +67,10 @@
         // Of the last seconds, oldest first.
         std::deque<load_estimate> recent;
         double mean = 0.0;
+        // Medians of the last two windows; zero where nothing was seen.
+        mutable double level = 0.0;
+        mutable double earlier_level = 0.0;
+        mutable time_point levels_at{};
     };
 
     double base_tail(const run_record& serving) const;
@@ -77,6 +81,8 @@
     void observe_load(const job_id& job, double load, time_point now);
     double slope_per_s(const job_id& job, time_point now) const;
     double load_level(const job_id& job, time_point now) const;
+    // The job's load with fresh medians, or null for an unknown job.
+    const job_load* levels_of(const job_id& job, time_point now) const;
     static double median_between(const job_load& known, time_point from,
                                  time_point to);
 
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -45,6 +45,9 @@
     std::vector<task_record> tasks;
     std::uint32_t done = 0;
     std::uint32_t waiting = 0;
+    // When all workers were searched last and not all waiting tasks had room;
+    // zero if they had.
+    time_point searched_at{};
 };
 
 struct occurrence_record
@@ -63,6 +66,8 @@
     explicit live_job(job definition);
 
     const job& definition() const { return job_; }
+    // Duration of the longest chain of steps, as estimated.
+    duration chain() const { return chain_; }
     const step& step_of(const task_key& key) const;
     bool has(const task_key& key) const;
     task_record& task(const task_key& key);
@@ -71,6 +76,11 @@
         return occurrences_;
     }
 
+    time_point& searched_at(std::uint32_t occurrence, std::uint32_t step)
+    {
+        return occurrences_[occurrence].steps[step].searched_at;
+    }
+
     // True when the tasks of the step may start.
     bool is_open(std::uint32_t occurrence, std::uint32_t step,
                  std::chrono::milliseconds unix_now) const;
@@ -104,6 +114,7 @@
     task_record& set_phase(const task_key& key, task_phase phase);
 
     job job_;
+    duration chain_;
     job_state state_ = job_state::queued;
     bool has_started_ = false;
     std::uint32_t done_occurrences_ = 0;
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -3,7 +3,6 @@
 #include "jobs/report_intake.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace hemlockdeal::jobs
@@ -239,6 +238,7 @@
         run = worker.find_run(shown.task);
     }
     run->missing = 0;
+    run->shown_at = now;
     run->is_unresolved = false;
     if (!run->confirmed_at)
     {
@@ -324,13 +324,10 @@
                                   const worker_report& report,
                                   time_point sent_at, time_point now)
 {
-    std::set<task_key> shown;
-    std::ranges::transform(report.running, std::inserter(shown, shown.end()),
-                           [](const running_task& r) { return r.task; });
     std::vector<task_key> absent;
     for (const auto& [key, run] : worker.runs())
     {
-        if (!shown.contains(key))
+        if (run.shown_at != now)
         {
             absent.push_back(key);
         }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -13,6 +13,8 @@
 // Rows that fit into one transaction beside the leader's own.
 constexpr std::size_t jobs_of_one_change = 60;
 constexpr unsigned most_look_backoff = 4;
+// Leases end and workers go after seconds.
+constexpr duration fleet_check_interval = std::chrono::milliseconds(40);
 constexpr duration load_interval = std::chrono::seconds(2);
 
 } // namespace
@@ -100,6 +102,7 @@
     worker.entry = entry;
     // A list that lags must not bring an earlier life back.
     worker.entry.born = born;
+    worker.note_gained_room();
     if (starts_to_leave)
     {
         state_.say("worker is leaving", {{"worker", entry.id.value()}});
@@ -259,11 +262,15 @@
                                      bool may_start, bool may_prolong)
 {
     check_accounts(now);
-    for (auto& [id, worker] : state_.fleet)
+    if (now - fleet_checked_at_ >= fleet_check_interval)
     {
-        intake_.check_lapse(worker, now);
+        fleet_checked_at_ = now;
+        for (auto& [id, worker] : state_.fleet)
+        {
+            intake_.check_lapse(worker, now);
+        }
+        forget_gone_workers(now);
     }
-    forget_gone_workers(now);
     if (may_start)
     {
         placer_.place(now, unix_now);
@@ -357,6 +364,7 @@
         if (auto* const worker = state_.find_worker(id))
         {
             worker->is_recorded = true;
+            worker->note_gained_room();
         }
     }
     for (auto& [id, worker] : state_.fleet)
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -124,6 +124,7 @@
     time_point leases_ended_at_{};
     bool fleet_changed_ = false;
     time_point load_said_at_{};
+    time_point fleet_checked_at_{};
     // Named in the list that is on its way to the store.
     std::vector<worker_id> being_recorded_;
     bool begun_ = false;
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -27,6 +27,10 @@
 // Beyond this a fill task waits: it would hardly run, and slow others down.
 constexpr double highest_fill_cost = 1.3;
 constexpr std::size_t moves_at_once = 4;
+constexpr duration move_interval = std::chrono::milliseconds(100);
+// A step without room is tried on workers that have gained room since, and
+// after this time on all: loads and health change without an event.
+constexpr duration whole_search_interval = std::chrono::milliseconds(250);
 constexpr int little_progress_percent = 15;
 
 enum order_group
@@ -48,7 +52,7 @@
 void task_placer::place(time_point now, std::chrono::milliseconds unix_now)
 {
     without_room_ = 0;
-    usable_ = usable_workers(now);
+    find_usable_workers(now);
     auto waiting = candidates(unix_now);
     std::ranges::sort(waiting, [](const candidate& a, const candidate& b) {
         return std::tie(a.group, a.latest_start) <
@@ -92,9 +96,8 @@
     const auto begin = definition.repeats.count > 0
                            ? owner.occurrences()[occurrence].due
                            : definition.accepted_at;
-    const auto chain = longest_chain(definition.steps);
     const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
-        chain * definition.terms.stretch + definition.terms.slack);
+        owner.chain() * definition.terms.stretch + definition.terms.slack);
     // What is left of the chain: at least this step.
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         definition.steps[step].estimate);
@@ -114,25 +117,34 @@
     return c;
 }
 
-std::vector<fleet_worker*> task_placer::usable_workers(time_point now) const
+bool task_placer::is_usable(const fleet_worker& worker, time_point now) const
 {
-    std::vector<fleet_worker*> out;
+    const bool is_open = !worker.is_unlisted && !worker.entry.is_leaving &&
+                         worker.is_recorded &&
+                         !state_.closed_zones.contains(worker.entry.zone);
+    return is_open && worker.knows_clock() &&
+           worker.is_reachable(now, state_.options.contact_limit) &&
+           worker.full_until <= now && worker.health.avoided_until <= now &&
+           !worker.health.is_slow(now);
+}
+
+void task_placer::find_usable_workers(time_point now)
+{
+    usable_.clear();
+    roomier_.clear();
     for (auto& [id, worker] : state_.fleet)
     {
-        const bool is_open = !worker.is_unlisted && !worker.entry.is_leaving &&
-                             worker.is_recorded &&
-                             !state_.closed_zones.contains(worker.entry.zone);
-        const bool is_sound =
-            worker.knows_clock() &&
-            worker.is_reachable(now, state_.options.contact_limit) &&
-            worker.full_until <= now && worker.health.avoided_until <= now &&
-            !worker.health.is_slow(now);
-        if (is_open && is_sound)
+        const bool has_gained = worker.take_gained_room();
+        if (!is_usable(worker, now))
+        {
+            continue;
+        }
+        usable_.push_back(&worker);
+        if (has_gained)
         {
-            out.push_back(&worker);
+            roomier_.push_back(&worker);
         }
     }
-    return out;
 }
 
 void task_placer::place_step(const candidate& c, time_point now)
@@ -140,7 +152,12 @@
     const auto& definition = c.owner->definition();
     const auto count = definition.steps[c.step].task_count;
     ask_for_advice(c, now);
-    bool has_room = true;
+    auto& searched_at = c.owner->searched_at(c.occurrence, c.step);
+    const bool is_whole_search = definition.terms.needs_advice ||
+                                 now - searched_at >= whole_search_interval;
+    const auto& workers = is_whole_search ? usable_ : roomier_;
+    bool has_room = !workers.empty();
+    const auto without_room_before = without_room_;
     for (std::uint32_t i = 0; i < count; ++i)
     {
         const task_key key{definition.id, c.occurrence, c.step, i};
@@ -151,7 +168,7 @@
             continue;
         }
         auto* const worker =
-            has_room ? choose(*c.owner, key, task, now) : nullptr;
+            has_room ? choose(workers, *c.owner, key, task, now) : nullptr;
         if (worker == nullptr)
         {
             // The other tasks of the step are of the same size.
@@ -160,6 +177,13 @@
             continue;
         }
         order_start(*c.owner, key, *worker, state_.next_run(task), now);
+    }    if (without_room_ == without_room_before)
+    {
+        searched_at = {};
+    }
+    else if (is_whole_search)
+    {
+        searched_at = now;
     }
 }
 
@@ -218,7 +242,7 @@
     for (std::uint32_t i = 0; i < count; ++i)
     {
         const task_key key{definition.id, c.occurrence, c.step, i};
-        auto* const worker = choose(*c.owner, key, c.owner->task(key), now);
+        auto* const worker = choose(usable_, *c.owner, key, c.owner->task(key), now);
         if (worker == nullptr)
         {
             break;
@@ -243,24 +267,24 @@
     }
 }
 
-fleet_worker* task_placer::choose(const live_job& owner, const task_key& key,
+fleet_worker* task_placer::choose(const std::vector<fleet_worker*>& workers,
+                                  const live_job& owner, const task_key& key,
                                   const task_record& task, time_point now) const
 {
     const auto& s = owner.step_of(key);
     fleet_worker* best = nullptr;
     double least = std::numeric_limits<double>::max();
-    for (auto* const worker : usable_)
+    for (auto* const worker : workers)
     {
-        if (!has_room(*worker, s) || !is_eligible(*worker, owner, key, now))
+        if (!has_room(*worker, s))
         {
             continue;
         }
         const double price = cost(*worker, s, task, now);
-        if (s.fills && price > highest_fill_cost)
-        {
-            continue;
-        }
-        if (price < least)
+        const bool is_too_dear = s.fills && price > highest_fill_cost;
+        // Last because it compares texts.
+        if (price < least && !is_too_dear &&
+            is_eligible(*worker, owner, key, now))
         {
             least = price;
             best = worker;
@@ -408,6 +432,11 @@
 
 void task_placer::move_slowed(time_point now)
 {
+    if (now - moves_checked_at_ < move_interval)
+    {
+        return;
+    }
+    moves_checked_at_ = now;
     std::vector<std::pair<fleet_worker*, task_key>> moved;
     for (auto& [id, worker] : state_.fleet)
     {
@@ -439,12 +468,16 @@
         now - *run.slowed_since > state_.options.slowed_limit;
     const bool loses_little =
         run.saves_progress || run.percent <= little_progress_percent;
+    if (!is_slowed || !loses_little || run.stop_ordered_at)
+    {
+        return false;
+    }
     auto* const owner = state_.book.find(key.job);
-    if (!is_slowed || !loses_little || run.stop_ordered_at || owner == nullptr)
+    if (owner == nullptr)
     {
         return false;
     }
-    const auto* const better = choose(*owner, key, owner->task(key), now);
+    const auto* const better = choose(usable_, *owner, key, owner->task(key), now);
     return better != nullptr && better != &worker &&
            fill_cost(*better, owner->step_of(key), now) < good_place;
 }
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -42,11 +42,14 @@
     candidate make_candidate(live_job& owner, std::uint32_t occurrence,
                              std::uint32_t step,
                              std::chrono::milliseconds unix_now) const;
-    std::vector<fleet_worker*> usable_workers(time_point now) const;
+    void find_usable_workers(time_point now);
+    bool is_usable(const fleet_worker& worker, time_point now) const;
 
     void place_step(const candidate& c, time_point now);
     void place_gang(const candidate& c, time_point now);
-    fleet_worker* choose(const live_job& owner, const task_key& key,
+    // The best of these workers, or null.
+    fleet_worker* choose(const std::vector<fleet_worker*>& workers,
+                         const live_job& owner, const task_key& key,
                          const task_record& task, time_point now) const;
     void ask_for_advice(const candidate& c, time_point now);
     bool is_eligible(const fleet_worker& worker, const live_job& owner,
@@ -69,7 +72,10 @@
     scheduler_state& state_;
     // Workers that take tasks in this pass.
     std::vector<fleet_worker*> usable_;
+    // Those of them that have gained room since the last pass.
+    std::vector<fleet_worker*> roomier_;
     std::size_t without_room_ = 0;
+    time_point moves_checked_at_{};
 };
 
 } // namespace hemlockdeal::jobs
