Take over after 1.4 s of silence; order steps by the whole chain that is left; base tails by a low quantile

A slow store puts the takeover off by four times what reads took; validity grows with the write's time, so the old order of the two (validity ends first) holds. The fence, not time, keeps two leaders apart.

Steps were taken as in time although later steps could not be.

The base tail was the least figure ever seen; a single low one stayed.

--- a/src/jobs/interference_codec.cpp
+++ b/src/jobs/interference_codec.cpp
@@ -33,7 +33,7 @@
 std::string interference_model::encode() const
 {
     json::object out;
-    for (const auto& [serving, lowest] : lowest_tails_)
+    for (const auto& [serving, tail] : low_tails_)
     {
         json::object pressures;
         if (const auto fit = fits_.find(serving); fit != fits_.end())
@@ -44,7 +44,7 @@
             }
         }
         out[to_name(serving)] =
-            json::object{{"t", lowest}, {"p", std::move(pressures)}};
+            json::object{{"t", tail.value()}, {"p", std::move(pressures)}};
     }
     return json::serialize(out);
 }
@@ -65,7 +65,7 @@
         }
         const auto serving = from_name(entry.key());
         const auto& learnt = entry.value().get_object();
-        lowest_tails_[serving] = real_in(learnt, "t");
+        low_tails_[serving].restore(real_in(learnt, "t"));
         const auto* const pressures = learnt.if_contains("p");
         if (pressures == nullptr || !pressures->is_object())
         {
--- a/src/jobs/interference_model.hpp
+++ b/src/jobs/interference_model.hpp
@@ -10,6 +10,7 @@
 
 #include "jobs/fleet_worker.hpp"
 #include "jobs/job.hpp"
+#include "jobs/low_tail.hpp"
 #include "jobs/pressure_fit.hpp"
 
 namespace hemlockdeal::jobs
@@ -88,8 +89,7 @@
 
     // By serving image.
     std::map<image_number, pressure_fit> fits_;
-    // Lowest tail seen by image, in milliseconds.
-    std::map<image_number, double> lowest_tails_;
+    std::map<image_number, low_tail> low_tails_;
     std::map<job_id, job_load> loads_;
     time_point solved_at_{};
 };
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -48,21 +48,19 @@
     return read ? std::optional(key) : std::nullopt;
 }
 
-duration longest_chain(const std::vector<step>& steps)
+std::vector<duration> chains_from(const std::vector<step>& steps)
 {
-    std::vector<duration> ends(steps.size());
-    duration longest{};
-    for (std::size_t i = 0; i < steps.size(); ++i)
+    std::vector<duration> chains(steps.size());
+    // Later steps come after earlier ones.
+    for (std::size_t i = steps.size(); i-- > 0;)
     {
-        duration begin{};
+        chains[i] += steps[i].estimate;
         for (const auto before : steps[i].after)
         {
-            begin = std::max(begin, ends[before]);
+            chains[before] = std::max(chains[before], chains[i]);
         }
-        ends[i] = begin + steps[i].estimate;
-        longest = std::max(longest, ends[i]);
     }
-    return longest;
+    return chains;
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -112,8 +112,9 @@
 // Reads ID.OCCURRENCE.STEP.INDEX.
 std::optional<task_key> parse_task_key(std::string_view text);
 
-// Duration of the longest chain of steps, by the stated estimates.
-duration longest_chain(const std::vector<step>& steps);
+// For each step the longest chain of steps that begins with it, by the stated
+// estimates.
+std::vector<duration> chains_from(const std::vector<step>& steps);
 
 // Text for the store, and back; the reader returns nothing for text that is
 // not a job.
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -1,6 +1,7 @@
 // Implements the lease.
 #include "jobs/leadership.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -17,6 +18,7 @@
     out["c"] = row.count;
     out["h"] = row.holder.value();
     out["p"] = row.process;
+    out["s"] = row.processor_share;
     if (row.is_released)
     {
         out["r"] = 1;
@@ -38,6 +40,7 @@
     row.count = static_cast<std::uint64_t>(integer_in(*in, "c"));
     row.holder = vm_id(text_in(*in, "h"));
     row.process = static_cast<std::uint64_t>(integer_in(*in, "p"));
+    row.processor_share = real_in(*in, "s");
     row.is_released = integer_in(*in, "r") != 0;
     return row;
 }
@@ -53,8 +56,9 @@
 }
 
 void leadership::on_read(const std::optional<lease_row>& row,
-                         row_version version, time_point now)
+                         row_version version, time_point now, duration took)
 {
+    slow_read_ = std::max(took, slow_read_ * 3 / 4);
     if (leads_)
     {
         return;
@@ -85,13 +89,16 @@
     // An earlier process on this VM is dead, and so is its leadership.
     const bool own_past = row_.holder == self_ && row_.process != process_;
     const bool is_free = row_.epoch == 0 || row_.is_released || own_past;
-    const auto needed =
-        (is_free ? duration{} : options_.takeover_after) + extra_wait;
+    const auto silence =
+        options_.takeover_after + slow_read_ * options_.takeover_factor;
+    const auto needed = (is_free ? duration{} : silence) + extra_wait;
     if (now - *unchanged_since_ < needed)
     {
         return std::nullopt;
     }
-    return lease_write{version_, {row_.epoch + 1, 1, self_, process_, false}};
+    return lease_write{version_,
+                       {row_.epoch + 1, 1, self_, process_, false,
+                        options_.processor_share}};
 }
 
 lease_write leadership::renewal() const
@@ -109,13 +116,15 @@
 }
 
 void leadership::on_written(const lease_write& write, row_version version,
-                            time_point sent_at)
+                            time_point sent_at, duration took)
 {
     row_ = write.row;
     version_ = version;
     known_ = true;
     leads_ = !write.row.is_released;
-    valid_until_ = leads_ ? sent_at + options_.validity : time_point{};
+    valid_until_ = leads_ ? sent_at + options_.validity +
+                                took * options_.validity_factor
+                          : time_point{};
     if (!leads_)
     {
         unchanged_since_.reset();
@@ -146,6 +155,14 @@
     return false;
 }
 
+double leadership::processor_lack() const
+{
+    return row_.processor_share <= 0.0
+               ? 0.0
+               : std::max(0.0, 1.0 - options_.processor_share /
+                                         row_.processor_share);
+}
+
 bool leadership::is_valid(time_point now) const
 {
     return leads_ && now < valid_until_;
--- a/src/jobs/leadership.hpp
+++ b/src/jobs/leadership.hpp
@@ -23,6 +23,8 @@
     // Tells two processes on one VM apart.
     std::uint64_t process = 0;
     bool is_released = false;
+    // Share of a core that the holder has.
+    double processor_share = 0.0;
 
     friend bool operator==(const lease_row&, const lease_row&) = default;
 };
@@ -32,10 +34,17 @@
 
 struct leadership_options
 {
-    // A leader acts for this long after it sent its last successful write.
-    duration validity = std::chrono::milliseconds(2200);
-    // Others take over when they have seen no write for this long.
-    duration takeover_after = std::chrono::milliseconds(2600);
+    // A leader acts for this long after it sent its last successful write,
+    // and for `validity_factor` times as long as that write took.
+    duration validity = std::chrono::milliseconds(1200);
+    int validity_factor = 2;
+    // Others take over when they have seen no write for this long, and for
+    // `takeover_factor` times as long as their reads took: a slow store must
+    // not cost a leader the lead.
+    duration takeover_after = std::chrono::milliseconds(1400);
+    int takeover_factor = 4;
+    // Share of a core that this VM has.
+    double processor_share = 0.0;
     // Reads further apart than this prove nothing about the time between:
     // the leader could not write while the store was away.
     duration longest_read_gap = std::chrono::milliseconds(1300);
@@ -57,8 +66,9 @@
     leadership(vm_id self, std::uint64_t process, leadership_options options);
 
     // A read of the row; `row` is empty when there is none.
+    // It took `took`.
     void on_read(const std::optional<lease_row>& row, row_version version,
-                 time_point now);
+                 time_point now, duration took = {});
     void on_read_failed();
 
     // The write that would take the lead, when that is due. `extra_wait`
@@ -70,7 +80,7 @@
     lease_write release() const;
 
     void on_written(const lease_write& write, row_version version,
-                    time_point sent_at);
+                    time_point sent_at, duration took = {});
     // The row as the store showed it after a write that failed or had no
     // answer. True if the write had taken effect after all.
     bool on_conflict(const lease_write& write,
@@ -84,6 +94,8 @@
     std::uint64_t epoch() const { return row_.epoch; }
     // Who leads, as far as this VM knows.
     const vm_id& holder() const { return row_.holder; }
+    // Part by which this VM's processor is smaller than the last leader's.
+    double processor_lack() const;
     void give_up(time_point now);
 
 private:
@@ -99,6 +111,8 @@
     // Since when the row has shown this version in unbroken reads.
     std::optional<time_point> unchanged_since_;
     time_point last_read_{};
+    // Slowest read of late; falls by a quarter with each faster one.
+    duration slow_read_{};
     time_point valid_until_{};
     time_point abstains_until_{};
 };
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 live_job::live_job(job definition)
-    : job_(std::move(definition)), chain_(longest_chain(job_.steps))
+    : job_(std::move(definition)), chains_(chains_from(job_.steps)),
+      chain_(chains_.empty() ? duration{} : std::ranges::max(chains_))
 {
     occurrences_.resize(job_.repeats_count());
     for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -68,6 +68,8 @@
     const job& definition() const { return job_; }
     // Duration of the longest chain of steps, as estimated.
     duration chain() const { return chain_; }
+    // The same for the chains that begin with this step.
+    duration chain_from(std::uint32_t step) const { return chains_[step]; }
     const step& step_of(const task_key& key) const;
     bool has(const task_key& key) const;
     task_record& task(const task_key& key);
@@ -114,6 +116,7 @@
     task_record& set_phase(const task_key& key, task_phase phase);
 
     job job_;
+    std::vector<duration> chains_;
     duration chain_;
     job_state state_ = job_state::queued;
     bool has_started_ = false;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -53,7 +53,8 @@
     const auto& options = state_.options;
     const auto lease = std::chrono::duration_cast<duration>(
         options.longest_lease * (1.0 + 2 * options.clock_error));
-    leases_ended_at_ = now + options.holding_time + lease;
+    leases_ended_at_ =
+        now + options.lead_overlap + options.holding_time + lease;
     begun_ = true;
     check_accounts(now);
 }
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -14,6 +14,9 @@
     double clock_error = 0.02;
     // A leader that lost the store goes on prolonging leases for this long.
     duration holding_time = std::chrono::seconds(8);
+    // An earlier leader may believe in its lead for this long after a later
+    // one has begun.
+    duration lead_overlap = std::chrono::seconds(1);
     // A start that is carried out later than this is refused by the worker.
     duration start_validity = std::chrono::milliseconds(2500);
     // Shortest time between two looks at a worker; ends in between come
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -98,9 +98,8 @@
                            : definition.accepted_at;
     const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
         owner.chain() * definition.terms.stretch + definition.terms.slack);
-    // What is left of the chain: at least this step.
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        definition.steps[step].estimate);
+        owner.chain_from(step));
     candidate c{&owner, occurrence, step, group_in_time, begin + target - left};
     if (definition.steps[step].is_lasting)
     {
--- a/src/node/leader_duty.hpp
+++ b/src/node/leader_duty.hpp
@@ -16,6 +16,7 @@
 #include "jobs/jobs.hpp"
 #include "node/concepts.hpp"
 #include "node/leader_figures.hpp"
+#include "node/response_time.hpp"
 #include "node/store_health.hpp"
 #include "node/store_tables.hpp"
 #include "observe/logging.hpp"
@@ -27,15 +28,13 @@
 {
     jobs::scheduler_options scheduler;
     // Reads of the lease row while another VM leads.
-    duration lease_poll = std::chrono::milliseconds(500);
-    // A transaction; a slow store may need most of this.
-    duration call_timeout = std::chrono::milliseconds(2000);
+    duration lease_poll = std::chrono::milliseconds(400);
     // A read; a connection that went silent must not hold it for longer.
     duration read_timeout = std::chrono::milliseconds(1000);
     // Shortest time between two of the leader's transactions.
     duration flush_gap = std::chrono::milliseconds(20);
     // A transaction that only renews the lease.
-    duration renewal = std::chrono::milliseconds(600);
+    duration renewal = std::chrono::milliseconds(400);
     duration retry = std::chrono::milliseconds(120);
     duration feed_wait = std::chrono::milliseconds(1500);
     duration worker_poll = std::chrono::milliseconds(500);
@@ -68,6 +67,10 @@
 
     // Spreads the VMs when the lead is free; nearer VMs wait less.
     void set_takeover_delay(duration delay) { takeover_delay_ = delay; }
+    // The store names a leader, present or past.
+    bool has_seen_leader() const { return lead_.epoch() > 0; }
+    // Part by which this VM's processor is smaller than the last leader's.
+    double processor_lack() const { return lead_.processor_lack(); }
 
     void set_services(const std::map<service_id, jobs::service_terms>& services)
     {
@@ -179,6 +182,7 @@
     bool is_leaving_ = false;
     bool is_awake_ = false;
 
+    response_time response_time_;
     bool is_polling_lease_ = false;
     time_point next_lease_poll_{};
     bool has_flight_ = false;
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -55,7 +55,7 @@
     is_polling_lease_ = true;
     next_lease_poll_ = now + options_.lease_poll;
     row_range range{lease_table, lead_part, lease_key, {}, 1};
-    store_.read(range, options_.read_timeout, [this](read_outcome outcome) {
+    store_.read(range, options_.read_timeout, [this, now](read_outcome outcome) {
         is_polling_lease_ = false;
         if (const auto* const failed = std::get_if<not_done>(&outcome))
         {
@@ -71,7 +71,7 @@
             return;
         }
         lead_.on_read(jobs::decode_lease(rows.front().value),
-                      rows.front().version, clock_.now());
+                      rows.front().version, clock_.now(), clock_.now() - now);
     });
 }
 
@@ -107,7 +107,7 @@
     ++counts_.transactions;
     auto t = f.t;
     store_.transact(
-        std::move(t), options_.call_timeout,
+        std::move(t), response_time_.patience(),
         [this, f = std::move(f)](const transaction_outcome& outcome) {
             has_flight_ = false;
             on_outcome(f, outcome);
@@ -121,7 +121,9 @@
     if (const auto* const done = std::get_if<committed>(&outcome))
     {
         health_.on_answer(clock_.now());
-        lead_.on_written(f.lease, done->version, f.sent_at);
+        const auto took = clock_.now() - f.sent_at;
+        response_time_.on_answer(took);
+        lead_.on_written(f.lease, done->version, f.sent_at, took);
         on_committed(f, done->version);
         return;
     }
@@ -134,6 +136,7 @@
     if (const auto* const unknown = std::get_if<outcome_unknown>(&outcome))
     {
         health_.on_failure(unknown->reason);
+        response_time_.on_no_answer();
     }
     check_lease_row(f);
 }
