--- a/src/node/leader_duty.hpp
+++ b/src/node/leader_duty.hpp
@@ -146,7 +146,7 @@
     void take_workers(const worker_changes& changes);
 
     void flush(time_point now);
-    flight make_flight(time_point now);
+    flight make_flight(const jobs::lease_write& lease, time_point now);
     void add_changes(flight& f);
     void add_pending(flight& f, time_point now);
     void add_learnt(flight& f, time_point now);
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -234,30 +234,27 @@
     {
         return;
     }
-    const bool is_stable = begun_ && scheduler_ != nullptr;
-    if (is_leaving_ && !(is_stable && scheduler_->has_changes()))
-    {
-        flight f;
-        f.lease = lead_.release();
-        f.t.part = lead_part;
-        f.t.conditions = {{lease_table, lease_key, f.lease.expected}};
-        f.t.writes = {
-            {lease_table, lease_key, jobs::encode_lease(f.lease.row)}};
-        send(std::move(f));
+    const bool has_changes =
+        begun_ && scheduler_ != nullptr && scheduler_->has_changes();
+    if (is_leaving_)
+    {
+        // At once, with what there is: under load there are always changes,
+        // and workers repeat what was not acknowledged to the next leader.
+        send(make_flight(lead_.release(), now));
         return;
     }
-    const bool has_changes = is_stable && scheduler_->has_changes();
     if (has_changes || now - last_flush_ >= options_.renewal)
     {
-        send(make_flight(now));
+        send(make_flight(lead_.renewal(), now));
     }
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-auto leader_duty<Store, Workers, List>::make_flight(time_point now) -> flight
+auto leader_duty<Store, Workers, List>::make_flight(
+    const jobs::lease_write& lease, time_point now) -> flight
 {
     flight f;
-    f.lease = lead_.renewal();
+    f.lease = lease;
     f.t.part = lead_part;
     f.t.conditions = {{lease_table, lease_key, f.lease.expected}};
     f.t.writes = {{lease_table, lease_key, jobs::encode_lease(f.lease.row)}};
