--- /dev/null
+++ b/src/jobs/fleet_record.cpp
@@ -0,0 +1,98 @@
+// The stored form is a list of ids, and of objects where the runs are known.
+#include "jobs/fleet_record.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "jobs/json_value.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+json::value to_value(const fleet_record& record)
+{
+    if (!record.runs)
+    {
+        return json::value(record.worker.value());
+    }
+    json::array runs;
+    std::ranges::transform(
+        *record.runs, std::back_inserter(runs),
+        [](const task_key& key) { return json::value(to_text(key)); });
+    return json::object{{"w", record.worker.value()}, {"r", std::move(runs)}};
+}
+
+std::string to_string(const json::value& value)
+{
+    const auto* const text = value.if_string();
+    return text == nullptr ? std::string{}
+                           : std::string(text->data(), text->size());
+}
+
+std::optional<fleet_record> to_record(const json::value& value)
+{
+    fleet_record record;
+    if (value.is_string())
+    {
+        record.worker = worker_id(to_string(value));
+        return record;
+    }
+    const auto* const in = value.if_object();
+    if (in == nullptr)
+    {
+        return std::nullopt;
+    }
+    record.worker = worker_id(text_in(*in, "w"));
+    record.runs.emplace();
+    for (const auto& run : list_in(*in, "r"))
+    {
+        auto key = parse_task_key(to_string(run));
+        if (!key)
+        {
+            return std::nullopt;
+        }
+        record.runs->push_back(std::move(*key));
+    }
+    return record;
+}
+
+} // namespace
+
+std::string encode_fleet(const std::vector<fleet_record>& fleet)
+{
+    json::array out;
+    std::ranges::transform(fleet, std::back_inserter(out), to_value);
+    return json::serialize(out);
+}
+
+std::optional<std::vector<fleet_record>> decode_fleet(std::string_view text)
+{
+    json::error_code error;
+    const auto parsed = json::parse({text.data(), text.size()}, error);
+    const auto* const list = error ? nullptr : parsed.if_array();
+    if (list == nullptr)
+    {
+        return std::nullopt;
+    }
+    std::vector<fleet_record> out;
+    for (const auto& value : *list)
+    {
+        auto record = to_record(value);
+        if (!record)
+        {
+            return std::nullopt;
+        }
+        out.push_back(std::move(*record));
+    }
+    return out;
+}
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -136,7 +136,16 @@
     std::optional<time_point> contact_at;
     unsigned failed_looks = 0;
 
+    // The store's list gives the runs of this worker.
+    bool is_closed_in_store = false;
+
     bool has_been_seen() const { return contact_at.has_value(); }
+    // Nothing is started here for now, and the ledger holds all that runs.
+    bool is_closed() const
+    {
+        return has_been_seen() &&
+               (failed_looks > 0 || is_unlisted || entry.is_leaving);
+    }
     // True while answers come.
     bool is_reachable(time_point now, duration limit) const;
     bool has_unstored_ends() const { return taken_ends > stored_ends; }
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jobs/advice_book.hpp"
+#include "jobs/fleet_record.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_progress.hpp"
 #include "jobs/leadership.hpp"
--- a/src/jobs/leadership.hpp
+++ b/src/jobs/leadership.hpp
@@ -23,6 +23,8 @@
     // Tells two processes on one VM apart.
     std::uint64_t process = 0;
     bool is_released = false;
+    // The holder knows where everything runs that earlier leaders started.
+    bool is_settled = false;
     // Share of a core that the holder has.
     double processor_share = 0.0;
 
@@ -75,6 +77,11 @@
     // spreads the VMs and lets well-placed ones go first.
     std::optional<lease_write> takeover(time_point now, duration extra_wait);
 
+    // True if only an earlier process of this VM, which is dead, may have
+    // orders on their way.
+    bool earlier_leader_is_dead() const { return earlier_leader_is_dead_; }
+    void set_settled(bool settled) { row_.is_settled = settled; }
+
     // The write that goes with the leader's next transaction.
     lease_write renewal() const;
     lease_write release() const;
@@ -108,6 +115,7 @@
     row_version version_;
     bool known_ = false;
     bool leads_ = false;
+    bool earlier_leader_is_dead_ = false;
     // Since when the row has shown this version in unbroken reads.
     std::optional<time_point> unchanged_since_;
     time_point last_read_{};
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -218,6 +218,12 @@
     }
 }
 
+void live_job::doubt(const task_key& key)
+{
+    auto& record = task(key);
+    record.may_run_elsewhere = record.phase == task_phase::waiting;
+}
+
 void live_job::clear_doubts()
 {
     for (auto& occurrence : occurrences_)
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -110,6 +110,8 @@
     // Marks every task that is not done as one that an earlier leader may
     // have started.
     void doubt_waiting_tasks();
+    // The same for one task, if it waits.
+    void doubt(const task_key& key);
     void clear_doubts();
 
 private:
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -2,6 +2,7 @@
 #include "jobs/scheduler.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hemlockdeal::jobs
@@ -38,9 +39,12 @@
     }
 }
 
-void scheduler::recover_fleet(const std::vector<worker_id>& may_run_tasks)
+void scheduler::recover_fleet(const std::vector<fleet_record>& may_run_tasks)
 {
-    unaccounted_.insert(may_run_tasks.begin(), may_run_tasks.end());
+    for (const auto& record : may_run_tasks)
+    {
+        unaccounted_[record.worker] = record.runs;
+    }
 }
 
 void scheduler::recover_interference(std::string_view learnt)
@@ -48,13 +52,15 @@
     state_.interference.restore(learnt);
 }
 
-void scheduler::begin(time_point now)
+void scheduler::begin(time_point now, bool earlier_leader_is_dead)
 {
     const auto& options = state_.options;
     const auto lease = std::chrono::duration_cast<duration>(
         options.longest_lease * (1.0 + 2 * options.clock_error));
     leases_ended_at_ =
-        now + options.lead_overlap + options.holding_time + lease;
+        now + lease +
+        (earlier_leader_is_dead ? duration{}
+                                : options.lead_overlap + options.holding_time);
     begun_ = true;
     check_accounts(now);
 }
@@ -177,7 +183,7 @@
     worker->next_look =
         now + (worker->has_unstored_ends() ? state_.options.look_while_unstored
                                            : state_.options.look_gap);
-    unaccounted_.erase(id);
+    settle_account(*worker);
     check_accounts(now);
 }
 
@@ -218,36 +224,92 @@
     }
 }
 
+bool scheduler::has_open_accounts() const
+{
+    return std::ranges::any_of(unaccounted_, [](const auto& account) {
+        return !account.second.has_value();
+    });
+}
+
 void scheduler::check_accounts(time_point now)
 {
     if (!begun_ || leases_ended_at_ == time_point{})
     {
         return;
     }
-    if (!unaccounted_.empty() && now < leases_ended_at_)
+    if (unaccounted_.empty() || now >= leases_ended_at_)
     {
+        end_accounts();
         return;
     }
+    if (accounts_changed_ && !has_open_accounts())
+    {
+        update_doubts();
+    }
+}
+
+void scheduler::settle_account(fleet_worker& worker)
+{
+    const auto account = unaccounted_.find(worker.entry.id);
+    if (account == unaccounted_.end())
+    {
+        return;
+    }
+    if (account->second)
+    {
+        // The store still gives the runs: it has to know first that others
+        // may be started.
+        worker.is_recorded = false;
+        fleet_changed_ = true;
+    }
+    unaccounted_.erase(account);
+    accounts_changed_ = true;
+}
+
+void scheduler::end_accounts()
+{
     state_.say("all workers are accounted for",
                {{"not_seen", std::to_string(unaccounted_.size())}});
+    // Records of workers that are gone, or that may be started on again.
+    fleet_changed_ = fleet_changed_ || !unaccounted_.empty();
     unaccounted_.clear();
     leases_ended_at_ = {};
+    update_doubts();
+}
+
+void scheduler::update_doubts()
+{
+    accounts_changed_ = false;
     for (const auto& [id, live] : state_.book.live())
     {
         live->clear_doubts();
     }
+    std::size_t in_doubt = 0;
+    for (const auto& [id, runs] : unaccounted_)
+    {
+        for (const auto& key : *runs)
+        {
+            auto* const owner = state_.book.find(key.job);
+            if (owner != nullptr && owner->has(key))
+            {
+                owner->doubt(key);
+                ++in_doubt;
+            }
+        }
+    }
+    state_.say("tasks of earlier leaders may be placed",
+               {{"workers_not_seen", std::to_string(unaccounted_.size())},
+                {"in_doubt", std::to_string(in_doubt)}});
 }
 
-void scheduler::forget_gone_workers(time_point now)
+void scheduler::forget_gone_workers()
 {
     for (auto w = state_.fleet.begin(); w != state_.fleet.end();)
     {
         const auto& worker = w->second;
-        const bool is_gone =
-            worker.is_unlisted && worker.runs().empty() &&
-            !worker.look_sent_at &&
-            (!worker.knows_clock() ||
-             now > worker.lapses_at(state_.options.clock_error));
+        const bool is_gone = worker.is_unlisted && worker.runs().empty() &&
+                             !worker.look_sent_at &&
+                             !unaccounted_.contains(w->first);
         if (!is_gone)
         {
             ++w;
@@ -258,6 +320,14 @@
     }
 }
 
+void scheduler::note_closed_workers()
+{
+    fleet_changed_ =
+        fleet_changed_ || std::ranges::any_of(state_.fleet, [](const auto& e) {
+            return e.second.is_closed() != e.second.is_closed_in_store;
+        });
+}
+
 std::vector<order> scheduler::decide(time_point now,
                                      std::chrono::milliseconds unix_now,
                                      bool may_start, bool may_prolong)
@@ -270,7 +340,8 @@
         {
             intake_.check_lapse(worker, now);
         }
-        forget_gone_workers(now);
+        forget_gone_workers();
+        note_closed_workers();
     }
     if (may_start)
     {
@@ -340,12 +411,7 @@
     changes.is_partial = state_.book.has_changes();
     if (std::exchange(fleet_changed_, false))
     {
-        changes.fleet.emplace();
-        for (const auto& [id, worker] : state_.fleet)
-        {
-            changes.fleet->push_back(id);
-        }
-        being_recorded_ = *changes.fleet;
+        changes.fleet = record_fleet();
     }
     // The ends are covered only when no changed job is left out.
     if (!changes.is_partial)
@@ -358,6 +424,42 @@
     return changes;
 }
 
+std::vector<fleet_record> scheduler::record_fleet()
+{
+    std::vector<fleet_record> out;
+    being_recorded_.clear();
+    // What an earlier leader recorded holds until the worker has been seen.
+    for (const auto& [id, runs] : unaccounted_)
+    {
+        out.push_back({id, runs});
+    }
+    for (auto& [id, worker] : state_.fleet)
+    {
+        worker.is_closed_in_store = worker.is_closed();
+        const auto account = unaccounted_.find(id);
+        if (account != unaccounted_.end() && account->second)
+        {
+            continue;
+        }
+        if (!worker.is_closed_in_store)
+        {
+            being_recorded_.push_back(id);
+            if (account == unaccounted_.end())
+            {
+                out.push_back({id, std::nullopt});
+            }
+            continue;
+        }
+        // Nothing may be started here before the store knows of it.
+        worker.is_recorded = false;
+        std::vector<task_key> runs;
+        std::ranges::transform(worker.runs(), std::back_inserter(runs),
+                               [](const auto& run) { return run.first; });
+        out.push_back({id, std::move(runs)});
+    }
+    return out;
+}
+
 void scheduler::on_changes_stored(time_point now)
 {
     for (const auto& id : std::exchange(being_recorded_, {}))
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/fleet_record.hpp"
 #include "jobs/look_planner.hpp"
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
@@ -25,7 +26,7 @@
     // Progress by job.
     std::vector<std::pair<job_id, std::string>> jobs;
     // All workers that may run tasks, if that list has changed.
-    std::optional<std::vector<worker_id>> fleet;
+    std::optional<std::vector<fleet_record>> fleet;
     // More changes are left for the next set.
     bool is_partial = false;
 
@@ -39,13 +40,14 @@
 
     // Recovery, in this order, before anything else.
     void recover_job(job definition, const std::optional<job_progress>& known);
-    void recover_fleet(const std::vector<worker_id>& may_run_tasks);
+    void recover_fleet(const std::vector<fleet_record>& may_run_tasks);
     // What an earlier leader learnt about interference.
     void recover_interference(std::string_view learnt);
     // From now on decisions are made. Tasks of recovered jobs wait until
     // every worker that may run them has been seen, or their leases have
-    // ended.
-    void begin(time_point now);
+    // ended; leases that an earlier leader which is still alive may prolong
+    // end later.
+    void begin(time_point now, bool earlier_leader_is_dead = false);
 
     void set_services(std::map<service_id, service_terms> services);
     void set_closed_zones(std::set<availability_zone_id> zones);
@@ -103,12 +105,23 @@
     {
         return placer_.tasks_without_room();
     }
-    bool waits_for_workers() const { return !unaccounted_.empty(); }
+    // Nothing that an earlier leader started is in doubt any more.
+    bool is_settled() const
+    {
+        return begun_ && leases_ended_at_ == time_point{};
+    }
 
 private:
     void check_accounts(time_point now);
+    void settle_account(fleet_worker& worker);
+    void end_accounts();
+    // Leaves in doubt what may run on workers that have not been seen.
+    void update_doubts();
+    bool has_open_accounts() const;
+    void note_closed_workers();
+    std::vector<fleet_record> record_fleet();
     void relieve_leaving_worker(fleet_worker& worker, time_point now);
-    void forget_gone_workers(time_point now);
+    void forget_gone_workers();
     // A line every few seconds that shows where tasks wait.
     void say_load(time_point now);
 
@@ -119,8 +132,10 @@
     tail_pacer pacer_;
     speed_monitor speeds_;
     // Workers on which an earlier leader may have started tasks, and that
-    // have not been seen.
-    std::set<worker_id> unaccounted_;
+    // have not been seen, with what may run there, if it is known.
+    std::map<worker_id, std::optional<std::vector<task_key>>> unaccounted_;
+    // An account was closed since doubts were updated.
+    bool accounts_changed_ = true;
     time_point leases_ended_at_{};
     bool fleet_changed_ = false;
     time_point load_said_at_{};
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -234,8 +234,9 @@
     {
         return;
     }
-    const bool has_changes =
-        begun_ && scheduler_ != nullptr && scheduler_->has_changes();
+    const bool is_stable = begun_ && scheduler_ != nullptr;
+    const bool has_changes = is_stable && scheduler_->has_changes();
+    lead_.set_settled(is_stable && scheduler_->is_settled());
     if (is_leaving_)
     {
         // At once, with what there is: under load there are always changes,
@@ -284,13 +285,8 @@
     }
     if (changes.fleet)
     {
-        boost::json::array list;
-        for (const auto& id : *changes.fleet)
-        {
-            list.emplace_back(id.value());
-        }
         f.t.writes.push_back(
-            {fleet_table, fleet_key, boost::json::serialize(list)});
+            {fleet_table, fleet_key, jobs::encode_fleet(*changes.fleet)});
     }
 }
 
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -147,21 +147,18 @@
 {
     read_table({fleet_table, lead_part, fleet_key, {}, 1}, epoch_,
                [this](const read_rows& read) {
-                   std::vector<worker_id> ids;
                    if (!read.rows.empty())
                    {
-                       boost::json::error_code error;
-                       const auto list =
-                           boost::json::parse(read.rows.front().value, error);
-                       if (!error && list.is_array())
+                       auto fleet =
+                           jobs::decode_fleet(read.rows.front().value);
+                       if (!fleet)
                        {
-                           for (const auto& id : list.get_array())
-                           {
-                               ids.emplace_back(std::string(id.get_string()));
-                           }
+                           log(log_level::error,
+                               "stored list of workers cannot be read");
                        }
+                       scheduler_->recover_fleet(
+                           fleet.value_or(std::vector<jobs::fleet_record>{}));
                    }
-                   scheduler_->recover_fleet(ids);
                    recover_learnt();
                });
 }
@@ -205,7 +202,7 @@
              {"jobs", std::to_string(scheduler_->book().live().size())},
              {"jobs_over", std::to_string(scheduler_->book().over().size())},
              {"workers", std::to_string(scheduler_->fleet().size())}});
-        scheduler_->begin(clock_.now());
+        scheduler_->begin(clock_.now(), lead_.earlier_leader_is_dead());
         recovered_progress_.clear();
         begun_ = true;
         wake();
--- a/tests/jobs/leadership_test.cpp
+++ b/tests/jobs/leadership_test.cpp
@@ -229,7 +229,7 @@
 TEST(lease_codec, rows_survive_the_store)
 {
     const lease_row row{
-        7, 31, vm_id("edge \"1\""), 1234567890123456ULL, true, 0.25};
+        7, 31, vm_id("edge \"1\""), 1234567890123456ULL, true, true, 0.25};
     EXPECT_EQ(decode_lease(encode_lease(row)), row);
     EXPECT_FALSE(decode_lease("[1]"));
     EXPECT_FALSE(decode_lease("{"));
