Revert the growing Retry-After

The users' clients come back after 0.5 to 1.2 s whatever it says, until their deadline of 3 s; a longer one could only make a caller miss it.

--- a/src/node/front_desk.hpp
+++ b/src/node/front_desk.hpp
@@ -122,9 +122,6 @@
         });
     }
 
-    // Seconds after which a refused caller should come back.
-    int retry_after_s() const { return health_.retry_after_s(now_()); }
-
     void state_of(const job_id& id, on_state answer)
     {
         if (const auto over = over_.find(id); over != over_.end())
@@ -370,7 +367,7 @@
     {
         if (const auto* const failed = std::get_if<not_done>(&outcome))
         {
-            health_.on_failure(failed->reason, now_());
+            health_.on_failure(failed->reason);
             return;
         }
         if constexpr (std::is_same_v<Outcome, transaction_outcome>)
@@ -378,7 +375,7 @@
             if (const auto* const unknown =
                     std::get_if<outcome_unknown>(&outcome))
             {
-                health_.on_failure(unknown->reason, now_());
+                health_.on_failure(unknown->reason);
                 return;
             }
         }
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -59,7 +59,7 @@
         is_polling_lease_ = false;
         if (const auto* const failed = std::get_if<not_done>(&outcome))
         {
-            health_.on_failure(failed->reason, clock_.now());
+            health_.on_failure(failed->reason);
             lead_.on_read_failed();
             return;
         }
@@ -129,13 +129,13 @@
     }
     if (const auto* const failed = std::get_if<not_done>(&outcome))
     {
-        health_.on_failure(failed->reason, clock_.now());
+        health_.on_failure(failed->reason);
         retry_later(f);
         return;
     }
     if (const auto* const unknown = std::get_if<outcome_unknown>(&outcome))
     {
-        health_.on_failure(unknown->reason, clock_.now());
+        health_.on_failure(unknown->reason);
         response_time_.on_no_answer();
     }
     check_lease_row(f);
@@ -162,7 +162,7 @@
         has_flight_ = false;
         if (const auto* const failed = std::get_if<not_done>(&outcome))
         {
-            health_.on_failure(failed->reason, clock_.now());
+            health_.on_failure(failed->reason);
             retry_later(f);
             return;
         }
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -51,7 +51,7 @@
                     }
                     if (std::holds_alternative<not_done>(outcome))
                     {
-                        health_.on_failure(std::get<not_done>(outcome).reason, clock_.now());
+                        health_.on_failure(std::get<not_done>(outcome).reason);
                         clock_.later(options_.retry, [=, this] {
                             if (is_current(epoch))
                             {
@@ -239,7 +239,7 @@
             }
             if (const auto* const failed = std::get_if<not_done>(&outcome))
             {
-                health_.on_failure(failed->reason, clock_.now());
+                health_.on_failure(failed->reason);
                 next_inbox_poll_ = clock_.now() + options_.retry;
                 return;
             }
@@ -301,7 +301,7 @@
         }
         if (const auto* const failed = std::get_if<not_done>(&outcome))
         {
-            health_.on_failure(failed->reason, clock_.now());
+            health_.on_failure(failed->reason);
             return;
         }
         health_.on_answer(clock_.now());
--- a/src/node/operator_watch.hpp
+++ b/src/node/operator_watch.hpp
@@ -92,7 +92,7 @@
     {
         if (const auto* const failed = std::get_if<not_done>(&outcome))
         {
-            health_.on_failure(failed->reason, now_());
+            health_.on_failure(failed->reason);
             next_ = now_() + options_.retry;
             return;
         }
--- a/src/node/store_health.hpp
+++ b/src/node/store_health.hpp
@@ -1,8 +1,6 @@
 // Whether this VM reaches the store, from the outcomes of its own calls.
 #pragma once
 
-#include <algorithm>
-#include <cstdint>
 #include <string>
 
 #include "core/core.hpp"
@@ -25,28 +23,11 @@
         failures_ = 0;
     }
 
-    // Seconds after which a caller should come back. The longer the store has
-    // been away, the longer it is likely to stay so, and a caller tries only
-    // a few times.
-    int retry_after_s(time_point now) const
-    {
-        constexpr std::int64_t longest = 3;
-        if (!is_away(now))
-        {
-            return 1;
-        }
-        const auto away =
-            std::chrono::duration_cast<std::chrono::seconds>(now - away_since_)
-                .count();
-        return static_cast<int>(std::min(longest, 1 + away / 2));
-    }
-
-    void on_failure(std::string_view reason, time_point now)
+    void on_failure(std::string_view reason)
     {
         ++failures_;
         if (failures_ == failures_to_doubt)
         {
-            away_since_ = now;
             log(log_level::warning, "store does not answer",
                 {{"reason", std::string(reason)}});
         }
@@ -64,7 +45,6 @@
 
     unsigned failures_ = 0;
     time_point last_answer_{};
-    time_point away_since_{};
 };
 
 } // namespace hemlockdeal::node
