--- a/bench/jobs/emulated_worker.hpp
+++ b/bench/jobs/emulated_worker.hpp
@@ -58,9 +58,8 @@
             static_cast<double>(stable_hash(job.value()) % phases) / phases;
         const double seconds =
             std::chrono::duration<double>(now.time_since_epoch()).count();
-        return mean *
-               (1.0 + swing * std::sin(2.0 * std::numbers::pi *
-                                       (seconds / period_s + phase)));
+        return mean * (1.0 + swing * std::sin(2.0 * std::numbers::pi *
+                                              (seconds / period_s + phase)));
     }
 };
 
@@ -105,7 +104,8 @@
         run.run = order.run;
         run.what = &what;
         run.work_s = work_s;
-        run.done_s = order.checkpoint.empty() ? 0.0 : std::stod(order.checkpoint);
+        run.done_s =
+            order.checkpoint.empty() ? 0.0 : std::stod(order.checkpoint);
         running_[order.task] = run;
         return jobs::start_answer::accepted;
     }
@@ -201,11 +201,11 @@
                 wanted += size * run.pace / 100.0;
                 continue;
             }
-            unused -= run.what->is_lasting ? size * wave.at(now, key.job) : size;
+            unused -=
+                run.what->is_lasting ? size * wave.at(now, key.job) : size;
         }
         const double part =
-            wanted <= 0.0 ? 1.0
-                          : std::clamp(unused / wanted, 0.0, 1.0);
+            wanted <= 0.0 ? 1.0 : std::clamp(unused / wanted, 0.0, 1.0);
         for (auto& [key, run] : running_)
         {
             run.speed = run.what->fills ? part * run.pace / 100.0 : 1.0;
@@ -237,12 +237,12 @@
                               capacity
                         : 0.0;
             }
-            const double utilisation = std::min(
-                highest_utilisation, wave.at(now, key.job) * slowdown);
-            run.tail_ms = std::chrono::duration<double, std::milli>(
-                              run.what->tail_target)
-                              .count() /
-                          target_factor / (1.0 - utilisation);
+            const double utilisation =
+                std::min(highest_utilisation, wave.at(now, key.job) * slowdown);
+            run.tail_ms =
+                std::chrono::duration<double, std::milli>(run.what->tail_target)
+                    .count() /
+                target_factor / (1.0 - utilisation);
         }
     }
 
--- a/bench/jobs/leader_load.cpp
+++ b/bench/jobs/leader_load.cpp
@@ -176,7 +176,8 @@
 void played_day::add_worker(std::size_t number)
 {
     emulated_worker w;
-    w.entry.id = worker_id("i-" + std::to_string(stable_hash(std::to_string(number))));
+    w.entry.id =
+        worker_id("i-" + std::to_string(stable_hash(std::to_string(number))));
     w.entry.service = service_id("s");
     w.entry.zone = availability_zone_id("z" + std::to_string(number % 3));
     w.entry.capacity = {number % 3 == 2 ? 48000 : 32000, 128000, 0};
@@ -197,7 +198,8 @@
     std::snprintf(id, sizeof id, "%016zx",
                   stable_hash("job" + std::to_string(jobs_.size())));
     j.id = job_id(id);
-    j.accepted_at = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
+    j.accepted_at =
+        std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
     j.terms.queue = terms.name;
     j.terms.service = service_id("s");
     j.terms.most_attempts = 3;
@@ -209,15 +211,16 @@
     for (std::uint32_t s = 0; s < steps; ++s)
     {
         jobs::step step;
-        step.task_count = static_cast<std::uint32_t>(
-            std::max(1.0, draw(terms.width, 0.6)));
-        step.size = {static_cast<std::int64_t>(draw(terms.processors, 0.3) * 1000),
-                     static_cast<std::int64_t>(draw(terms.processors * 2000, 0.3)),
-                     0};
+        step.task_count =
+            static_cast<std::uint32_t>(std::max(1.0, draw(terms.width, 0.6)));
+        step.size = {
+            static_cast<std::int64_t>(draw(terms.processors, 0.3) * 1000),
+            static_cast<std::int64_t>(draw(terms.processors * 2000, 0.3)), 0};
         step.estimate = milliseconds(
             static_cast<std::int64_t>(draw(terms.work_s * 1000, 0.4)));
-        step.image = std::string(terms.name) +
-                     std::to_string(random_() % static_cast<unsigned>(terms.images));
+        step.image =
+            std::string(terms.name) +
+            std::to_string(random_() % static_cast<unsigned>(terms.images));
         step.fills = kind == job_kind::fill;
         step.saves_progress = step.fills;
         step.is_lasting = kind == job_kind::lasting;
@@ -229,7 +232,9 @@
         chain += step.estimate;
         j.steps.push_back(step);
     }
-    made.objective = std::chrono::duration_cast<duration>(chain * terms.stretch) + terms.slack;
+    made.objective =
+        std::chrono::duration_cast<duration>(chain * terms.stretch) +
+        terms.slack;
     leader_.add_job(j);
     jobs_.emplace(j.id, std::move(made));
 }
@@ -265,9 +270,8 @@
     }
     const auto unix_now =
         std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
-    const auto orders = timed(decide_s_, [&] {
-        return leader_.decide(now_, unix_now, true, true);
-    });
+    const auto orders = timed(
+        decide_s_, [&] { return leader_.decide(now_, unix_now, true, true); });
     for (const auto& order : orders)
     {
         std::visit([this](const auto& o) { carry_out(o); }, order);
@@ -279,7 +283,8 @@
 
 void played_day::flush()
 {
-    if (is_flushing_ || !timed(decide_s_, [&] { return leader_.has_changes(); }))
+    if (is_flushing_ ||
+        !timed(decide_s_, [&] { return leader_.has_changes(); }))
     {
         return;
     }
@@ -325,11 +330,18 @@
 {
     ++starts_;
     later(way / 2, [this, order] {
-        const auto& what = jobs_.at(order.task.job).definition.steps[order.task.step];
-        const double work = draw(
-            std::chrono::duration<double>(what.estimate).count(), 0.2);
+        const auto& what =
+            jobs_.at(order.task.job).definition.steps[order.task.step];
+        const double work =
+            draw(std::chrono::duration<double>(what.estimate).count(), 0.2);
         const auto answer =
-            workers_.at(order.worker).start(order, what, std::min(work, std::chrono::duration<double>(what.estimate).count() * 1.1));
+            workers_.at(order.worker)
+                .start(
+                    order, what,
+                    std::min(
+                        work,
+                        std::chrono::duration<double>(what.estimate).count() *
+                            1.1));
         later(way / 2, [this, order, answer] {
             timed(report_s_, [&] {
                 leader_.on_start_answer(order.worker, order.task, order.run,
@@ -345,7 +357,8 @@
     later(way / 2, [this, order] {
         workers_.at(order.worker).stop(order);
         later(way / 2, [this, order] {
-            leader_.on_stop_confirmed(order.worker, order.task, order.run, now_);
+            leader_.on_stop_confirmed(order.worker, order.task, order.run,
+                                      now_);
         });
     });
 }
@@ -395,21 +408,23 @@
                        ? 1
                        : 0;
         }
-        std::printf("%-8s due %zu, ended %zu, in time %zu\n", sheet[k].name, due,
-                    ended_[k], in_time_[k]);
+        std::printf("%-8s due %zu, ended %zu, in time %zu\n", sheet[k].name,
+                    due, ended_[k], in_time_[k]);
     }
-    std::printf("serving tasks over their target: %.1f %% of their time\n",
-                100.0 * static_cast<double>(over_ms_) /
-                    static_cast<double>(std::max<std::size_t>(1, over_ms_ + calm_ms_)));
+    std::printf(
+        "serving tasks over their target: %.1f %% of their time\n",
+        100.0 * static_cast<double>(over_ms_) /
+            static_cast<double>(std::max<std::size_t>(1, over_ms_ + calm_ms_)));
     std::printf("a second: %.0f starts, %.0f looks, %.0f stops, %.0f paces\n",
                 static_cast<double>(starts_) / seconds,
                 static_cast<double>(looks_) / seconds,
                 static_cast<double>(stops_) / seconds,
                 static_cast<double>(paces_) / seconds);
-    std::printf("processor: decisions %.3f of a core, reports %.3f; %.0f us a start\n",
-                decide_s_ / seconds, report_s_ / seconds,
-                1e6 * (decide_s_ + report_s_) /
-                    static_cast<double>(std::max<std::size_t>(1, starts_)));
+    std::printf(
+        "processor: decisions %.3f of a core, reports %.3f; %.0f us a start\n",
+        decide_s_ / seconds, report_s_ / seconds,
+        1e6 * (decide_s_ + report_s_) /
+            static_cast<double>(std::max<std::size_t>(1, starts_)));
 }
 
 } // namespace
@@ -419,8 +434,8 @@
     const auto argument = [&](int i, double otherwise) {
         return argc > i ? std::atof(argv[i]) : otherwise;
     };
-    played_day day(static_cast<std::size_t>(argument(1, 490)),
-                   argument(2, 36), static_cast<std::uint32_t>(argument(4, 1)));
+    played_day day(static_cast<std::size_t>(argument(1, 490)), argument(2, 36),
+                   static_cast<std::uint32_t>(argument(4, 1)));
     day.play(std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(argument(3, 30))));
     day.print();
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -125,9 +125,9 @@
     version_ = version;
     known_ = true;
     leads_ = !write.row.is_released;
-    valid_until_ = leads_ ? sent_at + options_.validity +
-                                took * options_.validity_factor
-                          : time_point{};
+    valid_until_ =
+        leads_ ? sent_at + options_.validity + took * options_.validity_factor
+               : time_point{};
     if (!leads_)
     {
         unchanged_since_.reset();
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -52,6 +52,13 @@
     {
         take_running(worker, shown, now);
     }
+    if (!taken_over_.empty())
+    {
+        // One line for all: a new leader finds thousands of runs at once.
+        state_.say("runs are taken over",
+                   {{"worker", worker.entry.id.value()},
+                    {"tasks", std::exchange(taken_over_, {})}});
+    }
     check_missing(worker, report, sent_at, now);
 }
 
@@ -277,9 +284,7 @@
     }
     owner->set_placed(shown.task, worker.entry.id, shown.run);
     owner->task(shown.task).last_run = shown.run;
-    state_.say("run is taken over", {{"task", to_text(shown.task)},
-                                     {"run", std::to_string(shown.run)},
-                                     {"worker", worker.entry.id.value()}});
+    taken_over_ += (taken_over_.empty() ? "" : ",") + to_text(shown.task);
 }
 
 void report_intake::watch_progress(fleet_worker& worker, const task_key& key,
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -1,6 +1,8 @@
 // Takes in what workers answer: reports, and answers to starts and stops.
 #pragma once
 
+#include <string>
+
 #include "jobs/scheduler_state.hpp"
 
 namespace hemlockdeal::jobs
@@ -50,6 +52,8 @@
     void note_failure(fleet_worker& worker, const job_id& id, time_point now);
 
     scheduler_state& state_;
+    // Tasks of the report that were started by an earlier leader, for the log.
+    std::string taken_over_;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -176,7 +176,8 @@
             continue;
         }
         order_start(*c.owner, key, *worker, state_.next_run(task), now);
-    }    if (without_room_ == without_room_before)
+    }
+    if (without_room_ == without_room_before)
     {
         searched_at = {};
     }
@@ -241,7 +242,8 @@
     for (std::uint32_t i = 0; i < count; ++i)
     {
         const task_key key{definition.id, c.occurrence, c.step, i};
-        auto* const worker = choose(usable_, *c.owner, key, c.owner->task(key), now);
+        auto* const worker =
+            choose(usable_, *c.owner, key, c.owner->task(key), now);
         if (worker == nullptr)
         {
             break;
@@ -476,7 +478,8 @@
     {
         return false;
     }
-    const auto* const better = choose(usable_, *owner, key, owner->task(key), now);
+    const auto* const better =
+        choose(usable_, *owner, key, owner->task(key), now);
     return better != nullptr && better != &worker &&
            fill_cost(*better, owner->step_of(key), now) < good_place;
 }
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -55,24 +55,26 @@
     is_polling_lease_ = true;
     next_lease_poll_ = now + options_.lease_poll;
     row_range range{lease_table, lead_part, lease_key, {}, 1};
-    store_.read(range, options_.read_timeout, [this, now](read_outcome outcome) {
-        is_polling_lease_ = false;
-        if (const auto* const failed = std::get_if<not_done>(&outcome))
-        {
-            health_.on_failure(failed->reason);
-            lead_.on_read_failed();
-            return;
-        }
-        health_.on_answer(clock_.now());
-        const auto& rows = std::get<read_rows>(outcome).rows;
-        if (rows.empty())
-        {
-            lead_.on_read(std::nullopt, row_version(0), clock_.now());
-            return;
-        }
-        lead_.on_read(jobs::decode_lease(rows.front().value),
-                      rows.front().version, clock_.now(), clock_.now() - now);
-    });
+    store_.read(
+        range, options_.read_timeout, [this, now](read_outcome outcome) {
+            is_polling_lease_ = false;
+            if (const auto* const failed = std::get_if<not_done>(&outcome))
+            {
+                health_.on_failure(failed->reason);
+                lead_.on_read_failed();
+                return;
+            }
+            health_.on_answer(clock_.now());
+            const auto& rows = std::get<read_rows>(outcome).rows;
+            if (rows.empty())
+            {
+                lead_.on_read(std::nullopt, row_version(0), clock_.now());
+                return;
+            }
+            lead_.on_read(jobs::decode_lease(rows.front().value),
+                          rows.front().version, clock_.now(),
+                          clock_.now() - now);
+        });
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -149,8 +149,7 @@
                [this](const read_rows& read) {
                    if (!read.rows.empty())
                    {
-                       auto fleet =
-                           jobs::decode_fleet(read.rows.front().value);
+                       auto fleet = jobs::decode_fleet(read.rows.front().value);
                        if (!fleet)
                        {
                            log(log_level::error,
--- a/src/observe/logging.cpp
+++ b/src/observe/logging.cpp
@@ -34,7 +34,8 @@
 
     void close() override { closed = true; }
 
-    void flush()
+    // False if the reader did not take all lines.
+    bool flush()
     {
         const log4cplus::thread::MutexGuard guard(access_mutex);
         if (unreported_ > 0 && pending_.size() < capacity)
@@ -55,6 +56,7 @@
             sent += static_cast<std::size_t>(written);
         }
         pending_.erase(0, sent);
+        return pending_.empty();
     }
 
     std::uint64_t left_out() const { return left_out_; }
@@ -198,12 +200,9 @@
     attach(log4cplus::SharedAppenderPtr(buffer.get()), level);
 }
 
-void flush_log()
+bool flush_log()
 {
-    if (buffer)
-    {
-        buffer->flush();
-    }
+    return !buffer || buffer->flush();
 }
 
 std::uint64_t log_lines_left_out()
--- a/src/observe/logging.hpp
+++ b/src/observe/logging.hpp
@@ -32,7 +32,8 @@
 void set_up_buffered_logging(log_level level);
 
 // Writes what standard output takes at once; to be called from one thread.
-void flush_log();
+// False if lines are left.
+bool flush_log();
 
 // Lines that were left out since the start.
 std::uint64_t log_lines_left_out();
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -54,7 +54,8 @@
         while (now < end)
         {
             now += milliseconds(20);
-            for (const auto& o : leader.decide(now, milliseconds(0), true, true))
+            for (const auto& o :
+                 leader.decide(now, milliseconds(0), true, true))
             {
                 answer(o, started);
             }
@@ -86,8 +87,8 @@
         }
         jobs::worker_report report;
         report.born = 1;
-        report.clock = std::chrono::duration_cast<worker_clock>(
-            now.time_since_epoch());
+        report.clock =
+            std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
         report.running = running;
         leader.on_report(look->worker, report, now, now);
     }
@@ -117,8 +118,8 @@
 // anything.
 TEST_F(takeover_test, all_tasks_wait_for_a_worker_with_unknown_runs)
 {
-    leader.recover_fleet({{worker_id("here"), std::nullopt},
-                          {worker_id("gone"), std::nullopt}});
+    leader.recover_fleet(
+        {{worker_id("here"), std::nullopt}, {worker_id("gone"), std::nullopt}});
     leader.set_worker(entry("here"), now);
     leader.begin(now);
     EXPECT_THAT(play(seconds(12)), testing::IsEmpty());
@@ -129,8 +130,8 @@
 // out.
 TEST_F(takeover_test, a_dead_leader_prolongs_nothing)
 {
-    leader.recover_fleet({{worker_id("here"), std::nullopt},
-                          {worker_id("gone"), std::nullopt}});
+    leader.recover_fleet(
+        {{worker_id("here"), std::nullopt}, {worker_id("gone"), std::nullopt}});
     leader.set_worker(entry("here"), now);
     leader.begin(now, true);
     EXPECT_THAT(play(seconds(7)), testing::ElementsAre(0U, 1U));
@@ -159,9 +160,9 @@
     leader.on_report(worker_id("here"), report, now, now);
     now += milliseconds(50);
     leader.decide(now, milliseconds(0), true, true);
-    EXPECT_THAT(leader.take_changes().fleet.value(),
-                testing::ElementsAre(
-                    fleet_record{worker_id("here"), std::nullopt}));
+    EXPECT_THAT(
+        leader.take_changes().fleet.value(),
+        testing::ElementsAre(fleet_record{worker_id("here"), std::nullopt}));
 }
 
 // Failure: the list cannot be read back by the next leader.
--- a/tests/node/leader_duty_test.cpp
+++ b/tests/node/leader_duty_test.cpp
@@ -81,9 +81,9 @@
         changes.changes.push_back({entry.id, entry});
         answer(changes);
     }
-    void read_changes(
-        row_version after,
-        const std::function<void(worker_list_outcome)>& answer) const
+    void
+    read_changes(row_version after,
+                 const std::function<void(worker_list_outcome)>& answer) const
     {
         worker_changes changes;
         changes.newest = after;
