--- a/bench/jobs/leader_load.cpp
+++ b/bench/jobs/leader_load.cpp
@@ -270,8 +270,8 @@
     }
     const auto unix_now =
         std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
-    const auto orders = timed(
-        decide_s_, [&] { return leader_.decide(now_, unix_now, true, true); });
+    const auto orders =
+        timed(decide_s_, [&] { return leader_.decide(now_, unix_now, {}); });
     for (const auto& order : orders)
     {
         std::visit([this](const auto& o) { carry_out(o); }, order);
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -93,6 +93,7 @@
     record.worker = worker;
     record.last_run = std::max(record.last_run, run);
     record.may_run_elsewhere = false;
+    record.may_have_another_leader = false;
     has_started_ = true;
     if (state_ == job_state::queued)
     {
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -38,6 +38,9 @@
     // Whole duration of a run at full speed, as its progress promises.
     duration duration_seen{};
     time_point not_before{};
+    // It ran on a worker that was given up while the lead was in doubt: a
+    // later leader may have found it there, still running.
+    bool may_have_another_leader = false;
 };
 
 struct step_record
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -485,11 +485,15 @@
         {
             continue;
         }
-        if (auto* const owner = state_.book.find(key.job);
-            owner != nullptr && !checkpoint.empty())
+        if (auto* const owner = state_.book.find(key.job))
         {
-            owner->task(key).checkpoint = checkpoint;
-            state_.book.mark_changed(key.job);
+            auto& task = owner->task(key);
+            task.may_have_another_leader = !state_.lead_is_valid;
+            if (!checkpoint.empty())
+            {
+                task.checkpoint = checkpoint;
+                state_.book.mark_changed(key.job);
+            }
         }
         state_.put_back(key, why);
     }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -335,8 +335,9 @@
 
 std::vector<order> scheduler::decide(time_point now,
                                      std::chrono::milliseconds unix_now,
-                                     bool may_start, bool may_prolong)
+                                     lead_permission permission)
 {
+    state_.lead_is_valid = permission.lead_is_valid;
     check_accounts(now);
     if (now - fleet_checked_at_ >= fleet_check_interval)
     {
@@ -348,12 +349,12 @@
         forget_gone_workers();
         note_closed_workers();
     }
-    if (may_start)
+    if (permission.may_start)
     {
         placer_.place(now, unix_now);
         placer_.move_slowed(now);
     }
-    looks_.plan(now, may_prolong);
+    looks_.plan(now, permission.may_prolong);
     say_load(now);
     return std::exchange(state_.orders, {});
 }
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -33,6 +33,16 @@
     bool empty() const { return jobs.empty() && !fleet; }
 };
 
+// What the state of the lead permits.
+struct lead_permission
+{
+    bool may_start = true;
+    // False when the leases of running tasks must run out.
+    bool may_prolong = true;
+    // False once another VM may have taken the lead.
+    bool lead_is_valid = true;
+};
+
 class scheduler
 {
 public:
@@ -79,11 +89,9 @@
     void on_superseded() { state_.is_superseded = true; }
     bool is_superseded() const { return state_.is_superseded; }
 
-    // `may_start` is false while the lead is in doubt, `may_prolong` when the
-    // leases of running tasks must run out.
     std::vector<order> decide(time_point now,
                               std::chrono::milliseconds unix_now,
-                              bool may_start, bool may_prolong);
+                              lead_permission permission);
 
     bool has_changes() const;
     change_set take_changes();
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -35,6 +35,8 @@
     std::set<availability_zone_id> closed_zones;
     interference_model interference;
     advice_book advice;
+    // No other VM can have taken the lead.
+    bool lead_is_valid = true;
     // A worker follows a later leader.
     bool is_superseded = false;
 
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -146,6 +146,12 @@
     }
 }
 
+bool task_placer::may_start(const task_record& task) const
+{
+    return task.phase == task_phase::waiting && !task.may_run_elsewhere &&
+           (state_.lead_is_valid || !task.may_have_another_leader);
+}
+
 void task_placer::place_step(const candidate& c, time_point now)
 {
     const auto& definition = c.owner->definition();
@@ -161,8 +167,7 @@
     {
         const task_key key{definition.id, c.occurrence, c.step, i};
         const auto& task = c.owner->task(key);
-        if (task.phase != task_phase::waiting || task.may_run_elsewhere ||
-            task.not_before > now)
+        if (!may_start(task) || task.not_before > now)
         {
             continue;
         }
@@ -230,7 +235,7 @@
     {
         const auto& task =
             c.owner->task({definition.id, c.occurrence, c.step, i});
-        if (task.phase != task_phase::waiting || task.may_run_elsewhere)
+        if (!may_start(task))
         {
             return;
         }
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -45,6 +45,7 @@
     void find_usable_workers(time_point now);
     bool is_usable(const fleet_worker& worker, time_point now) const;
 
+    bool may_start(const task_record& task) const;
     void place_step(const candidate& c, time_point now);
     void place_gang(const candidate& c, time_point now);
     // The best of these workers, or null.
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -332,13 +332,13 @@
 {
     last_decision_ = now;
     is_awake_ = false;
-    const bool may_start =
-        now < lead_.valid_until() + options_.scheduler.starting_time &&
-        !is_leaving_;
-    const bool may_prolong =
-        now < lead_.valid_until() + options_.scheduler.holding_time;
-    const auto orders =
-        scheduler_->decide(now, clock_.unix_now(), may_start, may_prolong);
+    const auto& options = options_.scheduler;
+    jobs::lead_permission permission;
+    permission.lead_is_valid = lead_.is_valid(now);
+    permission.may_start =
+        now < lead_.valid_until() + options.starting_time && !is_leaving_;
+    permission.may_prolong = now < lead_.valid_until() + options.holding_time;
+    const auto orders = scheduler_->decide(now, clock_.unix_now(), permission);
     for (const auto& order : orders)
     {
         std::visit([this](const auto& o) { carry_out(o); }, order);
--- a/tests/jobs/fleet_world.cpp
+++ b/tests/jobs/fleet_world.cpp
@@ -158,7 +158,7 @@
     }
     const auto unix_now =
         std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
-    for (const auto& o : leader_->decide(now_, unix_now, true, true))
+    for (const auto& o : leader_->decide(now_, unix_now, {}))
     {
         carry_out(o);
     }
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -57,8 +57,7 @@
         while (now < end)
         {
             now += milliseconds(20);
-            for (const auto& o :
-                 leader.decide(now, milliseconds(0), true, true))
+            for (const auto& o : leader.decide(now, milliseconds(0), {}))
             {
                 kept.push_back(o);
                 answer(o);
@@ -300,9 +299,9 @@
     j.repeats = {2, milliseconds(1000), milliseconds(500)};
     leader.add_job(j);
     settle();
-    const auto early = leader.decide(now, milliseconds(990), true, true);
+    const auto early = leader.decide(now, milliseconds(990), {});
     EXPECT_TRUE(of<start_order>(early).empty());
-    const auto due = leader.decide(now, milliseconds(1060), true, true);
+    const auto due = leader.decide(now, milliseconds(1060), {});
     EXPECT_EQ(of<start_order>(due).size(), 1U);
 }
 
@@ -313,9 +312,10 @@
     leader.begin(now);
     settle();
     leader.add_job(make_job("j", short_step(1)));
-    EXPECT_TRUE(
-        of<start_order>(leader.decide(now, milliseconds(0), false, true))
-            .empty());
+    EXPECT_TRUE(of<start_order>(
+                    leader.decide(now, milliseconds(0),
+                                  {.may_start = false, .may_prolong = true}))
+                    .empty());
 }
 
 // Failure: looks go on when the leases must run out.
@@ -326,9 +326,10 @@
     leader.add_job(make_job("j", short_step(1)));
     settle();
     now += seconds(3);
-    EXPECT_TRUE(
-        of<look_order>(leader.decide(now, milliseconds(0), false, false))
-            .empty());
+    EXPECT_TRUE(of<look_order>(
+                    leader.decide(now, milliseconds(0),
+                                  {.may_start = false, .may_prolong = false}))
+                    .empty());
 }
 
 // Failure: a worker that fails tasks of several jobs gets the next ones too.
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -46,7 +46,7 @@
         return {definition.id, 0, 0, index};
     }
 
-    // Only worker "here" answers. Returns the indices of started tasks.
+    // Only one worker answers. Returns the indices of started tasks.
     std::vector<std::uint32_t> play(duration time)
     {
         std::vector<std::uint32_t> started;
@@ -55,7 +55,7 @@
         {
             now += milliseconds(20);
             for (const auto& o :
-                 leader.decide(now, milliseconds(0), true, true))
+                 leader.decide(now, milliseconds(0), permission))
             {
                 answer(o, started);
             }
@@ -80,7 +80,7 @@
         {
             return;
         }
-        if (look->worker != worker_id("here"))
+        if (look->worker != here)
         {
             leader.on_look_failed(look->worker, now);
             return;
@@ -96,6 +96,9 @@
     scheduler leader;
     job definition;
     std::vector<running_task> running;
+    // The worker that answers.
+    worker_id here{"here"};
+    lead_permission permission;
     time_point now{seconds(100)};
 };
 
@@ -146,7 +149,8 @@
     ASSERT_THAT(play(seconds(1)), testing::ElementsAre(0U, 1U));
     leader.on_look_failed(worker_id("here"), now);
     now += milliseconds(50);
-    leader.decide(now, milliseconds(0), false, false);
+    leader.decide(now, milliseconds(0),
+                  {.may_start = false, .may_prolong = false});
     const auto changes = leader.take_changes();
     ASSERT_TRUE(changes.fleet);
     EXPECT_THAT(*changes.fleet,
@@ -159,7 +163,7 @@
     report.running = running;
     leader.on_report(worker_id("here"), report, now, now);
     now += milliseconds(50);
-    leader.decide(now, milliseconds(0), true, true);
+    leader.decide(now, milliseconds(0), {});
     EXPECT_THAT(
         leader.take_changes().fleet.value(),
         testing::ElementsAre(fleet_record{worker_id("here"), std::nullopt}));
@@ -177,3 +181,22 @@
     EXPECT_FALSE(decode_fleet("[7]"));
     EXPECT_FALSE(decode_fleet(R"([{"w":"b","r":["x"]}])"));
 }
+
+// Failure: a leader that is cut off with some of the workers starts a task
+// anew there when it gives the others up, while the next leader keeps it
+// running on one of those (TWICE, a zone that was cut off).
+TEST_F(takeover_test, given_up_tasks_wait_while_the_lead_is_in_doubt)
+{
+    leader.set_worker(entry("here"), now);
+    leader.begin(now);
+    ASSERT_THAT(play(seconds(1)), testing::ElementsAre(0U, 1U));
+    // "here" goes silent, and another worker can be reached.
+    here = worker_id("other");
+    running.clear();
+    leader.set_worker(entry("other"), now);
+    ASSERT_THAT(play(milliseconds(200)), testing::IsEmpty());
+    permission.lead_is_valid = false;
+    EXPECT_THAT(play(seconds(10)), testing::IsEmpty());
+    permission.lead_is_valid = true;
+    EXPECT_THAT(play(seconds(1)), testing::ElementsAre(0U, 1U));
+}
