--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -14,10 +14,6 @@
     double clock_error = 0.02;
     // A leader that lost the store goes on prolonging leases for this long.
     duration holding_time = std::chrono::seconds(8);
-    // And goes on starting tasks for this long. Workers that a later leader
-    // has seen refuse them, and the later leader places nothing that may run
-    // on others; so the time must be shorter than the one above.
-    duration starting_time = std::chrono::seconds(5);
     // An earlier leader may believe in its lead for this long after a later
     // one has begun.
     duration lead_overlap = std::chrono::seconds(1);
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -335,8 +335,7 @@
     const auto& options = options_.scheduler;
     jobs::lead_permission permission;
     permission.lead_is_valid = lead_.is_valid(now);
-    permission.may_start =
-        now < lead_.valid_until() + options.starting_time && !is_leaving_;
+    permission.may_start = permission.lead_is_valid && !is_leaving_;
     permission.may_prolong = now < lead_.valid_until() + options.holding_time;
     const auto orders = scheduler_->decide(now, clock_.unix_now(), permission);
     for (const auto& order : orders)
