Bound the leader's rows; name tasks in the store before they are ordered; hold on only with most workers

The list is stored in 32 parts; rows of jobs name tasks by digits, four tasks each; pressures, lists of runs, checkpoints and failures are left out where they do not fit. A job's row names the tasks that may have been ordered, before they are, so that a later leader starts the others at once. A leader without the store prolongs leases only while more than half of the workers answer it; one that two thirds follow expects the end of leases 6 s earlier.

Progress that cannot be read no longer starts a job anew, and a list of workers that cannot be read makes its tasks wait instead of none.

Ruled out: descriptors (5,419 of 8,192 connections without a failure).

--- a/src/jobs/fleet_record.cpp
+++ b/src/jobs/fleet_record.cpp
@@ -17,9 +17,9 @@
 
 namespace json = boost::json;
 
-json::value to_value(const fleet_record& record)
+json::value to_value(const fleet_record& record, bool with_runs)
 {
-    if (!record.runs)
+    if (!record.runs || !with_runs)
     {
         return json::value(record.worker.value());
     }
@@ -66,10 +66,34 @@
 
 } // namespace
 
-std::string encode_fleet(const std::vector<fleet_record>& fleet)
+std::uint32_t fleet_part_of(const worker_id& id)
 {
+    return static_cast<std::uint32_t>(stable_hash(id.value()) % fleet_parts);
+}
+
+std::string encode_fleet(const std::vector<fleet_record>& fleet,
+                         std::size_t longest)
+{
+    // A comma and two quotes for each worker, and the brackets.
+    constexpr std::size_t of_worker = 3;
+    std::size_t length = 2;
+    for (const auto& record : fleet)
+    {
+        length += record.worker.value().size() + of_worker;
+    }
     json::array out;
-    std::ranges::transform(fleet, std::back_inserter(out), to_value);
+    for (const auto& record : fleet)
+    {
+        auto value = to_value(record, true);
+        if (!value.is_string())
+        {
+            const auto whole = json::serialize(value).size();
+            const bool fits = length + whole <= longest;
+            length += fits ? whole : 0;
+            value = to_value(record, fits);
+        }
+        out.push_back(std::move(value));
+    }
     return json::serialize(out);
 }
 
--- a/src/jobs/interference_codec.cpp
+++ b/src/jobs/interference_codec.cpp
@@ -30,7 +30,21 @@
 
 } // namespace
 
-std::string interference_model::encode() const
+std::string interference_model::encode(std::size_t longest) const
+{
+    // Weak pressures are left out first; they change little.
+    constexpr double first_floor = 0.02;
+    constexpr double highest_floor = 100.0;
+    auto text = encode_above(0.0);
+    for (double floor = first_floor;
+         text.size() > longest && floor < highest_floor; floor *= 2.0)
+    {
+        text = encode_above(floor);
+    }
+    return text.size() > longest ? std::string("{}") : text;
+}
+
+std::string interference_model::encode_above(double floor) const
 {
     json::object out;
     for (const auto& [serving, tail] : low_tails_)
@@ -40,7 +54,10 @@
         {
             for (const auto& [fill, pressure] : fit->second.pressures())
             {
-                pressures[to_name(fill)] = rounded(pressure);
+                if (pressure >= floor)
+                {
+                    pressures[to_name(fill)] = rounded(pressure);
+                }
             }
         }
         out[to_name(serving)] =
--- a/src/jobs/interference_model.hpp
+++ b/src/jobs/interference_model.hpp
@@ -43,7 +43,8 @@
     // Load of a job's serving tasks a moment from now, and on average.
     double expected_load(const job_id& job, time_point now) const;
     // Text for the store, and taking it over from an earlier leader.
-    std::string encode() const;
+    // The stored form, of at most `longest` bytes.
+    std::string encode(std::size_t longest = default_row_limit) const;
     void restore(std::string_view text);
 
     // The highest load that is likely while a fill task runs that starts now.
@@ -54,6 +55,8 @@
     double utilisation_limit(const run_record& serving) const;
 
 private:
+    // Without pressures below the floor.
+    std::string encode_above(double floor) const;
     void add_pressed(const fleet_worker& worker, const task_key& key,
                      const run_record& serving, time_point now,
                      std::vector<pressed_image>& images) const;
--- a/src/jobs/job_book.cpp
+++ b/src/jobs/job_book.cpp
@@ -46,24 +46,30 @@
 }
 
 std::vector<std::pair<job_id, std::string>>
-job_book::take_changes(std::size_t most)
+job_book::take_changes(change_limits limits, std::uint64_t number)
 {
     std::vector<std::pair<job_id, std::string>> out;
-    while (!changed_.empty() && out.size() < most)
+    std::size_t bytes = 0;
+    while (!changed_.empty() && out.size() < limits.most_jobs &&
+           bytes < limits.bytes)
     {
         const auto id = *changed_.begin();
         changed_.erase(changed_.begin());
-        if (const auto* const found = find(id))
+        job_progress progress;
+        if (auto* const found = find(id))
         {
-            out.emplace_back(id, encode_progress(found->progress()));
-            continue;
+            progress = found->take_progress(number);
         }
-        if (const auto over = over_.find(id); over != over_.end())
+        else if (const auto over = over_.find(id); over != over_.end())
         {
-            job_progress progress;
             progress.state = over->second;
-            out.emplace_back(id, encode_progress(progress));
         }
+        else
+        {
+            continue;
+        }
+        out.emplace_back(id, encode_progress(progress, limits.row));
+        bytes += out.back().second.size();
     }
     return out;
 }
--- a/src/jobs/job_book.hpp
+++ b/src/jobs/job_book.hpp
@@ -13,6 +13,16 @@
 namespace hemlockdeal::jobs
 {
 
+// Bounds of one transaction.
+struct change_limits
+{
+    std::size_t most_jobs = 60;
+    // Bytes of all texts together; the last one may go beyond.
+    std::size_t bytes = 300'000;
+    // Bytes of one text.
+    std::size_t row = default_row_limit;
+};
+
 class job_book
 {
 public:
@@ -41,8 +51,10 @@
     // Forgets a job that is over.
     void forget(const job_id& id) { over_.erase(id); }
 
-    // The stored form of up to `most` changed jobs; they count as unchanged.
-    std::vector<std::pair<job_id, std::string>> take_changes(std::size_t most);
+    // The stored form of changed jobs for change set `number`; they count as
+    // unchanged.
+    std::vector<std::pair<job_id, std::string>>
+    take_changes(change_limits limits, std::uint64_t number);
 
     // For each queue the jobs without repetition of which nothing has
     // started.
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -36,6 +36,116 @@
         static_cast<std::uint32_t>(integer_of(in[2]))};
 }
 
+// Tasks of one step and occurrence as a number in hexadecimal digits, the first
+// four tasks in the first digit.
+constexpr std::uint32_t tasks_of_digit = 4;
+constexpr std::string_view digits = "0123456789abcdef";
+
+std::string to_digits(const std::vector<std::uint32_t>& indices)
+{
+    std::string out(std::ranges::max(indices) / tasks_of_digit + 1, '0');
+    for (const auto index : indices)
+    {
+        auto& digit = out[index / tasks_of_digit];
+        const auto value = digits.find(digit) | 1U << index % tasks_of_digit;
+        digit = digits[value];
+    }
+    return out;
+}
+
+json::array to_json(const std::vector<job_progress::task_place>& places)
+{
+    std::map<std::pair<std::uint32_t, std::uint32_t>,
+             std::vector<std::uint32_t>>
+        steps;
+    for (const auto& place : places)
+    {
+        steps[{place.occurrence, place.step}].push_back(place.index);
+    }
+    json::array out;
+    for (const auto& [step, indices] : steps)
+    {
+        out.push_back(
+            json::array{step.first, step.second, to_digits(indices)});
+    }
+    return out;
+}
+
+bool take_places(const json::array& in,
+                 std::vector<job_progress::task_place>& places)
+{
+    for (const auto& entry : in)
+    {
+        const auto* const row = entry.if_array();
+        const auto* const text = row != nullptr && row->size() == 3
+                                     ? (*row)[2].if_string()
+                                     : nullptr;
+        if (text == nullptr)
+        {
+            return false;
+        }
+        for (std::uint32_t i = 0; i < text->size(); ++i)
+        {
+            const auto value = digits.find((*text)[i]);
+            if (value == std::string_view::npos)
+            {
+                return false;
+            }
+            for (std::uint32_t bit = 0; bit < tasks_of_digit; ++bit)
+            {
+                if ((value & 1U << bit) != 0)
+                {
+                    places.push_back(
+                        {static_cast<std::uint32_t>(integer_of((*row)[0])),
+                         static_cast<std::uint32_t>(integer_of((*row)[1])),
+                         i * tasks_of_digit + bit});
+                }
+            }
+        }
+    }
+    return true;
+}
+
+json::array to_json(const job_progress::task_place& place,
+                    const job_progress::task_history& history,
+                    bool with_checkpoint)
+{
+    auto entry = to_json(place);
+    entry.push_back(json::value_from(history.failed_runs));
+    entry.push_back(
+        json::string(with_checkpoint ? history.checkpoint : std::string()));
+    return entry;
+}
+
+// Checkpoints save work; the failures bound the attempts.
+json::array histories_within(const job_progress& progress, std::size_t longest)
+{
+    json::array out;
+    std::size_t length = 0;
+    const auto add = [&](json::array entry) {
+        const auto more = json::serialize(entry).size() + 1;
+        if (length + more <= longest)
+        {
+            length += more;
+            out.push_back(std::move(entry));
+        }
+    };
+    std::size_t whole = 0;
+    for (const auto& [place, history] : progress.histories)
+    {
+        whole += json::serialize(to_json(place, history, true)).size() + 1;
+    }
+    const bool with_checkpoints = whole <= longest;
+    for (const auto& [place, history] : progress.histories)
+    {
+        if (with_checkpoints || !history.failed_runs.empty())
+        {
+            add(to_json(place, history, with_checkpoints));
+        }
+    }
+    return out;
+}
+
 bool take_history(const json::array& in, job_progress& progress)
 {
     const auto place = to_place(in);
@@ -76,7 +186,7 @@
     return static_cast<job_state>(found - state_names.begin());
 }
 
-std::string encode_progress(const job_progress& progress)
+std::string encode_progress(const job_progress& progress, std::size_t longest)
 {
     json::object out;
     out["s"] = json::string_view(to_text(progress.state).data(),
@@ -90,26 +200,21 @@
     {
         out["b"] = 1;
     }
-    json::array done;
-    for (const auto& place : progress.done)
-    {
-        done.push_back(to_json(place));
-    }
-    if (!done.empty())
+    if (!progress.done.empty())
     {
-        out["d"] = std::move(done);
+        out["d"] = to_json(progress.done);
     }
-    json::array histories;
-    for (const auto& [place, history] : progress.histories)
+    if (progress.ordered)
     {
-        auto entry = to_json(place);
-        entry.push_back(json::value_from(history.failed_runs));
-        entry.push_back(json::string(history.checkpoint));
-        histories.push_back(std::move(entry));
+        out["o"] = to_json(*progress.ordered);
     }
-    if (!histories.empty())
+    if (!progress.histories.empty())
     {
-        out["h"] = std::move(histories);
+        // The member's name, the brackets and the end.
+        constexpr std::size_t frame = 16;
+        const auto used = json::serialize(out).size() + frame;
+        out["h"] =
+            histories_within(progress, longest > used ? longest - used : 0);
     }
     return json::serialize(out);
 }
@@ -131,15 +236,14 @@
     job_progress progress;
     progress.state = *state;
     progress.has_started = integer_in(*in, "b") != 0;
-    for (const auto& entry : list_in(*in, "d"))
+    if (!take_places(list_in(*in, "d"), progress.done))
     {
-        const auto place =
-            entry.is_array() ? to_place(entry.get_array()) : std::nullopt;
-        if (!place)
-        {
-            return std::nullopt;
-        }
-        progress.done.push_back(*place);
+        return std::nullopt;
+    }
+    if (in->if_contains("o") != nullptr &&
+        !take_places(list_in(*in, "o"), progress.ordered.emplace()))
+    {
+        return std::nullopt;
     }
     for (const auto& entry : list_in(*in, "h"))
     {
--- a/src/jobs/job_progress.hpp
+++ b/src/jobs/job_progress.hpp
@@ -1,6 +1,7 @@
 // What must outlive the VM that decides about a job.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -9,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/row_limit.hpp"
+
 namespace hemlockdeal::jobs
 {
 
@@ -49,10 +52,21 @@
     job_state state = job_state::queued;
     bool has_started = false;
     std::vector<task_place> done;
+    // Tasks that are not done and may have been ordered to a worker: the
+    // leader starts no other ones before the store names them here. Any task
+    // may have been ordered if there is no list.
+    std::optional<std::vector<task_place>> ordered;
     std::map<task_place, task_history> histories;
 };
 
-std::string encode_progress(const job_progress& progress);
+// Change sets are numbered from here; the rows that a leader finds count as
+// this set, which is stored.
+constexpr std::uint64_t recovered_set = 1;
+
+// A text of at most `longest` bytes if that is possible at all: checkpoints
+// that do not fit are left out, and then failures.
+std::string encode_progress(const job_progress& progress,
+                            std::size_t longest = default_row_limit);
 std::optional<job_progress> decode_progress(std::string_view text);
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -93,7 +93,7 @@
     record.worker = worker;
     record.last_run = std::max(record.last_run, run);
     record.may_run_elsewhere = false;
-    record.may_have_another_leader = false;
+    record.is_announced = true;
     has_started_ = true;
     if (state_ == job_state::queued)
     {
@@ -149,6 +149,18 @@
 {
     state_ = progress.state;
     has_started_ = progress.has_started;
+    first_set_ = recovered_set;
+    names_ordered_tasks_ = progress.ordered.has_value();
+    for (const auto& place :
+         progress.ordered.value_or(std::vector<job_progress::task_place>{}))
+    {
+        const auto key = key_of(job_.id, place);
+        if (has(key))
+        {
+            task(key).is_announced = true;
+            task(key).named_in = recovered_set;
+        }
+    }
     for (const auto& place : progress.done)
     {
         const auto key = key_of(job_.id, place);
@@ -174,7 +186,7 @@
     }
 }
 
-job_progress live_job::progress() const
+job_progress live_job::take_progress(std::uint64_t number)
 {
     job_progress out;
     out.state = state_;
@@ -183,37 +195,52 @@
     {
         return out;
     }
+    first_set_ = first_set_ == 0 ? number : first_set_;
+    out.ordered.emplace();
     for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
     {
         for (std::uint32_t s = 0; s < occurrences_[k].steps.size(); ++s)
         {
-            const auto& tasks = occurrences_[k].steps[s].tasks;
+            auto& tasks = occurrences_[k].steps[s].tasks;
             for (std::uint32_t i = 0; i < tasks.size(); ++i)
             {
-                if (tasks[i].phase == task_phase::done)
-                {
-                    out.done.push_back({k, s, i});
-                }
-                else if (!tasks[i].failed_runs.empty() ||
-                         !tasks[i].checkpoint.empty())
-                {
-                    out.histories[{k, s, i}] = {tasks[i].failed_runs,
-                                                tasks[i].checkpoint};
-                }
+                take_task({k, s, i}, tasks[i], number, out);
             }
         }
     }
     return out;
 }
 
-void live_job::doubt_waiting_tasks()
+void live_job::take_task(const job_progress::task_place& place,
+                         task_record& record, std::uint64_t number,
+                         job_progress& to)
+{
+    if (record.phase == task_phase::done)
+    {
+        to.done.push_back(place);
+        return;
+    }
+    if (record.is_announced)
+    {
+        record.named_in = record.named_in == 0 ? number : record.named_in;
+        to.ordered->push_back(place);
+    }
+    if (!record.failed_runs.empty() || !record.checkpoint.empty())
+    {
+        to.histories[place] = {record.failed_runs, record.checkpoint};
+    }
+}
+
+void live_job::doubt_ordered_tasks()
 {
     for (auto& occurrence : occurrences_)
     {
         for (auto& step : occurrence.steps)
         {
-            std::ranges::for_each(step.tasks, [](task_record& record) {
-                record.may_run_elsewhere = record.phase == task_phase::waiting;
+            std::ranges::for_each(step.tasks, [this](task_record& record) {
+                record.may_run_elsewhere =
+                    record.phase == task_phase::waiting &&
+                    (record.is_announced || !names_ordered_tasks_);
             });
         }
     }
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -38,9 +38,10 @@
     // Whole duration of a run at full speed, as its progress promises.
     duration duration_seen{};
     time_point not_before{};
-    // It ran on a worker that was given up while the lead was in doubt: a
-    // later leader may have found it there, still running.
-    bool may_have_another_leader = false;
+    // The job's row names it, or has to, as one that may have been ordered.
+    bool is_announced = false;
+    // Number of the change set that names it first; 0 for none.
+    std::uint64_t named_in = 0;
 };
 
 struct step_record
@@ -108,16 +109,29 @@
     bool has_started() const { return has_started_; }
 
     void restore(const job_progress& progress);
-    job_progress progress() const;
+    // What change set `number` stores of the job.
+    job_progress take_progress(std::uint64_t number);
+
+    // The next row of the job names this task.
+    void announce(const task_key& key) { task(key).is_announced = true; }
+    // True if a later leader will know that the task may have been ordered:
+    // the store names it, or has no row of the job, which names all tasks.
+    bool may_be_ordered(const task_record& task, std::uint64_t stored) const
+    {
+        const bool is_named = task.named_in > 0 && (task.named_in <= stored ||
+                                                    task.named_in == first_set_);
+        return first_set_ == 0 || is_named;
+    }
 
-    // Marks every task that is not done as one that an earlier leader may
-    // have started.
-    void doubt_waiting_tasks();
+    // Marks the tasks that an earlier leader may have started.
+    void doubt_ordered_tasks();
     // The same for one task, if it waits.
     void doubt(const task_key& key);
     void clear_doubts();
 
 private:
+    void take_task(const job_progress::task_place& place, task_record& record,
+                   std::uint64_t number, job_progress& to);
     task_record& set_phase(const task_key& key, task_phase phase);
 
     job job_;
@@ -126,6 +140,10 @@
     job_state state_ = job_state::queued;
     bool has_started_ = false;
     std::uint32_t done_occurrences_ = 0;
+    // Number of the first change set with a row of this job; 0 before that.
+    std::uint64_t first_set_ = 0;
+    // The stored row names all tasks that may have been ordered.
+    bool names_ordered_tasks_ = false;
     std::vector<occurrence_record> occurrences_;
 };
 
--- a/src/jobs/look_planner.hpp
+++ b/src/jobs/look_planner.hpp
@@ -6,6 +6,15 @@
 namespace hemlockdeal::jobs
 {
 
+struct look_permission
+{
+    bool may_look = true;
+    // False when this VM must let leases run out.
+    bool may_prolong = true;
+    // Idle workers are looked at as well, to learn whether they answer.
+    bool must_see_all = false;
+};
+
 // A look prolongs all leases on the worker, brings its ends and tells it
 // which ends are stored. Each is billed, so idle workers are looked at once
 // per leader only.
@@ -14,12 +23,13 @@
 public:
     explicit look_planner(scheduler_state& state) : state_(state) {}
 
-    // `may_prolong` is false when this VM must let leases run out.
-    void plan(time_point now, bool may_prolong);
+    void plan(time_point now, look_permission permission);
 
 private:
-    bool is_wanted(const fleet_worker& worker) const;
-    void order_look(fleet_worker& worker, time_point now);
+    bool is_wanted(const fleet_worker& worker, time_point now,
+                   look_permission permission) const;
+    void order_look(fleet_worker& worker, time_point now,
+                    look_permission permission);
 
     scheduler_state& state_;
 };
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -488,7 +488,6 @@
         if (auto* const owner = state_.book.find(key.job))
         {
             auto& task = owner->task(key);
-            task.may_have_another_leader = !state_.lead_is_valid;
             if (!checkpoint.empty())
             {
                 task.checkpoint = checkpoint;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-// Rows that fit into one transaction beside the leader's own.
-constexpr std::size_t jobs_of_one_change = 60;
 constexpr unsigned most_look_backoff = 4;
 // Leases end and workers go after seconds.
 constexpr duration fleet_check_interval = std::chrono::milliseconds(40);
@@ -35,7 +33,7 @@
     state_.book.add(std::move(definition), known);
     if (auto* const live = state_.book.find(id))
     {
-        live->doubt_waiting_tasks();
+        live->doubt_ordered_tasks();
     }
 }
 
@@ -45,6 +43,7 @@
     {
         unaccounted_[record.worker] = record.runs;
     }
+    recovered_workers_ = unaccounted_.size();
 }
 
 void scheduler::recover_interference(std::string_view learnt)
@@ -55,16 +54,44 @@
 void scheduler::begin(time_point now, bool earlier_leader_is_dead)
 {
     const auto& options = state_.options;
-    const auto lease = std::chrono::duration_cast<duration>(
-        options.longest_lease * (1.0 + 2 * options.clock_error));
     leases_ended_at_ =
-        now + lease +
+        now + longest_lease() +
         (earlier_leader_is_dead ? duration{}
                                 : options.lead_overlap + options.holding_time);
     begun_ = true;
+    begun_at_ = now;
     check_accounts(now);
 }
 
+duration scheduler::longest_lease() const
+{
+    const auto& options = state_.options;
+    return std::chrono::duration_cast<duration>(
+        options.longest_lease * (1.0 + 2 * options.clock_error));
+}
+
+void scheduler::bound_holding(time_point now)
+{
+    // Of three workers two follow this leader: an earlier one that needs the
+    // answers of most workers has had its last one by now.
+    const auto seen = recovered_workers_ - unaccounted_.size();
+    if (holding_is_bounded_ || 3 * seen <= 2 * recovered_workers_)
+    {
+        return;
+    }
+    holding_is_bounded_ = true;
+    const auto& options = state_.options;
+    const auto last_prolonged =
+        std::max(begun_at_ + options.lead_overlap + options.holding_contact,
+                 now + options.holding_contact);
+    leases_ended_at_ =
+        std::min(leases_ended_at_, last_prolonged + longest_lease());
+    state_.say("most workers follow this leader",
+               {{"workers_not_seen", std::to_string(unaccounted_.size())},
+                {"leases_end_in_ms",
+                 std::to_string((leases_ended_at_ - now).count() / 1000)}});
+}
+
 void scheduler::set_services(std::map<service_id, service_terms> services)
 {
     state_.services = std::move(services);
@@ -95,7 +122,7 @@
     {
         state_.say("worker has joined", {{"worker", entry.id.value()},
                                          {"zone", entry.zone.value()}});
-        fleet_changed_ = true;
+        note_fleet_change(entry.id);
         return;
     }
     if (entry.born > worker.entry.born)
@@ -242,6 +269,7 @@
         end_accounts();
         return;
     }
+    bound_holding(now);
     if (accounts_changed_ && !has_open_accounts())
     {
         update_doubts();
@@ -260,7 +288,7 @@
         // The store still gives the runs: it has to know first that others
         // may be started.
         worker.is_recorded = false;
-        fleet_changed_ = true;
+        note_fleet_change(worker.entry.id);
     }
     unaccounted_.erase(account);
     accounts_changed_ = true;
@@ -271,7 +299,10 @@
     state_.say("all workers are accounted for",
                {{"not_seen", std::to_string(unaccounted_.size())}});
     // Records of workers that are gone, or that may be started on again.
-    fleet_changed_ = fleet_changed_ || !unaccounted_.empty();
+    for (const auto& [id, runs] : unaccounted_)
+    {
+        note_fleet_change(id);
+    }
     unaccounted_.clear();
     leases_ended_at_ = {};
     update_doubts();
@@ -315,29 +346,30 @@
             ++w;
             continue;
         }
-        fleet_changed_ = true;
+        note_fleet_change(w->first);
         w = state_.fleet.erase(w);
     }
 }
 
 void scheduler::note_closed_workers()
 {
-    fleet_changed_ =
-        fleet_changed_ || std::ranges::any_of(state_.fleet, [](const auto& e) {
-            const auto& worker = e.second;
-            const bool must_be_recorded = worker.has_been_seen() &&
-                                          !worker.is_recorded &&
-                                          !worker.is_being_recorded;
-            return worker.is_closed() != worker.is_closed_in_store ||
-                   (must_be_recorded && !worker.is_closed());
-        });
+    for (const auto& [id, worker] : state_.fleet)
+    {
+        const bool must_be_recorded = worker.has_been_seen() &&
+                                      !worker.is_recorded &&
+                                      !worker.is_being_recorded;
+        if (worker.is_closed() != worker.is_closed_in_store ||
+            (must_be_recorded && !worker.is_closed()))
+        {
+            note_fleet_change(id);
+        }
+    }
 }
 
 std::vector<order> scheduler::decide(time_point now,
                                      std::chrono::milliseconds unix_now,
                                      lead_permission permission)
 {
-    state_.lead_is_valid = permission.lead_is_valid;
     check_accounts(now);
     if (now - fleet_checked_at_ >= fleet_check_interval)
     {
@@ -349,16 +381,41 @@
         forget_gone_workers();
         note_closed_workers();
     }
-    if (permission.may_start)
+    if (permission.may_start && permission.lead_is_valid)
     {
         placer_.place(now, unix_now);
         placer_.move_slowed(now);
     }
-    looks_.plan(now, permission.may_prolong);
+    looks_.plan(now, look_permission_for(now, permission));
     say_load(now);
     return std::exchange(state_.orders, {});
 }
 
+look_permission
+scheduler::look_permission_for(time_point now, lead_permission permission)
+{
+    if (permission.lead_is_valid)
+    {
+        in_doubt_since_.reset();
+        return {permission.may_prolong, permission.may_prolong, false};
+    }
+    in_doubt_since_ = in_doubt_since_.value_or(now);
+    const bool may_hold =
+        now - *in_doubt_since_ < state_.options.holding_contact ||
+        reaches_most_workers(now);
+    return {permission.may_prolong, permission.may_prolong && may_hold, true};
+}
+
+bool scheduler::reaches_most_workers(time_point now) const
+{
+    const auto reached = std::ranges::count_if(
+        state_.fleet, [&](const auto& entry) {
+            const auto& contact = entry.second.contact_at;
+            return contact && now - *contact < state_.options.holding_contact;
+        });
+    return 2 * static_cast<std::size_t>(reached) > state_.fleet.size();
+}
+
 void scheduler::say_load(time_point now)
 {
     if (now - load_said_at_ < load_interval)
@@ -404,7 +461,7 @@
 
 bool scheduler::has_changes() const
 {
-    return state_.book.has_changes() || fleet_changed_ ||
+    return state_.book.has_changes() || !changed_parts_.empty() ||
            std::ranges::any_of(state_.fleet, [](const auto& entry) {
                return entry.second.has_unstored_ends();
            });
@@ -413,12 +470,11 @@
 change_set scheduler::take_changes()
 {
     change_set changes;
-    changes.jobs = state_.book.take_changes(jobs_of_one_change);
+    change_limits limits;
+    limits.row = state_.options.row_limit;
+    changes.jobs = state_.book.take_changes(limits, ++state_.taken_set);
     changes.is_partial = state_.book.has_changes();
-    if (std::exchange(fleet_changed_, false))
-    {
-        changes.fleet = record_fleet();
-    }
+    changes.fleet = record_fleet();
     // The ends are covered only when no changed job is left out.
     if (!changes.is_partial)
     {
@@ -430,45 +486,74 @@
     return changes;
 }
 
-std::vector<fleet_record> scheduler::record_fleet()
+std::vector<fleet_part> scheduler::record_fleet()
 {
-    std::vector<fleet_record> out;
     being_recorded_.clear();
+    std::map<std::uint32_t, fleet_part> parts;
+    for (const auto number : std::exchange(changed_parts_, {}))
+    {
+        parts[number].number = number;
+    }
+    if (parts.empty())
+    {
+        return {};
+    }
     // What an earlier leader recorded holds until the worker has been seen.
     for (const auto& [id, runs] : unaccounted_)
     {
-        out.push_back({id, runs});
+        if (const auto to = parts.find(fleet_part_of(id)); to != parts.end())
+        {
+            to->second.workers.push_back({id, runs});
+        }
     }
     for (auto& [id, worker] : state_.fleet)
     {
-        worker.is_closed_in_store = worker.is_closed();
-        const auto account = unaccounted_.find(id);
-        if (account != unaccounted_.end() && account->second)
+        const auto to = parts.find(fleet_part_of(id));
+        if (to == parts.end())
         {
             continue;
         }
-        if (!worker.is_closed_in_store)
+        auto record = record_of(id, worker);
+        if (!unaccounted_.contains(id))
         {
-            being_recorded_.push_back(id);
-            worker.is_being_recorded = true;
-            if (account == unaccounted_.end())
-            {
-                out.push_back({id, std::nullopt});
-            }
-            continue;
+            to->second.workers.push_back(std::move(record));
         }
-        // Nothing may be started here before the store knows of it.
-        worker.is_recorded = false;
-        std::vector<task_key> runs;
-        std::ranges::transform(worker.runs(), std::back_inserter(runs),
-                               [](const auto& run) { return run.first; });
-        out.push_back({id, std::move(runs)});
+    }
+    std::vector<fleet_part> out;
+    for (auto& [number, part] : parts)
+    {
+        out.push_back(std::move(part));
     }
     return out;
 }
 
+fleet_record scheduler::record_of(const worker_id& id, fleet_worker& worker)
+{
+    worker.is_closed_in_store = worker.is_closed();
+    const auto account = unaccounted_.find(id);
+    const bool is_kept_closed =
+        account != unaccounted_.end() && account->second.has_value();
+    if (is_kept_closed)
+    {
+        return {id, std::nullopt};
+    }
+    if (!worker.is_closed_in_store)
+    {
+        being_recorded_.push_back(id);
+        worker.is_being_recorded = true;
+        return {id, std::nullopt};
+    }
+    // Nothing may be started here before the store knows of it.
+    worker.is_recorded = false;
+    std::vector<task_key> runs;
+    std::ranges::transform(worker.runs(), std::back_inserter(runs),
+                           [](const auto& run) { return run.first; });
+    return {id, std::move(runs)};
+}
+
 void scheduler::on_changes_stored(time_point now)
 {
+    state_.stored_set = state_.taken_set;
     for (const auto& id : std::exchange(being_recorded_, {}))
     {
         if (auto* const worker = state_.find_worker(id))
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,12 +26,12 @@
 {
     // Progress by job.
     std::vector<std::pair<job_id, std::string>> jobs;
-    // All workers that may run tasks, if that list has changed.
-    std::optional<std::vector<fleet_record>> fleet;
+    // The changed parts of the list of workers that may run tasks.
+    std::vector<fleet_part> fleet;
     // More changes are left for the next set.
     bool is_partial = false;
 
-    bool empty() const { return jobs.empty() && !fleet; }
+    bool empty() const { return jobs.empty() && fleet.empty(); }
 };
 
 // What the state of the lead permits.
@@ -101,7 +102,10 @@
     std::vector<decision_event> take_events();
 
     // What was learnt, for the next leader.
-    std::string interference() const { return state_.interference.encode(); }
+    std::string interference(std::size_t longest = default_row_limit) const
+    {
+        return state_.interference.encode(longest);
+    }
 
     const job_book& book() const { return state_.book; }
     void forget_job(const job_id& id) { state_.book.forget(id); }
@@ -123,11 +127,24 @@
     void check_accounts(time_point now);
     void settle_account(fleet_worker& worker);
     void end_accounts();
+    // Expects the end of all leases earlier once most workers follow this
+    // leader.
+    void bound_holding(time_point now);
+    // Of the slowest clock.
+    duration longest_lease() const;
+    look_permission look_permission_for(time_point now,
+                                        lead_permission permission);
+    bool reaches_most_workers(time_point now) const;
     // Leaves in doubt what may run on workers that have not been seen.
     void update_doubts();
     bool has_open_accounts() const;
     void note_closed_workers();
-    std::vector<fleet_record> record_fleet();
+    void note_fleet_change(const worker_id& id)
+    {
+        changed_parts_.insert(fleet_part_of(id));
+    }
+    std::vector<fleet_part> record_fleet();
+    fleet_record record_of(const worker_id& id, fleet_worker& worker);
     void relieve_leaving_worker(fleet_worker& worker, time_point now);
     void forget_gone_workers();
     // A line every few seconds that shows where tasks wait.
@@ -145,7 +162,13 @@
     // An account was closed since doubts were updated.
     bool accounts_changed_ = true;
     time_point leases_ended_at_{};
-    bool fleet_changed_ = false;
+    time_point begun_at_{};
+    // Workers in the list that an earlier leader left.
+    std::size_t recovered_workers_ = 0;
+    bool holding_is_bounded_ = false;
+    std::optional<time_point> in_doubt_since_;
+    // Parts of the stored list that differ from what is known.
+    std::set<std::uint32_t> changed_parts_;
     time_point load_said_at_{};
     time_point fleet_checked_at_{};
     // Named in the list that is on its way to the store.
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/core.hpp"
+#include "jobs/row_limit.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -14,6 +15,10 @@
     double clock_error = 0.02;
     // A leader that lost the store goes on prolonging leases for this long.
     duration holding_time = std::chrono::seconds(8);
+    // Beyond its validity it does so only while most workers answered looks
+    // that are younger than this, and for this long until they had time to:
+    // a later leader that has seen most workers knows the end of it.
+    duration holding_contact = std::chrono::milliseconds(2000);
     // An earlier leader may believe in its lead for this long after a later
     // one has begun.
     duration lead_overlap = std::chrono::seconds(1);
@@ -49,6 +54,8 @@
     // Fill tasks may ask for this many times the processors that are likely
     // to be unused.
     double fill_limit = 1.1;
+    // Bytes of the value of one row of the store.
+    std::size_t row_limit = default_row_limit;
     // Serving tasks use this share of what they reserve, on average.
     double serving_use = 0.5;
 };
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -35,8 +35,9 @@
     std::set<availability_zone_id> closed_zones;
     interference_model interference;
     advice_book advice;
-    // No other VM can have taken the lead.
-    bool lead_is_valid = true;
+    // Numbers of the change sets that were taken last and stored last.
+    std::uint64_t taken_set = recovered_set;
+    std::uint64_t stored_set = recovered_set;
     // A worker follows a later leader.
     bool is_superseded = false;
 
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace hemlockdeal::jobs
 {
@@ -63,6 +64,10 @@
         const bool is_gang = c.owner->definition().steps[c.step].is_gang;
         is_gang ? place_gang(c, now) : place_step(c, now);
     }
+    for (const auto& [worker, key] : std::exchange(kept_places_, {}))
+    {
+        worker->erase_run(key);
+    }
 }
 
 std::vector<task_placer::candidate>
@@ -148,8 +153,26 @@
 
 bool task_placer::may_start(const task_record& task) const
 {
-    return task.phase == task_phase::waiting && !task.may_run_elsewhere &&
-           (state_.lead_is_valid || !task.may_have_another_leader);
+    return task.phase == task_phase::waiting && !task.may_run_elsewhere;
+}
+
+bool task_placer::is_stored_first(live_job& owner, const task_key& key,
+                                  fleet_worker& worker, time_point now)
+{
+    auto& task = owner.task(key);
+    if (owner.may_be_ordered(task, state_.stored_set))
+    {
+        return true;
+    }
+    if (!task.is_announced)
+    {
+        owner.announce(key);
+        state_.book.mark_changed(key.job);
+    }
+    // Its place is kept for the rest of this pass.
+    worker.add_run(key, make_run(owner.step_of(key), 0, now));
+    kept_places_.emplace_back(&worker, key);
+    return false;
 }
 
 void task_placer::place_step(const candidate& c, time_point now)
@@ -162,6 +185,7 @@
                                  now - searched_at >= whole_search_interval;
     const auto& workers = is_whole_search ? usable_ : roomier_;
     bool has_room = !workers.empty();
+    bool is_waiting_for_store = false;
     const auto without_room_before = without_room_;
     for (std::uint32_t i = 0; i < count; ++i)
     {
@@ -180,9 +204,14 @@
             ++without_room_;
             continue;
         }
+        if (!is_stored_first(*c.owner, key, *worker, now))
+        {
+            is_waiting_for_store = true;
+            continue;
+        }
         order_start(*c.owner, key, *worker, state_.next_run(task), now);
     }
-    if (without_room_ == without_room_before)
+    if (is_waiting_for_store || without_room_ == without_room_before)
     {
         searched_at = {};
     }
@@ -267,6 +296,16 @@
         without_room_ += count;
         return;
     }
+    bool may_be_ordered = true;
+    for (const auto& [key, worker] : places)
+    {
+        may_be_ordered =
+            is_stored_first(*c.owner, key, *worker, now) && may_be_ordered;
+    }
+    if (!may_be_ordered)
+    {
+        return;
+    }
     for (const auto& [key, worker] : places)
     {
         order_start(*c.owner, key, *worker, run, now);
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "jobs/scheduler_state.hpp"
@@ -46,6 +47,10 @@
     bool is_usable(const fleet_worker& worker, time_point now) const;
 
     bool may_start(const task_record& task) const;
+    // True if the store names the task as one that may be ordered. Has it
+    // named otherwise, and keeps its place on the worker.
+    bool is_stored_first(live_job& owner, const task_key& key,
+                         fleet_worker& worker, time_point now);
     void place_step(const candidate& c, time_point now);
     void place_gang(const candidate& c, time_point now);
     // The best of these workers, or null.
@@ -75,6 +80,8 @@
     std::vector<fleet_worker*> usable_;
     // Those of them that have gained room since the last pass.
     std::vector<fleet_worker*> roomier_;
+    // Places of tasks that wait until the store names them.
+    std::vector<std::pair<fleet_worker*, task_key>> kept_places_;
     std::size_t without_room_ = 0;
     time_point moves_checked_at_{};
 };
--- a/src/node/leader_duty.hpp
+++ b/src/node/leader_duty.hpp
@@ -196,7 +196,8 @@
     // Ends that the store has.
     std::map<job_id, jobs::job_state> stored_ends_;
 
-    std::map<job_id, jobs::job_progress> recovered_progress_;
+    // Empty for rows that cannot be read.
+    std::map<job_id, std::optional<jobs::job_progress>> recovered_progress_;
     row_version inbox_position_;
     bool is_polling_inbox_ = false;
     time_point next_inbox_poll_{};
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -285,10 +285,11 @@
         }
         f.t.writes.push_back({progress_table, id.value(), std::move(text)});
     }
-    if (changes.fleet)
+    for (const auto& part : changes.fleet)
     {
-        f.t.writes.push_back(
-            {fleet_table, fleet_key, jobs::encode_fleet(*changes.fleet)});
+        f.t.writes.push_back({fleet_table, fleet_key(part.number),
+                              jobs::encode_fleet(
+                                  part.workers, options_.scheduler.row_limit)});
     }
 }
 
@@ -324,7 +325,8 @@
     }
     last_learnt_ = now;
     f.t.writes.push_back(
-        {learnt_table, interference_key, scheduler_->interference()});
+        {learnt_table, interference_key,
+         scheduler_->interference(options_.scheduler.row_limit)});
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -26,11 +26,8 @@
                [this](const read_rows& read) {
                    for (const auto& row : read.rows)
                    {
-                       if (auto progress = jobs::decode_progress(row.value))
-                       {
-                           recovered_progress_[job_id(row.key)] =
-                               std::move(*progress);
-                       }
+                       recovered_progress_[job_id(row.key)] =
+                           jobs::decode_progress(row.value);
                    }
                    if (!read.has_more)
                    {
@@ -124,10 +121,16 @@
                 return;
             }
             const auto known = recovered_progress_.find(id);
+            const bool is_known = known != recovered_progress_.end();
+            if (is_known && !known->second)
+            {
+                // Without it, tasks that are done would run again.
+                log(log_level::error, "stored progress cannot be read",
+                    {{"job", row.key}});
+                return;
+            }
             scheduler_->recover_job(std::move(*definition),
-                                    known == recovered_progress_.end()
-                                        ? std::nullopt
-                                        : std::optional(known->second));
+                                    is_known ? known->second : std::nullopt);
         },
         [this, cancelled] {
             for (const auto& [id, state] : scheduler_->book().over())
@@ -145,20 +148,27 @@
 template <row_store Store, worker_port Workers, worker_list List>
 void leader_duty<Store, Workers, List>::recover_fleet()
 {
-    read_table({fleet_table, lead_part, fleet_key, {}, 1}, epoch_,
+    read_table({fleet_table, lead_part, {}, {}, 500}, epoch_,
                [this](const read_rows& read) {
-                   if (!read.rows.empty())
+                   for (const auto& row : read.rows)
                    {
-                       auto fleet = jobs::decode_fleet(read.rows.front().value);
+                       auto fleet = jobs::decode_fleet(row.value);
                        if (!fleet)
                        {
                            log(log_level::error,
-                               "stored list of workers cannot be read");
+                               "stored list of workers cannot be read",
+                               {{"key", row.key}});
+                           // A worker that nobody will see: until all leases
+                           // have ended, any task may run on it.
+                           fleet.emplace().push_back(
+                               {worker_id("unreadable " + row.key), {}});
                        }
-                       scheduler_->recover_fleet(
-                           fleet.value_or(std::vector<jobs::fleet_record>{}));
+                       scheduler_->recover_fleet(*fleet);
+                   }
+                   if (!read.has_more)
+                   {
+                       recover_learnt();
                    }
-                   recover_learnt();
                });
 }
 
--- a/src/node/store_tables.hpp
+++ b/src/node/store_tables.hpp
@@ -33,7 +33,10 @@
 inline const std::string lease_key = "leader";
 inline const std::string progress_table = "progress";
 inline const std::string fleet_table = "fleet";
-inline const std::string fleet_key = "workers";
+inline std::string fleet_key(std::uint32_t part)
+{
+    return "workers-" + std::to_string(part);
+}
 inline const std::string learnt_table = "learnt";
 inline const std::string interference_key = "interference";
 inline const std::string pending_table = "pending";
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -1,4 +1,6 @@
 // Guards against stored jobs and progress that a later leader reads wrongly.
+#include <set>
+
 #include <gtest/gtest.h>
 
 #include "jobs/jobs.hpp"
@@ -81,11 +83,64 @@
     ASSERT_TRUE(read);
     EXPECT_EQ(read->state, progress.state);
     EXPECT_EQ(read->done, progress.done);
+    EXPECT_FALSE(read->ordered);
     EXPECT_EQ(read->histories.at({0, 0, 1}).failed_runs,
               (std::vector<std::uint32_t>{1, 1001}));
     EXPECT_EQ(read->histories.at({0, 0, 1}).checkpoint, "check");
 }
 
+// Failure: the row of a job with many tasks is larger than the store takes;
+// the transaction is refused for ever, and the leader stores nothing more.
+TEST(progress_codec, rows_of_wide_jobs_fit_into_the_store)
+{
+    job_progress progress;
+    progress.state = job_state::running;
+    progress.ordered.emplace();
+    for (std::uint32_t i = 0; i < 20'000; ++i)
+    {
+        auto& places = i % 2 == 0 ? progress.done : *progress.ordered;
+        places.push_back({0, i % 3, i});
+        progress.histories[{0, 3, i}] = {i < 100 ? std::vector<std::uint32_t>{i}
+                                                 : std::vector<std::uint32_t>{},
+                                         "00000bb87a21d94b"};
+    }
+    const auto text = encode_progress(progress);
+    EXPECT_LE(text.size(), default_row_limit);
+    const auto read = decode_progress(text);
+    ASSERT_TRUE(read);
+    const std::set done(read->done.begin(), read->done.end());
+    EXPECT_EQ(done, std::set(progress.done.begin(), progress.done.end()));
+    ASSERT_TRUE(read->ordered);
+    EXPECT_EQ(read->ordered->size(), progress.ordered->size());
+    // Attempts stay bounded; checkpoints are given up.
+    EXPECT_EQ(read->histories.size(), 100U);
+}
+
+// Failure: a leader that follows after many workers were lost at once cannot
+// store what may run on them.
+TEST(fleet_codec, parts_of_large_fleets_fit_into_the_store)
+{
+    std::vector<fleet_record> fleet;
+    for (std::uint32_t w = 0; w < 600; ++w)
+    {
+        std::vector<task_key> runs;
+        for (std::uint32_t i = 0; i < 12; ++i)
+        {
+            runs.push_back({job_id("5c0e7a21d94b36f8"), 0, w, i});
+        }
+        fleet.push_back({worker_id("i-0311763df5" + std::to_string(w)), runs});
+    }
+    const auto text = encode_fleet(fleet);
+    EXPECT_LE(text.size(), default_row_limit);
+    const auto read = decode_fleet(text);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->size(), fleet.size());
+    EXPECT_EQ(read->front(), fleet.front());
+    // Where the list is left out, any task may run.
+    EXPECT_EQ(read->back().worker, fleet.back().worker);
+    EXPECT_FALSE(read->back().runs);
+}
+
 TEST(progress_codec, what_is_no_progress_is_refused)
 {
     EXPECT_FALSE(decode_progress("{}"));
