Name new jobs in the store before their tasks are ordered

Cause: jobs that came in while nobody led have no row yet, so that all of them were in doubt after a takeover with workers that do not answer. A job without a row has no ordered task now; its first start waits for one transaction (12 ms apart while starts wait for it).

A property test stores rows that name no ordered task and notices the second run.

--- a/src/jobs/job_progress.hpp
+++ b/src/jobs/job_progress.hpp
@@ -53,8 +53,8 @@
     bool has_started = false;
     std::vector<task_place> done;
     // Tasks that are not done and may have been ordered to a worker: the
-    // leader starts no other ones before the store names them here. Any task
-    // may have been ordered if there is no list.
+    // leader starts no other ones before the store names them here, and none
+    // of a job without a row. Without this list any task may have been ordered.
     std::optional<std::vector<task_place>> ordered;
     std::map<task_place, task_history> histories;
 };
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -149,7 +149,6 @@
 {
     state_ = progress.state;
     has_started_ = progress.has_started;
-    first_set_ = recovered_set;
     names_ordered_tasks_ = progress.ordered.has_value();
     for (const auto& place :
          progress.ordered.value_or(std::vector<job_progress::task_place>{}))
@@ -195,7 +194,6 @@
     {
         return out;
     }
-    first_set_ = first_set_ == 0 ? number : first_set_;
     out.ordered.emplace();
     for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
     {
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -42,6 +42,12 @@
     bool is_announced = false;
     // Number of the change set that names it first; 0 for none.
     std::uint64_t named_in = 0;
+
+    // True if a later leader will know that the task may have been ordered.
+    bool may_be_ordered(std::uint64_t stored_set) const
+    {
+        return named_in > 0 && named_in <= stored_set;
+    }
 };
 
 struct step_record
@@ -114,15 +120,6 @@
 
     // The next row of the job names this task.
     void announce(const task_key& key) { task(key).is_announced = true; }
-    // True if a later leader will know that the task may have been ordered:
-    // the store names it, or has no row of the job, which names all tasks.
-    bool may_be_ordered(const task_record& task, std::uint64_t stored) const
-    {
-        const bool is_named = task.named_in > 0 && (task.named_in <= stored ||
-                                                    task.named_in == first_set_);
-        return first_set_ == 0 || is_named;
-    }
-
     // Marks the tasks that an earlier leader may have started.
     void doubt_ordered_tasks();
     // The same for one task, if it waits.
@@ -140,10 +137,9 @@
     job_state state_ = job_state::queued;
     bool has_started_ = false;
     std::uint32_t done_occurrences_ = 0;
-    // Number of the first change set with a row of this job; 0 before that.
-    std::uint64_t first_set_ = 0;
-    // The stored row names all tasks that may have been ordered.
-    bool names_ordered_tasks_ = false;
+    // The row that was found in the store names the tasks that may have been
+    // ordered. A job without a row has none.
+    bool names_ordered_tasks_ = true;
     std::vector<occurrence_record> occurrences_;
 };
 
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -95,6 +95,8 @@
                               lead_permission permission);
 
     bool has_changes() const;
+    // Tasks that have a place wait until changes are stored.
+    bool has_starts_waiting() const { return placer_.has_kept_places(); }
     change_set take_changes();
     // The set that was taken last is in the store.
     void on_changes_stored(time_point now);
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -64,6 +64,7 @@
         const bool is_gang = c.owner->definition().steps[c.step].is_gang;
         is_gang ? place_gang(c, now) : place_step(c, now);
     }
+    has_kept_places_ = !kept_places_.empty();
     for (const auto& [worker, key] : std::exchange(kept_places_, {}))
     {
         worker->erase_run(key);
@@ -160,7 +161,7 @@
                                   fleet_worker& worker, time_point now)
 {
     auto& task = owner.task(key);
-    if (owner.may_be_ordered(task, state_.stored_set))
+    if (task.may_be_ordered(state_.stored_set))
     {
         return true;
     }
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -27,6 +27,9 @@
     // Tasks that may start and found no room in the last pass.
     std::size_t tasks_without_room() const { return without_room_; }
 
+    // Tasks with a place wait until the store names them.
+    bool has_kept_places() const { return has_kept_places_; }
+
 private:
     // A step of one occurrence with waiting tasks.
     struct candidate
@@ -82,6 +85,7 @@
     std::vector<fleet_worker*> roomier_;
     // Places of tasks that wait until the store names them.
     std::vector<std::pair<fleet_worker*, task_key>> kept_places_;
+    bool has_kept_places_ = false;
     std::size_t without_room_ = 0;
     time_point moves_checked_at_{};
 };
--- a/src/node/leader_duty.hpp
+++ b/src/node/leader_duty.hpp
@@ -33,6 +33,8 @@
     duration read_timeout = std::chrono::milliseconds(1000);
     // Shortest time between two of the leader's transactions.
     duration flush_gap = std::chrono::milliseconds(20);
+    // The same while tasks that have a place wait for it.
+    duration urgent_flush_gap = std::chrono::milliseconds(12);
     // A transaction that only renews the lease.
     duration renewal = std::chrono::milliseconds(400);
     duration retry = std::chrono::milliseconds(120);
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -232,11 +232,14 @@
 template <row_store Store, worker_port Workers, worker_list List>
 void leader_duty<Store, Workers, List>::flush(time_point now)
 {
-    if (has_flight_ || to_retry_ || now - last_flush_ < options_.flush_gap)
+    const bool is_stable = begun_ && scheduler_ != nullptr;
+    const bool is_urgent = is_stable && scheduler_->has_starts_waiting();
+    const auto gap =
+        is_urgent ? options_.urgent_flush_gap : options_.flush_gap;
+    if (has_flight_ || to_retry_ || now - last_flush_ < gap)
     {
         return;
     }
-    const bool is_stable = begun_ && scheduler_ != nullptr;
     const bool has_changes = is_stable && scheduler_->has_changes();
     lead_.set_settled(is_stable && scheduler_->is_settled());
     if (is_leaving_)
--- a/tests/jobs/fleet_property_test.cpp
+++ b/tests/jobs/fleet_property_test.cpp
@@ -72,6 +72,11 @@
     EXPECT_TRUE(is_noticed(removed_safeguard::store_before_acknowledge));
 }
 
+TEST(jobs_fleet, orders_that_the_store_does_not_name_are_noticed)
+{
+    EXPECT_TRUE(is_noticed(removed_safeguard::name_before_order));
+}
+
 TEST(jobs_fleet, a_takeover_without_waiting_is_noticed)
 {
     EXPECT_TRUE(is_noticed(removed_safeguard::wait_for_unseen_workers));
--- a/tests/jobs/fleet_world.cpp
+++ b/tests/jobs/fleet_world.cpp
@@ -265,7 +265,7 @@
               {
                   for (const auto& [id, text] : changes.jobs)
                   {
-                      progress_rows_[id] = text;
+                      store_progress(id, text);
                   }
                   for (const auto& part : changes.fleet)
                   {
@@ -280,6 +280,16 @@
           });
 }
 
+void fleet_world::store_progress(const job_id& id, const std::string& text)
+{
+    auto progress = decode_progress(text).value_or(job_progress{});
+    if (removed_ == removed_safeguard::name_before_order && progress.ordered)
+    {
+        progress.ordered->clear();
+    }
+    progress_rows_[id] = encode_progress(progress);
+}
+
 void fleet_world::carry_out(const order& o)
 {
     if (const auto* const start = std::get_if<start_order>(&o))
--- a/tests/jobs/fleet_world.hpp
+++ b/tests/jobs/fleet_world.hpp
@@ -26,6 +26,8 @@
     none,
     // Results are acknowledged although the store has lost them.
     store_before_acknowledge,
+    // Rows of jobs do not name the tasks that may have been ordered.
+    name_before_order,
     // A new leader does not wait for workers that it has not seen.
     wait_for_unseen_workers,
     // Starts that are carried out late are not refused by their deadline.
@@ -62,6 +64,7 @@
     void lead();
     void kill_leader();
     void flush();
+    void store_progress(const job_id& id, const std::string& text);
     void carry_out(const order& o);
     void carry_out_start(const start_order& o, std::uint64_t epoch);
     void carry_out_stop(const stop_order& o, std::uint64_t epoch);
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -28,7 +28,11 @@
         definition.terms.service = service_id("s");
         definition.steps = {s};
         leader.set_services({{service_id("s"), {}}});
-        leader.recover_job(definition, std::nullopt);
+        // Both tasks may have been ordered.
+        job_progress progress;
+        progress.state = job_state::running;
+        progress.ordered = {{0, 0, 0}, {0, 0, 1}};
+        leader.recover_job(definition, progress);
     }
 
     worker_entry entry(const std::string& name) const
@@ -209,12 +213,16 @@
     progress.state = job_state::running;
     progress.ordered = {{0, 0, 1}};
     leader.recover_job(with_row, progress);
+    // It came in while nobody led.
+    auto without_row = definition;
+    without_row.id = job_id("n");
+    leader.recover_job(without_row, std::nullopt);
     leader.recover_fleet(
         {{worker_id("here"), std::nullopt}, {worker_id("gone"), std::nullopt}});
     leader.set_worker(entry("here"), now);
     leader.begin(now);
-    // Of "k" only the first one; all of "j", which has no row.
-    EXPECT_THAT(play(seconds(2)), testing::ElementsAre(0U));
+    // Of "k" only the first one, of "n" both, of "j" none.
+    EXPECT_THAT(play(seconds(2)), testing::ElementsAre(0U, 0U, 1U));
     EXPECT_THAT(play(seconds(16)), testing::ElementsAre(0U, 1U, 1U));
 }
 
