--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -116,8 +116,15 @@
 // estimates.
 std::vector<duration> chains_from(const std::vector<step>& steps);
 
+// Tasks of a job over all steps and occurrences. Each one is kept in memory by
+// the leader: without a bound, one submission could end every leader.
+constexpr std::uint64_t most_tasks_of_job = 20'000;
+
+// All tasks of the job, or a number above the bound.
+std::uint64_t count_tasks(const job& j);
+
 // Text for the store, and back; the reader returns nothing for text that is
-// not a job.
+// not a job, or a job with too many tasks.
 std::string encode_job(const job& j);
 std::optional<job> decode_job(const job_id& id, std::string_view text);
 
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -142,6 +142,21 @@
 
 } // namespace
 
+std::uint64_t count_tasks(const job& j)
+{
+    std::uint64_t sum = 0;
+    for (const auto& s : j.steps)
+    {
+        // Both factors are 32 bits wide, and the sum stays below 2^63.
+        sum += std::uint64_t{s.task_count} * j.repeats_count();
+        if (sum > most_tasks_of_job)
+        {
+            break;
+        }
+    }
+    return sum;
+}
+
 std::string encode_job(const job& j)
 {
     json::object out;
@@ -205,7 +220,11 @@
             }
         }
     }
-    return j.steps.empty() ? std::nullopt : std::optional(std::move(j));
+    if (j.steps.empty() || count_tasks(j) > most_tasks_of_job)
+    {
+        return std::nullopt;
+    }
+    return j;
 }
 
 } // namespace hemlockdeal::jobs
