Search each place once and among 500 workers; urgent tasks before lasting ones

Urgent tasks reserve processors for a second where lasting ones do for minutes; they went after them.

--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -29,6 +29,11 @@
 
 double worker_health::slowness_at(time_point now) const
 {
+    // Nearly all workers, for each of which this is asked several times.
+    if (slowness == 1.0)
+    {
+        return slowness;
+    }
     const double faded = std::chrono::duration<double>(now - slowness_seen_at) /
                          std::chrono::duration<double>(slowness_fades_in);
     return 1.0 + (slowness - 1.0) * std::max(0.0, 1.0 - faded);
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -33,9 +33,15 @@
 // after this time on all: loads and health change without an event.
 constexpr duration whole_search_interval = std::chrono::milliseconds(250);
 constexpr int little_progress_percent = 15;
+// A task weighs this many workers with room, and the next task the ones after
+// them: more make a place little better, and the search grows with the fleet.
+constexpr std::size_t enough_places = 500;
 
 enum order_group
 {
+    // Short tasks that reserve processors: they wait for little, and give their
+    // room back soon.
+    group_urgent,
     // Serving tasks earn by the time that they are at work.
     group_lasting,
     group_in_time,
@@ -53,6 +59,10 @@
 void task_placer::place(time_point now, std::chrono::milliseconds unix_now)
 {
     without_room_ = 0;
+    for (auto& [key, place] : kept_places_)
+    {
+        place.is_held = false;
+    }
     find_usable_workers(now);
     auto waiting = candidates(unix_now);
     std::ranges::sort(waiting, [](const candidate& a, const candidate& b) {
@@ -64,11 +74,18 @@
         const bool is_gang = c.owner->definition().steps[c.step].is_gang;
         is_gang ? place_gang(c, now) : place_step(c, now);
     }
-    has_kept_places_ = !kept_places_.empty();
-    for (const auto& [worker, key] : std::exchange(kept_places_, {}))
+    for (const auto& [key, place] : kept_places_)
     {
-        worker->erase_run(key);
+        if (place.is_held)
+        {
+            state_.find_worker(place.worker)->erase_run(key);
+        }
     }
+    // What found no place in this pass looks for another one.
+    std::erase_if(kept_places_, [](const auto& entry) {
+        return !entry.second.is_held;
+    });
+    has_kept_places_ = !kept_places_.empty();
 }
 
 std::vector<task_placer::candidate>
@@ -111,6 +128,10 @@
     {
         c.group = group_lasting;
     }
+    else if (!definition.steps[step].fills && unix_now <= c.latest_start)
+    {
+        c.group = group_urgent;
+    }
     else if (unix_now > begin + late_factor * target - left)
     {
         c.group = group_lost;
@@ -170,12 +191,27 @@
         owner.announce(key);
         state_.book.mark_changed(key.job);
     }
-    // Its place is kept for the rest of this pass.
+    // Others do not get its place meanwhile, and it is searched once only.
     worker.add_run(key, make_run(owner.step_of(key), 0, now));
-    kept_places_.emplace_back(&worker, key);
+    kept_places_[key] = {worker.entry.id, true};
     return false;
 }
 
+fleet_worker* task_placer::kept_place(const live_job& owner,
+                                      const task_key& key, time_point now)
+{
+    const auto kept = kept_places_.find(key);
+    if (kept == kept_places_.end())
+    {
+        return nullptr;
+    }
+    auto* const worker = state_.find_worker(kept->second.worker);
+    const bool is_good = worker != nullptr && is_usable(*worker, now) &&
+                         has_room(*worker, owner.step_of(key)) &&
+                         is_eligible(*worker, owner, key, now);
+    return is_good ? worker : nullptr;
+}
+
 void task_placer::place_step(const candidate& c, time_point now)
 {
     const auto& definition = c.owner->definition();
@@ -196,8 +232,11 @@
         {
             continue;
         }
-        auto* const worker =
-            has_room ? choose(workers, *c.owner, key, task, now) : nullptr;
+        auto* worker = kept_place(*c.owner, key, now);
+        if (worker == nullptr && has_room)
+        {
+            worker = choose(workers, *c.owner, key, task, now);
+        }
         if (worker == nullptr)
         {
             // The other tasks of the step are of the same size.
@@ -277,8 +316,11 @@
     for (std::uint32_t i = 0; i < count; ++i)
     {
         const task_key key{definition.id, c.occurrence, c.step, i};
-        auto* const worker =
-            choose(usable_, *c.owner, key, c.owner->task(key), now);
+        auto* worker = kept_place(*c.owner, key, now);
+        if (worker == nullptr)
+        {
+            worker = choose(usable_, *c.owner, key, c.owner->task(key), now);
+        }
         if (worker == nullptr)
         {
             break;
@@ -318,15 +360,25 @@
                                   const task_record& task, time_point now) const
 {
     const auto& s = owner.step_of(key);
+    const auto image = to_image(s.image);
+    // Workers of a rack are few among many; the others are much alike.
+    const std::size_t enough =
+        s.preferred_rack.empty() ? enough_places : workers.size();
+    if (workers.size() <= enough)
+    {
+        next_place_ = 0;
+    }
     fleet_worker* best = nullptr;
     double least = std::numeric_limits<double>::max();
-    for (auto* const worker : workers)
+    std::size_t weighed = 0;
+    for (std::size_t i = 0; i < workers.size() && weighed < enough; ++i)
     {
+        auto* const worker = workers[next_place_++ % workers.size()];
         if (!has_room(*worker, s))
         {
             continue;
         }
-        const double price = cost(*worker, s, task, now);
+        const double price = cost(*worker, s, image, task, now);
         const bool is_too_dear = s.fills && price > highest_fill_cost;
         // Last because it compares texts.
         if (price < least && !is_too_dear &&
@@ -335,6 +387,7 @@
             least = price;
             best = worker;
         }
+        weighed += best == nullptr ? 0 : 1;
     }
     return best;
 }
@@ -401,10 +454,9 @@
 }
 
 double task_placer::fill_cost(const fleet_worker& worker, const step& s,
-                              time_point now) const
+                              image_number image, time_point now) const
 {
     const auto& model = state_.interference;
-    const auto image = to_image(s.image);
     const auto size = static_cast<double>(s.size.processor_millis);
     const auto capacity = static_cast<double>(
         std::max<std::int64_t>(1, worker.entry.capacity.processor_millis));
@@ -426,9 +478,8 @@
 }
 
 double task_placer::serving_cost(const fleet_worker& worker,
-                                 const step& s) const
+                                 image_number image) const
 {
-    const auto image = to_image(s.image);
     double sum = 0.0;
     for (const auto& [key, run] : worker.runs())
     {
@@ -448,7 +499,8 @@
 }
 
 double task_placer::cost(const fleet_worker& worker, const step& s,
-                         const task_record& task, time_point now) const
+                         image_number image, const task_record& task,
+                         time_point now) const
 {
     double sum = weight_of_slowness * (worker.health.slowness_at(now) - 1.0);
     if (!s.preferred_rack.empty() && !has_label(worker.entry, s.preferred_rack))
@@ -461,7 +513,7 @@
     }
     if (s.fills)
     {
-        return sum + fill_cost(worker, s, now);
+        return sum + fill_cost(worker, s, image, now);
     }
     const auto& room = worker.entry.capacity;
     const auto demand = worker.room_used().processor_millis +
@@ -471,7 +523,7 @@
         static_cast<double>(std::max<std::int64_t>(room.processor_millis, 1));
     if (s.tail_target > duration{})
     {
-        return sum + serving_cost(worker, s) - load;
+        return sum + serving_cost(worker, image) - load;
     }
     return sum + load;
 }
@@ -526,7 +578,7 @@
     const auto* const better =
         choose(usable_, *owner, key, owner->task(key), now);
     return better != nullptr && better != &worker &&
-           fill_cost(*better, owner->step_of(key), now) < good_place;
+           fill_cost(*better, owner->step_of(key), run.image, now) < good_place;
 }
 
 void task_placer::order_start(live_job& owner, const task_key& key,
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -56,6 +57,9 @@
                          fleet_worker& worker, time_point now);
     void place_step(const candidate& c, time_point now);
     void place_gang(const candidate& c, time_point now);
+    // The place that the task kept, if it is still good, or null.
+    fleet_worker* kept_place(const live_job& owner, const task_key& key,
+                             time_point now);
     // The best of these workers, or null.
     fleet_worker* choose(const std::vector<fleet_worker*>& workers,
                          const live_job& owner, const task_key& key,
@@ -70,10 +74,10 @@
     bool should_move(const fleet_worker& worker, const task_key& key,
                      const run_record& run, time_point now);
     double fill_cost(const fleet_worker& worker, const step& s,
-                     time_point now) const;
-    double serving_cost(const fleet_worker& worker, const step& s) const;
+                     image_number image, time_point now) const;
+    double serving_cost(const fleet_worker& worker, image_number image) const;
     // Lower is better; in parts of the task's duration.
-    double cost(const fleet_worker& worker, const step& s,
+    double cost(const fleet_worker& worker, const step& s, image_number image,
                 const task_record& task, time_point now) const;
     void order_start(live_job& owner, const task_key& key, fleet_worker& worker,
                      std::uint32_t run, time_point now);
@@ -83,8 +87,16 @@
     std::vector<fleet_worker*> usable_;
     // Those of them that have gained room since the last pass.
     std::vector<fleet_worker*> roomier_;
+    struct kept_place_record
+    {
+        worker_id worker;
+        // In the ledger of the worker during this pass.
+        bool is_held = false;
+    };
     // Places of tasks that wait until the store names them.
-    std::vector<std::pair<fleet_worker*, task_key>> kept_places_;
+    std::map<task_key, kept_place_record> kept_places_;
+    // Where the next search begins.
+    mutable std::size_t next_place_ = 0;
     bool has_kept_places_ = false;
     std::size_t without_room_ = 0;
     time_point moves_checked_at_{};
