--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -62,6 +62,7 @@
     // Calls sent or waiting.
     std::size_t load() const;
     std::size_t connections_opened() const { return opened_; }
+    std::size_t connections() const { return connections_.size(); }
 
 private:
     friend class http_client_connection;
