--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -16,13 +16,6 @@
 // A job that finishes after this many times its target earns nothing.
 constexpr int late_factor = 3;
 
-// Weights of the cost of a place, in parts of the task's duration.
-constexpr double weight_of_rack = 4.0;
-constexpr double weight_of_failure = 3.0;
-constexpr double weight_of_slowness = 1.0;
-constexpr double weight_of_second = 0.2;
-constexpr double weight_of_neighbours = 0.1;
-constexpr double weight_of_image = 1.0;
 // A place with this cost lets a fill task run at full pace.
 constexpr double good_place = 0.8;
 // Beyond this a fill task waits: it would hardly run, and slow others down.
@@ -49,11 +42,6 @@
     group_lost
 };
 
-bool has_label(const worker_entry& entry, const std::string& label)
-{
-    return std::ranges::find(entry.labels, label) != entry.labels.end();
-}
-
 } // namespace
 
 void task_placer::place(time_point now, std::chrono::milliseconds unix_now)
@@ -378,7 +366,7 @@
         {
             continue;
         }
-        const double price = cost(*worker, s, image, task, now);
+        const double price = cost_.of(*worker, s, image, task, now);
         const bool is_too_dear = s.fills && price > highest_fill_cost;
         // Last because it compares texts.
         if (price < least && !is_too_dear &&
@@ -439,7 +427,7 @@
     {
         return false;
     }
-    if (!s.required_label.empty() && !has_label(worker.entry, s.required_label))
+    if (!s.required_label.empty() && !worker.entry.has_label(s.required_label))
     {
         return false;
     }
@@ -453,81 +441,6 @@
            worker.runs_of_step(key) < s.most_per_worker;
 }
 
-double task_placer::fill_cost(const fleet_worker& worker, const step& s,
-                              image_number image, time_point now) const
-{
-    const auto& model = state_.interference;
-    const auto size = static_cast<double>(s.size.processor_millis);
-    const auto capacity = static_cast<double>(
-        std::max<std::int64_t>(1, worker.entry.capacity.processor_millis));
-    // The part of the serving tasks' room for slowdown that the fill tasks
-    // would take together.
-    double pressed = 0.0;
-    for (const auto& serving : model.pressed_images(worker, now))
-    {
-        const double weight =
-            serving.weight + model.pressure(image, serving.image) * size;
-        pressed = std::max(pressed, weight / capacity / serving.room);
-    }
-    const double unused =
-        std::max(1.0, worker.likely_unused(state_.options.serving_use));
-    const double crowded =
-        (static_cast<double>(worker.fill_demand()) + size) / unused;
-    // The larger of the two says how much longer the task takes.
-    return std::max(pressed, crowded) + weight_of_second * (pressed + crowded);
-}
-
-double task_placer::serving_cost(const fleet_worker& worker,
-                                 image_number image) const
-{
-    double sum = 0.0;
-    for (const auto& [key, run] : worker.runs())
-    {
-        if (run.fills)
-        {
-            sum += state_.interference.pressure(run.image, image) *
-                   weight_of_neighbours;
-        }
-        // Tasks of one image bear the same fill tasks: together they leave
-        // other workers to fill tasks that press them.
-        if (run.is_serving())
-        {
-            sum += run.image == image ? -weight_of_image : weight_of_image;
-        }
-    }
-    return sum;
-}
-
-double task_placer::cost(const fleet_worker& worker, const step& s,
-                         image_number image, const task_record& task,
-                         time_point now) const
-{
-    double sum = weight_of_slowness * (worker.health.slowness_at(now) - 1.0);
-    if (!s.preferred_rack.empty() && !has_label(worker.entry, s.preferred_rack))
-    {
-        sum += weight_of_rack * (state_.options.far_factor - 1.0);
-    }
-    if (task.failed_on == worker.entry.id)
-    {
-        sum += weight_of_failure;
-    }
-    if (s.fills)
-    {
-        return sum + fill_cost(worker, s, image, now);
-    }
-    const auto& room = worker.entry.capacity;
-    const auto demand = worker.room_used().processor_millis +
-                        worker.fill_demand() + s.size.processor_millis;
-    const double load =
-        static_cast<double>(demand) /
-        static_cast<double>(std::max<std::int64_t>(room.processor_millis, 1));
-    if (s.tail_target > duration{})
-    {
-        return sum + serving_cost(worker, image) - load;
-    }
-    return sum + load;
-}
-
 void task_placer::move_slowed(time_point now)
 {
     if (now - moves_checked_at_ < move_interval)
@@ -578,7 +491,7 @@
     const auto* const better =
         choose(usable_, *owner, key, owner->task(key), now);
     return better != nullptr && better != &worker &&
-           fill_cost(*better, owner->step_of(key), run.image, now) < good_place;
+           cost_.of_fill(*better, owner->step_of(key), run.image, now) < good_place;
 }
 
 void task_placer::order_start(live_job& owner, const task_key& key,
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/place_cost.hpp"
 #include "jobs/scheduler_state.hpp"
 
 namespace hemlockdeal::jobs
@@ -16,7 +17,8 @@
 class task_placer
 {
 public:
-    explicit task_placer(scheduler_state& state) : state_(state) {}
+    explicit task_placer(scheduler_state& state) : state_(state), cost_(state)
+    {}
 
     // Orders a start for each task that may start and has room somewhere.
     void place(time_point now, std::chrono::milliseconds unix_now);
@@ -73,16 +75,11 @@
     bool has_room(const fleet_worker& worker, const step& s) const;
     bool should_move(const fleet_worker& worker, const task_key& key,
                      const run_record& run, time_point now);
-    double fill_cost(const fleet_worker& worker, const step& s,
-                     image_number image, time_point now) const;
-    double serving_cost(const fleet_worker& worker, image_number image) const;
-    // Lower is better; in parts of the task's duration.
-    double cost(const fleet_worker& worker, const step& s, image_number image,
-                const task_record& task, time_point now) const;
     void order_start(live_job& owner, const task_key& key, fleet_worker& worker,
                      std::uint32_t run, time_point now);
 
     scheduler_state& state_;
+    place_cost cost_;
     // Workers that take tasks in this pass.
     std::vector<fleet_worker*> usable_;
     // Those of them that have gained room since the last pass.
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -1,9 +1,11 @@
 // What workers say: their entry in the membership list, and their answers.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/core.hpp"
@@ -34,6 +36,11 @@
     std::vector<std::string> labels;
     worker_birth born = 0;
 
+    bool has_label(std::string_view label) const
+    {
+        return std::ranges::find(labels, label) != labels.end();
+    }
+
     friend bool operator==(const worker_entry&, const worker_entry&) = default;
 };
 
