--- a/tests/node/leader_duty_test.cpp
+++ b/tests/node/leader_duty_test.cpp
@@ -202,3 +202,83 @@
     play(a, seconds(6));
     EXPECT_EQ(workers.starts, until_then);
 }
+
+// Failure: a leader that was paused acts, when it wakes, on a permission that
+// has run out meanwhile, beside the leader that has followed it.
+TEST_F(leader_duty_test, a_leader_that_wakes_late_orders_nothing)
+{
+    for (const auto pause : {milliseconds(1300), milliseconds(2500),
+                             milliseconds(7000), milliseconds(30000)})
+    {
+        store = {};
+        workers = {};
+        store_job();
+        auto a = make("a");
+        a.set_services({{service_id("s"), {}}});
+        play(a, milliseconds(300));
+        ASSERT_TRUE(a.leads());
+        ASSERT_GT(workers.starts, 0U);
+        ASSERT_LT(workers.starts, 400U);
+        auto b = make("b");
+        b.set_services({{service_id("s"), {}}});
+        play(b, pause);
+        const auto orders = workers.starts;
+        // Until the store has said that it still leads, it starts nothing.
+        store.mood = store_mood::refuses;
+        a.tick();
+        clock.pass(milliseconds(200));
+        a.tick();
+        EXPECT_EQ(workers.starts, orders) << pause.count() << " ms";
+        store.mood = store_mood::answers;
+        play(a, milliseconds(300));
+        EXPECT_EQ(a.leads(), !b.leads()) << pause.count() << " ms";
+        if (b.leads())
+        {
+            EXPECT_EQ(workers.starts, orders) << pause.count() << " ms";
+        }
+    }
+}
+
+// Failure: one row that cannot be read ends the leader, starts its job anew,
+// or keeps the other jobs from being led.
+TEST_F(leader_duty_test, rows_that_cannot_be_read_harm_nobody_else)
+{
+    store_job();
+    const job_id broken("00000000000000ff");
+    jobs::job j;
+    j.id = broken;
+    j.terms.service = service_id("s");
+    j.steps = {jobs::step{}};
+    const auto put = [&](const std::string& table, const std::string& part,
+                         const std::string& key, const std::string& value) {
+        store.transact({part, {}, {{table, key, value}}, {}}, {},
+                       [](const transaction_outcome&) {});
+    };
+    put(inbox_table, inbox_part(broken), broken.value(), jobs::encode_job(j));
+    put(progress_table, lead_part, broken.value(), R"({"s":"later state"})");
+    const job_id odd("00000000000000fe");
+    put(inbox_table, inbox_part(odd), odd.value(), "\x01{");
+    put(learnt_table, lead_part, interference_key, "[7]");
+    auto a = make("a");
+    a.set_services({{service_id("s"), {}}});
+    play(a, milliseconds(600));
+    EXPECT_TRUE(a.leads());
+    EXPECT_GT(workers.starts, 0U);
+    EXPECT_FALSE(a.state_of(broken));
+    // Without the list any task may run anywhere, until all leases have ended.
+    store = {};
+    workers = {};
+    store_job();
+    jobs::job_progress ordered;
+    ordered.state = jobs::job_state::running;
+    ordered.ordered = {{0, 0, 0}};
+    put(progress_table, lead_part, "5c0e7a21d94b36f8",
+        jobs::encode_progress(ordered));
+    put(fleet_table, lead_part, fleet_key(3), "?");
+    auto b = make("b");
+    b.set_services({{service_id("s"), {}}});
+    play(b, seconds(4));
+    EXPECT_EQ(workers.starts, 499U);
+    play(b, seconds(14));
+    EXPECT_EQ(workers.starts, 500U);
+}
