--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -520,6 +520,7 @@
         }
     }
     std::vector<fleet_part> out;
+    out.reserve(parts.size());
     for (auto& [number, part] : parts)
     {
         out.push_back(std::move(part));
--- a/src/peer/peer_connection.cpp
+++ b/src/peer/peer_connection.cpp
@@ -1,7 +1,9 @@
 // The connection on which messages are sent to one peer.
 #include "peer/peer_connection.hpp"
 
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <cstring>
 #include <iterator>
 #include <utility>
@@ -17,8 +19,11 @@
 namespace
 {
 
+constexpr int failed_handshake = ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
+                                 ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
+                                 ZMQ_EVENT_HANDSHAKE_FAILED_AUTH;
 constexpr int client_events =
-    ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED;
+    ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED | failed_handshake;
 
 // A peer that restarts is reached again quickly, one that is gone for long
 // costs one attempt in 2 s.
@@ -86,7 +91,8 @@
                                  peer_address peer)
     : peer_(std::move(peer)), socket_(context, zmq::socket_type::dealer),
       monitor_(
-          make_monitor(context, socket_, unique_monitor_name(), client_events))
+          make_monitor(context, socket_, unique_monitor_name(), client_events)),
+      backoff_(first_reconnect)
 {
     apply_settings(socket_, own);
     socket_.set(zmq::sockopt::curve_serverkey, peer_.public_key);
@@ -95,7 +101,7 @@
     socket_.set(zmq::sockopt::immediate, true);
     socket_.set(zmq::sockopt::reconnect_ivl, count(first_reconnect));
     socket_.set(zmq::sockopt::reconnect_ivl_max, count(last_reconnect));
-    socket_.connect("tcp://" + peer_.address);
+    socket_.connect(endpoint());
 }
 
 bool peer_connection::send(const std::string& bytes)
@@ -110,8 +116,36 @@
     while (const auto event = take_event(monitor_))
     {
         connected_ = *event == ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
+        if (connected_)
+        {
+            retry_at_.reset();
+            backoff_ = first_reconnect;
+        }
+        if ((*event & failed_handshake) != 0)
+        {
+            retry_at_ = clock::now() + backoff_;
+            backoff_ = std::min(2 * backoff_, last_reconnect);
+        }
     }
     return connected_ == before ? std::nullopt : std::optional(connected_);
 }
 
+void peer_connection::retry()
+{
+    retry_at_.reset();
+    try
+    {
+        socket_.disconnect(endpoint());
+    }
+    catch (const zmq::error_t& fault)
+    {
+        // The failed handshake may have ended the connection already.
+        if (fault.num() != ENOENT)
+        {
+            throw;
+        }
+    }
+    socket_.connect(endpoint());
+}
+
 } // namespace hemlockdeal
--- a/src/peer/peer_connection.hpp
+++ b/src/peer/peer_connection.hpp
@@ -34,11 +34,22 @@
     // The new state when it has changed.
     std::optional<bool> take_state_change();
 
+    using clock = std::chrono::steady_clock;
+    // When to connect again after a handshake that failed: ZeroMQ itself does
+    // so only after a connection that broke, and a peer may learn this VM's
+    // key later than this VM starts.
+    std::optional<clock::time_point> retry_at() const { return retry_at_; }
+    void retry();
+
 private:
+    std::string endpoint() const { return "tcp://" + peer_.address; }
+
     peer_address peer_;
     zmq::socket_t socket_;
     zmq::socket_t monitor_;
     bool connected_ = false;
+    std::optional<clock::time_point> retry_at_;
+    std::chrono::milliseconds backoff_;
 };
 
 // Heartbeats, limits and own keys, alike for sockets of both directions.
--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -108,6 +108,10 @@
     void receive_one(std::vector<zmq::message_t>& frames);
     void report_failed_handshakes();
     void report_connections();
+    // Until the first connection whose handshake failed is tried again;
+    // negative without one.
+    std::chrono::milliseconds time_to_retry() const;
+    void retry_connections();
     void refuse(const std::string& reason);
 
     const peer_transport_settings settings_;
@@ -229,7 +233,7 @@
             return zmq::pollitem_t{entry.second->monitor().handle(), 0,
                                    ZMQ_POLLIN, 0};
         });
-    zmq::poll(items, std::chrono::milliseconds(-1));
+    zmq::poll(items, time_to_retry());
     if (items[0].revents != 0)
     {
         wake_.clear();
@@ -240,6 +244,36 @@
     receive();
     report_failed_handshakes();
     report_connections();
+    retry_connections();
+}
+
+std::chrono::milliseconds peer_transport::implementation::time_to_retry() const
+{
+    using std::chrono::milliseconds;
+    auto wait = milliseconds(-1);
+    for (const auto& [id, connection] : connections_)
+    {
+        if (const auto at = connection->retry_at())
+        {
+            const auto left = std::chrono::ceil<milliseconds>(
+                *at - peer_connection::clock::now());
+            const auto until = std::max(left, milliseconds(0));
+            wait = wait < milliseconds(0) ? until : std::min(wait, until);
+        }
+    }
+    return wait;
+}
+
+void peer_transport::implementation::retry_connections()
+{
+    const auto now = peer_connection::clock::now();
+    for (auto& [id, connection] : connections_)
+    {
+        if (connection->retry_at().value_or(now + std::chrono::hours(1)) <= now)
+        {
+            connection->retry();
+        }
+    }
 }
 
 void peer_transport::implementation::apply_changes()
--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -281,6 +281,22 @@
     EXPECT_TRUE(c.wait_for([](node& n) { return has_received(n, 1); }));
 }
 
+// Failure: a daemon that starts before a peer has learnt its key is refused
+// once and never connects to that peer again.
+TEST_F(transport_test, peer_that_learns_the_key_late_is_connected)
+{
+    introduce();
+    node c{"c"};
+    c.start({b.contact()});
+    EXPECT_FALSE(c.wait_for(
+        [](node& n) { return n.connected.contains("b") && n.connected["b"]; },
+        milliseconds(500)));
+    b.transport->add_peer(c.contact());
+    ASSERT_TRUE(c.wait_for_connection("b", true));
+    ASSERT_TRUE(c.transport->send(vm_id("b"), message_of("c", 1)));
+    EXPECT_TRUE(b.wait_for([](node& n) { return has_received(n, 1); }));
+}
+
 // Failure: a daemon with a key that nobody knows takes part.
 TEST_F(transport_test, unknown_key_is_refused)
 {
