--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -65,8 +65,7 @@
     json::array out;
     for (const auto& [step, indices] : steps)
     {
-        out.push_back(
-            json::array{step.first, step.second, to_digits(indices)});
+        out.push_back(json::array{step.first, step.second, to_digits(indices)});
     }
     return out;
 }
--- a/src/jobs/look_planner.cpp
+++ b/src/jobs/look_planner.cpp
@@ -62,7 +62,8 @@
                                        state_.options.longest_lease);
         worker.note_deadline(*look.deadline);
     }
-    const bool may_wait = !permission.must_see_all && worker.knows_clock() && !worker.has_unstored_ends() &&
+    const bool may_wait = !permission.must_see_all && worker.knows_clock() &&
+                          !worker.has_unstored_ends() &&
                           worker.failed_looks == 0 && !worker.runs().empty();
     if (may_wait)
     {
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -391,8 +391,8 @@
     return std::exchange(state_.orders, {});
 }
 
-look_permission
-scheduler::look_permission_for(time_point now, lead_permission permission)
+look_permission scheduler::look_permission_for(time_point now,
+                                               lead_permission permission)
 {
     if (permission.lead_is_valid)
     {
@@ -408,8 +408,8 @@
 
 bool scheduler::reaches_most_workers(time_point now) const
 {
-    const auto reached = std::ranges::count_if(
-        state_.fleet, [&](const auto& entry) {
+    const auto reached =
+        std::ranges::count_if(state_.fleet, [&](const auto& entry) {
             const auto& contact = entry.second.contact_at;
             return contact && now - *contact < state_.options.holding_contact;
         });
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -70,9 +70,8 @@
         }
     }
     // What found no place in this pass looks for another one.
-    std::erase_if(kept_places_, [](const auto& entry) {
-        return !entry.second.is_held;
-    });
+    std::erase_if(kept_places_,
+                  [](const auto& entry) { return !entry.second.is_held; });
     has_kept_places_ = !kept_places_.empty();
 }
 
@@ -491,7 +490,8 @@
     const auto* const better =
         choose(usable_, *owner, key, owner->task(key), now);
     return better != nullptr && better != &worker &&
-           cost_.of_fill(*better, owner->step_of(key), run.image, now) < good_place;
+           cost_.of_fill(*better, owner->step_of(key), run.image, now) <
+               good_place;
 }
 
 void task_placer::order_start(live_job& owner, const task_key& key,
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_duty.ipp
@@ -234,8 +234,7 @@
 {
     const bool is_stable = begun_ && scheduler_ != nullptr;
     const bool is_urgent = is_stable && scheduler_->has_starts_waiting();
-    const auto gap =
-        is_urgent ? options_.urgent_flush_gap : options_.flush_gap;
+    const auto gap = is_urgent ? options_.urgent_flush_gap : options_.flush_gap;
     if (has_flight_ || to_retry_ || now - last_flush_ < gap)
     {
         return;
@@ -290,9 +289,9 @@
     }
     for (const auto& part : changes.fleet)
     {
-        f.t.writes.push_back({fleet_table, fleet_key(part.number),
-                              jobs::encode_fleet(
-                                  part.workers, options_.scheduler.row_limit)});
+        f.t.writes.push_back(
+            {fleet_table, fleet_key(part.number),
+             jobs::encode_fleet(part.workers, options_.scheduler.row_limit)});
     }
 }
 
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -96,11 +96,11 @@
         report.born = 1;
         report.clock =
             std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
-        std::ranges::copy_if(
-            running, std::back_inserter(report.running),
-            [&](const running_task& r) {
-                return !answers_all || ran_on[r.task] == look->worker;
-            });
+        std::ranges::copy_if(running, std::back_inserter(report.running),
+                             [&](const running_task& r) {
+                                 return !answers_all ||
+                                        ran_on[r.task] == look->worker;
+                             });
         leader.on_report(look->worker, report, now, now);
     }
 
@@ -283,10 +283,9 @@
     leader.decide(now, milliseconds(0),
                   {.may_start = false, .may_prolong = false});
     const auto changes = leader.take_changes();
-    EXPECT_THAT(
-        changes.fleet,
-        testing::ElementsAre(fleet_part{
-            fleet_part_of(here), {{here, std::vector{key(0), key(1)}}}}));
+    EXPECT_THAT(changes.fleet, testing::ElementsAre(fleet_part{
+                                   fleet_part_of(here),
+                                   {{here, std::vector{key(0), key(1)}}}}));
     leader.on_changes_stored(now);
     // It answers again, and is recorded as open before anything starts there.
     jobs::worker_report report;
