Add no fill task beside a serving task that was over its target

A worker takes no fill task for 0.9 s after a serving task was seen over its target.

Test: scheduler_test.no_fill_task_is_added_beside_a_task_over_its_target.

--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -111,6 +111,8 @@
     // A list that names it is on its way there.
     bool is_being_recorded = false;
     worker_health health;
+    // When a serving task was last seen over its target.
+    time_point over_target_at{};
     // The worker refused a task for want of room that it seemed to have.
     time_point full_until{};
 
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -296,9 +296,10 @@
     {
         run.over_since.reset();
     }
-    else if (!run.over_since)
+    else
     {
-        run.over_since = now;
+        run.over_since = run.over_since.value_or(now);
+        worker.over_target_at = now;
     }
     if (shown.percent != run.percent || shown.checkpoint != run.checkpoint)
     {
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -29,6 +29,9 @@
 // A task weighs this many workers with room, and the next task the ones after
 // them: more make a place little better, and the search grows with the fleet.
 constexpr std::size_t enough_places = 500;
+// No fill task is added beside a serving task that was over its target within
+// this time, about two reports: each one works at full pace until it is paced.
+constexpr duration over_target_pause = std::chrono::milliseconds(900);
 
 enum order_group
 {
@@ -194,7 +197,7 @@
     }
     auto* const worker = state_.find_worker(kept->second.worker);
     const bool is_good = worker != nullptr && is_usable(*worker, now) &&
-                         has_room(*worker, owner.step_of(key)) &&
+                         takes(*worker, owner.step_of(key), now) &&
                          is_eligible(*worker, owner, key, now);
     return is_good ? worker : nullptr;
 }
@@ -361,7 +364,7 @@
     for (std::size_t i = 0; i < workers.size() && weighed < enough; ++i)
     {
         auto* const worker = workers[next_place_++ % workers.size()];
-        if (!has_room(*worker, s))
+        if (!takes(*worker, s, now))
         {
             continue;
         }
@@ -379,6 +382,14 @@
     return best;
 }
 
+bool task_placer::takes(const fleet_worker& worker, const step& s,
+                        time_point now) const
+{
+    const bool is_pressed =
+        s.fills && now - worker.over_target_at < over_target_pause;
+    return !is_pressed && has_room(worker, s);
+}
+
 bool task_placer::has_room(const fleet_worker& worker, const step& s) const
 {
     const auto& used = worker.room_used();
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -73,6 +73,8 @@
     bool fits(const fleet_worker& worker, const live_job& owner,
               const task_key& key) const;
     bool has_room(const fleet_worker& worker, const step& s) const;
+    // True if the step's tasks may be added to the worker now.
+    bool takes(const fleet_worker& worker, const step& s, time_point now) const;
     bool should_move(const fleet_worker& worker, const task_key& key,
                      const run_record& run, time_point now);
     void order_start(live_job& owner, const task_key& key, fleet_worker& worker,
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -310,6 +310,28 @@
     EXPECT_EQ(of<start_order>(due).size(), 1U);
 }
 
+// Failure: fill tasks are added beside a serving task that is over its target,
+// each at full pace until the next report, and it stays over (HARM, a quiet
+// day of the further-grown site).
+TEST_F(scheduler_test, no_fill_task_is_added_beside_a_task_over_its_target)
+{
+    add_worker("a");
+    leader.begin(now);
+    auto serving = short_step(1);
+    serving.is_lasting = true;
+    serving.tail_target = milliseconds(18);
+    leader.add_job(make_job("serving", serving));
+    ASSERT_EQ(of<start_order>(settle()).size(), 1U);
+    running[worker_id("a")].front().figure = 30;
+    settle(seconds(2));
+    auto fill = short_step(2);
+    fill.fills = true;
+    leader.add_job(make_job("fill", fill));
+    EXPECT_TRUE(of<start_order>(settle(seconds(2))).empty());
+    running[worker_id("a")].front().figure = 4;
+    EXPECT_EQ(of<start_order>(settle(seconds(4))).size(), 2U);
+}
+
 // Failure: a VM whose lead is in doubt starts tasks.
 TEST_F(scheduler_test, nothing_starts_while_the_lead_is_in_doubt)
 {
