Place fill tasks by the shortest remaining path within their group

Change: the position of a waiting step is a unit of its own (placing_order); fill tasks rank by the remaining path.

--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-// A job that finishes later than this multiple of its target earns nothing.
-constexpr int expiry_factor = 3;
-
 // Below this cost a fill task is expected to run at full pace.
 constexpr double full_pace_cost = 0.8;
 // Above this cost a fill task stays waiting: it would make little progress and
@@ -39,18 +36,6 @@
 // full pace until the pacer reacts.
 constexpr duration over_target_pause = std::chrono::milliseconds(900);
 
-enum priority_group
-{
-    // Short tasks with reserved processors: they wait for few resources and
-    // release them soon.
-    group_urgent,
-    // Serving tasks earn in proportion to the time that they are in service.
-    group_long_running,
-    group_on_time,
-    group_late,
-    group_expired
-};
-
 } // namespace
 
 void task_placer::place(time_point now, std::chrono::milliseconds unix_now)
@@ -62,10 +47,7 @@
     }
     find_usable_workers(now);
     auto waiting = candidates(unix_now);
-    std::ranges::sort(waiting, [](const candidate& a, const candidate& b) {
-        return std::tie(a.group, a.latest_start) <
-               std::tie(b.group, b.latest_start);
-    });
+    std::ranges::sort(waiting, {}, &candidate::position);
     for (const auto& c : waiting)
     {
         const bool is_gang = c.owner->definition().steps[c.step].is_gang;
@@ -99,7 +81,9 @@
             {
                 if (steps[s].waiting > 0 && owner->is_open(k, s, unix_now))
                 {
-                    out.push_back(make_candidate(*owner, k, s, unix_now));
+                    out.push_back(
+                        {owner.get(), k, s,
+                         placing_position_of(*owner, k, s, unix_now)});
                 }
             }
         }
@@ -107,42 +91,6 @@
     return out;
 }
 
-task_placer::candidate
-task_placer::make_candidate(live_job& owner, std::uint32_t occurrence,
-                            std::uint32_t step,
-                            std::chrono::milliseconds unix_now) const
-{
-    const auto& definition = owner.definition();
-    const auto begin = definition.repeats.count > 0
-                           ? owner.occurrences()[occurrence].due
-                           : definition.accepted_at;
-    const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
-        owner.critical_path() * definition.policy.stretch +
-        definition.policy.slack);
-    const auto remaining =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            owner.critical_path_from(step));
-    candidate c{&owner, occurrence, step, group_on_time,
-                begin + target - remaining};
-    if (definition.steps[step].is_long_running)
-    {
-        c.group = group_long_running;
-    }
-    else if (!definition.steps[step].fills && unix_now <= c.latest_start)
-    {
-        c.group = group_urgent;
-    }
-    else if (unix_now > begin + expiry_factor * target - remaining)
-    {
-        c.group = group_expired;
-    }
-    else if (unix_now > c.latest_start)
-    {
-        c.group = group_late;
-    }
-    return c;
-}
-
 bool task_placer::is_usable(const fleet_worker& worker, time_point now) const
 {
     const bool is_open = !worker.is_unlisted && !worker.entry.is_leaving &&
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "jobs/place_cost.hpp"
+#include "jobs/placing_order.hpp"
 #include "jobs/scheduler_state.hpp"
 
 namespace hemlockdeal::jobs
@@ -42,15 +43,10 @@
         live_job* owner = nullptr;
         std::uint32_t occurrence = 0;
         std::uint32_t step = 0;
-        // A priority_group; lower values are placed first.
-        int group = 0;
-        std::chrono::milliseconds latest_start{};
+        placing_position position;
     };
 
     std::vector<candidate> candidates(std::chrono::milliseconds unix_now) const;
-    candidate make_candidate(live_job& owner, std::uint32_t occurrence,
-                             std::uint32_t step,
-                             std::chrono::milliseconds unix_now) const;
     void find_usable_workers(time_point now);
     bool is_usable(const fleet_worker& worker, time_point now) const;
 
