Suspend fill tasks by measured tails only, in place of pacing by the model

Change: all fill tasks of a worker are suspended once a serving task is over its target for half of the platform's bound on harm (read from the settings; 4 s by default), and resume when it is not. A new leader counts a quarter of the bound as passed. The pacer's model, its alarm and the forecast it used are removed.

Faults found on the way, each with a test that fails on the old code: a fill task that was suspended stayed so for good when the serving task left the worker, and after a takeover (the new leader took its pace to be full).

Test changed: the bound of 1.1 s was the old constant; the test states the new limit, half of the harm limit.

--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -127,6 +127,7 @@
 {
     fill_demand_ -= run.fills ? demand_at_pace(run) : 0;
     run.pace = percent;
+    run.is_adopted = false;
     fill_demand_ += run.fills ? demand_at_pace(run) : 0;
     cached_pressures.is_stale = true;
     has_freed_capacity_ = true;
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -69,6 +69,9 @@
     // target.
     std::optional<time_point> over_since;
     int pace = 100;
+    // Found on the worker by a new leader, which knows neither the pace nor
+    // since when a serving task has been above its target.
+    bool is_adopted = false;
     // Since when the pace has been below the threshold for a slowed run.
     std::optional<time_point> slowed_since;
     // When the run was started or its pace last changed.
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -275,6 +275,7 @@
     const step unknown_step;
     const auto& step = is_known ? owner->step_of(reported.task) : unknown_step;
     auto adopted = make_run(step, reported.run, now);
+    adopted.is_adopted = true;
     if (!is_known)
     {
         // The job is over and the size of the run is unknown, so nothing is
@@ -304,9 +305,13 @@
     }
     else
     {
-        run.over_since = run.over_since.value_or(now);
+        // The earlier leader may have waited for part of the limit already.
+        const auto earlier =
+            run.is_adopted ? state_.options.harm_limit / 4 : duration{};
+        run.over_since = run.over_since.value_or(now - earlier);
         worker.over_target_at = now;
     }
+    run.is_adopted = run.is_adopted && run.fills;
     if (reported.percent != run.percent ||
         reported.checkpoint != run.checkpoint)
     {
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 scheduler::scheduler(scheduler_options options, std::uint64_t epoch)
-    : intake_(state_), placer_(state_), polls_(state_), pacer_(state_),
+    : intake_(state_), placer_(state_), polls_(state_), suspender_(state_),
       speeds_(state_)
 {
     state_.options = options;
@@ -210,7 +210,7 @@
     worker->poll_sent_at.reset();
     intake_.on_report(*worker, report, sent_at, now);
     state_.interference.learn(*worker, now);
-    pacer_.adjust(*worker, now);
+    suspender_.adjust(*worker, now);
     speeds_.observe(*worker, now);
     speeds_.offload(*worker, now);
     worker->next_poll = now + (worker->has_unstored_ends()
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -10,12 +10,12 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/fill_suspender.hpp"
 #include "jobs/fleet_record.hpp"
 #include "jobs/poll_planner.hpp"
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
 #include "jobs/speed_monitor.hpp"
-#include "jobs/tail_pacer.hpp"
 #include "jobs/task_placer.hpp"
 
 namespace hemlockdeal::jobs
@@ -159,7 +159,7 @@
     report_intake intake_;
     task_placer placer_;
     poll_planner polls_;
-    tail_pacer pacer_;
+    fill_suspender suspender_;
     speed_monitor speeds_;
     // Workers that have not been seen and on which an earlier leader may have
     // started tasks, with the tasks that may run there if these are known.
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -7,6 +7,10 @@
 namespace hemlockdeal::jobs
 {
 
+// Reports lag by up to a second, and a suspension takes effect after a call, so
+// that fill tasks are suspended after this fraction of the time limit.
+constexpr int harm_margin = 2;
+
 struct scheduler_options
 {
     // Longest lease that a worker grants.
@@ -51,6 +55,9 @@
     duration due_margin = std::chrono::milliseconds(50);
     // Factor by which a task takes longer outside its preferred rack.
     double far_factor = 2.0;
+    // Longest time for which fill tasks may keep a serving task above its tail
+    // latency target.
+    duration harm_limit = std::chrono::milliseconds(4000);
     // A fill task that has been slowed for this long may be moved.
     duration slowed_limit = std::chrono::milliseconds(700);
     // Fill tasks may demand up to this multiple of the processors that are
