Place fill tasks by the harm that they add, with a bounded load forecast

But the cost was the highest use of headroom by all fill tasks together: one task with a high pressure kept every harmless one off its worker, 86270's workers stood empty beside 400 waiting tasks. And a rising load was extrapolated far above its turning point.

Change: the cost counts the serving tasks that the new task alone is expected to move above their targets, by job, since tasks of one job share their load. The forecast is a unit of its own (load_forecast).

--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -23,15 +23,15 @@
 
 image_hash to_image_hash(const std::string& name);
 
-// Combined effect of the fill tasks of a worker on its serving tasks of one
-// image.
+// Combined effect of the fill tasks of a worker on the serving tasks there that
+// have the same job and image.
 struct serving_pressure
 {
     image_hash image{};
+    std::size_t tasks = 0;
     // Sum of pressure times processor millis over the worker's fill tasks.
     double weight = 0.0;
-    // Slowdown beyond 1 that the serving task with the least headroom tolerates
-    // at its expected load.
+    // Slowdown beyond 1 that the tasks tolerate at their likely peak load.
     double headroom = 0.0;
 };
 
@@ -212,7 +212,7 @@
     // Filled by interference_model::serving_pressures().
     struct pressure_cache
     {
-        std::vector<serving_pressure> images;
+        std::vector<serving_pressure> entries;
         time_point made_at{};
         bool is_stale = true;
     };
--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -11,13 +11,6 @@
 namespace
 {
 
-constexpr double default_load = 0.5;
-constexpr double min_load = 0.1;
-constexpr double max_load = 0.9;
-constexpr double max_slope_per_s = 0.15;
-// Approximate run time of a fill task that starts now.
-constexpr double typical_fill_time_s = 2.0;
-constexpr duration load_window = std::chrono::milliseconds(800);
 constexpr duration solve_interval = std::chrono::milliseconds(500);
 // Above this utilisation the tail latency shows only that the task is
 // overloaded.
@@ -35,8 +28,6 @@
 constexpr double min_headroom = 0.02;
 constexpr double full_pace = 100.0;
 constexpr duration max_pressure_cache_age = std::chrono::milliseconds(300);
-// Medians are requested several times for each report.
-constexpr duration max_median_cache_age = std::chrono::milliseconds(60);
 
 bool has_valid_measurement(const run_record& run, time_point now)
 {
@@ -71,36 +62,40 @@
     auto& cache = worker.cached_pressures;
     if (!cache.is_stale && now - cache.made_at < max_pressure_cache_age)
     {
-        return cache.images;
+        return cache.entries;
     }
-    cache.images.clear();
+    cache.entries.clear();
+    const task_key* previous = nullptr;
     for (const auto& [key, run] : worker.runs())
     {
-        if (run.is_serving())
+        if (!run.is_serving())
         {
-            add_serving_pressure(worker, key, run, now, cache.images);
+            continue;
         }
+        // Runs are ordered by job, and tasks of one job and image have the
+        // same load and pressure.
+        const bool is_same = previous != nullptr && previous->job == key.job &&
+                             cache.entries.back().image == run.image;
+        previous = &key;
+        if (is_same)
+        {
+            ++cache.entries.back().tasks;
+            continue;
+        }
+        cache.entries.push_back(serving_pressure_of(worker, key.job, run, now));
     }
     cache.made_at = now;
     cache.is_stale = false;
-    return cache.images;
+    return cache.entries;
 }
 
-void interference_model::add_serving_pressure(
-    const fleet_worker& worker, const task_key& key, const run_record& serving,
-    time_point now, std::vector<serving_pressure>& images) const
+serving_pressure interference_model::serving_pressure_of(
+    const fleet_worker& worker, const job_id& job, const run_record& serving,
+    time_point now) const
 {
-    const double load = peak_load(key.job, now);
+    const double limit = planned_fraction * utilisation_limit(serving);
     const double headroom =
-        std::max(planned_fraction * utilisation_limit(serving) / load - 1.0,
-                 min_headroom);
-    const auto known =
-        std::ranges::find(images, serving.image, &serving_pressure::image);
-    if (known != images.end())
-    {
-        known->headroom = std::min(known->headroom, headroom);
-        return;
-    }
+        std::max(limit / loads_.peak(job, now) - 1.0, min_headroom);
     double weight = 0.0;
     for (const auto& [other, run] : worker.runs())
     {
@@ -110,7 +105,7 @@
                             run.pace / full_pace
                       : 0.0;
     }
-    images.push_back({serving.image, weight, headroom});
+    return {serving.image, 1, weight, headroom};
 }
 
 double interference_model::base_tail(const run_record& serving) const
@@ -129,7 +124,8 @@
 {
     const auto target =
         std::chrono::duration<double, std::milli>(serving.tail_target).count();
-    return std::clamp(1.0 - base_tail(serving) / target, min_load, max_load);
+    return std::clamp(1.0 - base_tail(serving) / target,
+                      load_forecast::min_load, load_forecast::max_load);
 }
 
 double interference_model::slowdown(const fleet_worker& worker,
@@ -179,9 +175,9 @@
     const double expected = slowdown(worker, serving);
     if (utilisation < saturated_utilisation)
     {
-        observe_load(job, utilisation / expected, now);
+        loads_.observe(job, utilisation / expected, now);
     }
-    const double observed = utilisation / median_load(job, now) - 1.0;
+    const double observed = utilisation / loads_.median(job, now) - 1.0;
     // An overloaded task yields only a lower bound of the slowdown.
     if (utilisation >= saturated_utilisation && expected - 1.0 > observed)
     {
@@ -202,83 +198,4 @@
     }
 }
 
-void interference_model::observe_load(const job_id& job, double load,
-                                      time_point now)
-{
-    auto& known = loads_[job];
-    load = std::clamp(load, min_load, max_load);
-    known.recent.push_back({now, load});
-    while (known.recent.front().at < now - 2 * load_window)
-    {
-        known.recent.pop_front();
-    }
-}
-
-double interference_model::median_between(const job_load& known,
-                                          time_point from, time_point to)
-{
-    std::vector<double> loads;
-    for (const auto& estimate : known.recent)
-    {
-        if (estimate.at > from && estimate.at <= to)
-        {
-            loads.push_back(estimate.load);
-        }
-    }
-    if (loads.empty())
-    {
-        return 0.0;
-    }
-    const auto middle =
-        loads.begin() + static_cast<std::ptrdiff_t>(loads.size() / 2);
-    std::ranges::nth_element(loads, middle);
-    return *middle;
-}
-
-const interference_model::job_load*
-interference_model::refreshed_load(const job_id& job, time_point now) const
-{
-    const auto found = loads_.find(job);
-    if (found == loads_.end())
-    {
-        return nullptr;
-    }
-    const auto& known = found->second;
-    if (now - known.medians_at >= max_median_cache_age)
-    {
-        known.median = median_between(known, now - load_window, now);
-        known.previous_median =
-            median_between(known, now - 2 * load_window, now - load_window);
-        known.medians_at = now;
-    }
-    return &known;
-}
-
-double interference_model::median_load(const job_id& job, time_point now) const
-{
-    const auto* const known = refreshed_load(job, now);
-    return known == nullptr || known->median <= 0.0 ? default_load
-                                                    : known->median;
-}
-
-double interference_model::slope_per_s(const job_id& job, time_point now) const
-{
-    const auto* const known = refreshed_load(job, now);
-    if (known == nullptr || known->median <= 0.0 ||
-        known->previous_median <= 0.0)
-    {
-        return 0.0;
-    }
-    const double seconds = std::chrono::duration<double>(load_window).count();
-    return std::clamp((known->median - known->previous_median) / seconds,
-                      -max_slope_per_s, max_slope_per_s);
-}
-
-double interference_model::peak_load(const job_id& job, time_point now) const
-{
-    const double rise =
-        std::max(0.0, slope_per_s(job, now)) * typical_fill_time_s;
-    return std::clamp(median_load(job, now) + rise, min_load, max_load);
-}
-
 } // namespace hemlockdeal::jobs
--- a/src/jobs/place_cost.cpp
+++ b/src/jobs/place_cost.cpp
@@ -13,9 +13,26 @@
 constexpr double rack_weight = 4.0;
 constexpr double failure_weight = 3.0;
 constexpr double slowness_weight = 1.0;
-constexpr double secondary_weight = 0.2;
+// A serving task above its target costs as much as the fill task gains.
+constexpr double harm_weight = 1.0;
+constexpr double headroom_weight = 0.2;
+// Beyond this the tasks are far above their targets and a higher use says
+// nothing.
+constexpr double max_headroom_use = 3.0;
 constexpr double neighbour_weight = 0.1;
 constexpr double image_weight = 1.0;
+
+// Likelihood that a serving task is above its target, by the share of its
+// headroom that fill tasks use: load and pressure are estimates.
+double over_target_share(double headroom_use)
+{
+    constexpr double surely_below = 0.7;
+    constexpr double surely_above = 1.3;
+    return std::clamp((headroom_use - surely_below) /
+                          (surely_above - surely_below),
+                      0.0, 1.0);
+}
+
 } // namespace
 
 double place_cost::fill_cost(const fleet_worker& worker, const step& s,
@@ -25,23 +42,26 @@
     const auto size = static_cast<double>(s.size.processor_millis);
     const auto capacity = static_cast<double>(
         std::max<std::int64_t>(1, worker.entry.capacity.processor_millis));
-    // Highest share of a serving task's slowdown headroom that the fill tasks
-    // would use together.
-    double pressure_cost = 0.0;
+    // Number of serving tasks that this fill task is expected to move above
+    // their targets.
+    double harmed = 0.0;
+    double highest_use = 0.0;
     for (const auto& serving : model.serving_pressures(worker, now))
     {
-        const double weight =
-            serving.weight + model.pressure(image, serving.image) * size;
-        pressure_cost =
-            std::max(pressure_cost, weight / capacity / serving.headroom);
+        const double before = serving.weight / capacity / serving.headroom;
+        const double added = model.pressure(image, serving.image) * size /
+                             capacity / serving.headroom;
+        harmed +=
+            static_cast<double>(serving.tasks) *
+            (over_target_share(before + added) - over_target_share(before));
+        highest_use = std::max(highest_use, before + added);
     }
     const double unused = std::max(
         1.0, worker.expected_unused_processors(state_.options.serving_use));
-    const double contention_cost =
+    const double contention =
         (static_cast<double>(worker.fill_demand()) + size) / unused;
-    // The larger term determines how much longer the task takes.
-    return std::max(pressure_cost, contention_cost) +
-           secondary_weight * (pressure_cost + contention_cost);
+    return contention + harm_weight * harmed +
+           headroom_weight * std::min(highest_use, max_headroom_use);
 }
 
 double place_cost::serving_cost(const fleet_worker& worker,
--- a/src/jobs/place_cost.hpp
+++ b/src/jobs/place_cost.hpp
@@ -14,8 +14,10 @@
 
     double total(const fleet_worker& worker, const step& s, image_hash image,
                  const task_record& task, time_point now) const;
-    // Relative increase of a fill task's duration that the other runs on the
-    // worker cause.
+    // Increase of a fill task's duration by contention, and the harm that it
+    // adds to the serving tasks on the worker. Harm that other fill tasks do
+    // already doesn't count: one fill task with high pressure would otherwise
+    // keep those without any pressure off the worker.
     double fill_cost(const fleet_worker& worker, const step& s,
                      image_hash image, time_point now) const;
 
