Leave workers that suit many fill images to those that need them

Change: workers are compared by a further term, the highest mean pressure on the serving images there.

--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -46,13 +46,22 @@
 
 } // namespace
 
-double interference_model::pressure(image_hash fill_image,
-                                    image_hash serving_image) const
+const pressure_fit& interference_model::fit_of(image_hash serving_image) const
 {
     static const pressure_fit unknown;
     const auto found = fits_.find(serving_image);
-    return (found == fits_.end() ? unknown : found->second)
-        .pressure(fill_image);
+    return found == fits_.end() ? unknown : found->second;
+}
+
+double interference_model::pressure(image_hash fill_image,
+                                    image_hash serving_image) const
+{
+    return fit_of(serving_image).pressure(fill_image);
+}
+
+double interference_model::mean_pressure(image_hash serving_image) const
+{
+    return fit_of(serving_image).mean_pressure();
 }
 
 const std::vector<serving_pressure>&
--- a/src/jobs/interference_model.hpp
+++ b/src/jobs/interference_model.hpp
@@ -36,6 +36,9 @@
     // processors that the fill image uses.
     double pressure(image_hash fill_image, image_hash serving_image) const;
 
+    // Mean pressure of all fill images on the serving image.
+    double mean_pressure(image_hash serving_image) const;
+
     // The serving tasks on a worker, by job and image, with the present effect
     // of its fill tasks on them. The result is cached for a short time.
     const std::vector<serving_pressure>&
@@ -49,6 +52,7 @@
     double utilisation_limit(const run_record& serving) const;
 
 private:
+    const pressure_fit& fit_of(image_hash serving_image) const;
     // Omits pressures below the floor.
     std::string encode_above(double floor) const;
     serving_pressure serving_pressure_of(const fleet_worker& worker,
--- a/src/jobs/place_cost.cpp
+++ b/src/jobs/place_cost.cpp
@@ -15,6 +15,9 @@
 constexpr double slowness_weight = 1.0;
 // A serving task above its target costs as much as the fill task gains.
 constexpr double harm_weight = 1.0;
+constexpr double versatility_weight = 0.8;
+// Beside a serving image with this mean pressure few fill images can run.
+constexpr double pressure_of_few_images = 4.0;
 constexpr double headroom_weight = 0.2;
 // Beyond this the tasks are far above their targets and a higher use says
 // nothing.
@@ -64,6 +67,20 @@
            headroom_weight * std::min(highest_use, max_headroom_use);
 }
 
+double place_cost::versatility_cost(const fleet_worker& worker,
+                                    time_point now) const
+{
+    const auto& model = state_.interference;
+    double highest_mean = 0.0;
+    for (const auto& serving : model.serving_pressures(worker, now))
+    {
+        highest_mean =
+            std::max(highest_mean, model.mean_pressure(serving.image));
+    }
+    return versatility_weight *
+           (1.0 - std::min(highest_mean / pressure_of_few_images, 1.0));
+}
+
 double place_cost::serving_cost(const fleet_worker& worker,
                                 image_hash image) const
 {
--- a/src/jobs/place_cost.hpp
+++ b/src/jobs/place_cost.hpp
@@ -21,6 +21,10 @@
     double fill_cost(const fleet_worker& worker, const step& s,
                      image_hash image, time_point now) const;
 
+    // Cost of taking a place that suits many other fill images. Compares
+    // workers only: it does not make a task wait.
+    double versatility_cost(const fleet_worker& worker, time_point now) const;
+
 private:
     double serving_cost(const fleet_worker& worker, image_hash image) const;
 
--- a/src/jobs/pressure_fit.cpp
+++ b/src/jobs/pressure_fit.cpp
@@ -3,6 +3,7 @@
 #include "jobs/pressure_fit.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace hemlockdeal::jobs
 {
@@ -90,6 +91,13 @@
                : pressures_[static_cast<std::size_t>(found - images_.begin())];
 }
 
+double pressure_fit::mean_pressure() const
+{
+    return std::accumulate(pressures_.begin(), pressures_.end(),
+                           prior_pressure) /
+           static_cast<double>(pressures_.size() + 1);
+}
+
 pressure_fit::shares pressure_fit::pressures() const
 {
     shares out;
--- a/src/jobs/pressure_fit.hpp
+++ b/src/jobs/pressure_fit.hpp
@@ -27,6 +27,9 @@
 
     double pressure(image_hash fill_image) const;
 
+    // Mean over the known fill images and one unknown.
+    double mean_pressure() const;
+
     // The learnt pressures, and their restoration by a new leader.
     shares pressures() const;
     void restore(image_hash fill_image, double pressure);
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -331,8 +331,9 @@
         {
             continue;
         }
-        const double cost = cost_.total(*worker, s, image, task, now);
+        double cost = cost_.total(*worker, s, image, task, now);
         const bool is_too_expensive = s.fills && cost > max_fill_cost;
+        cost += s.fills ? cost_.versatility_cost(*worker, now) : 0.0;
         // Checked last because it compares strings.
         if (cost < lowest_cost && !is_too_expensive &&
             is_eligible(*worker, owner, key, now))
