--- a/src/jobs/fill_suspender.cpp
+++ b/src/jobs/fill_suspender.cpp
@@ -18,6 +18,10 @@
 bool fill_suspender::must_suspend(const fleet_worker& worker,
                                   time_point now) const
 {
+    if (!state_.options.policy.suspends_fills)
+    {
+        return false;
+    }
     const auto limit = state_.options.harm_limit / harm_margin;
     return std::ranges::any_of(worker.runs(), [&](const auto& entry) {
         const auto& over_since = entry.second.over_since;
--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -50,7 +50,9 @@
 {
     static const pressure_fit unknown;
     const auto found = fits_.find(serving_image);
-    return found == fits_.end() ? unknown : found->second;
+    return found == fits_.end() || !policy_.uses_learnt_pressures
+               ? unknown
+               : found->second;
 }
 
 double interference_model::pressure(image_hash fill_image,
@@ -103,8 +105,9 @@
     time_point now) const
 {
     const double limit = planned_fraction * utilisation_limit(serving);
-    const double headroom =
-        std::max(limit / loads_.peak(job, now) - 1.0, min_headroom);
+    const double load = policy_.forecasts_load ? loads_.peak(job, now)
+                                               : loads_.median(job, now);
+    const double headroom = std::max(limit / load - 1.0, min_headroom);
     double weight = 0.0;
     for (const auto& [other, run] : worker.runs())
     {
--- a/src/jobs/interference_model.hpp
+++ b/src/jobs/interference_model.hpp
@@ -11,6 +11,7 @@
 #include "jobs/job.hpp"
 #include "jobs/load_forecast.hpp"
 #include "jobs/low_tail.hpp"
+#include "jobs/policy_switches.hpp"
 #include "jobs/pressure_fit.hpp"
 
 namespace hemlockdeal::jobs
@@ -25,6 +26,8 @@
 class interference_model
 {
 public:
+    void set_policy(const policy_switches& policy) { policy_ = policy; }
+
     // Fraction of the utilisation limit that is planned for. Above 1 because
     // the base tail, and with it the load, is estimated too high.
     static constexpr double planned_fraction = 1.06;
@@ -69,6 +72,7 @@
     std::map<image_hash, pressure_fit> fits_;
     std::map<image_hash, low_tail> low_tails_;
     load_forecast loads_;
+    policy_switches policy_;
     time_point solved_at_{};
 };
 
--- a/src/jobs/place_cost.cpp
+++ b/src/jobs/place_cost.cpp
@@ -63,7 +63,9 @@
         1.0, worker.expected_unused_processors(state_.options.serving_use));
     const double contention =
         (static_cast<double>(worker.fill_demand()) + size) / unused;
-    return contention + harm_weight * harmed +
+    const double harm =
+        state_.options.policy.avoids_added_harm ? harm_weight * harmed : 0.0;
+    return contention + harm +
            headroom_weight * std::min(highest_use, max_headroom_use);
 }
 
@@ -95,7 +97,7 @@
         // Serving tasks of one image tolerate the same fill tasks. Packing them
         // together leaves other workers free for the fill tasks that would slow
         // them.
-        if (run.is_serving())
+        if (run.is_serving() && state_.options.policy.packs_serving_images)
         {
             sum += run.image == image ? -image_weight : image_weight;
         }
@@ -107,7 +109,9 @@
                          image_hash image, const task_record& task,
                          time_point now) const
 {
-    double sum = slowness_weight * (worker.health.slowness_at(now) - 1.0);
+    double sum = state_.options.policy.weighs_slowness
+                     ? slowness_weight * (worker.health.slowness_at(now) - 1.0)
+                     : 0.0;
     if (!s.preferred_rack.empty() && !worker.entry.has_label(s.preferred_rack))
     {
         sum += rack_weight * (state_.options.far_factor - 1.0);
--- a/src/jobs/placing_order.cpp
+++ b/src/jobs/placing_order.cpp
@@ -9,7 +9,8 @@
 
 placing_position placing_position_of(const live_job& owner,
                                      std::uint32_t occurrence,
-                                     std::uint32_t step, milliseconds unix_now)
+                                     std::uint32_t step, milliseconds unix_now,
+                                     const policy_switches& policy)
 {
     const auto& definition = owner.definition();
     const auto& waiting = definition.steps[step];
@@ -22,7 +23,8 @@
     const auto remaining =
         duration_cast<milliseconds>(owner.critical_path_from(step));
     const auto latest_start = begin + target - remaining;
-    const auto rank = waiting.fills ? remaining : latest_start;
+    const auto rank =
+        waiting.fills && policy.orders_fills_by_path ? remaining : latest_start;
     if (waiting.is_long_running)
     {
         return {priority_group::long_running, rank};
--- a/src/jobs/placing_order.hpp
+++ b/src/jobs/placing_order.hpp
@@ -5,6 +5,7 @@
 #include <compare>
 
 #include "jobs/live_job.hpp"
+#include "jobs/policy_switches.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -47,6 +48,7 @@
 placing_position placing_position_of(const live_job& owner,
                                      std::uint32_t occurrence,
                                      std::uint32_t step,
-                                     std::chrono::milliseconds unix_now);
+                                     std::chrono::milliseconds unix_now,
+                                     const policy_switches& policy = {});
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -214,7 +214,8 @@
     }
     health.last_failed_job = id;
     ++health.failures;
-    if (health.failures < avoidance_threshold)
+    if (health.failures < avoidance_threshold ||
+        !state_.options.policy.avoids_failing_workers)
     {
         return;
     }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -24,6 +24,7 @@
       speeds_(state_)
 {
     state_.options = options;
+    state_.interference.set_policy(options.policy);
     state_.epoch = epoch;
 }
 
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/core.hpp"
+#include "jobs/policy_switches.hpp"
 #include "jobs/row_limit.hpp"
 
 namespace hemlockdeal::jobs
@@ -67,6 +68,7 @@
     std::size_t row_limit = default_row_limit;
     // Average share of their reserved processors that serving tasks use.
     double serving_use = 0.5;
+    policy_switches policy;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -81,9 +81,9 @@
             {
                 if (steps[s].waiting > 0 && owner->is_open(k, s, unix_now))
                 {
-                    out.push_back(
-                        {owner.get(), k, s,
-                         placing_position_of(*owner, k, s, unix_now)});
+                    out.push_back({owner.get(), k, s,
+                                   placing_position_of(*owner, k, s, unix_now,
+                                                       state_.options.policy)});
                 }
             }
         }
@@ -139,6 +139,10 @@
         owner.announce(key);
         state_.registry.mark_changed(key.job);
     }
+    if (!state_.options.policy.keeps_reservations)
+    {
+        return false;
+    }
     // Reserves the capacity until the announcement is stored, so that no other
     // task takes it and the search is not repeated.
     worker.add_run(key, make_run(owner.step_of(key), 0, now));
@@ -333,7 +337,9 @@
         }
         double cost = cost_.total(*worker, s, image, task, now);
         const bool is_too_expensive = s.fills && cost > max_fill_cost;
-        cost += s.fills ? cost_.versatility_cost(*worker, now) : 0.0;
+        cost += s.fills && state_.options.policy.spares_versatile_workers
+                    ? cost_.versatility_cost(*worker, now)
+                    : 0.0;
         // Checked last because it compares strings.
         if (cost < lowest_cost && !is_too_expensive &&
             is_eligible(*worker, owner, key, now))
@@ -350,7 +356,8 @@
                                time_point now) const
 {
     const bool is_fill_paused =
-        s.fills && now - worker.over_target_at < over_target_pause;
+        s.fills && state_.options.policy.pauses_beside_over_target &&
+        now - worker.over_target_at < over_target_pause;
     return !is_fill_paused && has_room(worker, s);
 }
 
@@ -418,7 +425,8 @@
 
 void task_placer::move_slowed(time_point now)
 {
-    if (now - moves_checked_at_ < move_interval)
+    if (!state_.options.policy.moves_suspended_fills ||
+        now - moves_checked_at_ < move_interval)
     {
         return;
     }
