--- a/bench/jobs/emulated_worker.hpp
+++ b/src/emulation/emulated_worker.hpp
@@ -16,7 +16,7 @@
 
 #include "jobs/jobs.hpp"
 
-namespace hemlockdeal::bench
+namespace hemlockdeal::emulation
 {
 
 using jobs::task_key;
@@ -175,6 +175,15 @@
         }
     }
 
+    // Tail latency of a serving task with this target at a utilisation.
+    static double tail_ms_at(double target_ms, double utilisation)
+    {
+        constexpr double target_factor = 4.5;
+        constexpr double max_utilisation = 0.97;
+        return target_ms / target_factor /
+               (1.0 - std::min(max_utilisation, utilisation));
+    }
+
 private:
     static int percent_of(const active_run& run)
     {
@@ -220,8 +229,6 @@
     void set_tails(time_point now, const load_wave& wave,
                    const pressure_table& pressures)
     {
-        constexpr double target_factor = 4.5;
-        constexpr double max_utilisation = 0.97;
         const auto capacity =
             static_cast<double>(entry.capacity.processor_millis);
         for (auto& [key, run] : running_)
@@ -243,12 +250,10 @@
                               capacity
                         : 0.0;
             }
-            const double utilisation =
-                std::min(max_utilisation, wave.at(now, key.job) * slowdown);
-            run.tail_ms = std::chrono::duration<double, std::milli>(
-                              run.task_step->tail_target)
-                              .count() /
-                          target_factor / (1.0 - utilisation);
+            run.tail_ms = tail_ms_at(std::chrono::duration<double, std::milli>(
+                                         run.task_step->tail_target)
+                                         .count(),
+                                     wave.at(now, key.job) * slowdown);
         }
     }
 
@@ -266,4 +271,4 @@
     std::uint64_t number_ = 0;
 };
 
-} // namespace hemlockdeal::bench
+} // namespace hemlockdeal::emulation
