--- a/src/jobs/placing_order.hpp
+++ b/src/jobs/placing_order.hpp
@@ -31,7 +31,7 @@
 // served.
 constexpr int expiry_factor = 3;
 constexpr int starvation_factor = 10;
-constexpr duration max_long_running_wait = std::chrono::seconds(2);
+constexpr duration max_long_running_wait = std::chrono::seconds(4);
 
 // Position of a waiting step; steps with a lower one are placed first.
 struct placing_position
