Divide the task placer and the scheduler by concern

worker_eligibility holds the conditions on a worker, load_summary the log event of the load; leader_duty becomes leader_role and submission_desk submission_intake.

--- a/src/batch/batch_engine.cpp
+++ b/src/batch/batch_engine.cpp
@@ -24,7 +24,7 @@
 batch_engine::batch_engine(batch_options options,
                            const configuration_state& configuration)
     : context_(std::move(options), configuration), ownership_(context_),
-      desk_(context_)
+      submissions_(context_)
 {}
 
 void batch_engine::on_tick(time_point now)
@@ -32,7 +32,7 @@
     ran_at_ = time_point();
     context_.commits.on_tick(now);
     context_.reads.on_tick(now);
-    desk_.on_tick(now);
+    submissions_.on_tick(now);
 }
 
 void batch_engine::on_commit_outcome(const commit_id& id,
@@ -128,7 +128,7 @@
 void batch_engine::on_operator(std::uint64_t number,
                                const operator_request& request, time_point now)
 {
-    desk_.on_request(number, request, now);
+    submissions_.on_request(number, request, now);
 }
 
 void batch_engine::stop(time_point now)
--- a/src/batch/batch_engine.hpp
+++ b/src/batch/batch_engine.hpp
@@ -14,7 +14,7 @@
 #include "batch/owned_shard.hpp"
 #include "batch/placement_view.hpp"
 #include "batch/shard_ownership.hpp"
-#include "batch/submission_desk.hpp"
+#include "batch/submission_intake.hpp"
 #include "core/core.hpp"
 
 namespace hemlockdeal
@@ -54,9 +54,9 @@
     time_point next_wakeup(time_point now) const;
     std::vector<batch_action> take_actions();
 
-    void set_reason_source(submission_desk::reason_source source)
+    void set_reason_source(submission_intake::reason_source source)
     {
-        desk_.set_reason_source(std::move(source));
+        submissions_.set_reason_source(std::move(source));
     }
 
     // For the policies, one per shard.
@@ -87,7 +87,7 @@
 
     batch_context context_;
     shard_ownership ownership_;
-    submission_desk desk_;
+    submission_intake submissions_;
     shard_map shards_;
     std::vector<shard_id> dropped_;
     bool stopping_ = false;
--- a/src/batch/submission_desk.cpp
+++ b/src/batch/submission_intake.cpp
@@ -1,5 +1,5 @@
 // Requests about jobs.
-#include "batch/submission_desk.hpp"
+#include "batch/submission_intake.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -60,13 +60,13 @@
 
 } // namespace
 
-submission_desk::submission_desk(batch_context& context)
+submission_intake::submission_intake(batch_context& context)
     : context_(context), reader_(context)
 {}
 
-void submission_desk::on_request(std::uint64_t number,
-                                 const operator_request& request,
-                                 time_point now)
+void submission_intake::on_request(std::uint64_t number,
+                                   const operator_request& request,
+                                   time_point now)
 {
     ++open_;
     if (open_ > context_.options.operator_requests_at_once)
@@ -93,8 +93,8 @@
     }
 }
 
-void submission_desk::submit(std::uint64_t number, const job_submission& job,
-                             time_point now)
+void submission_intake::submit(std::uint64_t number, const job_submission& job,
+                               time_point now)
 {
     if (context_.configuration.current() == nullptr ||
         context_.members.version == 0)
@@ -139,10 +139,10 @@
         now, now + context_.options.submission_timeout);
 }
 
-void submission_desk::on_submitted(std::uint64_t number,
-                                   const job_submission& job,
-                                   const std::vector<job_row_part>& parts,
-                                   const commit_result& outcome)
+void submission_intake::on_submitted(std::uint64_t number,
+                                     const job_submission& job,
+                                     const std::vector<job_row_part>& parts,
+                                     const commit_result& outcome)
 {
     if (outcome.outcome == commit_result::kind::done)
     {
@@ -172,7 +172,7 @@
            "another job with the id \"" + job.id.value() + "\" exists");
 }
 
-void submission_desk::notify(const std::vector<job_row_part>& parts)
+void submission_intake::notify(const std::vector<job_row_part>& parts)
 {
     for (const job_row_part& part : parts)
     {
@@ -182,8 +182,8 @@
     }
 }
 
-void submission_desk::query(std::uint64_t number, const job_id& job,
-                            time_point now)
+void submission_intake::query(std::uint64_t number, const job_id& job,
+                              time_point now)
 {
     read_state(
         number, job, "",
@@ -201,8 +201,8 @@
         now);
 }
 
-void submission_desk::cancel(std::uint64_t number, const job_id& job,
-                             time_point now)
+void submission_intake::cancel(std::uint64_t number, const job_id& job,
+                               time_point now)
 {
     read_state(
         number, job, "not cancelled: ",
@@ -218,7 +218,7 @@
         now);
 }
 
-void submission_desk::read_state(
+void submission_intake::read_state(
     std::uint64_t number, const job_id& job, const std::string& consequence,
     std::function<void(const job_state&, time_point)> use, time_point now)
 {
@@ -245,8 +245,10 @@
         now);
 }
 
-void submission_desk::send_cancellation(std::uint64_t number, const job_id& job,
-                                        const job_state& state, time_point now)
+void submission_intake::send_cancellation(std::uint64_t number,
+                                          const job_id& job,
+                                          const job_state& state,
+                                          time_point now)
 {
     const commit_id id = context_.commits.next_id();
     table_commit commit{id, {}, {}};
@@ -279,7 +281,7 @@
         now, now + context_.options.submission_timeout);
 }
 
-void submission_desk::on_tick(time_point now)
+void submission_intake::on_tick(time_point now)
 {
     std::vector<std::uint64_t> due;
     for (auto& [number, waiting] : cancellations_)
@@ -296,7 +298,7 @@
     }
 }
 
-void submission_desk::look(std::uint64_t number, time_point now)
+void submission_intake::look(std::uint64_t number, time_point now)
 {
     reader_.read(
         cancellations_.at(number).job,
@@ -327,8 +329,8 @@
         now);
 }
 
-void submission_desk::record(std::string kind, const job_id& job,
-                             std::string text)
+void submission_intake::record(std::string kind, const job_id& job,
+                               std::string text)
 {
     timeline_event event;
     event.kind = std::move(kind);
@@ -337,14 +339,14 @@
     context_.actions.emplace_back(record_event{std::move(event)});
 }
 
-void submission_desk::answer(std::uint64_t number, operator_reply reply)
+void submission_intake::answer(std::uint64_t number, operator_reply reply)
 {
     --open_;
     context_.actions.emplace_back(operator_answer{number, std::move(reply)});
 }
 
-void submission_desk::refuse(std::uint64_t number, error_code code,
-                             std::string message)
+void submission_intake::refuse(std::uint64_t number, error_code code,
+                               std::string message)
 {
     answer(number, error{code, std::move(message)});
 }
--- a/src/batch/submission_desk.hpp
+++ b/src/batch/submission_intake.hpp
@@ -14,13 +14,13 @@
 namespace hemlockdeal
 {
 
-class submission_desk
+class submission_intake
 {
 public:
     // Says why a job waits in a shard of this daemon; may be empty.
     using reason_source = std::function<std::string(const job_id&)>;
 
-    explicit submission_desk(batch_context& context);
+    explicit submission_intake(batch_context& context);
 
     void on_request(std::uint64_t number, const operator_request& request,
                     time_point now);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -5,6 +5,8 @@
 #include <iterator>
 #include <utility>
 
+#include "jobs/load_summary.hpp"
+
 namespace hemlockdeal::jobs
 {
 
@@ -431,47 +433,12 @@
 
 void scheduler::log_load(time_point now)
 {
-    if (now - load_logged_at_ < load_interval)
-    {
-        return;
-    }
-    load_logged_at_ = now;
-    std::size_t fills = 0;
-    std::size_t slowed = 0;
-    std::size_t serving = 0;
-    std::size_t over_target = 0;
-    std::int64_t room = 0;
-    std::int64_t reserved = 0;
-    std::int64_t fill_use = 0;
-    std::int64_t fill_demand = 0;
-    for (const auto& [id, worker] : state_.fleet)
+    if (now - load_logged_at_ >= load_interval)
     {
-        room += worker.entry.capacity.processor_millis;
-        reserved += worker.room_used().processor_millis;
-        for (const auto& [key, run] : worker.runs())
-        {
-            fills += run.fills ? 1 : 0;
-            slowed += run.slowed_since ? 1 : 0;
-            fill_use +=
-                run.fills ? std::max<std::int64_t>(run.measurement, 0) : 0;
-            fill_demand += run.fills ? run.size.processor_millis : 0;
-            serving += run.is_serving() ? 1 : 0;
-            over_target += is_over_target(run) ? 1 : 0;
-        }
+        load_logged_at_ = now;
+        state_.events.push_back(
+            load_summary(state_, placer_.tasks_without_room()));
     }
-    state_.log_event(
-        "load",
-        {{"workers", std::to_string(state_.fleet.size())},
-         {"jobs", std::to_string(state_.registry.live().size())},
-         {"tasks_without_room", std::to_string(placer_.tasks_without_room())},
-         {"fills", std::to_string(fills)},
-         {"slowed", std::to_string(slowed)},
-         {"serving", std::to_string(serving)},
-         {"over_target", std::to_string(over_target)},
-         {"processors", std::to_string(room / 1000)},
-         {"reserved", std::to_string(reserved / 1000)},
-         {"fill_demand", std::to_string(fill_demand / 1000)},
-         {"fill_use", std::to_string(fill_use / 1000)}});
 }
 
 bool scheduler::has_changes() const
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -31,10 +31,6 @@
 // improves the placement little, and the cost of the search grows with the
 // fleet.
 constexpr std::size_t max_workers_evaluated = 500;
-// No fill task is added to a worker on which a serving task exceeded its target
-// within this time. It spans about two reports, because a new fill task runs at
-// full pace until the pacer reacts.
-constexpr duration over_target_pause = std::chrono::milliseconds(900);
 
 } // namespace
 
@@ -97,17 +93,6 @@
     return out;
 }
 
-bool task_placer::is_usable(const fleet_worker& worker, time_point now) const
-{
-    const bool is_open = !worker.is_unlisted && !worker.entry.is_leaving &&
-                         worker.is_recorded &&
-                         !state_.closed_zones.contains(worker.entry.zone);
-    return is_open && worker.knows_clock() &&
-           worker.is_reachable(now, state_.options.contact_limit) &&
-           worker.full_until <= now && worker.health.avoided_until <= now &&
-           !worker.health.is_slow(now);
-}
-
 void task_placer::find_usable_workers(time_point now)
 {
     usable_workers_.clear();
@@ -115,7 +100,7 @@
     for (auto& [id, worker] : state_.fleet)
     {
         const bool has_freed_capacity = worker.take_freed_capacity();
-        if (!is_usable(worker, now))
+        if (!eligibility_.is_available(worker, now))
         {
             continue;
         }
@@ -165,9 +150,10 @@
         return nullptr;
     }
     auto* const worker = state_.find_worker(found->second.worker);
-    const bool is_valid = worker != nullptr && is_usable(*worker, now) &&
-                          accepts_step(*worker, owner.step_of(key), now) &&
-                          is_eligible(*worker, owner, key, now);
+    const bool is_valid =
+        worker != nullptr && eligibility_.is_available(*worker, now) &&
+        eligibility_.accepts_step(*worker, owner.step_of(key), now) &&
+        eligibility_.may_run(*worker, owner, key, now);
     return is_valid ? worker : nullptr;
 }
 
@@ -233,8 +219,8 @@
     std::vector<worker_id> workers;
     for (const auto* const worker : usable_workers_)
     {
-        if (!has_room(*worker, c.owner->step_of(first)) ||
-            !satisfies_constraints(*worker, *c.owner, first))
+        if (!eligibility_.has_room(*worker, c.owner->step_of(first)) ||
+            !eligibility_.satisfies_constraints(*worker, *c.owner, first))
         {
             continue;
         }
@@ -337,7 +323,7 @@
          ++i)
     {
         auto* const worker = workers[search_offset_++ % workers.size()];
-        if (!accepts_step(*worker, s, now))
+        if (!eligibility_.accepts_step(*worker, s, now))
         {
             continue;
         }
@@ -348,7 +334,7 @@
                     : 0.0;
         // Checked last because it compares strings.
         if (cost < lowest_cost && !is_too_expensive &&
-            is_eligible(*worker, owner, key, now))
+            eligibility_.may_run(*worker, owner, key, now))
         {
             lowest_cost = cost;
             best = worker;
@@ -358,77 +344,6 @@
     return best;
 }
 
-bool task_placer::accepts_step(const fleet_worker& worker, const step& s,
-                               time_point now) const
-{
-    const bool is_fill_paused =
-        s.fills && state_.options.policy.pauses_beside_over_target &&
-        now - worker.over_target_at < over_target_pause;
-    return !is_fill_paused && has_room(worker, s);
-}
-
-bool task_placer::has_room(const fleet_worker& worker, const step& s) const
-{
-    const auto& used = worker.room_used();
-    const auto& room = worker.entry.capacity;
-    if (used.memory_mb + s.size.memory_mb > room.memory_mb ||
-        used.accelerators + s.size.accelerators > room.accelerators)
-    {
-        return false;
-    }
-    const auto reserved = used.processor_millis + s.size.processor_millis;
-    if (!s.fills)
-    {
-        return reserved <= room.processor_millis;
-    }
-    const auto unused =
-        worker.expected_unused_processors(state_.options.serving_use);
-    return static_cast<double>(worker.fill_demand() +
-                               s.size.processor_millis) <=
-           unused * state_.options.fill_limit;
-}
-
-bool task_placer::is_eligible(const fleet_worker& worker, const live_job& owner,
-                              const task_key& key, time_point now) const
-{
-    if (!satisfies_constraints(worker, owner, key))
-    {
-        return false;
-    }
-    const step_key step{key.job, key.occurrence, key.step};
-    return !owner.definition().policy.needs_advice ||
-           state_.advice.ticket(step, worker.entry.id, now).has_value();
-}
-
-bool task_placer::satisfies_constraints(const fleet_worker& worker,
-                                        const live_job& owner,
-                                        const task_key& key) const
-{
-    const auto& s = owner.step_of(key);
-    const auto& policy = owner.definition().policy;
-    if (worker.entry.service != policy.service)
-    {
-        return false;
-    }
-    if (!policy.regions.empty() &&
-        std::ranges::find(policy.regions, worker.entry.region) ==
-            policy.regions.end())
-    {
-        return false;
-    }
-    if (!s.required_label.empty() && !worker.entry.has_label(s.required_label))
-    {
-        return false;
-    }
-    // The ledger holds one run per task: an earlier run that may still exist on
-    // this worker would be overwritten.
-    if (worker.runs().contains(key))
-    {
-        return false;
-    }
-    return s.max_per_worker == 0 || worker.runs_of_step(key) < s.max_per_worker;
-}
-
 void task_placer::move_slowed(time_point now)
 {
     if (!state_.options.policy.moves_suspended_fills ||
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -11,6 +11,7 @@
 #include "jobs/place_cost.hpp"
 #include "jobs/placing_order.hpp"
 #include "jobs/scheduler_state.hpp"
+#include "jobs/worker_eligibility.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -18,7 +19,8 @@
 class task_placer
 {
 public:
-    explicit task_placer(scheduler_state& state) : state_(state), cost_(state)
+    explicit task_placer(scheduler_state& state)
+        : state_(state), eligibility_(state), cost_(state)
     {}
 
     // Orders a start for each task that may start and for which a worker has
@@ -49,7 +51,6 @@
     std::vector<candidate> candidates(time_point now,
                                       std::chrono::milliseconds unix_now) const;
     void find_usable_workers(time_point now);
-    bool is_usable(const fleet_worker& worker, time_point now) const;
 
     bool may_start(const task_record& task) const;
     // Returns true if the stored set lists the task, so that its start may be
@@ -68,22 +69,13 @@
                          const live_job& owner, const task_key& key,
                          const task_record& task, time_point now) const;
     void request_advice(const candidate& c, time_point now);
-    bool is_eligible(const fleet_worker& worker, const live_job& owner,
-                     const task_key& key, time_point now) const;
-    // Like is_eligible(), but without the check for an advice ticket.
-    bool satisfies_constraints(const fleet_worker& worker,
-                               const live_job& owner,
-                               const task_key& key) const;
-    bool has_room(const fleet_worker& worker, const step& s) const;
-    // True if the worker can accept a task of this step at present.
-    bool accepts_step(const fleet_worker& worker, const step& s,
-                      time_point now) const;
     bool should_move(const fleet_worker& worker, const task_key& key,
                      const run_record& run, time_point now);
     void order_start(live_job& owner, const task_key& key, fleet_worker& worker,
                      std::uint32_t run, time_point now);
 
     scheduler_state& state_;
+    worker_eligibility eligibility_;
     place_cost cost_;
     // Workers that can accept tasks in this pass.
     std::vector<fleet_worker*> usable_workers_;
--- /dev/null
+++ b/src/jobs/worker_eligibility.cpp
@@ -0,0 +1,104 @@
+// Conditions on a worker for a task.
+#include "jobs/worker_eligibility.hpp"
+
+#include <algorithm>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+// No fill task is added to a worker on which a serving task exceeded its target
+// within this time. It spans about two reports, because a new fill task runs at
+// full pace until the pacer reacts.
+constexpr duration over_target_pause = std::chrono::milliseconds(900);
+
+} // namespace
+
+bool worker_eligibility::is_available(const fleet_worker& worker,
+                                      time_point now) const
+{
+    const bool is_open = !worker.is_unlisted && !worker.entry.is_leaving &&
+                         worker.is_recorded &&
+                         !state_.closed_zones.contains(worker.entry.zone);
+    return is_open && worker.knows_clock() &&
+           worker.is_reachable(now, state_.options.contact_limit) &&
+           worker.full_until <= now && worker.health.avoided_until <= now &&
+           !worker.health.is_slow(now);
+}
+
+bool worker_eligibility::accepts_step(const fleet_worker& worker, const step& s,
+                                      time_point now) const
+{
+    const bool is_fill_paused =
+        s.fills && state_.options.policy.pauses_beside_over_target &&
+        now - worker.over_target_at < over_target_pause;
+    return !is_fill_paused && has_room(worker, s);
+}
+
+bool worker_eligibility::has_room(const fleet_worker& worker,
+                                  const step& s) const
+{
+    const auto& used = worker.room_used();
+    const auto& room = worker.entry.capacity;
+    if (used.memory_mb + s.size.memory_mb > room.memory_mb ||
+        used.accelerators + s.size.accelerators > room.accelerators)
+    {
+        return false;
+    }
+    const auto reserved = used.processor_millis + s.size.processor_millis;
+    if (!s.fills)
+    {
+        return reserved <= room.processor_millis;
+    }
+    const auto unused =
+        worker.expected_unused_processors(state_.options.serving_use);
+    return static_cast<double>(worker.fill_demand() +
+                               s.size.processor_millis) <=
+           unused * state_.options.fill_limit;
+}
+
+bool worker_eligibility::may_run(const fleet_worker& worker,
+                                 const live_job& owner, const task_key& key,
+                                 time_point now) const
+{
+    if (!satisfies_constraints(worker, owner, key))
+    {
+        return false;
+    }
+    const step_key step{key.job, key.occurrence, key.step};
+    return !owner.definition().policy.needs_advice ||
+           state_.advice.ticket(step, worker.entry.id, now).has_value();
+}
+
+bool worker_eligibility::satisfies_constraints(const fleet_worker& worker,
+                                               const live_job& owner,
+                                               const task_key& key) const
+{
+    const auto& s = owner.step_of(key);
+    const auto& policy = owner.definition().policy;
+    if (worker.entry.service != policy.service)
+    {
+        return false;
+    }
+    if (!policy.regions.empty() &&
+        std::ranges::find(policy.regions, worker.entry.region) ==
+            policy.regions.end())
+    {
+        return false;
+    }
+    if (!s.required_label.empty() && !worker.entry.has_label(s.required_label))
+    {
+        return false;
+    }
+    // The ledger holds one run per task: an earlier run that may still exist on
+    // this worker would be overwritten.
+    if (worker.runs().contains(key))
+    {
+        return false;
+    }
+    return s.max_per_worker == 0 || worker.runs_of_step(key) < s.max_per_worker;
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/worker_eligibility.hpp
@@ -0,0 +1,32 @@
+// Which workers may take a task at present.
+#pragma once
+
+#include "jobs/scheduler_state.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+class worker_eligibility
+{
+public:
+    explicit worker_eligibility(const scheduler_state& state) : state_(state) {}
+
+    // True if the worker can take any task.
+    bool is_available(const fleet_worker& worker, time_point now) const;
+    // True if the worker can accept a task of this step at present.
+    bool accepts_step(const fleet_worker& worker, const step& s,
+                      time_point now) const;
+    bool has_room(const fleet_worker& worker, const step& s) const;
+    // True if the job's constraints and an advice ticket permit the task.
+    bool may_run(const fleet_worker& worker, const live_job& owner,
+                 const task_key& key, time_point now) const;
+    // Like may_run(), but without the check for an advice ticket.
+    bool satisfies_constraints(const fleet_worker& worker,
+                               const live_job& owner,
+                               const task_key& key) const;
+
+private:
+    const scheduler_state& state_;
+};
+
+} // namespace hemlockdeal::jobs
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -8,7 +8,7 @@
 {
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::begin_recovery()
+void leader_role<Store, Workers, List>::begin_recovery()
 {
     epoch_ = lead_.epoch();
     is_active_ = false;
@@ -37,7 +37,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::read_table(
+void leader_role<Store, Workers, List>::read_table(
     row_range range, std::uint64_t epoch,
     std::function<void(read_rows)> callback)
 {
@@ -73,7 +73,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::read_inbox(
+void leader_role<Store, Workers, List>::read_inbox(
     std::function<void(const stored_row&)> on_row,
     std::function<void()> callback)
 {
@@ -104,7 +104,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::recover_inbox()
+void leader_role<Store, Workers, List>::recover_inbox()
 {
     auto cancelled = std::make_shared<std::vector<job_id>>();
     read_inbox(
@@ -151,7 +151,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::recover_fleet()
+void leader_role<Store, Workers, List>::recover_fleet()
 {
     read_table({fleet_table, lead_part, {}, {}, 500}, epoch_,
                [this](const read_rows& read) {
@@ -179,7 +179,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::recover_learnt()
+void leader_role<Store, Workers, List>::recover_learnt()
 {
     read_table({learnt_table, lead_part, interference_key, {}, 1}, epoch_,
                [this](const read_rows& read) {
@@ -193,7 +193,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::finish_recovery()
+void leader_role<Store, Workers, List>::finish_recovery()
 {
     const auto epoch = epoch_;
     list_.read_all([this, epoch](const worker_list_outcome& outcome) {
@@ -226,7 +226,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::poll_inbox()
+void leader_role<Store, Workers, List>::poll_inbox()
 {
     const auto now = clock_.now();
     if (is_polling_inbox_ || now < next_inbox_poll_)
@@ -270,7 +270,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::apply_inbox_row(const stored_row& row)
+void leader_role<Store, Workers, List>::apply_inbox_row(const stored_row& row)
 {
     if (row.is_removed)
     {
@@ -295,7 +295,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::poll_worker_list()
+void leader_role<Store, Workers, List>::poll_worker_list()
 {
     const auto now = clock_.now();
     if (is_polling_worker_list_ || now < next_worker_list_poll_)
@@ -335,7 +335,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::apply_worker_changes(
+void leader_role<Store, Workers, List>::apply_worker_changes(
     const worker_changes& changes)
 {
     const auto now = clock_.now();
--- a/src/node/leader_orders.ipp
+++ b/src/node/leader_orders.ipp
@@ -8,7 +8,7 @@
 {
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::execute(const jobs::start_order& order)
+void leader_role<Store, Workers, List>::execute(const jobs::start_order& order)
 {
     const auto* const worker = entry_of(order.worker);
     if (worker == nullptr)
@@ -32,7 +32,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::execute(const jobs::stop_order& order)
+void leader_role<Store, Workers, List>::execute(const jobs::stop_order& order)
 {
     const auto* const worker = entry_of(order.worker);
     if (worker == nullptr)
@@ -53,7 +53,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::execute(const jobs::pace_order& order)
+void leader_role<Store, Workers, List>::execute(const jobs::pace_order& order)
 {
     const auto* const worker = entry_of(order.worker);
     if (worker == nullptr)
@@ -66,7 +66,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::execute(const jobs::poll_order& order)
+void leader_role<Store, Workers, List>::execute(const jobs::poll_order& order)
 {
     const auto* const worker = entry_of(order.worker);
     if (worker == nullptr)
@@ -100,7 +100,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::execute(
+void leader_role<Store, Workers, List>::execute(
     const jobs::advice_request& request)
 {
     workers_.advise(request,
--- a/src/node/leader_duty.hpp
+++ b/src/node/leader_role.hpp
@@ -51,7 +51,7 @@
 };
 
 template <row_store Store, worker_port Workers, worker_list List>
-class leader_duty
+class leader_role
 {
 public:
     struct clocks
@@ -62,7 +62,7 @@
         std::function<void(duration, std::function<void()>)> later;
     };
 
-    leader_duty(Store& store, Workers& workers, List& list, clocks clock,
+    leader_role(Store& store, Workers& workers, List& list, clocks clock,
                 store_health& health, jobs::leadership lead,
                 leader_options options)
         : store_(store), workers_(workers), list_(list), clock_(clock),
@@ -221,6 +221,6 @@
 
 } // namespace hemlockdeal::node
 
-#include "node/leader_duty.ipp"
 #include "node/leader_intake.ipp"
 #include "node/leader_orders.ipp"
+#include "node/leader_role.ipp"
--- a/src/node/leader_duty.ipp
+++ b/src/node/leader_role.ipp
@@ -8,7 +8,7 @@
 {
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::tick()
+void leader_role<Store, Workers, List>::tick()
 {
     const auto now = clock_.now();
     if (!lead_.leads())
@@ -46,7 +46,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::poll_lease()
+void leader_role<Store, Workers, List>::poll_lease()
 {
     const auto now = clock_.now();
     if (is_polling_lease_ || has_transaction_in_flight_ ||
@@ -80,7 +80,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::try_takeover(time_point now)
+void leader_role<Store, Workers, List>::try_takeover(time_point now)
 {
     if (has_transaction_in_flight_ || transaction_to_retry_ ||
         is_stepping_down_)
@@ -104,7 +104,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::send(leader_transaction tx)
+void leader_role<Store, Workers, List>::send(leader_transaction tx)
 {
     has_transaction_in_flight_ = true;
     tx.sent_at = clock_.now();
@@ -120,7 +120,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::on_outcome(
+void leader_role<Store, Workers, List>::on_outcome(
     const leader_transaction& tx, const transaction_outcome& outcome)
 {
     if (const auto* const done = std::get_if<committed>(&outcome))
@@ -147,7 +147,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::retry_later(
+void leader_role<Store, Workers, List>::retry_later(
     const leader_transaction& tx)
 {
     // A takeover is not retried: by now another VM may be a better leader.
@@ -160,7 +160,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::check_lease_row(
+void leader_role<Store, Workers, List>::check_lease_row(
     const leader_transaction& tx)
 {
     has_transaction_in_flight_ = true;
@@ -198,7 +198,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::on_committed(
+void leader_role<Store, Workers, List>::on_committed(
     const leader_transaction& tx, row_version /*version*/)
 {
     if (tx.lease.row.is_released)
@@ -223,7 +223,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::on_leadership_lost(
+void leader_role<Store, Workers, List>::on_leadership_lost(
     std::string_view cause)
 {
     log(log_level::warning, "leadership lost",
@@ -236,7 +236,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::flush(time_point now)
+void leader_role<Store, Workers, List>::flush(time_point now)
 {
     const bool is_active = is_active_ && scheduler_ != nullptr;
     const bool is_urgent = is_active && scheduler_->has_starts_waiting();
@@ -265,7 +265,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-auto leader_duty<Store, Workers, List>::make_transaction(
+auto leader_role<Store, Workers, List>::make_transaction(
     const jobs::lease_write& lease, time_point now) -> leader_transaction
 {
     leader_transaction tx;
@@ -284,7 +284,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::add_changes(leader_transaction& tx)
+void leader_role<Store, Workers, List>::add_changes(leader_transaction& tx)
 {
     auto changes = scheduler_->take_changes();
     tx.has_changes = true;
@@ -306,7 +306,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::add_pending(leader_transaction& tx,
+void leader_role<Store, Workers, List>::add_pending(leader_transaction& tx,
                                                     time_point now)
 {
     if (now - last_pending_write_ < options_.pending_interval)
@@ -330,7 +330,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::add_learnt(leader_transaction& tx,
+void leader_role<Store, Workers, List>::add_learnt(leader_transaction& tx,
                                                    time_point now)
 {
     if (now - last_learnt_write_ < options_.learnt_interval)
@@ -344,7 +344,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::decide(time_point now)
+void leader_role<Store, Workers, List>::decide(time_point now)
 {
     last_decision_ = now;
     is_decision_requested_ = false;
@@ -364,14 +364,14 @@
 
 template <row_store Store, worker_port Workers, worker_list List>
 const jobs::worker_entry*
-leader_duty<Store, Workers, List>::entry_of(const worker_id& id) const
+leader_role<Store, Workers, List>::entry_of(const worker_id& id) const
 {
     const auto found = scheduler_->fleet().find(id);
     return found == scheduler_->fleet().end() ? nullptr : &found->second.entry;
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-void leader_duty<Store, Workers, List>::log_events()
+void leader_role<Store, Workers, List>::log_events()
 {
     if (!scheduler_)
     {
@@ -385,7 +385,7 @@
 
 template <row_store Store, worker_port Workers, worker_list List>
 std::optional<jobs::job_state>
-leader_duty<Store, Workers, List>::state_of(const job_id& id) const
+leader_role<Store, Workers, List>::state_of(const job_id& id) const
 {
     if (!leads() || !lead_.is_valid(clock_.now()))
     {
@@ -408,7 +408,7 @@
 
 template <row_store Store, worker_port Workers, worker_list List>
 std::optional<std::size_t>
-leader_duty<Store, Workers, List>::pending_of(const std::string& queue) const
+leader_role<Store, Workers, List>::pending_of(const std::string& queue) const
 {
     if (!leads() || !lead_.is_valid(clock_.now()))
     {
@@ -420,7 +420,7 @@
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
-leader_stats leader_duty<Store, Workers, List>::stats() const
+leader_stats leader_role<Store, Workers, List>::stats() const
 {
     auto out = stats_;
     out.leads = leads();
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -4,7 +4,7 @@
 
 #include "node/concepts.hpp"
 #include "node/job_frontend.hpp"
-#include "node/leader_duty.hpp"
+#include "node/leader_role.hpp"
 #include "node/operator_watch.hpp"
 #include "node/store_health.hpp"
 #include "node/store_message.hpp"
--- a/tests/node/leader_duty_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -93,11 +93,11 @@
     }
 };
 
-class leader_duty_test : public testing::Test
+class leader_role_test : public testing::Test
 {
 protected:
     using leader_type =
-        leader_duty<fake_store, busy_workers, single_worker_list>;
+        leader_role<fake_store, busy_workers, single_worker_list>;
 
     leader_type make_leader(const std::string& name)
     {
@@ -154,7 +154,7 @@
 
 // Failure: a leader that is asked to step down waits until it has no changes to
 // store; under load it always has some, and no task starts for seconds.
-TEST_F(leader_duty_test, busy_leader_steps_down_at_once)
+TEST_F(leader_role_test, busy_leader_steps_down_at_once)
 {
     store_job();
     auto a = make_leader("a");
@@ -173,7 +173,7 @@
 
 // Failure: the last ends are not stored with the release of the lease, and
 // their tasks run again.
-TEST_F(leader_duty_test, tasks_start_once_across_a_handover)
+TEST_F(leader_role_test, tasks_start_once_across_a_handover)
 {
     store_job();
     auto a = make_leader("a");
@@ -191,7 +191,7 @@
 }
 
 // Failure: a leader starts tasks when another VM may have taken over.
-TEST_F(leader_duty_test, no_starts_after_the_lease_has_expired)
+TEST_F(leader_role_test, no_starts_after_the_lease_has_expired)
 {
     store_job();
     auto a = make_leader("a");
@@ -208,7 +208,7 @@
 
 // Failure: a leader resumes after a pause and sends orders with an expired
 // permission, at the same time as its successor.
-TEST_F(leader_duty_test, paused_leader_sends_no_orders)
+TEST_F(leader_role_test, paused_leader_sends_no_orders)
 {
     for (const auto pause : {milliseconds(1300), milliseconds(2500),
                              milliseconds(7000), milliseconds(30000)})
@@ -244,7 +244,7 @@
 
 // Failure: one unreadable row terminates the leader, runs its job again, or
 // keeps other jobs from being scheduled.
-TEST_F(leader_duty_test, unreadable_rows_do_not_affect_other_jobs)
+TEST_F(leader_role_test, unreadable_rows_do_not_affect_other_jobs)
 {
     store_job();
     const job_id broken("00000000000000ff");
