Do not restart the harm limit by a single report below the target

Cause by reading: reported tails scatter, and each single one below the target reset the time over target that the suspension waits for.

Change: the time above the target ends only after 0.7 s without a report above it, longer than the interval between two reports of such a worker. Test scheduler_test.scattered_reports_do_not_delay_a_suspension.

--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -15,6 +15,9 @@
 constexpr duration no_room_backoff = std::chrono::milliseconds(150);
 // Consecutive failures of different jobs after which the worker is avoided.
 constexpr unsigned avoidance_threshold = 2;
+// Longer than the interval between two reports of a worker with serving and
+// fill tasks.
+constexpr duration min_time_below_target = std::chrono::milliseconds(700);
 // A single report can predate the run even if it was requested later.
 constexpr unsigned missing_report_threshold = 2;
 
@@ -300,12 +303,13 @@
                                     time_point now)
 {
     run.measurement = reported.measurement;
-    if (!is_over_target(run))
+    if (!is_over_target(run) && now - run.over_at >= min_time_below_target)
     {
         run.over_since.reset();
     }
-    else
+    if (is_over_target(run))
     {
+        run.over_at = now;
         // The earlier leader may have waited for part of the limit already.
         const auto earlier =
             run.is_adopted ? state_.options.harm_limit / 4 : duration{};
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -335,6 +335,36 @@
     EXPECT_EQ(orders_of<start_order>(simulate(seconds(4))).size(), 2U);
 }
 
+// Failure: reports of a serving task that is over its target scatter, and each
+// one below the target begins the wait for a suspension anew (HARM on a hunted
+// day: over target for four seconds on end beside fill tasks at work).
+TEST_F(scheduler_test, scattered_reports_do_not_delay_a_suspension)
+{
+    add_worker("a");
+    leader.begin(now);
+    auto serving = short_step(1);
+    serving.is_long_running = true;
+    serving.tail_target = milliseconds(18);
+    leader.add_job(make_job("serving", serving));
+    simulate();
+    auto fill = short_step(1);
+    fill.fills = true;
+    leader.add_job(make_job("fill", fill));
+    simulate();
+    const auto serving_run =
+        std::ranges::find_if(running[worker_id("a")], [](const auto& run) {
+            return run.task.job == job_id("serving");
+        });
+    std::vector<pace_order> paces;
+    for (int i = 0; i < 6 && paces.empty(); ++i)
+    {
+        serving_run->measurement = i % 2 == 0 ? 25 : 17;
+        paces = orders_of<pace_order>(simulate(milliseconds(600)));
+    }
+    ASSERT_FALSE(paces.empty());
+    EXPECT_EQ(paces.front().percent, 0);
+}
+
 // Failure: a leader that may have been superseded starts tasks.
 TEST_F(scheduler_test, nothing_starts_while_the_lead_is_in_doubt)
 {
