Log the VM of a worker when it joins

Change: the membership entry's VM is decoded, and the line "worker joined" names it. No decision uses it yet.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -128,6 +128,7 @@
     if (is_new)
     {
         state_.log_event("worker joined", {{"worker", entry.id.value()},
+                                           {"vm", entry.vm.value()},
                                            {"zone", entry.zone.value()}});
         mark_fleet_changed(entry.id);
         return;
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -27,6 +27,9 @@
     worker_id id;
     service_id service;
     std::string address;
+    // The VM on which the worker runs; empty if the worker does not say. A VM
+    // runs one worker process at a time.
+    vm_id vm;
     availability_zone_id zone;
     region_id region;
     bool is_leaving = false;
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -45,13 +45,14 @@
     const worker_id id("i-1");
     const std::string good =
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)"
-        R"("capacity":{"cpu":16000,"mem_mb":64000},"labels":["a","r1-3"],)"
+        R"("machine":"m-1","capacity":{"cpu":16000,"mem_mb":64000},"labels":["a","r1-3"],)"
         R"("born":1700000000000,"seq":4})";
     const auto read =
         decode_worker(id, good, {{availability_zone_id("z"), region_id("r")}});
     ASSERT_TRUE(read);
     EXPECT_EQ(read->region, region_id("r"));
     EXPECT_EQ(read->incarnation, 1700000000000);
+    EXPECT_EQ(read->vm, vm_id("m-1"));
     EXPECT_EQ(read->labels.size(), 2U);
     EXPECT_FALSE(read->is_leaving);
     for (const auto& [from, to] :
