Give up a task that crashes the workers that start it

Cause: only runs that end as failed count as attempts. A run that is lost with its worker was requeued without a trace, so that the task was started again for ever.

Change: when a worker stops responding, its runs are noted. Once a later process on its VM, or under its id, shows that it has crashed, the runs that were starting up, and those of tasks with earlier crashes, are suspects. A suspect is tried alone: on a worker without a run that is starting up, with nothing started beside it until it has outlived the earlier crashes, and preferably where little would be lost. If a task is the only suspect of its second crash, its job ends as failed. A crash on a VM that had crashed before is weaker evidence: three are needed; a suspect that was never the only one is given up after four. A run that outlives the crashes clears the task. Planned stops, workers that respond again, and mass failures (a tenth of the workers, or most of a rack, kind or zone within a second) blame nobody. The evidence is stored with the job's progress before the next start, and with the list of workers for those that are silent at a takeover.

Ruled out: counting every run on a crashed worker, which gives up sound jobs that ran beside such a task. Giving up after the first crash, for the same reason. Waiting until the worker is known to have crashed before its tasks start elsewhere: a worker that is lost for good never shows it.

Conclusion: a task crashes two workers, three in doubt. A task that crashes workers later than 10 s after its start is not recognised.

--- /dev/null
+++ b/src/jobs/crash_attribution.hpp
@@ -0,0 +1,76 @@
+// Attributes the crash of a worker to the tasks that may have caused it, and
+// gives up the jobs of tasks that crash one worker after another.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "jobs/fleet_record.hpp"
+#include "jobs/scheduler_state.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+// Of the runs on a crashed worker those are suspects that were starting up, and
+// those of tasks that had crashed workers before. A suspect is tried alone:
+// nothing else is started on its worker until it has outlived the earlier
+// crashes, so that its next crash has no other suspect.
+class crash_attribution
+{
+public:
+    explicit crash_attribution(scheduler_state& state) : state_(state) {}
+
+    // Notes the runs of a worker that has stopped responding. Whether it has
+    // crashed is known later, if at all.
+    void on_silence(fleet_worker& worker, time_point now);
+    // The same worker process responds again: it has not crashed.
+    void on_response(fleet_worker& worker);
+    // A worker that responded until now has restarted unnoticed.
+    void on_unnoticed_restart(fleet_worker& worker, time_point now);
+    // The worker process has ended. `life` identifies it.
+    void on_end(fleet_worker& worker, const worker_id& life, time_point now);
+    // Adds suspects that an earlier leader recorded on a silent worker.
+    void recover(const fleet_record& record);
+    // The worker of the record has ended.
+    void on_recorded_end(const fleet_record& record, time_point now);
+
+    // A report of the worker contains the run.
+    void on_run_reported(fleet_worker& worker, const task_key& key,
+                         run_record& run, time_point now);
+    // The run has failed while its worker stayed up.
+    void on_run_failed(const task_key& key);
+
+    // Number of workers that ended without notice.
+    std::size_t crashes() const { return crashes_; }
+
+private:
+    struct silence
+    {
+        worker_id worker;
+        availability_zone_id zone;
+        std::vector<std::string> labels;
+        time_point since{};
+    };
+
+    // `alive_at` is the last time at which the worker certainly was up.
+    void note_runs(fleet_worker& worker, time_point alive_at, time_point now);
+    // True if many workers, or most of a rack or an availability zone, fell
+    // silent together: no task is to blame for that.
+    bool is_part_of_mass_failure(const fleet_worker& worker) const;
+    template <typename IsInDomain>
+    bool fails_with_most_of(const fleet_worker& worker,
+                            IsInDomain is_in_domain) const;
+    void count_crash(const worker_id& life, const interrupted_run& run,
+                     bool is_only_suspect, bool is_reliable, time_point now);
+    void clear_suspicion(const std::vector<interrupted_run>& runs) const;
+    void forget_evidence(const task_key& key);
+    task_record* find_task(const task_key& key) const;
+
+    scheduler_state& state_;
+    // Workers that have been silent since the given times, oldest first.
+    std::vector<silence> silences_;
+    std::size_t crashes_ = 0;
+};
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/fleet_record.cpp
+++ b/src/jobs/fleet_record.cpp
@@ -27,13 +27,23 @@
     return json::array{record.worker.value(), record.vm.value()};
 }
 
-json::value to_value_with_runs(const fleet_record& record)
+json::array to_json(const std::vector<task_key>& tasks)
 {
-    json::array runs;
+    json::array out;
     std::ranges::transform(
-        *record.runs, std::back_inserter(runs),
+        tasks, std::back_inserter(out),
         [](const task_key& key) { return json::value(to_text(key)); });
-    json::object out{{"w", record.worker.value()}, {"r", std::move(runs)}};
+    return out;
+}
+
+json::value to_value_with_runs(const fleet_record& record)
+{
+    json::object out{{"w", record.worker.value()},
+                     {"r", to_json(*record.runs)}};
+    if (!record.suspects.empty())
+    {
+        out["s"] = to_json(record.suspects);
+    }
     if (!record.vm.empty())
     {
         out["v"] = record.vm.value();
@@ -48,6 +58,20 @@
                            : std::string(text->data(), text->size());
 }
 
+bool read_tasks(const json::array& in, std::vector<task_key>& tasks)
+{
+    for (const auto& name : in)
+    {
+        auto key = parse_task_key(to_string(name));
+        if (!key)
+        {
+            return false;
+        }
+        tasks.push_back(std::move(*key));
+    }
+    return true;
+}
+
 std::optional<fleet_record> to_record(const json::value& value)
 {
     fleet_record record;
@@ -70,15 +94,10 @@
     }
     record.worker = worker_id(text_in(*in, "w"));
     record.vm = vm_id(text_in(*in, "v"));
-    record.runs.emplace();
-    for (const auto& run : list_in(*in, "r"))
+    if (!read_tasks(list_in(*in, "r"), record.runs.emplace()) ||
+        !read_tasks(list_in(*in, "s"), record.suspects))
     {
-        auto key = parse_task_key(to_string(run));
-        if (!key)
-        {
-            return std::nullopt;
-        }
-        record.runs->push_back(std::move(*key));
+        return std::nullopt;
     }
     return record;
 }
--- a/src/jobs/fleet_record.hpp
+++ b/src/jobs/fleet_record.hpp
@@ -23,6 +23,8 @@
     std::optional<std::vector<task_key>> runs;
     // The VM on which the worker runs; empty if it is not known.
     vm_id vm{};
+    // Tasks that may have crashed the worker, if it has crashed.
+    std::vector<task_key> suspects{};
 
     friend bool operator==(const fleet_record&, const fleet_record&) = default;
 };
--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -143,6 +143,13 @@
     }
 }
 
+void fleet_worker::end_trial(run_record& run)
+{
+    trial_count_ -= run.is_trial ? 1 : 0;
+    run.is_trial = false;
+    has_freed_capacity_ = true;
+}
+
 double fleet_worker::expected_unused_processors(double serving_use) const
 {
     const auto others = used_.processor_millis - serving_reserved_;
@@ -162,6 +169,7 @@
     const auto step = static_cast<std::size_t>(sign);
     serving_count_ += run.is_serving() ? step : 0;
     fill_count_ += run.fills ? step : 0;
+    trial_count_ += run.is_trial ? step : 0;
 }
 
 void fleet_worker::note_clock(worker_clock clock, time_point received)
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -35,6 +35,15 @@
     double headroom = 0.0;
 };
 
+// A run that was on a worker when the worker stopped responding.
+struct interrupted_run
+{
+    task_key task;
+    duration ran_for{};
+    // The run may have crashed the worker.
+    bool is_suspect = false;
+};
+
 // A run that is, or may be, on a worker. It counts against the worker's
 // capacity until it has certainly ended.
 struct run_record
@@ -81,6 +90,12 @@
     std::string checkpoint;
     // The checkpoint from which the run resumed.
     std::string checkpoint_at_start;
+    // The task is suspected of crashing workers: nothing else is started on its
+    // worker until it is cleared.
+    bool is_trial = false;
+    // Set while there is evidence against the task: a run that lasts longer
+    // clears it.
+    std::optional<duration> clearance_time;
 
     bool is_serving() const { return tail_target > duration{}; }
 };
@@ -154,7 +169,18 @@
     // last.
     bool has_restarted = false;
 
+    // When the latest response arrived.
+    time_point responded_at{};
+    // Since when the worker has not responded to polls.
+    std::optional<time_point> silent_since;
+    // The runs at that time, until it is known whether the worker has crashed.
+    std::vector<interrupted_run> interrupted_runs;
+    // When an earlier worker process on the VM was found to have crashed.
+    std::optional<time_point> vm_crashed_at;
+
     std::optional<time_point> poll_sent_at;
+    // How long the poll in progress may wait for a run to end.
+    duration poll_wait{};
     time_point next_poll{};
     // Time at which the latest answered poll was sent.
     std::optional<time_point> contact_at;
@@ -193,6 +219,8 @@
     double expected_unused_processors(double serving_use) const;
     std::size_t serving_count() const { return serving_count_; }
     std::size_t fill_count() const { return fill_count_; }
+    std::size_t trial_count() const { return trial_count_; }
+    void end_trial(run_record& run);
 
     // True if capacity may have been freed since the last call.
     bool take_freed_capacity()
@@ -235,6 +263,7 @@
     std::int64_t serving_reserved_ = 0;
     std::size_t serving_count_ = 0;
     std::size_t fill_count_ = 0;
+    std::size_t trial_count_ = 0;
     bool has_freed_capacity_ = true;
 
     bool clock_known_ = false;
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -141,7 +141,9 @@
     const bool with_checkpoints = total_bytes <= max_bytes;
     for (const auto& [position, history] : progress.histories)
     {
-        if (with_checkpoints || !history.failed_runs.empty())
+        const bool has_checkpoint =
+            with_checkpoints && !history.checkpoint.empty();
+        if (has_checkpoint || !history.failed_runs.empty())
         {
             add(to_json(position, history, with_checkpoints));
         }
@@ -149,6 +151,68 @@
     return out;
 }
 
+json::array to_json(const job_progress::task_position& position,
+                    const crash_history& crashes)
+{
+    auto entry = to_json(position);
+    json::array workers;
+    for (const auto& worker : crashes.workers)
+    {
+        workers.emplace_back(worker.value());
+    }
+    entry.emplace_back(std::move(workers));
+    entry.emplace_back(crashes.is_suspect ? 1 : 0);
+    entry.emplace_back(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           crashes.longest_run)
+                           .count());
+    return entry;
+}
+
+json::array crashes_within(const job_progress& progress, std::size_t max_bytes)
+{
+    json::array out;
+    std::size_t length = 0;
+    for (const auto& [position, history] : progress.histories)
+    {
+        if (history.crashes.empty())
+        {
+            continue;
+        }
+        auto entry = to_json(position, history.crashes);
+        length += json::serialize(entry).size() + 1;
+        if (length > max_bytes)
+        {
+            break;
+        }
+        out.push_back(std::move(entry));
+    }
+    return out;
+}
+
+bool read_crashes(const json::array& in, job_progress& progress)
+{
+    const auto position = to_position(in);
+    if (!position || in.size() != 6 || !in[3].is_array())
+    {
+        return false;
+    }
+    auto& crashes = progress.histories[*position].crashes;
+    for (const auto& worker : in[3].get_array())
+    {
+        const auto* const name = worker.if_string();
+        if (name == nullptr)
+        {
+            return false;
+        }
+        crashes.workers.emplace_back(std::string(*name));
+    }
+    crashes.is_suspect = integer_of(in[4]) != 0;
+    crashes.longest_run =
+        std::clamp<duration>(std::chrono::milliseconds(integer_of(in[5])),
+                             duration{}, crash_history::max_run);
+    return true;
+}
+
 bool read_history(const json::array& in, job_progress& progress)
 {
     const auto position = to_position(in);
@@ -213,6 +277,12 @@
     }
     if (!progress.histories.empty())
     {
+        constexpr std::size_t max_crashes_share = 4;
+        auto crashes = crashes_within(progress, max_bytes / max_crashes_share);
+        if (!crashes.empty())
+        {
+            out["c"] = std::move(crashes);
+        }
         // Member name, brackets and closing brace.
         constexpr std::size_t member_overhead = 16;
         const auto used = json::serialize(out).size() + member_overhead;
@@ -248,6 +318,13 @@
     {
         return std::nullopt;
     }
+    for (const auto& entry : list_in(*in, "c"))
+    {
+        if (!entry.is_array() || !read_crashes(entry.get_array(), progress))
+        {
+            return std::nullopt;
+        }
+    }
     for (const auto& entry : list_in(*in, "h"))
     {
         if (!entry.is_array() || !read_history(entry.get_array(), progress))
--- a/src/jobs/job_progress.hpp
+++ b/src/jobs/job_progress.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/crash_history.hpp"
 #include "jobs/row_limit.hpp"
 
 namespace hemlockdeal::jobs
@@ -48,6 +49,7 @@
         // Numbers of the runs that failed, ascending.
         std::vector<std::uint32_t> failed_runs;
         std::string checkpoint;
+        crash_history crashes{};
     };
 
     job_state state = job_state::queued;
@@ -64,8 +66,8 @@
 // which are already stored. Its own change sets have higher numbers.
 constexpr std::uint64_t recovered_set = 1;
 
-// Encodes the progress in at most `max_bytes` if possible: checkpoints that do
-// not fit are omitted, then failures.
+// Encodes the progress in at most `max_bytes` if possible: crashes that exceed
+// a quarter of it are omitted, then checkpoints that do not fit, then failures.
 std::string encode_progress(const job_progress& progress,
                             std::size_t max_bytes = default_row_limit);
 std::optional<job_progress> decode_progress(std::string_view text);
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -182,6 +182,7 @@
         auto& record = task(key);
         record.failed_runs = history.failed_runs;
         record.checkpoint = history.checkpoint;
+        record.crashes = history.crashes;
         if (!history.failed_runs.empty())
         {
             record.last_run = std::ranges::max(history.failed_runs);
@@ -228,9 +229,15 @@
             record.first_change_set == 0 ? number : record.first_change_set;
         to.ordered->push_back(position);
     }
-    if (!record.failed_runs.empty() || !record.checkpoint.empty())
+    if (std::exchange(record.has_unstored_crash, false))
     {
-        to.histories[position] = {record.failed_runs, record.checkpoint};
+        record.crash_change_set = number;
+    }
+    if (!record.failed_runs.empty() || !record.checkpoint.empty() ||
+        !record.crashes.empty())
+    {
+        to.histories[position] = {record.failed_runs, record.checkpoint,
+                                  record.crashes};
     }
 }
 
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "jobs/crash_history.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_progress.hpp"
 
@@ -44,7 +45,22 @@
     // Number of the first change set that lists it as possibly ordered; 0 if
     // none.
     std::uint64_t first_change_set = 0;
-
+    crash_history crashes;
+    // It may have crashed a worker of which it is not known whether it has
+    // crashed.
+    bool is_suspected = false;
+    // The next stored row of the job will contain a new crash.
+    bool has_unstored_crash = false;
+    // Number of the change set that contains the latest crash; 0 if none.
+    std::uint64_t crash_change_set = 0;
+
+    // True if nothing else may be started beside the task.
+    bool needs_trial() const { return is_suspected || crashes.needs_trial(); }
+    // False while a later leader would not learn of the task's latest crash.
+    bool is_crash_stored(std::uint64_t stored_set) const
+    {
+        return !has_unstored_crash && crash_change_set <= stored_set;
+    }
     // True if the store tells a later leader that the task may have been
     // ordered.
     bool may_be_ordered(std::uint64_t stored_set) const
--- a/src/jobs/place_cost.cpp
+++ b/src/jobs/place_cost.cpp
@@ -24,6 +24,9 @@
 constexpr double max_headroom_use = 3.0;
 constexpr double neighbour_weight = 0.1;
 constexpr double image_weight = 1.0;
+constexpr double trial_weight = 1.0;
+// A crash on a VM that has crashed before is weak evidence.
+constexpr double unreliable_vm_cost = 20.0;
 
 // Likelihood that a serving task is above its target, by the share of its
 // headroom that fill tasks use: load and pressure are estimates.
@@ -83,6 +86,12 @@
            (1.0 - std::min(highest_mean / pressure_of_few_images, 1.0));
 }
 
+double place_cost::trial_cost(const fleet_worker& worker)
+{
+    return trial_weight * static_cast<double>(worker.runs().size()) +
+           (worker.vm_crashed_at ? unreliable_vm_cost : 0.0);
+}
+
 double place_cost::serving_cost(const fleet_worker& worker,
                                 image_hash image) const
 {
--- a/src/jobs/place_cost.hpp
+++ b/src/jobs/place_cost.hpp
@@ -25,6 +25,10 @@
     // workers only: it does not make a task wait.
     double versatility_cost(const fleet_worker& worker, time_point now) const;
 
+    // Cost of trying a task that may crash the worker: what would be lost with
+    // it.
+    static double trial_cost(const fleet_worker& worker);
+
 private:
     double serving_cost(const fleet_worker& worker, image_hash image) const;
 
--- a/src/jobs/poll_planner.cpp
+++ b/src/jobs/poll_planner.cpp
@@ -69,13 +69,15 @@
                           worker.failed_polls == 0 && !worker.runs().empty();
     if (may_wait)
     {
-        const bool is_mixed =
-            worker.serving_count() > 0 && worker.fill_count() > 0;
+        const bool is_urgent =
+            worker.trial_count() > 0 ||
+            (worker.serving_count() > 0 && worker.fill_count() > 0);
         poll.wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-            is_mixed ? state_.options.mixed_poll_wait
-                     : state_.options.poll_wait);
+            is_urgent ? state_.options.mixed_poll_wait
+                      : state_.options.poll_wait);
     }
     worker.poll_sent_at = now;
+    worker.poll_wait = poll.wait;
     state_.orders.emplace_back(poll);
 }
 
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -28,15 +28,17 @@
 {
     if (report.incarnation != worker.entry.incarnation)
     {
-        handle_restart(worker, report.incarnation, sent_at);
+        handle_restart(worker, report.incarnation, sent_at, now);
     }
     else
     {
+        crashes_.on_response(worker);
         worker.acknowledged_ends =
             std::max(worker.acknowledged_ends, worker.acknowledging);
     }
     worker.note_clock(report.clock, now);
     worker.contact_at = sent_at;
+    worker.responded_at = now;
     worker.failed_polls = 0;
     worker.has_restarted = false;
     worker.has_ended = false;
@@ -69,8 +71,11 @@
 
 void report_intake::handle_restart(fleet_worker& worker,
                                    worker_incarnation incarnation,
-                                   time_point sent_at)
+                                   time_point sent_at, time_point now)
 {
+    const worker_id life(worker.entry.id.value() + ':' +
+                         std::to_string(worker.entry.incarnation));
+    crashes_.on_unnoticed_restart(worker, now);
     // A start that was in transit may have reached the new process. It stays
     // in the ledger until a stop and a poll have resolved it.
     std::vector<std::pair<task_key, run_record>> open_starts;
@@ -85,6 +90,9 @@
         open_starts, [&](const auto& entry) { worker.erase_run(entry.first); });
     drop_runs(worker, "worker restarted");
     worker.restart(incarnation);
+    crashes_.on_end(worker, life, now);
+    worker.vm_crashed_at = now;
+    worker.silent_since.reset();
     // The restarted worker has lost the epoch that it followed: a superseded
     // leader must find out from the store before it starts tasks there.
     worker.is_recorded = false;
@@ -185,6 +193,7 @@
         return;
     }
     record_failure(worker, end.task.job, now);
+    crashes_.on_run_failed(end.task);
     state_.registry.mark_changed(end.task.job);
     auto& task = owner.task(end.task);
     task.failed_on = worker.entry.id;
@@ -198,13 +207,7 @@
     }
     if (owner.has_failed(end.task) && task.phase != task_phase::done)
     {
-        state_.log_event(
-            "job failed",
-            {{"job", end.task.job.value()},
-             {"task", to_text(end.task)},
-             {"failures", std::to_string(task.failed_runs.size())}});
-        state_.stop_job(owner, now, "job failed");
-        state_.registry.finish(end.task.job, job_state::failed);
+        state_.fail_job(owner, end.task, now);
     }
 }
 
@@ -270,6 +273,7 @@
         return;
     }
     update_progress(worker, reported.task, *run, reported, now);
+    crashes_.on_run_reported(worker, reported.task, *run, now);
 }
 
 void report_intake::adopt_run(fleet_worker& worker,
@@ -287,6 +291,10 @@
         // started beside it until it has ended.
         adopted.size = worker.entry.capacity;
     }
+    if (is_known)
+    {
+        set_evidence(adopted, owner->task(reported.task));
+    }
     worker.add_run(reported.task, adopted);
     if (!is_known || owner->task(reported.task).phase != task_phase::waiting)
     {
@@ -407,6 +415,7 @@
         record->confirmed_at = now;
         record->progressed_at = now;
         record->is_unresolved = false;
+        worker.responded_at = now;
         return;
     }
     state_.log_event("start not accepted",
@@ -420,6 +429,7 @@
         record->is_unresolved = true;
         return;
     }
+    worker.responded_at = now;
     const bool was_current = is_current_run(worker, key, run);
     worker.erase_run(key);
     if (response == start_answer::no_room)
@@ -495,15 +505,21 @@
     }
 }
 
-void report_intake::on_worker_ended(fleet_worker& worker,
-                                    const fleet_worker& later)
+void report_intake::on_worker_ended(fleet_worker& worker, fleet_worker& later,
+                                    time_point now)
 {
+    crashes_.on_unnoticed_restart(worker, now);
     worker.has_ended = true;
     state_.log_event("worker has ended",
                      {{"worker", worker.entry.id.value()},
                       {"vm", worker.entry.vm.value()},
                       {"later_worker", later.entry.id.value()}});
     drop_runs(worker, "a later worker runs on its VM");
+    crashes_.on_end(worker, worker.entry.id, now);
+    if (!worker.entry.is_leaving)
+    {
+        later.vm_crashed_at = now;
+    }
 }
 
 void report_intake::drop_runs(fleet_worker& worker, std::string_view reason)
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "jobs/crash_attribution.hpp"
 #include "jobs/scheduler_state.hpp"
 
 namespace hemlockdeal::jobs
@@ -12,7 +13,9 @@
 class report_intake
 {
 public:
-    explicit report_intake(scheduler_state& state) : state_(state) {}
+    report_intake(scheduler_state& state, crash_attribution& crashes)
+        : state_(state), crashes_(crashes)
+    {}
 
     void on_report(fleet_worker& worker, const worker_report& report,
                    time_point sent_at, time_point now);
@@ -26,7 +29,8 @@
     // expired.
     void check_lease_expiry(fleet_worker& worker, time_point now);
     // Handles the end of a worker process that `later` has replaced on its VM.
-    void on_worker_ended(fleet_worker& worker, const fleet_worker& later);
+    void on_worker_ended(fleet_worker& worker, fleet_worker& later,
+                         time_point now);
 
 private:
     // Removes all runs of a worker that certainly runs nothing, and requeues
@@ -34,7 +38,7 @@
     void drop_runs(fleet_worker& worker, std::string_view reason);
     // Handles a report from a new process of the worker.
     void handle_restart(fleet_worker& worker, worker_incarnation incarnation,
-                        time_point sent_at);
+                        time_point sent_at, time_point now);
     void handle_end(fleet_worker& worker, const ended_run& end, time_point now);
     void handle_done(fleet_worker& worker, live_job& owner, const task_key& key,
                      time_point now);
@@ -57,6 +61,7 @@
     void record_failure(fleet_worker& worker, const job_id& id, time_point now);
 
     scheduler_state& state_;
+    crash_attribution& crashes_;
     // For the log: tasks of the current report that an earlier leader started.
     std::string taken_over_tasks_;
 };
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -18,12 +18,14 @@
 // be checked on every call.
 constexpr duration fleet_check_interval = std::chrono::milliseconds(40);
 constexpr duration load_interval = std::chrono::seconds(2);
+// A crashed worker is back on its VM within this time, if at all.
+constexpr duration crash_evidence_time = std::chrono::seconds(60);
 
 } // namespace
 
 scheduler::scheduler(scheduler_options options, std::uint64_t epoch)
-    : intake_(state_), placer_(state_), polls_(state_), suspender_(state_),
-      speeds_(state_)
+    : crashes_(state_), intake_(state_, crashes_), placer_(state_),
+      polls_(state_), suspender_(state_), speeds_(state_)
 {
     state_.options = options;
     state_.interference.set_policy(options.policy);
@@ -46,6 +48,7 @@
     for (const auto& record : may_run_tasks)
     {
         unseen_workers_[record.worker] = record;
+        crashes_.recover(record);
     }
     recovered_workers_ = unseen_workers_.size();
 }
@@ -217,7 +220,7 @@
     intake_.on_report(*worker, report, sent_at, now);
     if (is_first_contact)
     {
-        end_earlier_workers(*worker, sent_at);
+        end_earlier_workers(*worker, sent_at, now);
     }
     state_.interference.learn(*worker, now);
     suspender_.adjust(*worker, now);
@@ -237,12 +240,13 @@
     {
         return;
     }
-    worker->poll_sent_at.reset();
     if (worker->failed_polls == 0)
     {
+        crashes_.on_silence(*worker, now);
         state_.log_event("worker does not respond to polls",
                          {{"worker", id.value()}});
     }
+    worker->poll_sent_at.reset();
     ++worker->failed_polls;
     worker->next_poll =
         now + state_.options.poll_retry *
@@ -311,8 +315,8 @@
     unseen_workers_changed_ = true;
 }
 
-void scheduler::end_earlier_workers(const fleet_worker& later,
-                                    time_point sent_at)
+void scheduler::end_earlier_workers(fleet_worker& later, time_point sent_at,
+                                    time_point now)
 {
     const auto& vm = later.entry.vm;
     if (vm.empty())
@@ -324,7 +328,7 @@
         if (worker.entry.vm == vm && id != later.entry.id &&
             worker.joined_at < sent_at && !worker.has_ended)
         {
-            intake_.on_worker_ended(worker, later);
+            intake_.on_worker_ended(worker, later, now);
         }
     }
     // The recorded workers ran before this leader sent its first poll.
@@ -336,6 +340,7 @@
          unseen = std::ranges::find_if(unseen_workers_, is_earlier))
     {
         mark_fleet_changed(unseen->first);
+        crashes_.on_recorded_end(unseen->second, now);
         unseen_workers_.erase(unseen);
         unseen_workers_changed_ = true;
     }
@@ -382,13 +387,16 @@
          {"in_doubt", std::to_string(uncertain)}});
 }
 
-void scheduler::forget_gone_workers()
+void scheduler::forget_gone_workers(time_point now)
 {
     for (auto w = state_.fleet.begin(); w != state_.fleet.end();)
     {
         const auto& worker = w->second;
+        const bool may_have_crashed =
+            !worker.interrupted_runs.empty() && worker.silent_since &&
+            now - *worker.silent_since < crash_evidence_time;
         const bool is_gone = worker.is_unlisted && worker.runs().empty() &&
-                             !worker.poll_sent_at &&
+                             !may_have_crashed && !worker.poll_sent_at &&
                              !unseen_workers_.contains(w->first);
         if (!is_gone)
         {
@@ -427,7 +435,7 @@
         {
             intake_.check_lease_expiry(worker, now);
         }
-        forget_gone_workers();
+        forget_gone_workers(now);
         check_closed_workers();
     }
     if (permission.may_start && permission.lead_is_valid)
@@ -570,7 +578,15 @@
     std::vector<task_key> runs;
     std::ranges::transform(worker.runs(), std::back_inserter(runs),
                            [](const auto& run) { return run.first; });
-    return {id, std::move(runs), worker.entry.vm};
+    fleet_record record{id, std::move(runs), worker.entry.vm};
+    for (const auto& run : worker.interrupted_runs)
+    {
+        if (run.is_suspect)
+        {
+            record.suspects.push_back(run.task);
+        }
+    }
+    return record;
 }
 
 void scheduler::on_changes_stored(time_point now)
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/crash_attribution.hpp"
 #include "jobs/fill_suspender.hpp"
 #include "jobs/fleet_record.hpp"
 #include "jobs/poll_planner.hpp"
@@ -120,6 +121,7 @@
     {
         return placer_.tasks_without_room();
     }
+    std::size_t worker_crashes() const { return crashes_.crashes(); }
     // True if no run of an earlier leader is uncertain any more.
     bool is_recovery_complete() const
     {
@@ -131,7 +133,8 @@
     void mark_worker_seen(fleet_worker& worker);
     // Concludes from the first response of `later` that the workers that ran
     // on its VM when the poll was sent have ended.
-    void end_earlier_workers(const fleet_worker& later, time_point sent_at);
+    void end_earlier_workers(fleet_worker& later, time_point sent_at,
+                             time_point now);
     void end_recovery();
     // Brings the expected expiry of all leases forward once most workers
     // follow this leader: an earlier leader can no longer extend them.
@@ -154,11 +157,12 @@
     std::vector<fleet_part> record_fleet();
     fleet_record record_of(const worker_id& id, fleet_worker& worker);
     void offload_leaving_worker(fleet_worker& worker, time_point now);
-    void forget_gone_workers();
+    void forget_gone_workers(time_point now);
     // Logs a summary of the load every few seconds.
     void log_load(time_point now);
 
     scheduler_state state_;
+    crash_attribution crashes_;
     report_intake intake_;
     task_placer placer_;
     poll_planner polls_;
--- a/src/jobs/scheduler_state.cpp
+++ b/src/jobs/scheduler_state.cpp
@@ -15,6 +15,15 @@
 
 } // namespace
 
+void set_evidence(run_record& run, const task_record& task)
+{
+    run.is_trial = task.needs_trial();
+    if (run.is_trial || !task.crashes.empty())
+    {
+        run.clearance_time = task.crashes.clearance_time();
+    }
+}
+
 fleet_worker* scheduler_state::find_worker(const worker_id& id)
 {
     const auto found = fleet.find(id);
@@ -68,6 +77,20 @@
     orders.emplace_back(stop_order{worker.entry.id, key, run->run});
 }
 
+void scheduler_state::fail_job(live_job& owner, const task_key& key,
+                               time_point now)
+{
+    const auto& task = owner.task(key);
+    log_event("job failed",
+              {{"job", key.job.value()},
+               {"task", to_text(key)},
+               {"failures", std::to_string(task.failed_runs.size())},
+               {"crashes", std::to_string(task.crashes.workers.size())}});
+    stop_job(owner, now, "job failed");
+    // `key` may refer to the job that is removed here.
+    registry.finish(job_id(key.job), job_state::failed);
+}
+
 void scheduler_state::stop_job(const live_job& ended, time_point now,
                                std::string_view reason)
 {
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -25,6 +25,9 @@
     std::vector<std::pair<std::string_view, std::string>> fields;
 };
 
+// Copies to the run what its task is suspected of.
+void set_evidence(run_record& run, const task_record& task);
+
 struct scheduler_state
 {
     scheduler_options options;
@@ -60,6 +63,8 @@
     // Orders a run to stop, unless that was ordered within `stop_retry`.
     void order_stop(fleet_worker& worker, const task_key& key, time_point now,
                     std::string_view reason);
+    // Ends the job as failed because of this task.
+    void fail_job(live_job& owner, const task_key& key, time_point now);
     // Orders all runs of a job to stop.
     void stop_job(const live_job& ended, time_point now,
                   std::string_view reason);
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -114,7 +114,8 @@
 
 bool task_placer::may_start(const task_record& task) const
 {
-    return task.phase == task_phase::waiting && !task.may_run_elsewhere;
+    return task.phase == task_phase::waiting && !task.may_run_elsewhere &&
+           task.is_crash_stored(state_.stored_set);
 }
 
 bool task_placer::prepare_start(live_job& owner, const task_key& key,
@@ -136,13 +137,15 @@
     }
     // Reserves the capacity until the announcement is stored, so that no other
     // task takes it and the search is not repeated.
-    worker.add_run(key, make_run(owner.step_of(key), 0, now));
+    auto reserved = make_run(owner.step_of(key), 0, now);
+    set_evidence(reserved, task);
+    worker.add_run(key, reserved);
     reservations_[key] = {worker.entry.id, true};
     return false;
 }
 
-fleet_worker* task_placer::reserved_worker(const live_job& owner,
-                                           const task_key& key, time_point now)
+fleet_worker* task_placer::reserved_worker(live_job& owner, const task_key& key,
+                                           time_point now)
 {
     const auto found = reservations_.find(key);
     if (found == reservations_.end())
@@ -153,6 +156,7 @@
     const bool is_valid =
         worker != nullptr && eligibility_.is_available(*worker, now) &&
         eligibility_.accepts_step(*worker, owner.step_of(key), now) &&
+        eligibility_.accepts_trial(*worker, owner.task(key), now) &&
         eligibility_.may_run(*worker, owner, key, now);
     return is_valid ? worker : nullptr;
 }
@@ -274,6 +278,7 @@
         }
         run_record planned;
         planned.size = definition.steps[c.step].size;
+        planned.is_trial = c.owner->task(key).needs_trial();
         worker->add_run(key, planned);
         placements.emplace_back(key, worker);
     }
@@ -323,7 +328,8 @@
          ++i)
     {
         auto* const worker = workers[search_offset_++ % workers.size()];
-        if (!eligibility_.accepts_step(*worker, s, now))
+        if (!eligibility_.accepts_step(*worker, s, now) ||
+            !eligibility_.accepts_trial(*worker, task, now))
         {
             continue;
         }
@@ -332,6 +338,7 @@
         cost += s.fills && state_.options.policy.spares_versatile_workers
                     ? cost_.versatility_cost(*worker, now)
                     : 0.0;
+        cost += task.needs_trial() ? place_cost::trial_cost(*worker) : 0.0;
         // Checked last because it compares strings.
         if (cost < lowest_cost && !is_too_expensive &&
             eligibility_.may_run(*worker, owner, key, now))
@@ -412,6 +419,7 @@
         {key.job, key.occurrence, key.step}, worker.entry.id, now);
     auto record = make_run(owner.step_of(key), run, now);
     record.start_deadline = deadline;
+    set_evidence(record, owner.task(key));
     record.checkpoint = owner.task(key).checkpoint;
     record.checkpoint_at_start = record.checkpoint;
     worker.add_run(key, record);
@@ -424,6 +432,7 @@
                       {"run", std::to_string(run)},
                       {"worker", worker.entry.id.value()},
                       {"image", owner.step_of(key).image},
+                      {"trial", std::to_string(int{record.is_trial})},
                       {"serving", std::to_string(worker.serving_count())},
                       {"processors_reserved",
                        std::to_string(worker.room_used().processor_millis)},
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -62,7 +62,7 @@
     void place_gang(const candidate& c, time_point now);
     // The worker reserved for the task, or null if there is none or it can no
     // longer take the task.
-    fleet_worker* reserved_worker(const live_job& owner, const task_key& key,
+    fleet_worker* reserved_worker(live_job& owner, const task_key& key,
                                   time_point now);
     // The worker with the lowest cost, or null if none can take the task.
     fleet_worker* choose(const std::vector<fleet_worker*>& workers,
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -330,6 +330,10 @@
         {worker_id("a \"1\""), std::nullopt},
         {worker_id("d"), std::nullopt, vm_id("vm-1")},
         {worker_id("e"), std::vector<task_key>{}, vm_id("vm-2")},
+        {worker_id("f"),
+         std::vector<task_key>{},
+         vm_id("vm-3"),
+         {{job_id("0f"), 1, 2, 3}}},
         {worker_id("b"), std::vector<task_key>{{job_id("0f"), 1, 2, 3}}},
         {worker_id("c"), std::vector<task_key>{}}};
     EXPECT_EQ(decode_fleet(encode_fleet(fleet)), fleet);
