--- a/tests/jobs/fleet_property_test.cpp
+++ b/tests/jobs/fleet_property_test.cpp
@@ -20,11 +20,11 @@
 constexpr std::uint32_t max_seeds = 3000;
 
 bool is_detected(removed_safeguard removed, std::uint32_t seeds = max_seeds,
-                 bool crashes = false)
+                 bool crashes = false, bool capacity_changes = false)
 {
     for (std::uint32_t seed = 0; seed < seeds; ++seed)
     {
-        fleet_world world(seed, removed, crashes);
+        fleet_world world(seed, removed, crashes, capacity_changes);
         world.simulate();
         if (!world.violations().empty())
         {
@@ -34,10 +34,11 @@
     return false;
 }
 
-bool guarantees_hold(bool crashes)
+bool guarantees_hold(bool crashes, bool capacity_changes = false)
 {
-    return rc::check([crashes](std::uint32_t seed) {
-        fleet_world world(seed, removed_safeguard::none, crashes);
+    return rc::check([=](std::uint32_t seed) {
+        fleet_world world(seed, removed_safeguard::none, crashes,
+                          capacity_changes);
         const bool all_over = world.simulate();
         if (!world.violations().empty())
         {
@@ -66,6 +67,13 @@
     EXPECT_TRUE(guarantees_hold(true));
 }
 
+// Failure: a start brings a worker over a capacity that has shrunk, or a job
+// does not end although the capacity has grown back.
+TEST(jobs_fleet, guarantees_hold_while_capacities_change)
+{
+    EXPECT_TRUE(guarantees_hold(false, true));
+}
+
 // Failure with seed 26814: a start on a worker that had restarted unnoticed
 // was executed after its task had been placed elsewhere. With the other two:
 // tasks were started beside a run of a finished job, whose size is unknown.
@@ -100,6 +108,12 @@
     EXPECT_TRUE(is_detected(removed_safeguard::one_worker_per_vm));
 }
 
+TEST(jobs_fleet, starts_by_an_outdated_capacity_are_detected)
+{
+    EXPECT_TRUE(is_detected(removed_safeguard::published_capacity, max_seeds,
+                            false, true));
+}
+
 // Failure: only the deadline protects against late starts. The epoch is the
 // second safeguard: either one alone is sufficient, and without both of them
 // late starts take effect.
--- a/tests/jobs/fleet_world.cpp
+++ b/tests/jobs/fleet_world.cpp
@@ -28,6 +28,10 @@
 constexpr double worker_crashes = 0.0015;
 constexpr double disconnections = 0.006;
 constexpr double failing_runs = 0.08;
+constexpr double capacity_changes = 0.006;
+constexpr task_size full_capacity{4000, 4000, 0};
+// A larger capacity counts for this long after it has been replaced.
+constexpr duration shrinking_grace = milliseconds(3500);
 
 scheduler_options options_of(removed_safeguard removed)
 {
@@ -47,8 +51,9 @@
 } // namespace
 
 fleet_world::fleet_world(std::uint32_t seed, removed_safeguard removed,
-                         bool crashes)
-    : random_(seed), removed_(removed), crashes_(crashes)
+                         bool crashes, bool capacity_changes)
+    : random_(seed), removed_(removed), crashes_(crashes),
+      capacity_changes_(capacity_changes)
 {
     for (int i = 0; i < worker_count; ++i)
     {
@@ -72,7 +77,7 @@
     w.entry.service = service_id("s");
     w.entry.vm = vm;
     w.entry.zone = availability_zone_id("z");
-    w.entry.capacity = {4000, 4000, 0};
+    w.entry.capacity = full_capacity;
     w.entry.incarnation = 1;
     w.clock_rate = clock_rate;
     w.started_at = started_at;
@@ -102,6 +107,81 @@
     });
 }
 
+void fleet_world::change_capacity(const worker_id& id,
+                                  const task_size& capacity)
+{
+    auto& entry = workers_.at(id).entry;
+    earlier_capacities_[id].push_back({now_, entry.capacity});
+    entry.capacity = capacity;
+    if (removed_ == removed_safeguard::published_capacity)
+    {
+        return;
+    }
+    schedule(milliseconds(random_() % 600), [this, id] {
+        if (leader_ && listed_.contains(id))
+        {
+            leader_->set_worker(workers_.at(id).entry, now_);
+        }
+    });
+}
+
+void fleet_world::change_capacities()
+{
+    if (!capacity_changes_)
+    {
+        return;
+    }
+    for (const auto& [id, w] : workers_)
+    {
+        if (w.is_up && happens(capacity_changes))
+        {
+            // The processors and the memory shrink independently.
+            const auto share_of = [this](std::int64_t full) {
+                constexpr std::int64_t quarters = 4;
+                return full *
+                       static_cast<std::int64_t>(random_() % (quarters + 1)) /
+                       quarters;
+            };
+            const auto processors = share_of(full_capacity.processor_millis);
+            const auto memory = share_of(full_capacity.memory_mb);
+            change_capacity(id, {processors, memory, 0});
+        }
+    }
+}
+
+void fleet_world::restore_capacities()
+{
+    if (!capacity_changes_)
+    {
+        return;
+    }
+    for (const auto& [id, w] : workers_)
+    {
+        change_capacity(id, full_capacity);
+    }
+}
+
+task_size fleet_world::tolerated_capacity(const worker_id& id) const
+{
+    auto limit = workers_.at(id).entry.capacity;
+    const auto found = earlier_capacities_.find(id);
+    if (found == earlier_capacities_.end())
+    {
+        return limit;
+    }
+    for (const auto& earlier : found->second)
+    {
+        if (now_ - earlier.replaced_at < shrinking_grace)
+        {
+            limit.processor_millis = std::max(
+                limit.processor_millis, earlier.capacity.processor_millis);
+            limit.memory_mb =
+                std::max(limit.memory_mb, earlier.capacity.memory_mb);
+        }
+    }
+    return limit;
+}
+
 void fleet_world::add_job()
 {
     job j;
@@ -157,6 +237,7 @@
         advance();
     }
     has_faults_ = false;
+    restore_capacities();
     const auto end = now_ + calm_time;
     while (now_ < end && violations_.empty())
     {
@@ -232,6 +313,7 @@
                 now_ + milliseconds(500 + random_() % 9000);
         }
     }
+    change_capacities();
     if (happens(0.01) && submitted_.size() < 12)
     {
         add_job();
@@ -436,8 +518,9 @@
         }
     }
     const auto used = w.used();
-    if (used.processor_millis > w.entry.capacity.processor_millis ||
-        used.memory_mb > w.entry.capacity.memory_mb)
+    const auto capacity = tolerated_capacity(w.entry.id);
+    if (used.processor_millis > capacity.processor_millis ||
+        used.memory_mb > capacity.memory_mb)
     {
         record_violation(w.entry.id.value() + " is over its capacity");
     }
--- a/tests/jobs/fleet_world.hpp
+++ b/tests/jobs/fleet_world.hpp
@@ -35,15 +35,18 @@
     // As above, and a new leader reuses the epoch of the last one.
     short_start_validity_and_higher_epoch,
     // Workers that run at the same time name the same VM.
-    one_worker_per_vm
+    one_worker_per_vm,
+    // The leader is not told of changed capacities.
+    published_capacity
 };
 
 class fleet_world
 {
 public:
     // With `crashes`, workers also crash, and their VMs run new ones later.
+    // With `capacity_changes`, the capacity of workers shrinks and grows back.
     fleet_world(std::uint32_t seed, removed_safeguard removed,
-                bool crashes = false);
+                bool crashes = false, bool capacity_changes = false);
 
     // Runs a period with faults and then one without; true if every job ended.
     bool simulate();
@@ -66,6 +69,12 @@
                     time_point started_at);
     // Ends the worker; its VM runs a new one after a while.
     void crash_worker(const worker_id& id);
+    void change_capacity(const worker_id& id, const task_size& capacity);
+    void change_capacities();
+    void restore_capacities();
+    // The largest capacity that a start may go by: the leader learns of a
+    // smaller one late.
+    task_size tolerated_capacity(const worker_id& id) const;
     void add_job();
     void advance();
     void inject_faults();
@@ -92,6 +101,7 @@
     std::mt19937 random_;
     removed_safeguard removed_;
     bool crashes_;
+    bool capacity_changes_;
     time_point now_{std::chrono::seconds(100)};
     std::uint64_t event_count_ = 0;
     std::priority_queue<pending_event> pending_events_;
@@ -99,6 +109,12 @@
     // Workers in the membership list, which lags behind.
     std::set<worker_id> listed_;
     std::map<worker_id, time_point> disconnected_until_;
+    struct earlier_capacity
+    {
+        time_point replaced_at{};
+        task_size capacity;
+    };
+    std::map<worker_id, std::vector<earlier_capacity>> earlier_capacities_;
     bool has_faults_ = true;
 
     std::map<job_id, job> submitted_;
