Start no fill task on a worker whose runs exceed its capacity

Cause: a fill task reserves no processors, so it was placed as long as the expected use of the serving tasks left some. After the capacity had shrunk below what the runs reserve, such a start found the worker over its capacity. With an absurdly low capacity the subtraction wrapped around as well.

Change: no fill task is placed while the reserved processors exceed the capacity; memory and accelerators were checked already.

Ruled out: stopping runs. No rule asks for it, the work would be lost, and the room may be back within seconds.

Both tests failed before: one fill task was started beside serving tasks that reserve 12,000 processor millis of a capacity of 8,000, and one at one of the four capacities of the second test.

Conclusion: no start of any kind is added until the room is there.

--- a/src/jobs/worker_eligibility.cpp
+++ b/src/jobs/worker_eligibility.cpp
@@ -61,6 +61,12 @@
     {
         return reserved <= room.processor_millis;
     }
+    // A start must not find the worker over its capacity, even though the task
+    // reserves no processors.
+    if (used.processor_millis > room.processor_millis)
+    {
+        return false;
+    }
     const auto unused =
         worker.expected_unused_processors(state_.options.serving_use);
     return static_cast<double>(worker.fill_demand() +
--- a/tests/jobs/capacity_test.cpp
+++ b/tests/jobs/capacity_test.cpp
@@ -287,6 +287,36 @@
     EXPECT_EQ(simulate().size(), 1U);
 }
 
+// Failure: a fill task, whose processors are not counted, is started on a
+// worker whose runs exceed its capacity.
+TEST_F(capacity_test, no_fill_task_starts_beside_runs_over_the_capacity)
+{
+    begin({"a"});
+    run_job("lasting", serving_step(4, 3000));
+    publish("a", {8000, 64000, 0});
+    add_job("fill", fill_step(1, 1000));
+    EXPECT_TRUE(simulate(seconds(2)).empty());
+    publish("a", full_room);
+    EXPECT_EQ(simulate().size(), 1U);
+}
+
+// Failure: the processors expected to be unused are negative, and a fill task
+// is started or the leader's sums wrap around.
+TEST_F(capacity_test, no_fill_task_starts_while_no_processors_are_unused)
+{
+    begin({"a"});
+    run_job("batch", step_of(3, 4000));
+    for (const auto millis :
+         {std::int64_t{2000}, std::int64_t{0}, std::int64_t{-5},
+          std::numeric_limits<std::int64_t>::min()})
+    {
+        publish("a", {millis, 64000, 0});
+        add_job("fill" + std::to_string(millis), fill_step(1, 100));
+        EXPECT_TRUE(simulate(seconds(1)).empty()) << millis;
+    }
+    EXPECT_TRUE(stops.empty());
+}
+
 // Failure: a part of a gang is started, or a gang is started over the capacity
 // of one of its workers.
 TEST_F(capacity_test, gang_waits_until_all_its_workers_have_room)
