Do not avoid a worker that is short of processors

Cause: a fill task without processors makes no progress, and after 2.5 s that counted as a fault of its worker, which then took no task for 3 to 24 s. When the capacity had grown back, a lasting task whose only room was there waited for the rest of that time (LOST allows about 3 s).

Change: a run without progress does not make its worker avoided while the runs reserve more processors than it has, or the fill tasks want more than twice what is left. The run is still stopped, so that it continues elsewhere: that is the only way in which a fill task makes room.

Ruled out: leaving such a run alone. On a worker that stays small it would never end. A limit of once the unused processors would have covered ordinary packing (fill tasks may demand 1.1 times), where a stall does show a sick worker.

The test failed before: the lasting task was not placed in the 300 ms after the capacity was back.

Conclusion: avoidance is kept for workers that have the processors.

--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -19,6 +19,9 @@
 // expected to return to full pace soon.
 constexpr int min_demand_percent = 25;
 constexpr int slowed_below_percent = 60;
+// Fill tasks that want more than this multiple of the unused processors may
+// seem to stall.
+constexpr double overcommitment_limit = 2.0;
 
 std::int64_t demand_at_pace(const run_record& run)
 {
@@ -157,6 +160,16 @@
            serving_use * static_cast<double>(serving_reserved_);
 }
 
+bool fleet_worker::is_overcommitted(double serving_use) const
+{
+    if (used_.processor_millis > entry.capacity.processor_millis)
+    {
+        return true;
+    }
+    return static_cast<double>(fill_demand_) >
+           overcommitment_limit * expected_unused_processors(serving_use);
+}
+
 void fleet_worker::account(const run_record& run, int sign)
 {
     cached_pressures.is_stale = true;
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -217,6 +217,9 @@
     // Processor millis that remain for fill tasks if serving tasks use this
     // share of their reservation.
     double expected_unused_processors(double serving_use) const;
+    // True if runs make little or no progress for lack of processors, for
+    // example since the capacity has shrunk.
+    bool is_overcommitted(double serving_use) const;
     std::size_t serving_count() const { return serving_count_; }
     std::size_t fill_count() const { return fill_count_; }
     std::size_t trial_count() const { return trial_count_; }
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -226,10 +226,7 @@
     {
         return;
     }
-    const auto& options = state_.options;
-    health.avoidance = std::clamp(
-        health.avoidance * 2, options.initial_avoidance, options.max_avoidance);
-    health.avoided_until = now + health.avoidance;
+    avoid_worker(worker, now);
     state_.log_event(
         "avoiding worker after repeated failures",
         {{"worker", worker.entry.id.value()},
@@ -339,16 +336,24 @@
     if (!may_stall && now - run.progressed_at > state_.options.stall_limit &&
         !run.stop_ordered_at)
     {
-        auto& health = worker.health;
-        health.avoidance =
-            std::clamp(health.avoidance * 2, state_.options.initial_avoidance,
-                       state_.options.max_avoidance);
-        health.avoided_until = now + health.avoidance;
+        if (!worker.is_overcommitted(state_.options.serving_use))
+        {
+            avoid_worker(worker, now);
+        }
         state_.order_stop(worker, key, now,
                           "run made no progress within the stall limit");
     }
 }
 
+void report_intake::avoid_worker(fleet_worker& worker, time_point now)
+{
+    auto& health = worker.health;
+    const auto& options = state_.options;
+    health.avoidance = std::clamp(
+        health.avoidance * 2, options.initial_avoidance, options.max_avoidance);
+    health.avoided_until = now + health.avoidance;
+}
+
 bool report_intake::is_run_over(const run_record& run,
                                 const worker_report& report,
                                 time_point sent_at) const
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -59,6 +59,8 @@
     bool is_current_run(const fleet_worker& worker, const task_key& key,
                         std::uint32_t run);
     void record_failure(fleet_worker& worker, const job_id& id, time_point now);
+    // Each time longer than the last, up to a limit.
+    void avoid_worker(fleet_worker& worker, time_point now);
 
     scheduler_state& state_;
     crash_attribution& crashes_;
--- a/tests/jobs/capacity_test.cpp
+++ b/tests/jobs/capacity_test.cpp
@@ -317,6 +317,25 @@
     EXPECT_TRUE(stops.empty());
 }
 
+// Failure: a fill task without processors counts as a fault of its worker,
+// which is then avoided for seconds after its capacity has grown back (LOST of
+// a lasting task whose only room is there).
+TEST_F(capacity_test, worker_without_room_for_its_fills_is_not_avoided)
+{
+    begin({"a"});
+    run_job("fill", fill_step(2, 4000));
+    publish("a", {0, 64000, 0});
+    runs_progress = false;
+    add_job("lasting", serving_step(1, 4000));
+    // Longer than a run may be without progress.
+    ASSERT_TRUE(simulate(seconds(4)).empty());
+    publish("a", full_room);
+    const auto starts = simulate();
+    EXPECT_TRUE(std::ranges::any_of(starts, [](const start_order& o) {
+        return o.task.job == job_id("lasting");
+    }));
+}
+
 // Failure: a part of a gang is started, or a gang is started over the capacity
 // of one of its workers.
 TEST_F(capacity_test, gang_waits_until_all_its_workers_have_room)
