Judge a worker anew when its capacity changes

Cause: two conclusions about a worker outlived the capacity they were drawn from. A start refused for lack of room closed the worker for 150 ms, and a run that had stood still for lack of processors reached the stall limit just after the room was back, whereupon the worker was avoided for 3 s or more.

Change: a list entry with another capacity ends the closure and restarts the time without progress of each run. The log shows the new capacity beside what is reserved.

Ruled out: the state of the search.

Both tests failed before: no start within 40 ms after a refusal, and a stop and no start within 700 ms after a standstill of 2.4 s.

Conclusion: a task waits for the list entry, and for nothing else.

--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -170,6 +170,15 @@
            overcommitment_limit * expected_unused_processors(serving_use);
 }
 
+void fleet_worker::on_capacity_changed(time_point now)
+{
+    full_until = {};
+    for (auto& [key, run] : runs_)
+    {
+        run.progressed_at = now;
+    }
+}
+
 void fleet_worker::account(const run_record& run, int sign)
 {
     cached_pressures.is_stale = true;
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -220,6 +220,9 @@
     // True if runs make little or no progress for lack of processors, for
     // example since the capacity has shrunk.
     bool is_overcommitted(double serving_use) const;
+    // Forgets what a capacity that no longer holds has shown: the refusal of a
+    // start, and the time without progress of runs.
+    void on_capacity_changed(time_point now);
     std::size_t serving_count() const { return serving_count_; }
     std::size_t fill_count() const { return fill_count_; }
     std::size_t trial_count() const { return trial_count_; }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -144,6 +144,11 @@
         worker.next_poll = now;
     }
     const bool starts_to_leave = entry.is_leaving && !worker.entry.is_leaving;
+    if (entry.capacity != worker.entry.capacity)
+    {
+        log_capacity_change(worker, entry.capacity);
+        worker.on_capacity_changed(now);
+    }
     const auto incarnation = worker.entry.incarnation;
     worker.entry = entry;
     // A stale list must not restore an earlier incarnation.
@@ -156,6 +161,20 @@
     }
 }
 
+void scheduler::log_capacity_change(const fleet_worker& worker,
+                                    const task_size& capacity)
+{
+    const auto& used = worker.room_used();
+    state_.log_event(
+        "capacity of worker changed",
+        {{"worker", worker.entry.id.value()},
+         {"processors", std::to_string(capacity.processor_millis)},
+         {"memory_mb", std::to_string(capacity.memory_mb)},
+         {"accelerators", std::to_string(capacity.accelerators)},
+         {"processors_reserved", std::to_string(used.processor_millis)},
+         {"memory_reserved", std::to_string(used.memory_mb)}});
+}
+
 void scheduler::remove_worker(const worker_id& id, time_point /*now*/)
 {
     if (auto* const worker = state_.find_worker(id))
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -129,6 +129,8 @@
     }
 
 private:
+    void log_capacity_change(const fleet_worker& worker,
+                             const task_size& capacity);
     void check_recovery(time_point now);
     void mark_worker_seen(fleet_worker& worker);
     // Concludes from the first response of `later` that the workers that ran
--- a/tests/jobs/capacity_test.cpp
+++ b/tests/jobs/capacity_test.cpp
@@ -336,6 +336,22 @@
     }));
 }
 
+// Failure: a run that stood still for lack of processors is judged by that time
+// after the room is back, and its worker is avoided.
+TEST_F(capacity_test, stall_limit_begins_anew_when_the_room_is_back)
+{
+    begin({"a"});
+    run_job("fill", fill_step(2, 4000));
+    publish("a", {0, 64000, 0});
+    runs_progress = false;
+    simulate(milliseconds(2400));
+    publish("a", full_room);
+    simulate(milliseconds(400));
+    EXPECT_TRUE(stops.empty());
+    add_job("lasting", serving_step(1, 4000));
+    EXPECT_EQ(simulate().size(), 1U);
+}
+
 // Failure: a part of a gang is started, or a gang is started over the capacity
 // of one of its workers.
 TEST_F(capacity_test, gang_waits_until_all_its_workers_have_room)
@@ -395,6 +411,24 @@
     }
 }
 
+// Failure: a worker that refused a start for lack of room, or that was asked
+// while it could take nothing, is left out after its room is back.
+TEST_F(capacity_test, refusal_for_lack_of_room_ends_when_the_room_is_back)
+{
+    begin({"a"});
+    workers_answer_starts = false;
+    add_job("j", step_of(1, 8000));
+    const auto starts = simulate(milliseconds(60));
+    ASSERT_EQ(starts.size(), 1U);
+    const auto& refused = starts.front();
+    leader->on_start_answer(refused.worker, refused.task, refused.run,
+                            start_answer::no_room, now);
+    publish("a", {1000, 64000, 0});
+    simulate(milliseconds(40));
+    publish("a", full_room);
+    EXPECT_EQ(simulate(milliseconds(40)).size(), 1U);
+}
+
 // Failure: a new leader that takes over while the capacity is small starts
 // tasks beside the runs that it finds, or stops them.
 TEST_F(capacity_test, next_leader_adds_nothing_to_adopted_runs)
