Start nothing beside a run of unknown size after its worker has grown

Cause: a run of a job that the leader does not know counted as the whole capacity at the time it was found. Two such runs on a worker with an absurdly high capacity made the sums overflow.

Change: the run counts as one of unknown size, and a worker with such a run has no room, whatever its capacity.

Ruled out: taking the capacity again at each change. It leaves the overflow and keeps a made-up size in the sums that the log shows.

The test failed before: the task was started beside the run in the first second after the room was back.

--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -192,6 +192,7 @@
     serving_count_ += run.is_serving() ? step : 0;
     fill_count_ += run.fills ? step : 0;
     trial_count_ += run.is_trial ? step : 0;
+    unknown_size_count_ += run.has_unknown_size ? step : 0;
 }
 
 void fleet_worker::note_clock(worker_clock clock, time_point received)
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -50,6 +50,8 @@
 {
     std::uint32_t run = 0;
     task_size size;
+    // The run of a job that is not known.
+    bool has_unknown_size = false;
     bool fills = false;
     bool is_long_running = false;
     bool saves_progress = false;
@@ -211,6 +213,7 @@
     // Reserved resources. Fill tasks reserve memory and accelerators, but no
     // processors.
     const task_size& room_used() const { return used_; }
+    bool has_runs_of_unknown_size() const { return unknown_size_count_ > 0; }
     // Processor millis that the fill tasks demand at their present pace.
     std::int64_t fill_demand() const { return fill_demand_; }
     void set_pace(run_record& run, int percent, time_point now);
@@ -270,6 +273,7 @@
     std::size_t serving_count_ = 0;
     std::size_t fill_count_ = 0;
     std::size_t trial_count_ = 0;
+    std::size_t unknown_size_count_ = 0;
     bool has_freed_capacity_ = true;
 
     bool clock_known_ = false;
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -282,12 +282,8 @@
     const auto& step = is_known ? owner->step_of(reported.task) : unknown_step;
     auto adopted = make_run(step, reported.run, now);
     adopted.is_adopted = true;
-    if (!is_known)
-    {
-        // The job is over and the size of the run is unknown, so nothing is
-        // started beside it until it has ended.
-        adopted.size = worker.entry.capacity;
-    }
+    // The job is over, so nothing is started beside the run until it has ended.
+    adopted.has_unknown_size = !is_known;
     if (is_known)
     {
         set_evidence(adopted, owner->task(reported.task));
--- a/src/jobs/worker_eligibility.cpp
+++ b/src/jobs/worker_eligibility.cpp
@@ -49,6 +49,10 @@
 bool worker_eligibility::has_room(const fleet_worker& worker,
                                   const step& s) const
 {
+    if (worker.has_runs_of_unknown_size())
+    {
+        return false;
+    }
     const auto& used = worker.room_used();
     const auto& room = worker.entry.capacity;
     if (used.memory_mb + s.size.memory_mb > room.memory_mb ||
--- a/tests/jobs/capacity_test.cpp
+++ b/tests/jobs/capacity_test.cpp
@@ -451,6 +451,22 @@
     EXPECT_EQ(simulate().size(), 1U);
 }
 
+// Failure: a run of unknown size found while the capacity is small counts as
+// that capacity, and tasks are started beside it once the room is back.
+TEST_F(capacity_test, nothing_starts_beside_a_run_of_unknown_size)
+{
+    begin({"a"});
+    publish("a", {1000, 2000, 0});
+    running[worker_id("a")].push_back(
+        {{job_id("unknown"), 0, 0, 0}, 1, "", 0, -1});
+    add_job("k", step_of(1, 1000));
+    leader->on_report(worker_id("a"), report_of(worker_id("a")), now, now);
+    publish("a", full_room);
+    EXPECT_TRUE(simulate(seconds(1)).empty());
+    end_first_run("a", run_end::stopped);
+    EXPECT_EQ(simulate().size(), 1U);
+}
+
 // Failure: the start goes by the capacity of an earlier entry although a later
 // one has arrived between two decisions.
 TEST_F(capacity_test, start_goes_by_the_latest_entry)
