Learn no pressure from use above a shrunken capacity

Cause: the share of its worker that a fill task uses is its reported use divided by the capacity in the list entry. After the capacity had shrunk, use of the last half second counted as many times the worker, and the fit took the pressure of the image for nearly nothing. That was then stored for the next leader, and fill tasks were put beside serving tasks that they slow.

Change: a report in which the fill tasks use more processors than the worker has teaches nothing.

Ruled out: dropping what was learnt when a capacity changes. It is learnt from all workers and stays right.

The test failed before: a learnt pressure of 12 fell to 1.65 after ten reports at a sixteenth of the capacity, and to 0.0009 at none.

Conclusion: reports of a capacity that has shrunk less still count, and at most with the ratio of the two capacities for half a second.

--- a/src/jobs/interference_model.cpp
+++ b/src/jobs/interference_model.cpp
@@ -44,6 +44,18 @@
                1, worker.entry.capacity.processor_millis));
 }
 
+// True if the reported use dates from a larger capacity.
+bool fills_exceed_capacity(const fleet_worker& worker)
+{
+    std::int64_t used_millis = 0;
+    for (const auto& [key, run] : worker.runs())
+    {
+        used_millis +=
+            run.fills ? std::max<std::int64_t>(run.measurement, 0) : 0;
+    }
+    return used_millis > worker.entry.capacity.processor_millis;
+}
+
 } // namespace
 
 const pressure_fit& interference_model::fit_of(image_hash serving_image) const
@@ -157,7 +169,7 @@
 
 void interference_model::learn(const fleet_worker& worker, time_point now)
 {
-    if (worker.serving_count() == 0)
+    if (worker.serving_count() == 0 || fills_exceed_capacity(worker))
     {
         return;
     }
--- a/tests/jobs/interference_test.cpp
+++ b/tests/jobs/interference_test.cpp
@@ -105,6 +105,44 @@
     EXPECT_LT(model.pressure(to_image_hash("light"), serving), 2.0);
 }
 
+// Failure: fill tasks that used more processors than the worker now has, since
+// its capacity has shrunk, count as many times that capacity, and the learnt
+// pressure falls towards zero.
+TEST_F(interference_test, use_above_a_shrunken_capacity_teaches_nothing)
+{
+    constexpr double load = 0.4;
+    constexpr std::int64_t heavy = 4000;
+    const double slowdown = 1.0 + 5.0 * heavy / worker_millis;
+    const auto heavy_image = to_image_hash("heavy");
+    const auto serving = to_image_hash("serving");
+    interference_model model;
+    const auto observe = [&](std::int64_t capacity) {
+        now += milliseconds(100);
+        auto alone = make_worker("alone");
+        add_serving(alone, 0, tail_at(load, 1.0));
+        model.learn(alone, now);
+        auto worker = make_worker("w");
+        worker.entry.capacity.processor_millis = capacity;
+        add_serving(worker, 1, tail_at(load, slowdown));
+        add_fill(worker, 0, "heavy", heavy);
+        model.learn(worker, now);
+    };
+    for (int i = 0; i < 100; ++i)
+    {
+        observe(worker_millis);
+    }
+    const double learnt = model.pressure(heavy_image, serving);
+    ASSERT_GT(learnt, 2.0);
+    for (const std::int64_t capacity : {1000, 0, -1000})
+    {
+        for (int i = 0; i < 10; ++i)
+        {
+            observe(capacity);
+        }
+        EXPECT_GT(model.pressure(heavy_image, serving), learnt / 2) << capacity;
+    }
+}
+
 // Failure: learnt pressures are lost when the leader changes, or by an invalid
 // stored text.
 TEST_F(interference_test, learnt_pressures_are_restored)
