--- a/bench/jobs/leader_load.cpp
+++ b/bench/jobs/leader_load.cpp
@@ -37,7 +37,11 @@
     {"full-pace",
      [](simulation_options& o) { o.scheduler.policy.suspends_fills = false; }},
     {"knows-pressures",
-     [](simulation_options& o) { o.knows_pressures = true; }}};
+     [](simulation_options& o) { o.knows_pressures = true; }},
+    {"changing-capacity", [](simulation_options& o) {
+         o.changes_capacity = true;
+         o.enforces_capacity = false;
+     }}};
 
 void print(const std::string& policy, const simulation_result& r,
            double seconds)
@@ -63,6 +67,8 @@
                 "%.0f pace changes\n",
                 rate(r.starts), rate(r.polls), rate(r.stops),
                 rate(r.pace_changes));
+    std::printf("capacity: %zu changes, %zu starts over it\n",
+                r.capacity_changes, r.starts_over_capacity);
     const double total_s = r.decision_s + r.report_s;
     std::printf("processor: decisions %.3f of a core, reports %.3f; "
                 "%.0f us per start\n",
--- a/src/emulation/emulated_worker.hpp
+++ b/src/emulation/emulated_worker.hpp
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "emulation/capacity_wave.hpp"
 #include "jobs/jobs.hpp"
 
 namespace hemlockdeal::emulation
@@ -79,8 +80,29 @@
     };
 
     jobs::worker_entry entry;
+    // Otherwise the worker starts whatever it is told to start.
+    bool enforces_capacity = true;
+    jobs::task_size full_capacity;
+    // The capacity in the worker's published entry, and since when.
+    jobs::task_size published_capacity;
+    time_point published_at{};
 
     const std::map<task_key, active_run>& running() const { return running_; }
+
+    // What the runs reserve; fill tasks reserve no processors.
+    jobs::task_size used() const
+    {
+        jobs::task_size sum;
+        for (const auto& [key, run] : running_)
+        {
+            const auto& size = run.task_step->size;
+            sum.processor_millis +=
+                run.task_step->fills ? 0 : size.processor_millis;
+            sum.memory_mb += size.memory_mb;
+            sum.accelerators += size.accelerators;
+        }
+        return sum;
+    }
     bool has_ended() const { return !ended_.empty(); }
 
     static jobs::worker_clock clock(time_point now)
@@ -99,7 +121,7 @@
             reserved +=
                 run.task_step->fills ? 0 : run.task_step->size.processor_millis;
         }
-        if (reserved > entry.capacity.processor_millis)
+        if (enforces_capacity && reserved > entry.capacity.processor_millis)
         {
             return jobs::start_answer::no_room;
         }
@@ -229,8 +251,8 @@
     void set_tails(time_point now, const load_wave& wave,
                    const pressure_table& pressures)
     {
-        const auto capacity =
-            static_cast<double>(entry.capacity.processor_millis);
+        const auto capacity = static_cast<double>(
+            std::max<std::int64_t>(1, entry.capacity.processor_millis));
         for (auto& [key, run] : running_)
         {
             if (run.task_step->tail_target <= duration{})
--- a/src/emulation/load_simulation.cpp
+++ b/src/emulation/load_simulation.cpp
@@ -18,6 +18,10 @@
 constexpr duration step_time = milliseconds(5);
 constexpr duration round_trip_time = milliseconds(6);
 constexpr duration store_time = milliseconds(12);
+// Time from a change of a worker's capacity until its entry shows it.
+constexpr duration publish_time = milliseconds(250);
+// A start that was ordered before the entry changed has arrived after this.
+constexpr duration start_travel_time = round_trip_time + 2 * step_time;
 constexpr std::size_t workers_per_rack = 8;
 
 struct kind_profile
@@ -49,7 +53,7 @@
 } // namespace
 
 load_simulation::load_simulation(const simulation_options& options)
-    : random_(options.seed), rate_(options.jobs_per_second),
+    : random_(options.seed), options_(options), rate_(options.jobs_per_second),
       pressures_(options.seed, 0.6, 5.0), leader_(options.scheduler, 1)
 {
     for (std::size_t i = 0; i < options.workers; ++i)
@@ -111,6 +115,9 @@
     w.entry.capacity = {number % 3 == 2 ? 48000 : 32000, 128000, 0};
     w.entry.labels = {"a", "rack-" + std::to_string(number / workers_per_rack)};
     w.entry.incarnation = 1;
+    w.enforces_capacity = options_.enforces_capacity;
+    w.full_capacity = w.entry.capacity;
+    w.published_capacity = w.entry.capacity;
     leader_.set_worker(w.entry, now_);
     workers_.emplace(w.entry.id, w);
 }
@@ -194,6 +201,7 @@
 {
     now_ += step_time;
     submit_jobs();
+    change_capacities();
     for (auto& [id, w] : workers_)
     {
         w.advance(now_, step_time, wave_, pressures_);
@@ -218,6 +226,45 @@
     record_ended_jobs();
 }
 
+void load_simulation::change_capacities()
+{
+    if (!options_.changes_capacity)
+    {
+        return;
+    }
+    for (auto& [id, w] : workers_)
+    {
+        const auto capacity = capacity_wave_.at(now_, id, w.full_capacity);
+        if (capacity == w.entry.capacity)
+        {
+            continue;
+        }
+        ++result_.capacity_changes;
+        w.entry.capacity = capacity;
+        schedule(publish_time,
+                 [this, id = id] { publish_capacity(workers_.at(id)); });
+    }
+}
+
+void load_simulation::publish_capacity(emulated_worker& worker)
+{
+    worker.published_capacity = worker.entry.capacity;
+    worker.published_at = now_;
+    if (options_.leader_learns_capacity)
+    {
+        leader_.set_worker(worker.entry, now_);
+    }
+}
+
+void load_simulation::check_capacity(const emulated_worker& worker)
+{
+    if (now_ - worker.published_at >= start_travel_time &&
+        is_over(worker.used(), worker.published_capacity))
+    {
+        ++result_.starts_over_capacity;
+    }
+}
+
 void load_simulation::flush()
 {
     if (is_flushing_ ||
@@ -324,9 +371,13 @@
     schedule(round_trip_time / 2, [this, order] {
         const auto& task_step =
             jobs_.at(order.task.job).definition.steps[order.task.step];
+        auto& w = workers_.at(order.worker);
         const auto response =
-            workers_.at(order.worker)
-                .start(order, task_step, work_of(order.task, task_step));
+            w.start(order, task_step, work_of(order.task, task_step));
+        if (response == jobs::start_answer::accepted)
+        {
+            check_capacity(w);
+        }
         schedule(round_trip_time / 2, [this, order, response] {
             timed(result_.report_s, [&] {
                 leader_.on_start_answer(order.worker, order.task, order.run,
--- a/src/emulation/load_simulation.hpp
+++ b/src/emulation/load_simulation.hpp
@@ -34,6 +34,12 @@
     jobs::scheduler_options scheduler;
     // The leader knows the true pressures from the start.
     bool knows_pressures = false;
+    // The capacity of each worker shrinks and grows back.
+    bool changes_capacity = false;
+    bool enforces_capacity = true;
+    // False if the leader never hears of changed capacities, to show that the
+    // check of starts detects it.
+    bool leader_learns_capacity = true;
 };
 
 // Jobs of one kind whose target has passed.
@@ -55,6 +61,9 @@
     std::size_t polls = 0;
     std::size_t pace_changes = 0;
     std::size_t stops = 0;
+    std::size_t capacity_changes = 0;
+    // Starts that brought a worker over the capacity that it had published.
+    std::size_t starts_over_capacity = 0;
     // Processor time of the leader.
     double decision_s = 0.0;
     double report_s = 0.0;
@@ -130,6 +139,9 @@
     void record_tails();
     void record_harm(const task_key& key, bool is_harmed);
     void record_ended_jobs();
+    void change_capacities();
+    void publish_capacity(emulated_worker& worker);
+    void check_capacity(const emulated_worker& worker);
     void execute(const jobs::start_order& order);
     void execute(const jobs::stop_order& order);
     void execute(const jobs::pace_order& order);
@@ -148,12 +160,14 @@
     }
 
     std::mt19937 random_;
+    simulation_options options_;
     double rate_;
     time_point now_{std::chrono::seconds(100)};
     std::priority_queue<event> events_;
     std::uint64_t event_count_ = 0;
     pressure_table pressures_;
     load_wave wave_;
+    capacity_wave capacity_wave_;
     jobs::scheduler leader_;
     std::map<worker_id, emulated_worker> workers_;
     std::map<job_id, simulated_job> jobs_;
