Send a request to no third endpoint once two were lost under it

Cause: an idempotent request whose connection broke without a response was sent again up to the limit of 3 attempts. A request that crashes whatever handles it took down 3 endpoints, and so did one that makes endpoints hang (its probes fail); each repetition by its caller took as many again.

Change: the core counts the endpoints that broke the connection or failed the probe while they processed the request, and retries no more at request_limits::max_endpoints_lost (2). One lost endpoint still leads to a retry, because most lose their connection for another cause.

Ruled out: non-idempotent requests are sent once, and a key stays claimed after a lost endpoint, so that a repetition gets 409 and takes down nothing. Attempts that sent no byte count nothing.

Open: repetitions of an idempotent request by its caller carry no key, so each is a new request and can lose 2 endpoints.

--- a/src/hemlockdeald/daemon.cpp
+++ b/src/hemlockdeald/daemon.cpp
@@ -169,6 +169,15 @@
                      {{"class", finished.work_class.value()}})
             .add(finished.attempts - 1);
     }
+    if (finished.endpoints_lost > 0)
+    {
+        recorder_.registry()
+            .counter("hemlockdeal_request_endpoints_lost_total",
+                     "Endpoints that stopped responding while they processed a "
+                     "request",
+                     {{"class", finished.work_class.value()}})
+            .add(finished.endpoints_lost);
+    }
     if (finished.outcome == request_outcome::done)
     {
         recorder_.registry()
--- a/src/request/request_action.hpp
+++ b/src/request/request_action.hpp
@@ -97,6 +97,8 @@
     unsigned status = 0;
     duration elapsed{};
     unsigned attempts = 0;
+    // Endpoints that stopped responding while they processed the request.
+    unsigned endpoints_lost = 0;
 };
 
 using request_action =
--- a/src/request/request_attempts.ipp
+++ b/src/request/request_attempts.ipp
@@ -40,6 +40,7 @@
     r.sending = false;
     r.may_have_run_before = r.may_have_run;
     r.suspected = false;
+    r.is_endpoint_lost = false;
     r.head_received = false;
     const auto timeout =
         duration(static_cast<long>(static_cast<double>(r.rule->target.count()) *
@@ -234,9 +235,19 @@
         finish(r, request_outcome::unknown, r.status, now);
         return;
     }
+    count_lost_endpoint(r);
     retry_or_finish(r, event.reason, now);
 }
 
+template <request_policy Policy>
+void request_core<Policy>::count_lost_endpoint(request_record& r)
+{
+    if (!std::exchange(r.is_endpoint_lost, true))
+    {
+        ++r.endpoints_lost;
+    }
+}
+
 template <request_policy Policy>
 void request_core<Policy>::end_attempt(request_record& r)
 {
@@ -259,6 +270,7 @@
     const bool replayable = !r.sending || r.body_bytes <= max_replayed_body;
     return !r.caller_gone && replayable &&
            r.attempts < settings_.max_attempts &&
+           r.endpoints_lost < request_limits::max_endpoints_lost &&
            Policy::may_send_again(r.may_have_run, r.rule->idempotent) &&
            Policy::may_retry(budget_.has_room(now));
 }
@@ -391,8 +403,15 @@
     for (const auto& [since, request] : in_flight)
     {
         request_record* r = find(request);
-        if (r != nullptr && r->suspected && !r->head_received &&
-            r->rule->idempotent && can_retry(*r, now))
+        if (r == nullptr || !r->suspected || r->head_received)
+        {
+            continue;
+        }
+        if (!healthy)
+        {
+            count_lost_endpoint(*r);
+        }
+        if (r->rule->idempotent && can_retry(*r, now))
         {
             r->suspected = false;
             retry_on_other_instance(*r, now);
@@ -433,7 +452,16 @@
         finish_not_run(r, status, reason, now);
         return;
     }
-    finish_unknown(r, 504, reason, now);
+    const bool may_crash_endpoints =
+        r.endpoints_lost >= request_limits::max_endpoints_lost;
+    finish_unknown(r, 504,
+                   may_crash_endpoints
+                       ? std::to_string(r.endpoints_lost) +
+                             " endpoints were lost while they processed the "
+                             "request: " +
+                             reason
+                       : reason,
+                   now);
 }
 
 template <request_policy Policy>
@@ -490,9 +518,9 @@
     {
         claims_.release(*r.claim);
     }
-    actions_.emplace_back(finish_request{r.id, r.rule->work_class, outcome,
-                                         r.caller_gone ? 0 : status,
-                                         now - r.arrived, r.attempts});
+    actions_.emplace_back(finish_request{
+        r.id, r.rule->work_class, outcome, r.caller_gone ? 0 : status,
+        now - r.arrived, r.attempts, r.endpoints_lost});
     records_.erase(r.id.value());
 }
 
--- a/src/request/request_core.hpp
+++ b/src/request/request_core.hpp
@@ -118,6 +118,7 @@
     void on_event(request_record& r, const attempt_broken& event,
                   time_point now);
     void on_refusal(request_record& r, time_point now);
+    void count_lost_endpoint(request_record& r);
     void end_attempt(request_record& r);
     void abandon(request_record& r);
 
--- a/src/request/request_core.ipp
+++ b/src/request/request_core.ipp
@@ -26,6 +26,9 @@
 inline constexpr std::uint32_t reserve_divisor = 25;
 // With fewer slots than this, the reserve would be too large a share.
 inline constexpr std::uint32_t min_capacity_for_reserve = 8;
+// Endpoints that may stop responding while they process the same request. The
+// request may be the cause, so it is not sent to any further ones.
+inline constexpr std::uint32_t max_endpoints_lost = 2;
 // Bytes counted on the link for a head, and for a body of unknown size.
 inline constexpr std::uint64_t head_bytes = 1024;
 inline constexpr std::uint64_t assumed_body_bytes = 64ULL * 1024;
--- a/src/request/request_record.hpp
+++ b/src/request/request_record.hpp
@@ -39,6 +39,8 @@
     // Number of attempts so far, which is also the number of the running
     // attempt.
     std::uint32_t attempts = 0;
+    // Endpoints that stopped responding while they processed the request.
+    std::uint32_t endpoints_lost = 0;
     instance_index instance = 0;
     // Instance of the previous failed attempt.
     std::optional<instance_index> excluded;
@@ -52,6 +54,8 @@
     // Value of may_have_run before the running attempt.
     bool may_have_run_before = false;
     bool suspected = false;
+    // The endpoint of the running attempt is counted in endpoints_lost.
+    bool is_endpoint_lost = false;
     bool head_received = false;
     bool forwarded = false;
     unsigned status = 0;
--- a/tests/request/request_path_test.cpp
+++ b/tests/request/request_path_test.cpp
@@ -53,6 +53,7 @@
         add("entry-1", member_kind::entry_vm, "far", "other");
         add("instance-0", member_kind::endpoint, "near", "region");
         add("instance-1", member_kind::endpoint, "near", "region");
+        add("instance-2", member_kind::endpoint, "near", "region");
         return l;
     }
 
@@ -238,6 +239,80 @@
     }
 }
 
+// Guards against a request that crashes endpoints and is sent to one after
+// another, and against an answer that hides that it was at work.
+TEST_F(request_path, request_that_crashes_endpoints_is_given_up)
+{
+    request(1, "/any");
+    std::vector<instance_id> crashed;
+    for (std::uint64_t number = 1; number <= request_limits::max_endpoints_lost;
+         ++number)
+    {
+        const auto started = last<start_attempt>();
+        ASSERT_TRUE(started);
+        crashed.push_back(started->instance);
+        event(1, number, attempt_sending{});
+        advance(400ms);
+        event(1, number, attempt_broken{"connection reset"});
+    }
+    EXPECT_NE(crashed.front(), crashed.back());
+    const auto actions = core_.take_actions();
+    EXPECT_FALSE(last_of<start_attempt>(actions));
+    EXPECT_FALSE(last_of<respond_not_run>(actions));
+    const auto response = last_of<respond_unknown>(actions);
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 504U);
+    const auto finished = last_of<finish_request>(actions);
+    ASSERT_TRUE(finished);
+    EXPECT_EQ(finished->endpoints_lost, request_limits::max_endpoints_lost);
+    const auto event = last_of<record_event>(actions);
+    ASSERT_TRUE(event);
+    EXPECT_EQ(event->event.kind, "request.unknown");
+    EXPECT_EQ(event->event.text, "2 endpoints were lost while they processed "
+                                 "the request: connection reset");
+}
+
+// Guards against a request that makes endpoints hang and is sent to one after
+// another.
+TEST_F(request_path, request_that_hangs_endpoints_is_given_up)
+{
+    for (std::uint64_t id = 1; id <= 50; ++id)
+    {
+        request(id, "/any");
+        advance(10ms);
+        respond(id, 1, 200);
+    }
+    request(100, "/any");
+    for (std::uint64_t number = 1; number <= request_limits::max_endpoints_lost;
+         ++number)
+    {
+        const auto started = last<start_attempt>();
+        ASSERT_TRUE(started);
+        event(100, number, attempt_sending{});
+        advance(500ms);
+        const auto probe = last<probe_instance>();
+        ASSERT_TRUE(probe);
+        EXPECT_EQ(probe->instance, started->instance);
+        core_.on_probe_result(probe->instance, false, now_);
+    }
+    EXPECT_FALSE(last<start_attempt>());
+}
+
+// Guards against giving up a request for endpoints that crashed before they
+// received any of it.
+TEST_F(request_path, unsent_attempts_count_no_lost_endpoints)
+{
+    request(1, "/any");
+    for (std::uint64_t number = 1; number <= request_limits::max_endpoints_lost;
+         ++number)
+    {
+        ASSERT_TRUE(last<start_attempt>());
+        advance(400ms);
+        event(1, number, attempt_failed_unsent{"connection refused"});
+    }
+    EXPECT_TRUE(last<start_attempt>());
+}
+
 // Guards against a request that waits for a connection that is never
 // established.
 TEST_F(request_path, hanging_connection_is_replaced)
