Reject stored jobs with steps that have no tasks

Cause: the limit of 20,000 tasks counts tasks over steps and occurrences. A stored row whose steps have no tasks counted 0, whatever its number of occurrences, and the leader then allocated up to 4,294,967,295 occurrences. The allocation failed while the leader read its jobs; the event loop's barrier caught it, but the recovery never finished: the leader kept its lease and started nothing. Every next leader reads the same row.

Change: decode_job returns nothing for a step without tasks, so that the row is logged and left out like any other that cannot be decoded.

Ruled out: submissions; they need a count of at least 1 for each step. The row can only come from another writer or damage.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -2,6 +2,8 @@
 // written and read is billed. Members with their default value are omitted.
 #include "jobs/job.hpp"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 #include "jobs/json_value.hpp"
@@ -220,7 +222,10 @@
             }
         }
     }
-    if (j.steps.empty() || count_tasks(j) > max_tasks_per_job)
+    // Steps without tasks would escape the limit on tasks.
+    const bool has_empty_step = std::ranges::any_of(
+        j.steps, [](const step& s) { return s.task_count == 0; });
+    if (j.steps.empty() || has_empty_step || count_tasks(j) > max_tasks_per_job)
     {
         return std::nullopt;
     }
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -71,6 +71,16 @@
     EXPECT_FALSE(decode_job(id, R"({"s":[{"n":1,"a":[0]}]})"));
 }
 
+// Failure: a row whose steps have no tasks passes the limit on tasks, and its
+// occurrences exhaust the memory of each leader that reads it.
+TEST(job_codec, steps_without_tasks_are_rejected)
+{
+    const job_id id("x");
+    EXPECT_FALSE(decode_job(id, R"({"s":[{}],"r":[4294967295,0,0]})"));
+    EXPECT_FALSE(decode_job(id, R"({"s":[{"n":1},{"n":4294967296}]})"));
+    EXPECT_TRUE(decode_job(id, R"({"s":[{"n":1},{"n":1}],"r":[3,0,0]})"));
+}
+
 // Failure: finished tasks, failed runs or checkpoints are lost.
 TEST(progress_codec, progress_survives_the_store)
 {
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -286,3 +286,23 @@
     run_for(b, seconds(14));
     EXPECT_EQ(workers.starts, 500U);
 }
+
+// Failure: an exception while one row is read ends the recovery of every
+// leader: it keeps the lease and starts nothing.
+TEST_F(leader_role_test, row_beyond_memory_does_not_stop_recovery)
+{
+    store_job();
+    const job_id excessive("00000000000000fd");
+    store.transact({inbox_part(excessive),
+                    {},
+                    {{inbox_table, excessive.value(),
+                      R"({"q":{"s":"s"},"s":[{}],"r":[4294967295,0,0]})"}},
+                    {}},
+                   {}, [](const transaction_outcome&) {});
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, milliseconds(600));
+    EXPECT_TRUE(a.leads());
+    EXPECT_GT(workers.starts, 0U);
+    EXPECT_FALSE(a.state_of(excessive));
+}
