Skip and log a stored row whose handling throws

While the leader recovers, the pages after the failing row were never counted as read: it kept its lease and never began to schedule, and so did each next leader. From the inbox's feed, the position had already moved on, so that the accepted jobs after the failing row waited for the next leader.

Change: handle_each_row logs a row for which the handler throws with table, key and error, and goes on. It covers the progress and the inbox. A progress row that throws counts as unreadable and leaves its job out, because done tasks would run again without it.

Not covered: an exception of the scheduler's decision for a job that was read without error.

--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -24,11 +24,12 @@
     is_polling_worker_list_ = false;
     read_table({progress_table, lead_part, {}, {}, 500}, epoch_,
                [this](const read_rows& read) {
-                   for (const auto& row : read.rows)
-                   {
-                       recovered_progress_[job_id(row.key)] =
-                           jobs::decode_progress(row.value);
-                   }
+                   handle_each_row(read.rows, [this](const stored_row& row) {
+                       // Stays empty, which leaves the job out, if decoding
+                       // throws.
+                       auto& progress = recovered_progress_[job_id(row.key)];
+                       progress = jobs::decode_progress(row.value);
+                   });
                    if (!read.has_more)
                    {
                        recover_inbox();
@@ -94,7 +95,7 @@
                                    ? read.newest
                                    : std::min(inbox_position_, read.newest);
                        }
-                       std::ranges::for_each(read.rows, on_row);
+                       handle_each_row(read.rows, on_row);
                        if (!read.has_more && --*remaining_parts == 0)
                        {
                            callback();
@@ -263,7 +264,7 @@
             health_.on_response(clock_.now());
             const auto& read = std::get<read_rows>(outcome);
             inbox_position_ = std::max(inbox_position_, read.newest);
-            std::ranges::for_each(read.rows, [this](const stored_row& row) {
+            handle_each_row(read.rows, [this](const stored_row& row) {
                 apply_inbox_row(row);
             });
         });
--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -18,6 +18,7 @@
 #include "node/concepts.hpp"
 #include "node/leader_stats.hpp"
 #include "node/response_time.hpp"
+#include "node/row_barrier.hpp"
 #include "node/store_health.hpp"
 #include "node/store_tables.hpp"
 #include "observe/logging.hpp"
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -6,5 +6,6 @@
 #include "node/job_frontend.hpp"
 #include "node/leader_role.hpp"
 #include "node/operator_watch.hpp"
+#include "node/row_barrier.hpp"
 #include "node/store_health.hpp"
 #include "node/store_message.hpp"
