--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -39,6 +39,58 @@
     EXPECT_FALSE(decode_configuration(R"({"version":"7"})"));
 }
 
+// Failure: a limit that does not fit its type becomes 0 attempts, and a
+// time-out beyond the clock's range becomes negative; each leader then fails
+// the queue's jobs.
+TEST(declaration_codec, numbers_of_routes_are_bounded)
+{
+    const auto read = decode_configuration(R"({"version":7,"routes":[
+        {"name":"r","host":"h","path_prefix":"/p/","service":"s",
+         "timeout_ms":1e308,"slo_ms":1e308,"priority":4294967296,
+         "max_attempts":4294967296,"stretch":1e308},
+        {"name":"r","host":"h","path_prefix":"/p/","service":"s",
+         "timeout_ms":-1e308,"slo_ms":-5,"priority":-9,
+         "max_attempts":-4294967296,"stretch":-1}]})");
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->routes.size(), 2U);
+    const auto& high = read->routes.front();
+    EXPECT_GT(high.timeout, std::chrono::hours(1));
+    EXPECT_GT(high.policy.slack, std::chrono::hours(1));
+    EXPECT_GT(high.policy.priority, 0);
+    EXPECT_GT(high.policy.max_attempts, 1000U);
+    // The target duration of the longest job must fit the clock.
+    const auto longest =
+        static_cast<double>(duration(std::chrono::years(250)).count());
+    EXPECT_LT(high.policy.stretch * longest,
+              static_cast<double>(duration::max().count()));
+    const auto& low = read->routes.back();
+    EXPECT_EQ(low.timeout, duration{});
+    EXPECT_EQ(low.policy.slack, duration{});
+    EXPECT_EQ(low.policy.priority, 0);
+    EXPECT_EQ(low.policy.max_attempts, 1U);
+    EXPECT_GE(low.policy.stretch, 0.0);
+}
+
+// Failure: a time or size beyond the range that can be calculated with becomes
+// negative, and a worker is used or left for it.
+TEST(declaration_codec, worker_numbers_out_of_range_are_rejected)
+{
+    const auto entry = [](const std::string& cpu, const std::string& left) {
+        return R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+               R"("state":"draining","capacity":{"cpu":)" +
+               cpu + R"(,"mem_mb":64000},"remaining_ms":)" + left + "}";
+    };
+    const worker_id id("i-1");
+    EXPECT_TRUE(decode_worker(id, entry("16000", "500"), {}));
+    EXPECT_FALSE(decode_worker(id, entry("9223372036854775807", "500"), {}));
+    const auto read =
+        decode_worker(id, entry("16000", "9223372036854775807"), {});
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->remaining, duration{});
+    EXPECT_FALSE(decode_report(R"({"clock_ms":9223372036854775807})"));
+    EXPECT_FALSE(decode_advice(R"({"valid_ms":9223372036854775807})"));
+}
+
 // Failure: an entry with missing or malformed fields is used as a worker.
 TEST(declaration_codec, malformed_worker_entries_are_rejected)
 {
