Reject a part's row that lists more tasks than its job has

Cause: a part's row lists its untouched tasks as ranges, which were expanded without a bound.

Change: decoding rejects a range beyond the job's tasks, ranges that list more tasks together than the job has, and jobs beyond the 1,000,000 tasks that the operators' API accepts.

Ruled out: other lists of the rows, which need at least two bytes for each entry and are bounded by the row's size.

--- a/src/batch/batch_codec.cpp
+++ b/src/batch/batch_codec.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <exception>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -18,6 +19,9 @@
 namespace
 {
 
+// The operators' API accepts no larger job.
+constexpr std::uint32_t max_tasks_per_job = 1'000'000;
+
 template <typename Number>
 Number number_at(const json::object& o, const char* key)
 {
@@ -171,6 +175,22 @@
             {"covered", part.covered}};
 }
 
+// Throws if the row lists more tasks than its job has: a short row could
+// otherwise exhaust the memory of each owner of the shard.
+void add_range(job_part& part, std::uint32_t first, std::uint32_t count)
+{
+    const std::size_t listed = part.tasks.size();
+    if (part.job.tasks > max_tasks_per_job || first > part.job.tasks ||
+        count > part.job.tasks - first || count + listed > part.job.tasks)
+    {
+        throw std::out_of_range("more tasks than the job has");
+    }
+    for (std::uint32_t i = 0; i < count; ++i)
+    {
+        part.tasks.emplace_back().index = first + i;
+    }
+}
+
 job_part decode_part_object(const json::object& o, time_point now)
 {
     job_part part;
@@ -180,10 +200,7 @@
     {
         const auto first = range.as_array().at(0).to_number<std::uint32_t>();
         const auto count = range.as_array().at(1).to_number<std::uint32_t>();
-        for (std::uint32_t i = 0; i < count; ++i)
-        {
-            part.tasks.emplace_back().index = first + i;
-        }
+        add_range(part, first, count);
     }
     for (const json::value& task : o.at("tasks").as_array())
     {
--- a/tests/batch/records_test.cpp
+++ b/tests/batch/records_test.cpp
@@ -120,3 +120,26 @@
     cut.resize(*rc::gen::inRange<std::size_t>(0, cut.size()));
     RC_ASSERT(!decode_part(cut, now));
 }
+
+// Failure: a short row that lists more tasks than its job has exhausts the
+// memory of each owner of the shard in turn.
+TEST(records, rows_with_more_tasks_than_their_job_are_rejected)
+{
+    const auto with = [](const std::string& tasks, const std::string& ranges) {
+        auto text = text_of(new_part(3));
+        const auto replace = [&](const std::string& from,
+                                 const std::string& to) {
+            const auto at = text.find(from);
+            ASSERT_NE(at, std::string::npos);
+            text.replace(at, from.size(), to);
+        };
+        replace(R"("tasks":3)", R"("tasks":)" + tasks);
+        replace(R"("ranges":[[0,3]])", R"("ranges":)" + ranges);
+        return text;
+    };
+    EXPECT_TRUE(decode_part(with("3", "[[0,1],[2,1]]"), now));
+    EXPECT_FALSE(decode_part(with("3", "[[0,4294967295]]"), now));
+    EXPECT_FALSE(decode_part(with("3", "[[2,2]]"), now));
+    EXPECT_FALSE(decode_part(with("3", "[[0,3],[0,3]]"), now));
+    EXPECT_FALSE(decode_part(with("4294967295", "[[0,4294967295]]"), now));
+}
