Stop the monitor of a peer connection before closing it

Cause: peer_connection closed the receiver of its socket's events before the socket. An event of the I/O thread in between, for example of a handshake in progress, has no receiver, and ZeroMQ then blocks in zmq_msg_send. That is the only I/O thread of the transport: no connection is served any more. It happens when a peer is removed, or replaced by an address or key, while its connection is being set up.

Change: the destructor ends the monitoring while the receiver is still open.

Ruled out: a lost wake-up or a slow reconnect. The stacks of the stopped process show the I/O thread in zmq_msg_send below a socket event, the transport's thread in zmq_poll, and the handshake timer of 3 s never fires on that side.

Conclusion: a fault of the product, fixed. The earlier test is unchanged.

--- a/src/peer/peer_connection.cpp
+++ b/src/peer/peer_connection.cpp
@@ -111,6 +111,13 @@
     socket_.connect(endpoint());
 }
 
+peer_connection::~peer_connection()
+{
+    // An event without a receiver would block the I/O thread of the context,
+    // and with it all sockets.
+    zmq_socket_monitor(socket_.handle(), nullptr, 0);
+}
+
 bool peer_connection::send(const std::string& bytes)
 {
     return socket_.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
--- a/src/peer/peer_connection.hpp
+++ b/src/peer/peer_connection.hpp
@@ -20,6 +20,9 @@
     // malformed.
     peer_connection(zmq::context_t& context,
                     const peer_transport_settings& settings, peer_address peer);
+    peer_connection(const peer_connection&) = delete;
+    peer_connection& operator=(const peer_connection&) = delete;
+    ~peer_connection();
 
     const peer_address& peer() const { return peer_; }
 
--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -348,6 +348,35 @@
     EXPECT_EQ(std::get<confirm_request>(b.received.at(0).body).number, 2U);
 }
 
+// Failure: a peer is replaced while its connection is being set up, and the
+// transport then serves no connection any more.
+TEST_F(transport_test, peer_replaced_during_handshakes_does_not_block_others)
+{
+    constexpr int rounds = 100;
+    // Closed sockets count towards ZeroMQ's limit of 1,023 until its own
+    // threads have processed them.
+    constexpr int replacements_per_round = 20;
+    constexpr int max_pause_us = 1000;
+    a.start();
+    b.start({a.own_address()});
+    node c{"c"};
+    c.start({a.own_address()});
+    std::mt19937 random(20261205);
+    for (int round = 0; round < rounds; ++round)
+    {
+        for (int i = 0; i < replacements_per_round; ++i)
+        {
+            a.transport->add_peer(b.own_address());
+            std::this_thread::sleep_for(
+                std::chrono::microseconds(random() % max_pause_us));
+        }
+        a.transport->add_peer(c.own_address());
+        ASSERT_TRUE(a.wait_for_connection("c", true)) << "round " << round;
+        a.transport->remove_peer(vm_id("c"));
+        ASSERT_TRUE(a.wait_for_connection("c", false)) << "round " << round;
+    }
+}
+
 // Failure: messages of a removed peer are still accepted on its open
 // connection.
 TEST_F(transport_test, messages_of_a_removed_peer_are_refused)
