Separate the random faults of the proxy test from its queue wait

Cause: random_fault.ten_thousand_requests required more than 5,000 own responses with a target of 100 ms. The proxy rightly rejects a request that would wait for longer than half of its target, so the number of rejections measured the speed of the machine: beside 10 busy processes, of the first 4,000 rejections of a run (5,404 own responses) 3,179 were "overload" and 771 "idempotency key was not claimed in time", and only 50 came from an endpoint.

Change: the test now uses a target of 20 s with the same attempt timeout of 1 s (timeout multiple 0.05 instead of 10) and the same faults, requests and checks, and requires more than 9,000 own responses instead of 5,000. The faults that may prevent a response affect 7 % of the requests. The run with the target of 100 ms, whose rejections are a path of their own, stays as a second test with all checks of the guarantees; of the count it keeps that not all are rejected.

Ruled out: a fault of the product.

Conclusion: the test was wrong and is now stricter; the proxy is unchanged.

--- a/tests/proxy/random_fault_test.cpp
+++ b/tests/proxy/random_fault_test.cpp
@@ -132,19 +132,14 @@
     int finished_ = 0;
 };
 
-} // namespace
+using outcome_counts = std::map<sent_request::observed_outcome, int>;
 
-// Failure: a caller gets another caller's response or an incomplete response, a
-// request that ran is reported as not run, or a non-idempotent request runs
-// twice.
-TEST(random_fault, ten_thousand_requests)
+// Sends the requests and checks the guarantees that hold at any speed of the
+// machine. Returns what the callers observed.
+outcome_counts run_random_load(const test_bed::options& options)
 {
-    test_bed::options options;
-    options.endpoints = 4;
-    options.target = 100ms;
-    options.shortest_timeout = 150ms;
     test_bed bed(options);
-    for (std::size_t i = 0; i < 4; ++i)
+    for (std::size_t i = 0; i < options.endpoints; ++i)
     {
         bed.endpoint(i).set_faults({{endpoint_fault::cut, 0.02, 0ms},
                                     {endpoint_fault::truncate, 0.02, 0ms},
@@ -164,7 +159,7 @@
     // Waits for late responses and pending outcomes.
     run_for(2000);
 
-    std::map<sent_request::observed_outcome, int> count;
+    outcome_counts count;
     std::ranges::for_each(load.all, [&](const auto& entry) {
         const auto& [number, request] = entry;
         ++count[request.observed];
@@ -185,8 +180,43 @@
                 count[sent_request::observed_outcome::own_response],
                 count[sent_request::observed_outcome::not_run],
                 count[sent_request::observed_outcome::unknown]);
-    // The checks above would be vacuous if most requests were rejected.
-    EXPECT_GT(count[sent_request::observed_outcome::own_response],
-              requests / 2);
     EXPECT_EQ(bed.proxy().requests_in_progress(), 0U);
+    return count;
+}
+
+test_bed::options four_endpoints()
+{
+    test_bed::options options;
+    options.endpoints = 4;
+    options.shortest_timeout = 150ms;
+    return options;
+}
+
+} // namespace
+
+// Failure: a caller gets another caller's response or an incomplete response, a
+// request that ran is reported as not run, a non-idempotent request runs twice,
+// or the faults of a few requests cause others to be rejected.
+TEST(random_fault, ten_thousand_requests)
+{
+    auto options = four_endpoints();
+    // Allows a wait in the queue that is longer than any on a busy machine, so
+    // that the number of rejections does not depend on its speed.
+    options.target = 20s;
+    options.timeout_target_multiple = 0.05; // 1 s
+    auto count = run_random_load(options);
+    // At most the faults cut, truncate, not_run and late by 1,500 ms, which
+    // affect 7 %, may prevent a response.
+    EXPECT_GT(count[sent_request::observed_outcome::own_response],
+              requests * 9 / 10);
+}
+
+// Failure: the same while the proxy rejects requests that would wait too long,
+// or it rejects all. How many it rejects depends on the machine's speed.
+TEST(random_fault, ten_thousand_requests_with_a_short_target)
+{
+    auto options = four_endpoints();
+    options.target = 100ms;
+    auto count = run_random_load(options);
+    EXPECT_GT(count[sent_request::observed_outcome::own_response], 0);
 }
--- a/tests/proxy/test_bed.hpp
+++ b/tests/proxy/test_bed.hpp
@@ -56,6 +56,8 @@
         std::size_t endpoints = 1;
         duration target = std::chrono::seconds(2);
         duration shortest_timeout = std::chrono::seconds(2);
+        double timeout_target_multiple =
+            request_settings{}.timeout_target_multiple;
         proxy_limits limits;
         endpoint_options endpoint;
     };
@@ -71,6 +73,7 @@
         }
         request_settings settings = test_settings();
         settings.shortest_timeout = o.shortest_timeout;
+        settings.timeout_target_multiple = o.timeout_target_multiple;
         proxy_ = std::make_unique<server>(settings, outputs(), o.limits);
         EXPECT_TRUE(proxy_->listen("127.0.0.1", 0));
         proxy_->on_configuration(test_configuration(o.target));
