Let lasting tasks take an avoided worker if no other has room

Cause: a worker on which tasks of two jobs had failed, or that was slow, is left out for 3 to 24 s, also when it is the only one with room.

Change: a long-running task that has found no room for a second also takes an avoided or slow worker. It has no limit of attempts, and one attempt a second costs little if the worker does fail it.

Ruled out: ending the avoidance with the first task that is done there. A worker that fails two tasks of five would be used again at once by all.

The test failed before (no start within 1.5 s).

--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -26,6 +26,10 @@
 // change without an event.
 constexpr duration full_search_interval = std::chrono::milliseconds(250);
 constexpr int low_progress_percent = 15;
+// A long-running task that has found no room for this long also takes a worker
+// that has failed tasks or is slow: it may be sound again, and the task has no
+// limit of attempts.
+constexpr duration max_wait_for_sound_worker = std::chrono::seconds(1);
 // Number of workers with room that are compared for one task, counted from the
 // first suitable one; the next search starts after them. Comparing more
 // improves the placement little, and the cost of the search grows with the
@@ -97,11 +101,17 @@
 {
     usable_workers_.clear();
     freed_workers_.clear();
+    avoided_workers_.clear();
     for (auto& [id, worker] : state_.fleet)
     {
         const bool has_freed_capacity = worker.take_freed_capacity();
+        if (!eligibility_.is_open(worker, now))
+        {
+            continue;
+        }
         if (!eligibility_.is_available(worker, now))
         {
+            avoided_workers_.push_back(&worker);
             continue;
         }
         usable_workers_.push_back(&worker);
@@ -161,6 +171,25 @@
     return is_valid ? worker : nullptr;
 }
 
+std::deque<const std::vector<fleet_worker*>*>
+task_placer::workers_to_search(const candidate& c, bool is_full_search,
+                               time_point now) const
+{
+    if (!is_full_search)
+    {
+        return {&freed_workers_};
+    }
+    std::deque<const std::vector<fleet_worker*>*> lists = {&usable_workers_};
+    const auto& since = c.owner->waiting_since(c.occurrence, c.step);
+    const bool is_long_running =
+        c.owner->definition().steps[c.step].is_long_running;
+    if (is_long_running && since && now - *since >= max_wait_for_sound_worker)
+    {
+        lists.push_back(&avoided_workers_);
+    }
+    return lists;
+}
+
 void task_placer::place_step(const candidate& c, time_point now)
 {
     const auto& definition = c.owner->definition();
@@ -169,8 +198,9 @@
     auto& searched_at = c.owner->searched_at(c.occurrence, c.step);
     const bool is_full_search = definition.policy.needs_advice ||
                                 now - searched_at >= full_search_interval;
-    const auto& workers = is_full_search ? usable_workers_ : freed_workers_;
-    bool has_room = !workers.empty();
+    // All tasks of a step have the same size: a list without room for one of
+    // them has none for the others.
+    auto searched = workers_to_search(c, is_full_search, now);
     bool is_waiting_for_store = false;
     const auto without_room_before = without_room_;
     for (std::uint32_t i = 0; i < count; ++i)
@@ -182,14 +212,16 @@
             continue;
         }
         auto* worker = reserved_worker(*c.owner, key, now);
-        if (worker == nullptr && has_room)
+        while (worker == nullptr && !searched.empty())
         {
-            worker = choose(workers, *c.owner, key, task, now);
+            worker = choose(*searched.front(), *c.owner, key, task, now);
+            if (worker == nullptr)
+            {
+                searched.pop_front();
+            }
         }
         if (worker == nullptr)
         {
-            // All tasks of a step have the same size.
-            has_room = false;
             ++without_room_;
             continue;
         }
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <utility>
@@ -58,6 +59,10 @@
     // worker.
     bool prepare_start(live_job& owner, const task_key& key,
                        fleet_worker& worker, time_point now);
+    // Lists of workers to search for the step, the preferred ones first.
+    std::deque<const std::vector<fleet_worker*>*>
+    workers_to_search(const candidate& c, bool is_full_search,
+                      time_point now) const;
     void place_step(const candidate& c, time_point now);
     void place_gang(const candidate& c, time_point now);
     // The worker reserved for the task, or null if there is none or it can no
@@ -81,6 +86,8 @@
     std::vector<fleet_worker*> usable_workers_;
     // The subset that has freed capacity since the last pass.
     std::vector<fleet_worker*> freed_workers_;
+    // Workers that could accept tasks, but have failed some or are slow.
+    std::vector<fleet_worker*> avoided_workers_;
     struct reservation
     {
         worker_id worker;
--- a/src/jobs/worker_eligibility.cpp
+++ b/src/jobs/worker_eligibility.cpp
@@ -19,13 +19,19 @@
 bool worker_eligibility::is_available(const fleet_worker& worker,
                                       time_point now) const
 {
-    const bool is_open = !worker.is_unlisted && !worker.has_ended &&
-                         !worker.entry.is_leaving && worker.is_recorded &&
-                         !state_.closed_zones.contains(worker.entry.zone);
-    return is_open && worker.knows_clock() &&
+    return worker.health.avoided_until <= now && !worker.health.is_slow(now) &&
+           is_open(worker, now);
+}
+
+bool worker_eligibility::is_open(const fleet_worker& worker,
+                                 time_point now) const
+{
+    const bool is_in_service = !worker.is_unlisted && !worker.has_ended &&
+                               !worker.entry.is_leaving && worker.is_recorded &&
+                               !state_.closed_zones.contains(worker.entry.zone);
+    return is_in_service && worker.knows_clock() &&
            worker.is_reachable(now, state_.options.contact_limit) &&
-           worker.full_until <= now && worker.health.avoided_until <= now &&
-           !worker.health.is_slow(now);
+           worker.full_until <= now;
 }
 
 bool worker_eligibility::accepts_step(const fleet_worker& worker, const step& s,
--- a/src/jobs/worker_eligibility.hpp
+++ b/src/jobs/worker_eligibility.hpp
@@ -13,6 +13,8 @@
 
     // True if the worker can take any task.
     bool is_available(const fleet_worker& worker, time_point now) const;
+    // The same, but for failures and slowness of the worker.
+    bool is_open(const fleet_worker& worker, time_point now) const;
     // True if the worker can accept a task of this step at present.
     bool accepts_step(const fleet_worker& worker, const step& s,
                       time_point now) const;
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -440,6 +440,33 @@
     }));
 }
 
+// Failure: a lasting task waits until the end of an avoidance although the only
+// worker with room is sound (LOST, workers gone from a nearly full fleet).
+TEST_F(scheduler_test,
+       lasting_task_takes_an_avoided_worker_if_no_other_has_room)
+{
+    add_worker("a");
+    leader.begin(now);
+    leader.add_job(make_job("j", short_step(1)));
+    leader.add_job(make_job("k", short_step(1)));
+    const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
+    ASSERT_EQ(starts.size(), 2U);
+    running.clear();
+    std::uint64_t number = 0;
+    for (const auto& start : starts)
+    {
+        ended[start.worker].push_back(
+            {++number, start.task, start.run, run_end::failed, ""});
+    }
+    simulate(milliseconds(100));
+    auto s = short_step(1);
+    s.is_long_running = true;
+    leader.add_job(make_job("lasting", s));
+    const auto later = orders_of<start_order>(simulate(milliseconds(1500)));
+    ASSERT_EQ(later.size(), 1U);
+    EXPECT_EQ(later.front().task.job, job_id("lasting"));
+}
+
 // Failure: a task of a queue with advice starts without a ticket, or on a
 // worker that the advice did not name.
 TEST_F(scheduler_test, queue_with_advice_starts_with_a_ticket)
