Count the wait of a lasting task from the loss of its run

Cause: a lasting task goes before urgent ones once it has waited for 4 s. The time began when the task was requeued, 6.2 s after a worker had been lost for good, and anew with each leader.

Change: the time begins when the worker fell silent. After a takeover, waiting lasting tasks go before urgent ones at once, since how long they have waited is not recorded.

Ruled out: a shorter limit.

Both tests failed before.

--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -262,6 +262,20 @@
     record.may_run_elsewhere = record.phase == task_phase::waiting;
 }
 
+void live_job::set_long_running_waiting_since(time_point since)
+{
+    for (auto& occurrence : occurrences_)
+    {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s)
+        {
+            if (job_.steps[s].is_long_running)
+            {
+                occurrence.steps[s].waiting_since = since;
+            }
+        }
+    }
+}
+
 void live_job::clear_uncertain_tasks()
 {
     for (auto& occurrence : occurrences_)
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -1,6 +1,7 @@
 // A job that has not finished, with the state of each of its tasks.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -123,6 +124,16 @@
         return occurrences_[occurrence].steps[step].waiting_since;
     }
 
+    // The step has had no run of one of its tasks since this time.
+    void note_lost_run(const task_key& key, time_point lost_at)
+    {
+        auto& since = waiting_since(key.occurrence, key.step);
+        since = std::min(since.value_or(lost_at), lost_at);
+    }
+    // Long-running steps that an earlier leader may have kept waiting count as
+    // having waited since this time.
+    void set_long_running_waiting_since(time_point since);
+
     // True if the occurrence is due and all preceding steps are done.
     bool is_open(std::uint32_t occurrence, std::uint32_t step,
                  std::chrono::milliseconds unix_now) const;
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -536,7 +536,8 @@
         {
             continue;
         }
-        if (auto* const owner = state_.registry.find(key.job))
+        auto* const owner = state_.registry.find(key.job);
+        if (owner != nullptr)
         {
             auto& task = owner->task(key);
             if (!checkpoint.empty())
@@ -546,6 +547,10 @@
             }
         }
         state_.requeue(key, reason);
+        if (owner != nullptr && worker.silent_since)
+        {
+            owner->note_lost_run(key, *worker.silent_since);
+        }
     }
 }
 
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "jobs/load_summary.hpp"
+#include "jobs/placing_order.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -68,6 +69,11 @@
              : options.lead_overlap + options.lease_extension_time);
     has_begun_ = true;
     begun_at_ = now;
+    // How long the tasks have waited under earlier leaders is not recorded.
+    for (const auto& [id, live] : state_.registry.live())
+    {
+        live->set_long_running_waiting_since(now - max_long_running_wait);
+    }
     check_recovery(now);
 }
 
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -467,6 +467,42 @@
     EXPECT_EQ(later.front().task.job, job_id("lasting"));
 }
 
+// Failure: the time for which a lasting task may wait begins anew when the
+// leases on its lost worker have expired, and urgent tasks take the room
+// (LOST).
+TEST_F(scheduler_test, wait_of_a_lasting_task_begins_with_the_loss_of_its_run)
+{
+    auto whole_worker = short_step(1);
+    whole_worker.size.processor_millis = 16000;
+    auto lasting = whole_worker;
+    lasting.is_long_running = true;
+    add_worker("a");
+    leader.begin(now);
+    leader.add_job(make_job("lasting", lasting));
+    ASSERT_EQ(orders_of<start_order>(simulate()).size(), 1U);
+    add_worker("b");
+    auto urgent = make_job("urgent", whole_worker);
+    urgent.policy.slack = seconds(1'000'000);
+    leader.add_job(urgent);
+    const auto first = orders_of<start_order>(simulate());
+    ASSERT_EQ(first.size(), 1U);
+    urgent.id = job_id("urgent-2");
+    leader.add_job(urgent);
+    unresponsive.insert(worker_id("a"));
+    for (int i = 0; i < 22; ++i)
+    {
+        // The urgent task makes progress.
+        ++running[worker_id("b")].front().percent;
+        simulate();
+    }
+    running[worker_id("b")].clear();
+    ended[worker_id("b")].push_back(
+        {1, first.front().task, first.front().run, run_end::done, ""});
+    const auto next = orders_of<start_order>(simulate(seconds(1)));
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next.front().task.job, job_id("lasting"));
+}
+
 // Failure: a task of a queue with advice starts without a ticket, or on a
 // worker that the advice did not name.
 TEST_F(scheduler_test, queue_with_advice_starts_with_a_ticket)
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -152,6 +152,27 @@
     EXPECT_THAT(simulate(seconds(1)), testing::ElementsAre(0U, 1U));
 }
 
+// Failure: with each takeover, lasting tasks wait for 4 s more before they go
+// before urgent ones.
+TEST_F(takeover_test, waiting_lasting_tasks_go_before_urgent_ones)
+{
+    job lasting = definition;
+    lasting.id = job_id("lasting");
+    lasting.steps.front().is_long_running = true;
+    lasting.steps.front().size.processor_millis = 16000;
+    lasting.steps.front().task_count = 1;
+    leader.recover_job(lasting, job_progress{.state = job_state::running,
+                                             .has_started = true,
+                                             .done = {},
+                                             .ordered = {{}},
+                                             .histories = {}});
+    leader.set_worker(entry("here"), now);
+    leader.begin(now);
+    simulate(milliseconds(200));
+    EXPECT_EQ(ran_on.count({lasting.id, 0, 0, 0}), 1U);
+    EXPECT_EQ(ran_on.count(key(0)), 0U);
+}
+
 // Failure: a task runs twice, because any task may run on a worker that does
 // not respond.
 TEST_F(takeover_test, all_tasks_wait_for_a_worker_with_unknown_runs)
