Test entries of known workers that cannot be read or shrink

Change: tests of the codec (a capacity that is missing, incomplete or not of whole numbers makes the entry unreadable; zero and negative numbers are taken as they are and leave no room) and of the leader (an unreadable entry counts as a removal: nothing is started by the earlier capacity, and the next readable entry brings the worker back).

Ruled out: a fault.

Conclusion: an accelerator count of another type reads as none, which cannot bring a worker over its capacity.

--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -124,6 +124,37 @@
     EXPECT_TRUE(decode_worker(id, leaving, {})->is_leaving);
 }
 
+// Failure: an entry whose capacity cannot be read is used with another one, or
+// one with an odd number takes its worker off the list.
+TEST(declaration_codec, unreadable_capacities_are_rejected)
+{
+    const auto with_capacity = [](const std::string& capacity) {
+        return decode_worker(
+            worker_id("i-1"),
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+            R"("state":"ready","born":1)" +
+                capacity + "}",
+            {});
+    };
+    for (const auto* const unreadable :
+         {"", R"(,"capacity":null)", R"(,"capacity":16000)",
+          R"(,"capacity":{"cpu":16000})", R"(,"capacity":{"mem_mb":64000})",
+          R"(,"capacity":{"cpu":"16000","mem_mb":64000})",
+          R"(,"capacity":{"cpu":1.5,"mem_mb":64000})",
+          R"(,"capacity":{"cpu":1e30,"mem_mb":64000})",
+          R"(,"capacity":{"cpu":16000,"mem_mb":null})"})
+    {
+        EXPECT_FALSE(with_capacity(unreadable)) << unreadable;
+    }
+    const auto negative = with_capacity(R"(,"capacity":{"cpu":-5,"mem_mb":0})");
+    ASSERT_TRUE(negative);
+    EXPECT_EQ(negative->capacity, (jobs::task_size{-5, 0, 0}));
+    const auto odd =
+        with_capacity(R"(,"capacity":{"cpu":16000,"mem_mb":64000,"gpu":"4"})");
+    ASSERT_TRUE(odd);
+    EXPECT_EQ(odd->capacity.accelerators, 0);
+}
+
 // Failure: the columns of a report's rows are mixed up.
 TEST(worker_codec, report_is_read)
 {
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -2,6 +2,7 @@
 // record of workers that have left, or stops working while the store is
 // unavailable.
 #include <optional>
+#include <utility>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -68,27 +69,37 @@
 
 struct single_worker_list
 {
+    // Delivered with the next changes.
+    std::optional<worker_change> next_change;
+
+    static jobs::worker_entry entry()
+    {
+        jobs::worker_entry out;
+        out.id = worker_id("w");
+        out.service = service_id("s");
+        out.zone = availability_zone_id("z");
+        out.capacity = {16000, 64000, 0};
+        out.incarnation = 1;
+        return out;
+    }
     void
     read_all(const std::function<void(worker_list_outcome)>& callback) const
     {
         worker_changes changes;
         changes.newest = row_version(1);
         changes.is_snapshot = true;
-        jobs::worker_entry entry;
-        entry.id = worker_id("w");
-        entry.service = service_id("s");
-        entry.zone = availability_zone_id("z");
-        entry.capacity = {16000, 64000, 0};
-        entry.incarnation = 1;
-        changes.changes.push_back({entry.id, entry});
+        changes.changes.push_back({entry().id, entry()});
         callback(changes);
     }
-    void
-    read_changes(row_version after,
-                 const std::function<void(worker_list_outcome)>& callback) const
+    void read_changes(row_version after,
+                      const std::function<void(worker_list_outcome)>& callback)
     {
         worker_changes changes;
         changes.newest = after;
+        if (const auto change = std::exchange(next_change, std::nullopt))
+        {
+            changes.changes.push_back(*change);
+        }
         callback(changes);
     }
 };
@@ -306,3 +317,28 @@
     EXPECT_GT(workers.starts, 0U);
     EXPECT_FALSE(a.state_of(excessive));
 }
+
+// Failure: a worker whose later entry cannot be read keeps the capacity of the
+// earlier one, or is not used again once it can be read.
+TEST_F(leader_role_test, nothing_starts_by_an_entry_that_is_out_of_date)
+{
+    store_job();
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, milliseconds(300));
+    ASSERT_GT(workers.starts, 0U);
+    ASSERT_LT(workers.starts, 400U);
+    list.next_change = {worker_id("w"), std::nullopt};
+    run_for(a, milliseconds(400));
+    const auto starts_before = workers.starts;
+    run_for(a, seconds(2));
+    EXPECT_EQ(workers.starts, starts_before);
+    auto smaller = single_worker_list::entry();
+    smaller.capacity = {500, 64000, 0};
+    list.next_change = {smaller.id, smaller};
+    run_for(a, seconds(2));
+    EXPECT_EQ(workers.starts, starts_before);
+    list.next_change = {smaller.id, single_worker_list::entry()};
+    run_for(a, milliseconds(500));
+    EXPECT_GT(workers.starts, starts_before);
+}
