Let workers crash and change their capacity in one property test

Cause: the faults were drawn apart, so that no worker joined in the place of a crashed one while capacities changed.

Change: a fourth run of the property test with both flags.

--- a/tests/jobs/fleet_property_test.cpp
+++ b/tests/jobs/fleet_property_test.cpp
@@ -74,6 +74,12 @@
     EXPECT_TRUE(guarantees_hold(false, true));
 }
 
+// Failure: the same with a worker that takes the place of a crashed one.
+TEST(jobs_fleet, guarantees_hold_while_workers_crash_and_capacities_change)
+{
+    EXPECT_TRUE(guarantees_hold(true, true));
+}
+
 // Failure with seed 26814: a start on a worker that had restarted unnoticed
 // was executed after its task had been placed elsewhere. With the other two:
 // tasks were started beside a run of a finished job, whose size is unknown.
