Give the commit with a lost response a call without a time limit

Cause: table_test.commit_with_lost_response_is_sent_once_and_recognised_by_its_row called with a timeout of 300 ms. On a busy machine the call sometimes ends before it has been sent: its outcome is rightly unknown, but no commit ever reaches the stand-in, which the test expects. Its wait for the commit could not help.

Change: the test calls with a timeout of 60 s, so that only the lost response can end the call, and again reads the counts at once instead of waiting for them. It also checks that the read on the connection succeeds.

Ruled out: a commit that the stand-in had only not read yet. The count was still 0 after 10 s, and the failed calls ended with "call timed out" after 300 and 301 ms, all 1,598 others with the lost response, some after 267 ms.

Conclusion: the test measured time; the client is unchanged.

--- a/tests/platform/fixture.hpp
+++ b/tests/platform/fixture.hpp
@@ -21,6 +21,15 @@
     return limits;
 }
 
+// For calls that must not time out on a busy machine either: longer than any
+// wait of a test.
+inline http_limits patient_limits()
+{
+    http_limits limits;
+    limits.timeout = std::chrono::seconds(60);
+    return limits;
+}
+
 inline table_commit create(const std::string& key, const std::string& value,
                            const std::string& id = "commit-1")
 {
@@ -42,10 +51,12 @@
           workers(short_limits())
     {}
 
-    commit_outcome commit(const table_commit& c)
+    commit_outcome commit(const table_commit& c) { return commit(c, table); }
+
+    static commit_outcome commit(const table_commit& c, table_client& client)
     {
         return await<commit_outcome>([&](auto done) {
-            EXPECT_FALSE(table.commit(c, done).has_value());
+            EXPECT_FALSE(client.commit(c, done).has_value());
         });
     }
 
--- a/tests/platform/table_test.cpp
+++ b/tests/platform/table_test.cpp
@@ -117,23 +117,25 @@
 TEST_F(table_test,
        commit_with_lost_response_is_sent_once_and_recognised_by_its_row)
 {
+    table_client patient("http://" + standin.address(), patient_limits());
     standin.set_fault("table", "", {fault_mode::lose_answer, 1.0, {}});
     const auto c = create("row", "commit-1");
-    ASSERT_TRUE(std::holds_alternative<commit_unknown>(commit(c)));
-    // On a busy VM the call may end before the stand-in has read it.
-    EXPECT_TRUE(run_until([&] { return standin.record().commits() == 1U; }));
+    ASSERT_TRUE(std::holds_alternative<commit_unknown>(commit(c, patient)));
+    EXPECT_EQ(standin.record().commits(), 1U);
     // The same on a connection that was used before.
     standin.set_fault("table", "", {});
-    read("row");
+    const auto row = await<result<std::optional<table_row>>>(
+        [&](auto done) { patient.read_row("row", done); });
+    EXPECT_EQ(value_of_row(row), "commit-1");
     standin.set_fault("table", "", {fault_mode::lose_answer, 1.0, {}});
     ASSERT_TRUE(std::holds_alternative<commit_unknown>(
-        commit(create("row-2", "commit-2", "commit-2"))));
-    EXPECT_TRUE(run_until([&] { return standin.record().commits() == 2U; }));
+        commit(create("row-2", "commit-2", "commit-2"), patient)));
+    EXPECT_EQ(standin.record().commits(), 2U);
     standin.set_fault("table", "", {});
     EXPECT_EQ(boost::json::value_to<int>(
                   standin.record().to_json().at("table_conflicts")),
               0);
-    const auto retry = commit(c);
+    const auto retry = commit(c, patient);
     ASSERT_TRUE(std::holds_alternative<commit_conflict>(retry));
     EXPECT_EQ(std::get<commit_conflict>(retry).rows.at(0).value, "commit-1");
 }
