Give the calls of the commit property no time limit

Cause: table_property.commits_apply_exactly_once called with a timeout of 300 ms and requires that the read at its end succeeds. On a busy machine a read can time out; nothing in the case makes it fail again, so shrinking ends in a case that holds. Qt's line "this method must only be called once" is printed when the timeout aborts a reply whose error Qt has set but not yet reported; it is a second sign of calls that reached their timeout.

Change: the property calls with a timeout of 60 s, so that only lost responses can end a call. Timeouts, which it met only by chance, have a test of their own: 200 commits with a timeout of 1 ms while half of the responses are lost, each sent again without a time limit; each commit applies once and each call calls back once, also when Qt prints its line.

Conclusion: the test measured time; the client is unchanged.

--- a/tests/platform/table_test.cpp
+++ b/tests/platform/table_test.cpp
@@ -140,6 +140,50 @@
     EXPECT_EQ(std::get<commit_conflict>(retry).rows.at(0).value, "commit-1");
 }
 
+// Failure: a call whose timeout coincides with its end calls back twice, or its
+// commit is applied again by the retry.
+TEST_F(table_test, commits_that_time_out_apply_exactly_once)
+{
+    constexpr std::size_t commits = 200;
+    http_limits hasty_limits;
+    hasty_limits.timeout = milliseconds(1);
+    std::map<std::string, int> callbacks;
+    table_client hasty("http://" + standin.address(), hasty_limits);
+    table_client patient("http://" + standin.address(), patient_limits());
+    table_expectation expected = expect_absent{};
+    for (std::size_t i = 0; i < commits; ++i)
+    {
+        const auto id = "commit-" + std::to_string(i);
+        const table_commit c{commit_id(id),
+                             {},
+                             {{"counter", expected, id},
+                              {"journal/" + id, expect_absent{}, id}}};
+        standin.set_fault("table", "", {fault_mode::lose_answer, 0.5, {}});
+        ASSERT_FALSE(
+            hasty.commit(c, [&, id](const auto&) { ++callbacks[id]; }));
+        ASSERT_TRUE(run_until([&] { return callbacks[id] > 0; }));
+        standin.set_fault("table", "", {});
+        const auto retry = commit(c, patient);
+        if (const auto* done = std::get_if<commit_done>(&retry))
+        {
+            expected = done->versions.at(0);
+            continue;
+        }
+        ASSERT_TRUE(std::holds_alternative<commit_conflict>(retry)) << id;
+        const auto& row = std::get<commit_conflict>(retry).rows.at(0);
+        ASSERT_EQ(row.value, id);
+        expected = row.version;
+    }
+    EXPECT_EQ(standin.record().commits(), commits);
+    EXPECT_THAT(callbacks,
+                testing::Each(testing::Pair(testing::_, testing::Eq(1))));
+    const auto page = await<result<table_page>>([&](auto done) {
+        patient.read_rows("journal/", "", 2 * commits, done);
+    });
+    ASSERT_TRUE(is_ok(page));
+    EXPECT_EQ(value_of(page).rows.size(), commits);
+}
+
 // Failure: a commit is reported as unknown and a paused table applies it later,
 // but the row does not show it.
 TEST_F(table_test, paused_table_applies_the_commit_after_resuming)
@@ -254,7 +298,7 @@
     settings.seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto commits = *rc::gen::inRange(1, 6);
     platform_standin standin(settings);
-    table_client table("http://" + standin.address(), short_limits());
+    table_client table("http://" + standin.address(), patient_limits());
     standin.set_fault("table", "", {fault_mode::lose_answer, 0.4, {}});
     table_expectation expected = expect_absent{};
     int count = 0;
