Tell crashes by a task from workers that crash for another cause

Cause: a mass failure blamed nobody, whatever ran there. Crashes long after a start counted like those in the start-up. A suspect that found no place ended the search for its siblings, and workers with a trial took nothing. A leader that died during a trial left no record of it.

Change: in a mass failure, a job with suspects on a third of the workers is blamed. Two crashes in the start-up are enough only if no worker without suspects has crashed in the last minute and the VM has not, otherwise three; four crashes of any kind are. Suspects are searched a place for by themselves, and lasting tasks that find no other room take workers with a trial. A worker that names no VM counts as crashed once it is forgotten. The worker of a trial is stored before the start.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -11,14 +11,16 @@
 namespace
 {
 
-// Crashes of workers after which the only suspect of the last one is given up.
-constexpr std::size_t max_crashes = 2;
-// The same if the VM of the last one had crashed before, so that the VM may be
-// to blame.
-constexpr std::size_t max_crashes_on_unreliable_vm = 3;
-// The same for a suspect that was never the only one.
-constexpr std::size_t max_crashes_beside_others = 4;
-// A VM counts as unreliable for this long after a crash of its worker.
+// Crashes during its start-up after which a task is given up if it was the only
+// suspect of the last one.
+constexpr std::uint32_t max_start_up_crashes = 2;
+// The same if the last one may have another cause: its VM had crashed before,
+// many workers failed together, or workers without suspects crashed lately.
+constexpr std::uint32_t max_unreliable_start_up_crashes = 3;
+// Crashes of any kind after which a suspect is given up.
+constexpr std::size_t max_crashes = 4;
+// A VM counts as unreliable for this long after a crash of its worker, and all
+// of them after a crash without suspects.
 constexpr duration unreliable_time = std::chrono::seconds(60);
 
 // Workers that fall silent within this time of each other may have a common
@@ -28,6 +30,8 @@
 constexpr std::size_t min_mass_failure = 6;
 constexpr std::size_t mass_failure_divisor = 10;
 constexpr std::size_t min_domain_failure = 3;
+// A job with suspects on this part of the workers may have crashed them all.
+constexpr std::size_t common_suspect_divisor = 3;
 
 } // namespace
 
@@ -41,9 +45,33 @@
     std::erase_if(silences_, [&](const silence& entry) {
         return now - entry.since > silence_history;
     });
-    silences_.push_back(
-        {worker.entry.id, worker.entry.zone, worker.entry.labels, now});
     note_runs(worker, is_connection_lost ? now : worker.responded_at, now);
+    std::set<job_id> suspects;
+    for (const auto& run : worker.interrupted_runs)
+    {
+        if (run.is_suspect)
+        {
+            suspects.insert(run.task.job);
+        }
+    }
+    silences_.push_back({worker.entry.id, worker.entry.zone,
+                         worker.entry.labels, std::move(suspects), now});
+}
+
+void crash_attribution::on_requeue(const fleet_worker& worker) const
+{
+    if (!is_part_of_mass_failure(worker))
+    {
+        return;
+    }
+    for (const auto& run : worker.interrupted_runs)
+    {
+        auto* const task = find_task(run.task);
+        if (task != nullptr && !is_common_suspect(worker, run.task.job))
+        {
+            task->is_suspected = false;
+        }
+    }
 }
 
 void crash_attribution::on_unnoticed_restart(fleet_worker& worker,
@@ -61,10 +89,10 @@
     worker.interrupted_runs.clear();
     for (const auto& [key, run] : worker.runs())
     {
-        const bool may_be_starting = alive_at - run.ordered_at < start_up_time;
-        const bool is_suspect = may_be_starting || run.is_trial;
+        const bool in_start_up = alive_at - run.ordered_at < start_up_time;
+        const bool is_suspect = in_start_up || run.is_trial;
         worker.interrupted_runs.push_back(
-            {key, now - run.ordered_at, is_suspect});
+            {key, now - run.ordered_at, in_start_up, is_suspect});
         if (auto* const task = is_suspect ? find_task(key) : nullptr)
         {
             task->is_suspected = true;
@@ -101,8 +129,6 @@
                                time_point now)
 {
     const auto runs = std::exchange(worker.interrupted_runs, {});
-    const bool is_reliable =
-        !worker.vm_crashed_at || now - *worker.vm_crashed_at > unreliable_time;
     clear_suspicion(runs);
     if (worker.entry.is_leaving)
     {
@@ -112,6 +138,16 @@
     const bool is_mass_failure = is_part_of_mass_failure(worker);
     const auto suspects =
         std::ranges::count_if(runs, &interrupted_run::is_suspect);
+    const auto is_recent = [&](const std::optional<time_point>& at) {
+        return at && now - *at <= unreliable_time;
+    };
+    const bool is_reliable = !is_mass_failure &&
+                             !is_recent(worker.vm_crashed_at) &&
+                             !is_recent(unexplained_crash_at_);
+    if (suspects == 0)
+    {
+        unexplained_crash_at_ = now;
+    }
     state_.log_event(
         "worker has crashed",
         {{"worker", life.value()},
@@ -119,18 +155,37 @@
          {"runs", std::to_string(runs.size())},
          {"suspects", std::to_string(suspects)},
          {"mass_failure", std::to_string(static_cast<int>(is_mass_failure))}});
-    if (is_mass_failure)
-    {
-        return;
-    }
     for (const auto& run : runs)
     {
-        count_crash(life, run, suspects == 1, is_reliable, now);
+        const bool is_blamed =
+            !is_mass_failure ||
+            (run.is_suspect && is_common_suspect(worker, run.task.job));
+        if (is_blamed)
+        {
+            count_crash(life, run, suspects == 1, is_reliable, now);
+        }
     }
 }
 
-void crash_attribution::recover(const fleet_record& record)
+void crash_attribution::recover(fleet_record& record)
 {
+    if (!recovered_trials_)
+    {
+        recovered_trials_.emplace();
+        for (const auto& [id, owner] : state_.registry.live())
+        {
+            owner->collect_trials(*recovered_trials_);
+        }
+    }
+    if (const auto tried = recovered_trials_->find(record.worker);
+        tried != recovered_trials_->end())
+    {
+        record.suspects.insert(record.suspects.end(), tried->second.begin(),
+                               tried->second.end());
+        std::ranges::sort(record.suspects);
+        const auto repeated = std::ranges::unique(record.suspects);
+        record.suspects.erase(repeated.begin(), repeated.end());
+    }
     for (const auto& key : record.suspects)
     {
         if (auto* const task = find_task(key))
@@ -146,8 +201,8 @@
     for (const auto& key : record.suspects)
     {
         // Whether the crash was part of a mass failure is not recorded.
-        count_crash(record.worker, {key, {}, true}, record.suspects.size() == 1,
-                    false, now);
+        count_crash(record.worker, {key, {}, true, true},
+                    record.suspects.size() == 1, false, now);
     }
 }
 
@@ -158,7 +213,7 @@
 {
     auto* const task = find_task(run.task);
     if (task == nullptr || task->phase == task_phase::done ||
-        !task->crashes.add(life, run.is_suspect, run.ran_for))
+        !task->crashes.add(life, run.in_start_up, run.ran_for))
     {
         return;
     }
@@ -176,10 +231,11 @@
          {"ran_ms", std::to_string(run.ran_for.count() / 1000)},
          {"crashes", std::to_string(crashes)},
          {"only_suspect", std::to_string(static_cast<int>(is_only_suspect))}});
-    const auto limit = !is_only_suspect ? max_crashes_beside_others
-                       : is_reliable    ? max_crashes
-                                        : max_crashes_on_unreliable_vm;
-    if (crashes >= limit)
+    const auto limit =
+        is_reliable ? max_start_up_crashes : max_unreliable_start_up_crashes;
+    const bool crashes_at_start =
+        is_only_suspect && task->crashes.in_start_up >= limit;
+    if (crashes_at_start || crashes >= max_crashes)
     {
         state_.fail_job(*state_.registry.find(run.task.job), run.task, now);
     }
@@ -224,15 +280,40 @@
     return owner != nullptr && owner->has(key) ? &owner->task(key) : nullptr;
 }
 
+std::vector<const crash_attribution::silence*>
+crash_attribution::simultaneous(const fleet_worker& worker) const
+{
+    std::vector<const silence*> out;
+    for (const auto& other : silences_)
+    {
+        if (std::chrono::abs(other.since - *worker.silent_since) <=
+            common_cause_time)
+        {
+            out.push_back(&other);
+        }
+    }
+    return out;
+}
+
+bool crash_attribution::is_common_suspect(const fleet_worker& worker,
+                                          const job_id& job) const
+{
+    const auto together = simultaneous(worker);
+    const auto with_job =
+        std::ranges::count_if(together, [&](const silence* other) {
+            return other->suspects.contains(job);
+        });
+    return static_cast<std::size_t>(with_job) * common_suspect_divisor >=
+           together.size();
+}
+
 template <typename IsInDomain>
 bool crash_attribution::fails_with_most_of(const fleet_worker& worker,
                                            IsInDomain is_in_domain) const
 {
     const auto silent =
-        std::ranges::count_if(silences_, [&](const silence& other) {
-            return std::chrono::abs(other.since - *worker.silent_since) <=
-                       common_cause_time &&
-                   is_in_domain(other.zone, other.labels);
+        std::ranges::count_if(simultaneous(worker), [&](const silence* other) {
+            return is_in_domain(other->zone, other->labels);
         });
     const auto members =
         std::ranges::count_if(state_.fleet, [&](const auto& other) {
--- a/src/jobs/crash_attribution.hpp
+++ b/src/jobs/crash_attribution.hpp
@@ -3,6 +3,9 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,12 +29,15 @@
     void on_silence(fleet_worker& worker, time_point now);
     // The same worker process responds again: it has not crashed.
     void on_response(fleet_worker& worker);
+    // The tasks of a worker that may have crashed are started elsewhere.
+    void on_requeue(const fleet_worker& worker) const;
     // A worker that responded until now has restarted unnoticed.
     void on_unnoticed_restart(fleet_worker& worker, time_point now);
     // The worker process has ended. `life` identifies it.
     void on_end(fleet_worker& worker, const worker_id& life, time_point now);
-    // Adds suspects that an earlier leader recorded on a silent worker.
-    void recover(const fleet_record& record);
+    // Takes over the suspects on a worker that has not been seen yet, and adds
+    // those that were being tried there. All jobs must have been recovered.
+    void recover(fleet_record& record);
     // The worker of the record has ended.
     void on_recorded_end(const fleet_record& record, time_point now);
 
@@ -50,9 +56,16 @@
         worker_id worker;
         availability_zone_id zone;
         std::vector<std::string> labels;
+        // Jobs with suspects on the worker.
+        std::set<job_id> suspects;
         time_point since{};
     };
 
+    // The workers that fell silent together with this one, which included.
+    std::vector<const silence*> simultaneous(const fleet_worker& worker) const;
+    // True if the job had suspects on a large part of the workers that fell
+    // silent together, so that it may be their common cause.
+    bool is_common_suspect(const fleet_worker& worker, const job_id& job) const;
     // `alive_at` is the last time at which the worker certainly was up.
     void note_runs(fleet_worker& worker, time_point alive_at, time_point now);
     // True if many workers, or most of a rack or an availability zone, fell
@@ -70,6 +83,11 @@
     scheduler_state& state_;
     // Workers that have been silent since the given times, oldest first.
     std::vector<silence> silences_;
+    // Tasks that an earlier leader was trying, by worker.
+    std::optional<std::map<worker_id, std::vector<task_key>>> recovered_trials_;
+    // Latest crash of a worker without suspects: workers crash for another
+    // cause at present.
+    std::optional<time_point> unexplained_crash_at_;
     std::size_t crashes_ = 0;
 };
 
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -40,6 +40,8 @@
 {
     task_key task;
     duration ran_for{};
+    // The run may have been starting up.
+    bool in_start_up = false;
     // The run may have crashed the worker.
     bool is_suspect = false;
 };
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -161,10 +161,11 @@
         workers.emplace_back(worker.value());
     }
     entry.emplace_back(std::move(workers));
-    entry.emplace_back(crashes.is_suspect ? 1 : 0);
+    entry.emplace_back(crashes.in_start_up);
     entry.emplace_back(std::chrono::duration_cast<std::chrono::milliseconds>(
                            crashes.longest_run)
                            .count());
+    entry.emplace_back(crashes.tried_on.value());
     return entry;
 }
 
@@ -192,7 +193,7 @@
 bool read_crashes(const json::array& in, job_progress& progress)
 {
     const auto position = to_position(in);
-    if (!position || in.size() != 6 || !in[3].is_array())
+    if (!position || in.size() != 7 || !in[3].is_array() || !in[6].is_string())
     {
         return false;
     }
@@ -206,10 +207,13 @@
         }
         crashes.workers.emplace_back(std::string(*name));
     }
-    crashes.is_suspect = integer_of(in[4]) != 0;
+    crashes.in_start_up = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        integer_of(in[4]), 0,
+        static_cast<std::int64_t>(crashes.workers.size())));
     crashes.longest_run =
         std::clamp<duration>(std::chrono::milliseconds(integer_of(in[5])),
                              duration{}, crash_history::max_run);
+    crashes.tried_on = worker_id(std::string(in[6].get_string()));
     return true;
 }
 
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -241,6 +241,26 @@
     }
 }
 
+void live_job::collect_trials(
+    std::map<worker_id, std::vector<task_key>>& trials) const
+{
+    for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
+    {
+        for (std::uint32_t s = 0; s < occurrences_[k].steps.size(); ++s)
+        {
+            const auto& tasks = occurrences_[k].steps[s].tasks;
+            for (std::uint32_t i = 0; i < tasks.size(); ++i)
+            {
+                const auto& worker = tasks[i].crashes.tried_on;
+                if (!worker.empty())
+                {
+                    trials[worker].push_back({job_.id, k, s, i});
+                }
+            }
+        }
+    }
+}
+
 void live_job::mark_ordered_tasks_uncertain()
 {
     for (auto& occurrence : occurrences_)
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -160,6 +161,10 @@
     // lists as possibly ordered.
     job_progress collect_progress(std::uint64_t number);
 
+    // Adds the tasks that are being tried as suspects, by worker.
+    void
+    collect_trials(std::map<worker_id, std::vector<task_key>>& trials) const;
+
     // The next stored row of the job will list the task as possibly ordered.
     void announce(const task_key& key) { task(key).is_announced = true; }
     // Marks the waiting tasks that an earlier leader may have started.
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -280,7 +280,8 @@
     const bool is_known = owner != nullptr && owner->has(reported.task);
     const step unknown_step;
     const auto& step = is_known ? owner->step_of(reported.task) : unknown_step;
-    auto adopted = make_run(step, reported.run, now);
+    // The run is past its start-up as far as is known.
+    auto adopted = make_run(step, reported.run, now - start_up_time);
     adopted.is_adopted = true;
     // The job is over, so nothing is started beside the run until it has ended.
     adopted.has_unknown_size = !is_known;
@@ -499,6 +500,7 @@
     std::ranges::for_each(pending_starts, [&](const auto& entry) {
         worker.erase_run(entry.first);
     });
+    crashes_.on_requeue(worker);
     drop_runs(worker, "leases on the worker expired");
     for (const auto& [key, run] : pending_starts)
     {
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -48,8 +48,8 @@
 {
     for (const auto& record : may_run_tasks)
     {
-        unseen_workers_[record.worker] = record;
-        crashes_.recover(record);
+        auto& unseen = unseen_workers_[record.worker] = record;
+        crashes_.recover(unseen);
     }
     recovered_workers_ = unseen_workers_.size();
 }
@@ -418,7 +418,8 @@
     {
         const auto& worker = w->second;
         const bool may_have_crashed =
-            !worker.interrupted_runs.empty() && worker.silent_since &&
+            !worker.entry.vm.empty() && !worker.interrupted_runs.empty() &&
+            worker.silent_since &&
             now - *worker.silent_since < crash_evidence_time;
         const bool is_gone = worker.is_unlisted && worker.runs().empty() &&
                              !may_have_crashed && !worker.poll_sent_at &&
@@ -428,6 +429,11 @@
             ++w;
             continue;
         }
+        if (worker.entry.vm.empty() && !worker.interrupted_runs.empty())
+        {
+            // No later worker can show that it has crashed.
+            crashes_.on_end(w->second, w->first, now);
+        }
         mark_fleet_changed(w->first);
         w = state_.fleet.erase(w);
     }
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -27,8 +27,8 @@
 constexpr duration full_search_interval = std::chrono::milliseconds(250);
 constexpr int low_progress_percent = 15;
 // A long-running task that has found no room for this long also takes a worker
-// that has failed tasks or is slow: it may be sound again, and the task has no
-// limit of attempts.
+// that has failed tasks or is slow, or on which a suspect is tried: the worker
+// may be sound, and the task has no limit of attempts.
 constexpr duration max_wait_for_sound_worker = std::chrono::seconds(1);
 // Number of workers with room that are compared for one task, counted from the
 // first suitable one; the next search starts after them. Comparing more
@@ -109,7 +109,7 @@
         {
             continue;
         }
-        if (!eligibility_.is_available(worker, now))
+        if (!eligibility_.is_available(worker, now) || worker.trial_count() > 0)
         {
             avoided_workers_.push_back(&worker);
             continue;
@@ -124,15 +124,22 @@
 
 bool task_placer::may_start(const task_record& task) const
 {
-    return task.phase == task_phase::waiting && !task.may_run_elsewhere &&
-           task.is_crash_stored(state_.stored_set);
+    return task.phase == task_phase::waiting && !task.may_run_elsewhere;
 }
 
 bool task_placer::prepare_start(live_job& owner, const task_key& key,
                                 fleet_worker& worker, time_point now)
 {
     auto& task = owner.task(key);
-    if (task.may_be_ordered(state_.stored_set))
+    const auto tried_on = task.needs_trial() ? worker.entry.id : worker_id();
+    if (task.crashes.tried_on != tried_on)
+    {
+        task.crashes.tried_on = tried_on;
+        task.has_unstored_crash = true;
+        state_.registry.mark_changed(key.job);
+    }
+    if (task.may_be_ordered(state_.stored_set) &&
+        task.is_crash_stored(state_.stored_set))
     {
         return true;
     }
@@ -166,7 +173,7 @@
     const bool is_valid =
         worker != nullptr && eligibility_.is_available(*worker, now) &&
         eligibility_.accepts_step(*worker, owner.step_of(key), now) &&
-        eligibility_.accepts_trial(*worker, owner.task(key), now) &&
+        eligibility_.keeps_trials_apart(*worker, owner.task(key), now) &&
         eligibility_.may_run(*worker, owner, key, now);
     return is_valid ? worker : nullptr;
 }
@@ -199,8 +206,10 @@
     const bool is_full_search = definition.policy.needs_advice ||
                                 now - searched_at >= full_search_interval;
     // All tasks of a step have the same size: a list without room for one of
-    // them has none for the others.
-    auto searched = workers_to_search(c, is_full_search, now);
+    // them has none for the others. Suspects are choosier.
+    const auto lists = workers_to_search(c, is_full_search, now);
+    auto searched = lists;
+    auto searched_for_suspects = lists;
     bool is_waiting_for_store = false;
     const auto without_room_before = without_room_;
     for (std::uint32_t i = 0; i < count; ++i)
@@ -212,12 +221,13 @@
             continue;
         }
         auto* worker = reserved_worker(*c.owner, key, now);
-        while (worker == nullptr && !searched.empty())
+        auto& left = task.needs_trial() ? searched_for_suspects : searched;
+        while (worker == nullptr && !left.empty())
         {
-            worker = choose(*searched.front(), *c.owner, key, task, now);
+            worker = choose(*left.front(), *c.owner, key, task, now);
             if (worker == nullptr)
             {
-                searched.pop_front();
+                left.pop_front();
             }
         }
         if (worker == nullptr)
@@ -361,7 +371,8 @@
     {
         auto* const worker = workers[search_offset_++ % workers.size()];
         if (!eligibility_.accepts_step(*worker, s, now) ||
-            !eligibility_.accepts_trial(*worker, task, now))
+            (!(&workers == &avoided_workers_ && !task.needs_trial()) &&
+             !eligibility_.keeps_trials_apart(*worker, task, now)))
         {
             continue;
         }
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -86,7 +86,8 @@
     std::vector<fleet_worker*> usable_workers_;
     // The subset that has freed capacity since the last pass.
     std::vector<fleet_worker*> freed_workers_;
-    // Workers that could accept tasks, but have failed some or are slow.
+    // Workers that could accept tasks, but have failed some, are slow, or run a
+    // suspect.
     std::vector<fleet_worker*> avoided_workers_;
     struct reservation
     {
--- a/src/jobs/worker_eligibility.cpp
+++ b/src/jobs/worker_eligibility.cpp
@@ -40,12 +40,17 @@
     const bool is_fill_paused =
         s.fills && state_.options.policy.pauses_beside_over_target &&
         now - worker.over_target_at < over_target_pause;
-    return !is_fill_paused && worker.trial_count() == 0 && has_room(worker, s);
+    return !is_fill_paused && has_room(worker, s);
 }
 
-bool worker_eligibility::accepts_trial(const fleet_worker& worker,
-                                       const task_record& task, time_point now)
+bool worker_eligibility::keeps_trials_apart(const fleet_worker& worker,
+                                            const task_record& task,
+                                            time_point now)
 {
+    if (worker.trial_count() > 0)
+    {
+        return false;
+    }
     return !task.needs_trial() ||
            std::ranges::none_of(worker.runs(), [&](const auto& run) {
                return now - run.second.ordered_at < start_up_time;
