Round learnt pressures instead of cutting them off

Cause: a stored pressure was cut to two decimals. 0.58 became 0.57, because 0.58 * 100 lies just below 58, and each leader that restored and stored it could lower it again. Values beyond the range of int were not converted at all in a defined way.

Change: the value is rounded.

Test: interference_test.stored_pressures_do_not_drift failed before the change (0.58 was stored as 0.57). test_jobs passes (85 tests).

--- a/src/jobs/interference_codec.cpp
+++ b/src/jobs/interference_codec.cpp
@@ -1,4 +1,6 @@
 // Stored form of the learnt interference.
+#include <cmath>
+
 #include <boost/json.hpp>
 
 #include "jobs/interference_model.hpp"
@@ -25,7 +27,7 @@
 // Two decimals are precise enough and keep the stored form short.
 double to_two_decimals(double value)
 {
-    return static_cast<double>(static_cast<int>(value * 100.0)) / 100.0;
+    return std::round(value * 100.0) / 100.0;
 }
 
 } // namespace
--- a/tests/jobs/interference_test.cpp
+++ b/tests/jobs/interference_test.cpp
@@ -163,6 +163,18 @@
     EXPECT_EQ(next.encode(), model.encode());
 }
 
+// Failure: learnt pressures become weaker with each leader that restores them.
+TEST_F(interference_test, stored_pressures_do_not_drift)
+{
+    const std::string stored = R"({"5":{"t":4E0,"p":{"7":5.8E-1}}})";
+    interference_model first;
+    first.restore(stored);
+    EXPECT_EQ(first.encode(), stored);
+    interference_model excessive;
+    excessive.restore(R"({"5":{"t":4E0,"p":{"7":3E9}}})");
+    EXPECT_EQ(excessive.encode(), R"({"5":{"t":4E0,"p":{"7":3E9}}})");
+}
+
 // Failure: fill tasks keep running beside a serving task that stays above its
 // target.
 TEST_F(interference_test, all_fill_tasks_stop_beside_task_over_target_too_long)
