Wait until the message to the wrong key is dropped

Cause: transport_test.server_with_a_wrong_key_receives_nothing sends a message while the peer has a wrong key, and adds the right key at once. Both only reach the transport's queues; when its thread runs late, it adds the key first and the message goes to the right server, which the test reports as a failure. This is allowed: the message goes to the server with the peer's key.

Change: the test waits until the transport has handled the message and checks that no byte was sent, before it adds the right key.

Conclusion: the test depended on time and is now stricter; the transport is unchanged.

--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -136,7 +136,7 @@
 
     // Sends a message to `b` and waits until the transport sent or dropped it,
     // so that the queues do not fill.
-    bool send_early_message()
+    bool send_until_handled(std::uint64_t number)
     {
         const auto handled = [&] {
             const auto traffic = a.transport->bytes()[vm_id("b")];
@@ -144,7 +144,7 @@
         };
         const auto before = handled();
         const auto sent =
-            a.transport->send(vm_id("b"), make_message("a", early_message));
+            a.transport->send(vm_id("b"), make_message("a", number));
         const auto end = std::chrono::steady_clock::now() + seconds(10);
         while (handled() == before && std::chrono::steady_clock::now() < end)
         {
@@ -365,7 +365,9 @@
     a.transport->add_peer(wrong);
     EXPECT_FALSE(a.wait_for([](node& n) { return n.connected["b"]; },
                             milliseconds(500)));
-    a.transport->send(vm_id("b"), make_message("a", 1));
+    // Otherwise the transport may handle it after the right key was added.
+    ASSERT_TRUE(send_until_handled(1));
+    EXPECT_EQ(a.transport->bytes().at(vm_id("b")).bytes_sent, 0U);
     a.transport->add_peer(b.own_address());
     ASSERT_TRUE(a.wait_for_connection("b", true));
     a.transport->send(vm_id("b"), make_message("a", 2));
@@ -415,7 +417,7 @@
         a.transport->add_peer(b.own_address());
         while (!a.wait_for_connection("b", true, milliseconds(0)))
         {
-            ASSERT_TRUE(send_early_message());
+            ASSERT_TRUE(send_until_handled(early_message));
         }
         ASSERT_TRUE(a.transport->send(vm_id("b"), make_message("a", round)));
         ASSERT_TRUE(b.wait_for([&](node& n) {
