Move the recovery after a takeover out of the scheduler

Change: class takeover_recovery holds the workers that have not been seen, the expected end of all leases, and which tasks are uncertain. No behaviour changes: the functions are moved, and the parts of the fleet list that are out of date are kept with the other shared state.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -1,4 +1,4 @@
-// Inputs, outputs and recovery of the scheduler.
+// Inputs and outputs of the scheduler.
 #include "jobs/scheduler.hpp"
 
 #include <algorithm>
@@ -25,8 +25,8 @@
 } // namespace
 
 scheduler::scheduler(scheduler_options options, std::uint64_t epoch)
-    : crashes_(state_), intake_(state_, crashes_), placer_(state_),
-      polls_(state_), suspender_(state_), speeds_(state_)
+    : crashes_(state_), recovery_(state_, crashes_), intake_(state_, crashes_),
+      placer_(state_), polls_(state_), suspender_(state_), speeds_(state_)
 {
     state_.options = options;
     state_.interference.set_policy(options.policy);
@@ -44,68 +44,24 @@
     }
 }
 
-void scheduler::recover_fleet(const std::vector<fleet_record>& may_run_tasks)
+void scheduler::recover_interference(std::string_view encoded_model)
 {
-    for (const auto& record : may_run_tasks)
-    {
-        auto& unseen = unseen_workers_[record.worker] = record;
-        crashes_.recover(unseen);
-    }
-    recovered_workers_ = unseen_workers_.size();
+    state_.interference.restore(encoded_model);
 }
 
-void scheduler::recover_interference(std::string_view encoded_model)
+void scheduler::recover_fleet(const std::vector<fleet_record>& may_run_tasks)
 {
-    state_.interference.restore(encoded_model);
+    recovery_.recover_fleet(may_run_tasks);
 }
 
 void scheduler::begin(time_point now, bool earlier_leader_is_dead)
 {
-    const auto& options = state_.options;
-    leases_expire_at_ =
-        now + max_lease() +
-        (earlier_leader_is_dead
-             ? duration{}
-             : options.lead_overlap + options.lease_extension_time);
-    has_begun_ = true;
-    begun_at_ = now;
     // How long the tasks have waited under earlier leaders is not recorded.
     for (const auto& [id, live] : state_.registry.live())
     {
         live->set_long_running_waiting_since(now - max_long_running_wait);
     }
-    check_recovery(now);
-}
-
-duration scheduler::max_lease() const
-{
-    const auto& options = state_.options;
-    return std::chrono::duration_cast<duration>(
-        options.max_lease * (1.0 + 2 * options.clock_error));
-}
-
-void scheduler::bound_lease_extension(time_point now)
-{
-    // Once more than two thirds of the workers follow this leader, an earlier
-    // leader that needs responses from most workers can receive no further
-    // ones.
-    const auto seen = recovered_workers_ - unseen_workers_.size();
-    if (lease_extension_is_bounded_ || 3 * seen <= 2 * recovered_workers_)
-    {
-        return;
-    }
-    lease_extension_is_bounded_ = true;
-    const auto& options = state_.options;
-    const auto last_extension = std::max(begun_at_ + options.lead_overlap +
-                                             options.lease_extension_contact,
-                                         now + options.lease_extension_contact);
-    leases_expire_at_ =
-        std::min(leases_expire_at_, last_extension + max_lease());
-    state_.log_event(
-        "most workers follow this leader",
-        {{"workers_not_seen", std::to_string(unseen_workers_.size())},
-         {"leases_end_in_ms",
-          std::to_string((leases_expire_at_ - now).count() / 1000)}});
+    recovery_.begin(now, earlier_leader_is_dead);
 }
 
 void scheduler::set_services(std::map<service_id, service_policy> services)
@@ -140,7 +96,7 @@
         state_.log_event("worker joined", {{"worker", entry.id.value()},
                                            {"vm", entry.vm.value()},
                                            {"zone", entry.zone.value()}});
-        mark_fleet_changed(entry.id);
+        state_.mark_fleet_changed(entry.id);
         return;
     }
     if (entry.incarnation > worker.entry.incarnation)
@@ -254,8 +210,8 @@
     worker->next_poll = now + (worker->has_unstored_ends()
                                    ? state_.options.unstored_poll_interval
                                    : state_.options.min_poll_interval);
-    mark_worker_seen(*worker);
-    check_recovery(now);
+    recovery_.on_worker_seen(*worker);
+    recovery_.check(now);
 }
 
 void scheduler::on_poll_failed(const worker_id& id, time_point now)
@@ -297,49 +253,6 @@
     }
 }
 
-bool scheduler::has_unknown_runs() const
-{
-    return std::ranges::any_of(unseen_workers_, [](const auto& unseen) {
-        return !unseen.second.runs.has_value();
-    });
-}
-
-void scheduler::check_recovery(time_point now)
-{
-    if (!has_begun_ || leases_expire_at_ == time_point{})
-    {
-        return;
-    }
-    if (unseen_workers_.empty() || now >= leases_expire_at_)
-    {
-        end_recovery();
-        return;
-    }
-    bound_lease_extension(now);
-    if (unseen_workers_changed_ && !has_unknown_runs())
-    {
-        update_uncertain_tasks();
-    }
-}
-
-void scheduler::mark_worker_seen(fleet_worker& worker)
-{
-    const auto unseen = unseen_workers_.find(worker.entry.id);
-    if (unseen == unseen_workers_.end())
-    {
-        return;
-    }
-    if (unseen->second.runs)
-    {
-        // The store still lists the runs of this worker: it must record the
-        // worker as open before other tasks are started there.
-        worker.is_recorded = false;
-        mark_fleet_changed(worker.entry.id);
-    }
-    unseen_workers_.erase(unseen);
-    unseen_workers_changed_ = true;
-}
-
 void scheduler::end_earlier_workers(fleet_worker& later, time_point sent_at,
                                     time_point now)
 {
@@ -356,60 +269,7 @@
             intake_.on_worker_ended(worker, later, now);
         }
     }
-    // The recorded workers ran before this leader sent its first poll.
-    const auto is_earlier = [&](const auto& unseen) {
-        return unseen.second.vm == vm && unseen.first != later.entry.id;
-    };
-    for (auto unseen = std::ranges::find_if(unseen_workers_, is_earlier);
-         unseen != unseen_workers_.end();
-         unseen = std::ranges::find_if(unseen_workers_, is_earlier))
-    {
-        mark_fleet_changed(unseen->first);
-        crashes_.on_recorded_end(unseen->second, now);
-        unseen_workers_.erase(unseen);
-        unseen_workers_changed_ = true;
-    }
-}
-
-void scheduler::end_recovery()
-{
-    state_.log_event("recovery of earlier runs complete",
-                     {{"not_seen", std::to_string(unseen_workers_.size())}});
-    // Their stored records are obsolete: the workers are gone, or tasks may be
-    // started on them again.
-    for (const auto& [id, record] : unseen_workers_)
-    {
-        mark_fleet_changed(id);
-    }
-    unseen_workers_.clear();
-    leases_expire_at_ = {};
-    update_uncertain_tasks();
-}
-
-void scheduler::update_uncertain_tasks()
-{
-    unseen_workers_changed_ = false;
-    for (const auto& [id, live] : state_.registry.live())
-    {
-        live->clear_uncertain_tasks();
-    }
-    std::size_t uncertain = 0;
-    for (const auto& [id, record] : unseen_workers_)
-    {
-        for (const auto& key : *record.runs)
-        {
-            auto* const owner = state_.registry.find(key.job);
-            if (owner != nullptr && owner->has(key))
-            {
-                owner->mark_uncertain(key);
-                ++uncertain;
-            }
-        }
-    }
-    state_.log_event(
-        "recovered tasks may be placed",
-        {{"workers_not_seen", std::to_string(unseen_workers_.size())},
-         {"in_doubt", std::to_string(uncertain)}});
+    recovery_.on_vm_replaced(later, now);
 }
 
 void scheduler::forget_gone_workers(time_point now)
@@ -423,7 +283,7 @@
             now - *worker.silent_since < crash_evidence_time;
         const bool is_gone = worker.is_unlisted && worker.runs().empty() &&
                              !may_have_crashed && !worker.poll_sent_at &&
-                             !unseen_workers_.contains(w->first);
+                             !recovery_.unseen_workers().contains(w->first);
         if (!is_gone)
         {
             ++w;
@@ -434,7 +294,7 @@
             // No later worker can show that it has crashed.
             crashes_.on_end(w->second, w->first, now);
         }
-        mark_fleet_changed(w->first);
+        state_.mark_fleet_changed(w->first);
         w = state_.fleet.erase(w);
     }
 }
@@ -449,7 +309,7 @@
         if (worker.is_closed() != worker.is_closed_in_store ||
             (must_be_recorded && !worker.is_closed()))
         {
-            mark_fleet_changed(id);
+            state_.mark_fleet_changed(id);
         }
     }
 }
@@ -458,7 +318,7 @@
                                      std::chrono::milliseconds unix_now,
                                      leader_permission permission)
 {
-    check_recovery(now);
+    recovery_.check(now);
     if (now - fleet_checked_at_ >= fleet_check_interval)
     {
         fleet_checked_at_ = now;
@@ -519,7 +379,8 @@
 
 bool scheduler::has_changes() const
 {
-    return state_.registry.has_changes() || !changed_fleet_parts_.empty() ||
+    return state_.registry.has_changes() ||
+           !state_.changed_fleet_parts.empty() ||
            std::ranges::any_of(state_.fleet, [](const auto& entry) {
                return entry.second.has_unstored_ends();
            });
@@ -548,7 +409,7 @@
 {
     workers_being_recorded_.clear();
     std::map<std::uint32_t, fleet_part> parts;
-    for (const auto number : std::exchange(changed_fleet_parts_, {}))
+    for (const auto number : std::exchange(state_.changed_fleet_parts, {}))
     {
         parts[number].number = number;
     }
@@ -558,7 +419,7 @@
     }
     // The record of an earlier leader stays valid until the worker has been
     // seen.
-    for (const auto& [id, record] : unseen_workers_)
+    for (const auto& [id, record] : recovery_.unseen_workers())
     {
         if (const auto to = parts.find(fleet_part_of(id)); to != parts.end())
         {
@@ -573,7 +434,7 @@
             continue;
         }
         auto record = record_of(id, worker);
-        if (!unseen_workers_.contains(id))
+        if (!recovery_.unseen_workers().contains(id))
         {
             to->second.workers.push_back(std::move(record));
         }
@@ -590,9 +451,10 @@
 fleet_record scheduler::record_of(const worker_id& id, fleet_worker& worker)
 {
     worker.is_closed_in_store = worker.is_closed();
-    const auto unseen = unseen_workers_.find(id);
+    const auto& unseen_workers = recovery_.unseen_workers();
+    const auto unseen = unseen_workers.find(id);
     const bool is_kept_closed =
-        unseen != unseen_workers_.end() && unseen->second.runs.has_value();
+        unseen != unseen_workers.end() && unseen->second.runs.has_value();
     if (is_kept_closed)
     {
         return {id, std::nullopt, worker.entry.vm};
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -17,6 +17,7 @@
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
 #include "jobs/speed_monitor.hpp"
+#include "jobs/takeover_recovery.hpp"
 #include "jobs/task_placer.hpp"
 
 namespace hemlockdeal::jobs
@@ -123,39 +124,19 @@
     }
     std::size_t worker_crashes() const { return crashes_.crashes(); }
     // True if no run of an earlier leader is uncertain any more.
-    bool is_recovery_complete() const
-    {
-        return has_begun_ && leases_expire_at_ == time_point{};
-    }
+    bool is_recovery_complete() const { return recovery_.is_complete(); }
 
 private:
     void log_capacity_change(const fleet_worker& worker,
                              const task_size& capacity);
-    void check_recovery(time_point now);
-    void mark_worker_seen(fleet_worker& worker);
     // Concludes from the first response of `later` that the workers that ran
     // on its VM when the poll was sent have ended.
     void end_earlier_workers(fleet_worker& later, time_point sent_at,
                              time_point now);
-    void end_recovery();
-    // Brings the expected expiry of all leases forward once most workers
-    // follow this leader: an earlier leader can no longer extend them.
-    void bound_lease_extension(time_point now);
-    // Longest duration of a lease by this VM's clock, on a worker with the
-    // slowest permitted clock.
-    duration max_lease() const;
     poll_permission poll_permission_for(time_point now,
                                         leader_permission permission);
     bool reaches_majority(time_point now) const;
-    // Marks only those tasks uncertain that may run on workers that have not
-    // been seen.
-    void update_uncertain_tasks();
-    bool has_unknown_runs() const;
     void check_closed_workers();
-    void mark_fleet_changed(const worker_id& id)
-    {
-        changed_fleet_parts_.insert(fleet_part_of(id));
-    }
     std::vector<fleet_part> record_fleet();
     fleet_record record_of(const worker_id& id, fleet_worker& worker);
     void offload_leaving_worker(fleet_worker& worker, time_point now);
@@ -165,29 +146,17 @@
 
     scheduler_state state_;
     crash_attribution crashes_;
+    takeover_recovery recovery_;
     report_intake intake_;
     task_placer placer_;
     poll_planner polls_;
     fill_suspender suspender_;
     speed_monitor speeds_;
-    // Workers that have not been seen and on which an earlier leader may have
-    // started tasks.
-    std::map<worker_id, fleet_record> unseen_workers_;
-    // A worker was seen since the uncertain tasks were updated.
-    bool unseen_workers_changed_ = true;
-    time_point leases_expire_at_{};
-    time_point begun_at_{};
-    // Number of workers in the list that an earlier leader stored.
-    std::size_t recovered_workers_ = 0;
-    bool lease_extension_is_bounded_ = false;
     std::optional<time_point> lead_invalid_since_;
-    // Parts of the fleet list whose stored form is out of date.
-    std::set<std::uint32_t> changed_fleet_parts_;
     time_point load_logged_at_{};
     time_point fleet_checked_at_{};
     // Workers named in the list that is being stored.
     std::vector<worker_id> workers_being_recorded_;
-    bool has_begun_ = false;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/fleet_record.hpp"
 #include "jobs/fleet_worker.hpp"
 #include "jobs/interference_model.hpp"
 #include "jobs/job_registry.hpp"
@@ -45,9 +46,16 @@
     // A worker follows a later leader.
     bool is_superseded = false;
 
+    // Parts of the stored fleet list that are out of date.
+    std::set<std::uint32_t> changed_fleet_parts;
+
     std::vector<order> orders;
     std::vector<decision_event> events;
 
+    void mark_fleet_changed(const worker_id& id)
+    {
+        changed_fleet_parts.insert(fleet_part_of(id));
+    }
     fleet_worker* find_worker(const worker_id& id);
     // Number of the task's next run. Each leader has its own block of numbers,
     // so that unrecorded runs of an earlier leader have lower ones.
--- /dev/null
+++ b/src/jobs/takeover_recovery.cpp
@@ -0,0 +1,167 @@
+// Recovery of the runs that earlier leaders started.
+#include "jobs/takeover_recovery.hpp"
+
+#include <algorithm>
+
+namespace hemlockdeal::jobs
+{
+
+void takeover_recovery::recover_fleet(
+    const std::vector<fleet_record>& may_run_tasks)
+{
+    for (const auto& record : may_run_tasks)
+    {
+        auto& unseen = unseen_workers_[record.worker] = record;
+        crashes_.recover(unseen);
+    }
+    recovered_workers_ = unseen_workers_.size();
+}
+
+void takeover_recovery::begin(time_point now, bool earlier_leader_is_dead)
+{
+    const auto& options = state_.options;
+    leases_expire_at_ =
+        now + max_lease() +
+        (earlier_leader_is_dead
+             ? duration{}
+             : options.lead_overlap + options.lease_extension_time);
+    has_begun_ = true;
+    begun_at_ = now;
+    check(now);
+}
+
+duration takeover_recovery::max_lease() const
+{
+    const auto& options = state_.options;
+    return std::chrono::duration_cast<duration>(
+        options.max_lease * (1.0 + 2 * options.clock_error));
+}
+
+void takeover_recovery::bound_lease_extension(time_point now)
+{
+    // Once more than two thirds of the workers follow this leader, an earlier
+    // leader that needs responses from most workers can receive no further
+    // ones.
+    const auto seen = recovered_workers_ - unseen_workers_.size();
+    if (lease_extension_is_bounded_ || 3 * seen <= 2 * recovered_workers_)
+    {
+        return;
+    }
+    lease_extension_is_bounded_ = true;
+    const auto& options = state_.options;
+    const auto last_extension = std::max(begun_at_ + options.lead_overlap +
+                                             options.lease_extension_contact,
+                                         now + options.lease_extension_contact);
+    leases_expire_at_ =
+        std::min(leases_expire_at_, last_extension + max_lease());
+    state_.log_event(
+        "most workers follow this leader",
+        {{"workers_not_seen", std::to_string(unseen_workers_.size())},
+         {"leases_end_in_ms",
+          std::to_string((leases_expire_at_ - now).count() / 1000)}});
+}
+
+bool takeover_recovery::has_unknown_runs() const
+{
+    return std::ranges::any_of(unseen_workers_, [](const auto& unseen) {
+        return !unseen.second.runs.has_value();
+    });
+}
+
+void takeover_recovery::check(time_point now)
+{
+    if (!has_begun_ || leases_expire_at_ == time_point{})
+    {
+        return;
+    }
+    if (unseen_workers_.empty() || now >= leases_expire_at_)
+    {
+        end();
+        return;
+    }
+    bound_lease_extension(now);
+    if (unseen_workers_changed_ && !has_unknown_runs())
+    {
+        update_uncertain_tasks();
+    }
+}
+
+void takeover_recovery::on_worker_seen(fleet_worker& worker)
+{
+    const auto unseen = unseen_workers_.find(worker.entry.id);
+    if (unseen == unseen_workers_.end())
+    {
+        return;
+    }
+    if (unseen->second.runs)
+    {
+        // The store still lists the runs of this worker: it must record the
+        // worker as open before other tasks are started there.
+        worker.is_recorded = false;
+        state_.mark_fleet_changed(worker.entry.id);
+    }
+    unseen_workers_.erase(unseen);
+    unseen_workers_changed_ = true;
+}
+
+void takeover_recovery::on_vm_replaced(const fleet_worker& later,
+                                       time_point now)
+{
+    const auto& vm = later.entry.vm;
+    // The recorded workers ran before this leader sent its first poll.
+    const auto is_earlier = [&](const auto& unseen) {
+        return unseen.second.vm == vm && unseen.first != later.entry.id;
+    };
+    for (auto unseen = std::ranges::find_if(unseen_workers_, is_earlier);
+         unseen != unseen_workers_.end();
+         unseen = std::ranges::find_if(unseen_workers_, is_earlier))
+    {
+        state_.mark_fleet_changed(unseen->first);
+        crashes_.on_recorded_end(unseen->second, now);
+        unseen_workers_.erase(unseen);
+        unseen_workers_changed_ = true;
+    }
+}
+
+void takeover_recovery::end()
+{
+    state_.log_event("recovery of earlier runs complete",
+                     {{"not_seen", std::to_string(unseen_workers_.size())}});
+    // Their stored records are obsolete: the workers are gone, or tasks may be
+    // started on them again.
+    for (const auto& [id, record] : unseen_workers_)
+    {
+        state_.mark_fleet_changed(id);
+    }
+    unseen_workers_.clear();
+    leases_expire_at_ = {};
+    update_uncertain_tasks();
+}
+
+void takeover_recovery::update_uncertain_tasks()
+{
+    unseen_workers_changed_ = false;
+    for (const auto& [id, live] : state_.registry.live())
+    {
+        live->clear_uncertain_tasks();
+    }
+    std::size_t uncertain = 0;
+    for (const auto& [id, record] : unseen_workers_)
+    {
+        for (const auto& key : *record.runs)
+        {
+            auto* const owner = state_.registry.find(key.job);
+            if (owner != nullptr && owner->has(key))
+            {
+                owner->mark_uncertain(key);
+                ++uncertain;
+            }
+        }
+    }
+    state_.log_event(
+        "recovered tasks may be placed",
+        {{"workers_not_seen", std::to_string(unseen_workers_.size())},
+         {"in_doubt", std::to_string(uncertain)}});
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/takeover_recovery.hpp
@@ -0,0 +1,72 @@
+// What a new leader knows of the runs that earlier leaders started.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "jobs/crash_attribution.hpp"
+#include "jobs/fleet_record.hpp"
+#include "jobs/scheduler_state.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+// Tasks of recovered jobs wait until every worker that may run them has been
+// seen, has ended, or its leases have expired.
+class takeover_recovery
+{
+public:
+    takeover_recovery(scheduler_state& state, crash_attribution& crashes)
+        : state_(state), crashes_(crashes)
+    {}
+
+    // All jobs must have been recovered.
+    void recover_fleet(const std::vector<fleet_record>& may_run_tasks);
+    // Leases expire later if the earlier leader may still be alive and extend
+    // them.
+    void begin(time_point now, bool earlier_leader_is_dead);
+    void check(time_point now);
+    void on_worker_seen(fleet_worker& worker);
+    // A worker has responded that runs on its VM after all recorded ones.
+    void on_vm_replaced(const fleet_worker& later, time_point now);
+
+    // True if no run of an earlier leader is uncertain any more.
+    bool is_complete() const
+    {
+        return has_begun_ && leases_expire_at_ == time_point{};
+    }
+    // Workers that have not been seen and on which an earlier leader may have
+    // started tasks.
+    const std::map<worker_id, fleet_record>& unseen_workers() const
+    {
+        return unseen_workers_;
+    }
+
+private:
+    // Brings the expected expiry of all leases forward once most workers
+    // follow this leader: an earlier leader can no longer extend them.
+    void bound_lease_extension(time_point now);
+    // Longest duration of a lease by this VM's clock, on a worker with the
+    // slowest permitted clock.
+    duration max_lease() const;
+    bool has_unknown_runs() const;
+    // Marks only those tasks uncertain that may run on workers that have not
+    // been seen.
+    void update_uncertain_tasks();
+    void end();
+
+    scheduler_state& state_;
+    crash_attribution& crashes_;
+    std::map<worker_id, fleet_record> unseen_workers_;
+    // A worker was seen since the uncertain tasks were updated.
+    bool unseen_workers_changed_ = true;
+    time_point leases_expire_at_{};
+    time_point begun_at_{};
+    // Number of workers in the list that an earlier leader stored.
+    std::size_t recovered_workers_ = 0;
+    bool lease_extension_is_bounded_ = false;
+    bool has_begun_ = false;
+};
+
+} // namespace hemlockdeal::jobs
