Count crashes in mass failures, of lost VMs and before failed runs

- Eight jobs that crash their workers at the same time were taken for a mass failure for ever (224 crashes, none given up).
A mass failure is now weak evidence against the runs that were starting up there.
- A worker whose VM did not return within a minute counted for nothing (15 starts in 150 s).
It counts as crashed 15 s after it fell silent.
- A run that failed at once cleared its task (65 starts in 120 s).
Only a run that lasts does.
- A suspect waited for ever on a fleet on which each worker had just started something.
After a second it is tried there.
- A new leader took listed workers that it had never seen for crashes without suspects, which raised the limit for all tasks for a minute.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -17,7 +17,8 @@
 // The same if the last one may have another cause: its VM had crashed before,
 // many workers failed together, or workers without suspects crashed lately.
 constexpr std::uint32_t max_unreliable_start_up_crashes = 3;
-// Crashes of any kind after which a suspect is given up.
+// Crashes of any kind after which a suspect is given up; one more if the last
+// one may have another cause.
 constexpr std::size_t max_crashes = 4;
 // A VM counts as unreliable for this long after a crash of its worker, and all
 // of them after a crash without suspects.
@@ -157,13 +158,17 @@
          {"mass_failure", std::to_string(static_cast<int>(is_mass_failure))}});
     for (const auto& run : runs)
     {
-        const bool is_blamed =
-            !is_mass_failure ||
-            (run.is_suspect && is_common_suspect(worker, run.task.job));
-        if (is_blamed)
+        if (is_mass_failure && !run.is_suspect)
         {
-            count_crash(life, run, suspects == 1, is_reliable, now);
+            continue;
         }
+        // Several such tasks may crash their workers at the same time, so that
+        // a mass failure is weak evidence instead of none.
+        auto counted = run;
+        counted.in_start_up =
+            run.in_start_up &&
+            (!is_mass_failure || is_common_suspect(worker, run.task.job));
+        count_crash(life, counted, suspects == 1, is_reliable, now);
     }
 }
 
@@ -235,7 +240,7 @@
         is_reliable ? max_start_up_crashes : max_unreliable_start_up_crashes;
     const bool crashes_at_start =
         is_only_suspect && task->crashes.in_start_up >= limit;
-    if (crashes_at_start || crashes >= max_crashes)
+    if (crashes_at_start || crashes >= max_crashes + (is_reliable ? 0 : 1))
     {
         state_.fail_job(*state_.registry.find(run.task.job), run.task, now);
     }
@@ -254,11 +259,6 @@
     forget_evidence(key);
 }
 
-void crash_attribution::on_run_failed(const task_key& key)
-{
-    forget_evidence(key);
-}
-
 void crash_attribution::forget_evidence(const task_key& key)
 {
     auto* const task = find_task(key);
--- a/src/jobs/crash_attribution.hpp
+++ b/src/jobs/crash_attribution.hpp
@@ -44,9 +44,6 @@
     // A report of the worker contains the run.
     void on_run_reported(fleet_worker& worker, const task_key& key,
                          run_record& run, time_point now);
-    // The run has failed while its worker stayed up.
-    void on_run_failed(const task_key& key);
-
     // Number of workers that ended without notice.
     std::size_t crashes() const { return crashes_; }
 
--- a/src/jobs/crash_history.hpp
+++ b/src/jobs/crash_history.hpp
@@ -60,8 +60,7 @@
                            const crash_history&) = default;
 
     static constexpr std::size_t repeated_crashes = 2;
-    // Longer runs count as this long: a task that crashes workers later than
-    // this after its start is not recognised.
+    // Longer runs count as this long, which bounds the time of a trial.
     static constexpr duration max_run = std::chrono::seconds(10);
     static constexpr duration min_clearance_time = std::chrono::seconds(1);
 };
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -193,7 +193,6 @@
         return;
     }
     record_failure(worker, end.task.job, now);
-    crashes_.on_run_failed(end.task);
     state_.registry.mark_changed(end.task.job);
     auto& task = owner.task(end.task);
     task.failed_on = worker.entry.id;
@@ -518,7 +517,10 @@
                       {"vm", worker.entry.vm.value()},
                       {"later_worker", later.entry.id.value()}});
     drop_runs(worker, "a later worker runs on its VM");
-    crashes_.on_end(worker, worker.entry.id, now);
+    if (worker.has_been_seen())
+    {
+        crashes_.on_end(worker, worker.entry.id, now);
+    }
     if (!worker.entry.is_leaving)
     {
         later.vm_crashed_at = now;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -19,8 +19,9 @@
 // be checked on every call.
 constexpr duration fleet_check_interval = std::chrono::milliseconds(40);
 constexpr duration load_interval = std::chrono::seconds(2);
-// A crashed worker is back on its VM within this time, if at all.
-constexpr duration crash_evidence_time = std::chrono::seconds(60);
+// A worker that has left the list and is silent for this long counts as
+// crashed.
+constexpr duration crash_evidence_time = std::chrono::seconds(15);
 
 } // namespace
 
@@ -278,8 +279,7 @@
     {
         const auto& worker = w->second;
         const bool may_have_crashed =
-            !worker.entry.vm.empty() && !worker.interrupted_runs.empty() &&
-            worker.silent_since &&
+            !worker.interrupted_runs.empty() && worker.silent_since &&
             now - *worker.silent_since < crash_evidence_time;
         const bool is_gone = worker.is_unlisted && worker.runs().empty() &&
                              !may_have_crashed && !worker.poll_sent_at &&
@@ -289,9 +289,10 @@
             ++w;
             continue;
         }
-        if (worker.entry.vm.empty() && !worker.interrupted_runs.empty())
+        if (!worker.interrupted_runs.empty())
         {
-            // No later worker can show that it has crashed.
+            // Its VM may never run a worker again; if the worker was only cut
+            // off, a run that lasts will clear its tasks.
             crashes_.on_end(w->second, w->first, now);
         }
         state_.mark_fleet_changed(w->first);
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -30,6 +30,9 @@
 // that has failed tasks or is slow, or on which a suspect is tried: the worker
 // may be sound, and the task has no limit of attempts.
 constexpr duration max_wait_for_sound_worker = std::chrono::seconds(1);
+// A suspect that has waited for this long is tried beside runs that are
+// starting up: on a busy fleet no worker may ever be without one.
+constexpr duration max_wait_for_trial = std::chrono::seconds(1);
 // Number of workers with room that are compared for one task, counted from the
 // first suitable one; the next search starts after them. Comparing more
 // improves the placement little, and the cost of the search grows with the
@@ -173,7 +176,8 @@
     const bool is_valid =
         worker != nullptr && eligibility_.is_available(*worker, now) &&
         eligibility_.accepts_step(*worker, owner.step_of(key), now) &&
-        eligibility_.keeps_trials_apart(*worker, owner.task(key), now) &&
+        worker_eligibility::keeps_trials_apart(*worker, owner.task(key), true,
+                                               now) &&
         eligibility_.may_run(*worker, owner, key, now);
     return is_valid ? worker : nullptr;
 }
@@ -350,7 +354,7 @@
 }
 
 fleet_worker* task_placer::choose(const std::vector<fleet_worker*>& workers,
-                                  const live_job& owner, const task_key& key,
+                                  live_job& owner, const task_key& key,
                                   const task_record& task, time_point now) const
 {
     const auto& s = owner.step_of(key);
@@ -363,6 +367,9 @@
     {
         search_offset_ = 0;
     }
+    const bool is_last_resort = &workers == &avoided_workers_;
+    const auto& since = owner.waiting_since(key.occurrence, key.step);
+    const bool has_waited = since && now - *since >= max_wait_for_trial;
     fleet_worker* best = nullptr;
     double lowest_cost = std::numeric_limits<double>::max();
     std::size_t evaluated = 0;
@@ -371,8 +378,9 @@
     {
         auto* const worker = workers[search_offset_++ % workers.size()];
         if (!eligibility_.accepts_step(*worker, s, now) ||
-            (!(&workers == &avoided_workers_ && !task.needs_trial()) &&
-             !eligibility_.keeps_trials_apart(*worker, task, now)))
+            (!(is_last_resort && !task.needs_trial()) &&
+             !worker_eligibility::keeps_trials_apart(*worker, task, has_waited,
+                                                     now)))
         {
             continue;
         }
--- a/src/jobs/worker_eligibility.cpp
+++ b/src/jobs/worker_eligibility.cpp
@@ -45,13 +45,13 @@
 
 bool worker_eligibility::keeps_trials_apart(const fleet_worker& worker,
                                             const task_record& task,
-                                            time_point now)
+                                            bool has_waited, time_point now)
 {
     if (worker.trial_count() > 0)
     {
         return false;
     }
-    return !task.needs_trial() ||
+    return !task.needs_trial() || has_waited ||
            std::ranges::none_of(worker.runs(), [&](const auto& run) {
                return now - run.second.ordered_at < start_up_time;
            });
--- a/src/jobs/worker_eligibility.hpp
+++ b/src/jobs/worker_eligibility.hpp
@@ -18,10 +18,11 @@
     // True if the worker can accept a task of this step at present.
     bool accepts_step(const fleet_worker& worker, const step& s,
                       time_point now) const;
-    // True if no suspect is tried on the worker and, if the task is a suspect,
-    // no other run there is starting up.
+    // True if no suspect is tried on the worker and, if the task is a suspect
+    // that has not waited for long, no other run there is starting up.
     static bool keeps_trials_apart(const fleet_worker& worker,
-                                   const task_record& task, time_point now);
+                                   const task_record& task, bool has_waited,
+                                   time_point now);
     bool has_room(const fleet_worker& worker, const step& s) const;
     // True if the job's constraints and an advice ticket permit the task.
     bool may_run(const fleet_worker& worker, const live_job& owner,
