Count the wait of a suspect for a trial from its requeue

The time began with the loss of the run, so that it had always passed and no suspect was tried alone.

Change: the time begins when the task is requeued as a suspect.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -59,16 +59,19 @@
                          worker.entry.labels, std::move(suspects), now});
 }
 
-void crash_attribution::on_requeue(const fleet_worker& worker) const
+void crash_attribution::on_requeue(const fleet_worker& worker,
+                                   time_point now) const
 {
-    if (!is_part_of_mass_failure(worker))
-    {
-        return;
-    }
+    const bool is_mass_failure = is_part_of_mass_failure(worker);
     for (const auto& run : worker.interrupted_runs)
     {
         auto* const task = find_task(run.task);
-        if (task != nullptr && !is_common_suspect(worker, run.task.job))
+        if (task == nullptr)
+        {
+            continue;
+        }
+        task->suspected_at = now;
+        if (is_mass_failure && !is_common_suspect(worker, run.task.job))
         {
             task->is_suspected = false;
         }
@@ -223,6 +226,7 @@
         return;
     }
     task->has_unstored_crash = true;
+    task->suspected_at = now;
     state_.registry.mark_changed(run.task.job);
     if (!run.is_suspect)
     {
--- a/src/jobs/crash_attribution.hpp
+++ b/src/jobs/crash_attribution.hpp
@@ -30,7 +30,7 @@
     // The same worker process responds again: it has not crashed.
     void on_response(fleet_worker& worker);
     // The tasks of a worker that may have crashed are started elsewhere.
-    void on_requeue(const fleet_worker& worker) const;
+    void on_requeue(const fleet_worker& worker, time_point now) const;
     // A worker that responded until now has restarted unnoticed.
     void on_unnoticed_restart(fleet_worker& worker, time_point now);
     // The worker process has ended. `life` identifies it.
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -51,6 +51,8 @@
     // It may have crashed a worker of which it is not known whether it has
     // crashed.
     bool is_suspected = false;
+    // When it last became a suspect that may be started again.
+    time_point suspected_at{};
     // The next stored row of the job will contain a new crash.
     bool has_unstored_crash = false;
     // Number of the change set that contains the latest crash; 0 if none.
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -499,7 +499,7 @@
     std::ranges::for_each(pending_starts, [&](const auto& entry) {
         worker.erase_run(entry.first);
     });
-    crashes_.on_requeue(worker);
+    crashes_.on_requeue(worker, now);
     drop_runs(worker, "leases on the worker expired");
     for (const auto& [key, run] : pending_starts)
     {
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -354,7 +354,7 @@
 }
 
 fleet_worker* task_placer::choose(const std::vector<fleet_worker*>& workers,
-                                  live_job& owner, const task_key& key,
+                                  const live_job& owner, const task_key& key,
                                   const task_record& task, time_point now) const
 {
     const auto& s = owner.step_of(key);
@@ -368,8 +368,7 @@
         search_offset_ = 0;
     }
     const bool is_last_resort = &workers == &avoided_workers_;
-    const auto& since = owner.waiting_since(key.occurrence, key.step);
-    const bool has_waited = since && now - *since >= max_wait_for_trial;
+    const bool has_waited = now - task.suspected_at >= max_wait_for_trial;
     fleet_worker* best = nullptr;
     double lowest_cost = std::numeric_limits<double>::max();
     std::size_t evaluated = 0;
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -71,7 +71,7 @@
                                   time_point now);
     // The worker with the lowest cost, or null if none can take the task.
     fleet_worker* choose(const std::vector<fleet_worker*>& workers,
-                         live_job& owner, const task_key& key,
+                         const live_job& owner, const task_key& key,
                          const task_record& task, time_point now) const;
     void request_advice(const candidate& c, time_point now);
     bool should_move(const fleet_worker& worker, const task_key& key,
