--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -191,8 +191,9 @@
         record.suspects.insert(record.suspects.end(), tried->second.begin(),
                                tried->second.end());
         std::ranges::sort(record.suspects);
-        const auto repeated = std::ranges::unique(record.suspects);
-        record.suspects.erase(repeated.begin(), repeated.end());
+        record.suspects.erase(
+            std::unique(record.suspects.begin(), record.suspects.end()),
+            record.suspects.end());
     }
     for (const auto& key : record.suspects)
     {
