--- a/tests/jobs/crash_attribution_test.cpp
+++ b/tests/jobs/crash_attribution_test.cpp
@@ -553,14 +553,15 @@
         add_job("short-" + std::to_string(i), 2 * worker_count);
         simulate(milliseconds(100));
         // The short tasks end, so that all workers have started some lately.
-        for (auto& [id, tasks] : running)
+        for (auto& entry : running)
         {
-            std::erase_if(tasks, [&](const running_task& task) {
+            auto& ended_here = ended[entry.first];
+            std::erase_if(entry.second, [&](const running_task& task) {
                 if (task.task.job == job_id("a"))
                 {
                     return false;
                 }
-                ended[id].push_back(
+                ended_here.push_back(
                     {++end_number, task.task, task.run, run_end::done, ""});
                 return true;
             });
