peer: send again after ZeroMQ's pending events

Callers saw messages between daemons dropped although the peer was connected and had read all earlier ones.

Cause: ZeroMQ looks at the news of its I/O thread during a send only if 3 million ticks of the processor's counter have passed since the last look, which is 3 ms at 1 GHz. The news that messages have left the queue comes once in 128 messages, the queue holds 256. So the 256th message of a few milliseconds finds the queue full although it is empty.

Change: a send that fails lets ZeroMQ process the news and is tried once more. This also covers a connection that is established but not attached yet, for which the socket was made to do so when the connection was reported.

Ruled out: a broken connection (it stayed up), a refused or malformed message (none), a message lost on the way (bytes sent equal bytes received).

--- a/src/peer/peer_connection.cpp
+++ b/src/peer/peer_connection.cpp
@@ -119,11 +119,28 @@
 }
 
 bool peer_connection::send(const std::string& bytes)
+{
+    if (try_send(bytes))
+    {
+        return true;
+    }
+    // A send may miss news of the last milliseconds: that the connection is
+    // established, or that messages have left the queue.
+    process_socket_events();
+    return try_send(bytes);
+}
+
+bool peer_connection::try_send(const std::string& bytes)
 {
     return socket_.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
         .has_value();
 }
 
+void peer_connection::process_socket_events()
+{
+    (void)socket_.get(zmq::sockopt::events);
+}
+
 std::optional<bool> peer_connection::poll_state_change()
 {
     const auto before = connected_;
@@ -132,9 +149,6 @@
         connected_ = *event == ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
         if (connected_)
         {
-            // Attaches the connection to the socket, which ZeroMQ otherwise
-            // does up to 3 ms after an earlier send; sends fail until then.
-            (void)socket_.get(zmq::sockopt::events);
             reconnect_at_.reset();
             reconnect_delay_ = min_reconnect_delay;
         }
--- a/src/peer/peer_connection.hpp
+++ b/src/peer/peer_connection.hpp
@@ -50,6 +50,9 @@
 
 private:
     std::string endpoint() const { return "tcp://" + peer_.address; }
+    bool try_send(const std::string& bytes);
+    // Lets ZeroMQ process what its I/O thread has told the socket.
+    void process_socket_events();
 
     peer_address peer_;
     zmq::socket_t socket_;
--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -431,6 +431,27 @@
     }
 }
 
+// Failure: messages of a burst are dropped although the queue to the peer is
+// nearly empty.
+TEST_F(transport_test, bursts_smaller_than_the_queue_arrive)
+{
+    constexpr std::size_t burst = 100;
+    constexpr std::size_t rounds = 200;
+    connect_nodes();
+    for (std::size_t round = 1; round <= rounds; ++round)
+    {
+        for (std::size_t i = 0; i < burst; ++i)
+        {
+            ASSERT_TRUE(a.transport->send(vm_id("b"), make_message("a", i)));
+        }
+        const auto arrived =
+            b.wait_for([&](node& n) { return has_received(n, round * burst); });
+        ASSERT_TRUE(arrived)
+            << "round " << round << ": "
+            << a.transport->bytes().at(vm_id("b")).dropped << " dropped";
+    }
+}
+
 // Failure: messages of a removed peer are still accepted on its open
 // connection.
 TEST_F(transport_test, messages_of_a_removed_peer_are_refused)
