Keep a late crash late across a takeover

Callers could see a sound job given up in a storm of random crashes, after a crash that came long after the start of its task.

Cause: when a worker falls silent, the leader stores the tasks that may have crashed it. It did not store which of them had outlived their start-up (they are suspects because they are tried alone). The next leader took each for a crash during the start-up, after a run of 0 s.

Test: late_crash_stays_late_after_a_takeover failed before, with two crashes during the start-up instead of one.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -209,8 +209,11 @@
 {
     for (const auto& key : record.suspects)
     {
+        const bool is_late = std::ranges::find(record.late_suspects, key) !=
+                             record.late_suspects.end();
+        const auto ran_for = is_late ? start_up_time : duration{};
         // Whether the crash was part of a mass failure is not recorded.
-        count_crash(record.worker, {key, {}, true, true},
+        count_crash(record.worker, {key, ran_for, !is_late, true},
                     record.suspects.size() == 1, false, now);
     }
 }
--- a/src/jobs/fleet_record.cpp
+++ b/src/jobs/fleet_record.cpp
@@ -44,6 +44,10 @@
     {
         out["s"] = to_json(record.suspects);
     }
+    if (!record.late_suspects.empty())
+    {
+        out["l"] = to_json(record.late_suspects);
+    }
     if (!record.vm.empty())
     {
         out["v"] = record.vm.value();
@@ -95,7 +99,8 @@
     record.worker = worker_id(text_in(*in, "w"));
     record.vm = vm_id(text_in(*in, "v"));
     if (!read_tasks(list_in(*in, "r"), record.runs.emplace()) ||
-        !read_tasks(list_in(*in, "s"), record.suspects))
+        !read_tasks(list_in(*in, "s"), record.suspects) ||
+        !read_tasks(list_in(*in, "l"), record.late_suspects))
     {
         return std::nullopt;
     }
--- a/src/jobs/fleet_record.hpp
+++ b/src/jobs/fleet_record.hpp
@@ -25,6 +25,8 @@
     vm_id vm{};
     // Tasks that may have crashed the worker, if it has crashed.
     std::vector<task_key> suspects{};
+    // Those of them that had outlived their start-up.
+    std::vector<task_key> late_suspects{};
 
     friend bool operator==(const fleet_record&, const fleet_record&) = default;
 };
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -479,6 +479,10 @@
         {
             record.suspects.push_back(run.task);
         }
+        if (run.is_suspect && !run.in_start_up)
+        {
+            record.late_suspects.push_back(run.task);
+        }
     }
     return record;
 }
--- a/tests/jobs/crash_attribution_test.cpp
+++ b/tests/jobs/crash_attribution_test.cpp
@@ -409,6 +409,30 @@
     EXPECT_LE(starts[job_id("bad")], 3);
 }
 
+// Failure: the next leader takes the crash of a worker long after the start of
+// a suspect for one during its start-up.
+TEST_F(crash_attribution_test, late_crash_stays_late_after_a_takeover)
+{
+    add_workers();
+    add_job("a", 1, true);
+    simulate(milliseconds(100));
+    crash(worker_of("a"));
+    simulate(restart_time + milliseconds(200));
+    ASSERT_NE(worker_of("a"), worker_id());
+    simulate(milliseconds(700));
+    crash(worker_of("a"));
+    simulate(milliseconds(100));
+    polls_in_progress.clear();
+    start_leader(2);
+    simulate(restart_time + seconds(1));
+    const auto stored = decode_progress(progress_rows.at(job_id("a")));
+    ASSERT_TRUE(stored);
+    ASSERT_EQ(stored->histories.size(), 1U);
+    const auto& crashes = stored->histories.begin()->second.crashes;
+    EXPECT_EQ(crashes.workers.size(), 2U);
+    EXPECT_EQ(crashes.in_start_up, 1U);
+}
+
 // Failure: a worker that was only silent counts as crashed.
 TEST_F(crash_attribution_test, silence_of_a_worker_is_not_a_crash)
 {
