Learn of crashes without suspects after a takeover

Cause: a crash without suspects shows that workers crash for another cause at present, and for 60 s a task needs one crash more until it is given up. A new leader began without this knowledge, although the workers that an earlier leader had recorded as silent, without suspects, were then found to have crashed.

The limit that was met is that of four crashes of any kind, which holds if the last crash has no other likely cause.

Change: the end of a recorded worker with known runs and no suspects counts as a crash without suspects. By reading: a planned leave that ends during a takeover is recorded in the same way and counts too; a crashing task is then given up after its third crash instead of its second.

Not done: a higher limit for all tasks, which would let a crashing one take down another worker in calm times.

Test: unexplained_crash_before_a_takeover_is_known failed before (given up after two starts instead of three).

Five crashes by chance still end a sound job: the limit on starts after the third crash leaves no sixth start.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -207,6 +207,10 @@
 void crash_attribution::on_recorded_end(const fleet_record& record,
                                         time_point now)
 {
+    if (record.runs && record.suspects.empty())
+    {
+        unexplained_crash_at_ = now;
+    }
     for (const auto& key : record.suspects)
     {
         const bool is_late = std::ranges::find(record.late_suspects, key) !=
--- a/tests/jobs/crash_attribution_test.cpp
+++ b/tests/jobs/crash_attribution_test.cpp
@@ -433,6 +433,25 @@
     EXPECT_EQ(crashes.in_start_up, 1U);
 }
 
+// Failure: a new leader does not learn that workers crash for another cause at
+// present, and trusts two crashes of a task that may be sound.
+TEST_F(crash_attribution_test, unexplained_crash_before_a_takeover_is_known)
+{
+    add_workers();
+    add_job("a", 1, true);
+    simulate(seconds(1));
+    crash(worker_of("a"));
+    simulate(seconds(1));
+    polls_in_progress.clear();
+    start_leader(2);
+    simulate(restart_time + seconds(1));
+    crashing[job_id("bad")] = crash_delay;
+    add_job("bad");
+    simulate(seconds(30));
+    EXPECT_EQ(state_of("bad"), job_state::failed);
+    EXPECT_EQ(starts[job_id("bad")], 3);
+}
+
 // Failure: a worker that was only silent counts as crashed.
 TEST_F(crash_attribution_test, silence_of_a_worker_is_not_a_crash)
 {
