Avoid no worker for the malformed starts of one job

Seen: a job whose starts are answered as malformed makes each worker that answers so avoided for 1 s, each time. Cause: the answer set `avoided_until` at once, without the condition that several jobs are affected, and nothing made the task itself wait. Change: the task waits for 1 s and prefers another worker. The worker is avoided for 1 s if it rejects starts of two jobs with none accepted in between; a job that a second worker rejects counts against no worker any more. Gangs wait too. Ruled out: counting the answers as failures of the worker, since two such jobs would then make all workers avoided for up to 24 s.

--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -117,6 +117,9 @@
     // Consecutive failures of tasks of different jobs.
     unsigned failures = 0;
     job_id last_failed_job;
+    // Consecutive starts of different jobs that were rejected as malformed.
+    unsigned rejections = 0;
+    job_id last_rejected_job;
     time_point avoided_until{};
     duration avoidance{};
     // Smoothed ratio of the duration of runs here to that of their siblings on
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -149,6 +149,9 @@
     // False if this failure was counted before.
     bool add_failure(const task_key& key, std::uint32_t run);
     bool has_failed(const task_key& key) const;
+    // A worker has rejected a start as malformed. False if another one has
+    // done so before, which shows that the fault is not the worker's.
+    bool add_rejection(const worker_id& worker);
     bool is_complete() const
     {
         return done_occurrences_ == job_.repeats_count();
@@ -186,6 +189,10 @@
     duration critical_path_;
     job_state state_ = job_state::queued;
     bool has_started_ = false;
+    // The first worker that rejected a start as malformed, and whether another
+    // one has done so since.
+    worker_id rejected_by_;
+    bool is_rejected_by_several_ = false;
     std::uint32_t done_occurrences_ = 0;
     // True if the recovered row lists the tasks that may have been ordered. A
     // job without a row has no such tasks.
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr duration unhealthy_backoff = std::chrono::seconds(1);
+constexpr duration malformed_backoff = std::chrono::seconds(1);
 constexpr duration no_room_backoff = std::chrono::milliseconds(150);
 // Consecutive failures of different jobs after which the worker is avoided.
 constexpr unsigned avoidance_threshold = 2;
@@ -417,6 +418,7 @@
         record->progressed_at = now;
         record->is_unresolved = false;
         worker.responded_at = now;
+        worker.health.rejections = 0;
         return;
     }
     state_.log_event("start not accepted",
@@ -437,11 +439,14 @@
     {
         worker.full_until = now + no_room_backoff;
     }
-    if (response == start_answer::unhealthy ||
-        response == start_answer::malformed)
+    if (response == start_answer::unhealthy)
     {
         worker.health.avoided_until = now + unhealthy_backoff;
     }
+    if (response == start_answer::malformed)
+    {
+        handle_malformed_start(worker, key, now);
+    }
     if (response == start_answer::no_ticket)
     {
         state_.advice.forget_worker(worker.entry.id);
@@ -460,6 +465,32 @@
     }
 }
 
+void report_intake::handle_malformed_start(fleet_worker& worker,
+                                           const task_key& key, time_point now)
+{
+    auto* const owner = state_.registry.find(key.job);
+    if (owner == nullptr || !owner->has(key))
+    {
+        return;
+    }
+    auto& task = owner->task(key);
+    task.not_before = now + malformed_backoff;
+    task.failed_on = worker.entry.id;
+    auto& health = worker.health;
+    if (!owner->add_rejection(worker.entry.id) ||
+        health.last_rejected_job == key.job)
+    {
+        return;
+    }
+    health.last_rejected_job = key.job;
+    ++health.rejections;
+    if (health.rejections >= avoidance_threshold)
+    {
+        health.avoided_until =
+            std::max(health.avoided_until, now + unhealthy_backoff);
+    }
+}
+
 void report_intake::on_stop_confirmed(fleet_worker& worker, const task_key& key,
                                       std::uint32_t run, time_point now)
 {
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -59,6 +59,9 @@
     bool is_current_run(const fleet_worker& worker, const task_key& key,
                         std::uint32_t run);
     void record_failure(fleet_worker& worker, const job_id& id, time_point now);
+    // Lets the task wait, and avoids the worker if it rejects several jobs.
+    void handle_malformed_start(fleet_worker& worker, const task_key& key,
+                                time_point now);
     // Each time longer than the last, up to a limit.
     void avoid_worker(fleet_worker& worker, time_point now);
 
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -300,7 +300,7 @@
     {
         const auto& task =
             c.owner->task({definition.id, c.occurrence, c.step, i});
-        if (!may_start(task))
+        if (!may_start(task) || task.not_before > now)
         {
             return;
         }
--- /dev/null
+++ b/tests/jobs/worker_avoidance_test.cpp
@@ -0,0 +1,191 @@
+// Guards against workers that are avoided for faults of the jobs on them.
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "jobs/jobs.hpp"
+
+using namespace hemlockdeal;
+using namespace hemlockdeal::jobs;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+// Workers that reject the starts of some jobs as malformed, or on which the
+// tasks of some jobs make no progress.
+class worker_avoidance_test : public testing::Test
+{
+protected:
+    worker_avoidance_test() : leader({}, 1)
+    {
+        leader.set_services({{service_id("s"), {}}});
+    }
+
+    void begin(int workers)
+    {
+        for (int i = 0; i < workers; ++i)
+        {
+            worker_entry e;
+            e.id = worker_id("w" + std::to_string(i));
+            e.service = service_id("s");
+            e.zone = availability_zone_id("z");
+            e.capacity = {16000, 64000, 0};
+            e.incarnation = 1;
+            leader.set_worker(e, now);
+        }
+        leader.begin(now);
+        simulate(milliseconds(200));
+    }
+
+    void add_job(const std::string& name, std::uint32_t tasks = 1,
+                 bool is_gang = false)
+    {
+        job j;
+        j.id = job_id(name);
+        j.policy.service = service_id("s");
+        j.policy.max_attempts = 2;
+        j.policy.queue = "q";
+        step s;
+        s.task_count = tasks;
+        s.is_gang = is_gang;
+        s.size = {16000, 1000, 0};
+        s.estimate = seconds(60);
+        j.steps = {s};
+        leader.add_job(j);
+    }
+
+    void simulate(duration time)
+    {
+        const auto end = now + time;
+        while (now < end)
+        {
+            now += milliseconds(20);
+            for (const auto& o : leader.decide(now, milliseconds(0), {}))
+            {
+                respond(o);
+            }
+            if (leader.has_changes())
+            {
+                leader.take_changes();
+                leader.on_changes_stored(now);
+            }
+        }
+    }
+
+    void respond(const order& o)
+    {
+        if (const auto* const start = std::get_if<start_order>(&o))
+        {
+            ++starts[start->task.job];
+            const bool is_rejected = malformed.contains(start->task.job) ||
+                                     rejecting.contains(start->worker);
+            if (!is_rejected)
+            {
+                running[start->worker].push_back(
+                    {start->task, start->run, "", 0, -1});
+                began[start->task] = now;
+            }
+            leader.on_start_answer(start->worker, start->task, start->run,
+                                   is_rejected ? start_answer::malformed
+                                               : start_answer::accepted,
+                                   now);
+        }
+        if (const auto* const stop = std::get_if<stop_order>(&o))
+        {
+            const auto removed = std::erase_if(
+                running[stop->worker], [&](const running_task& run) {
+                    return run.task == stop->task;
+                });
+            if (removed > 0)
+            {
+                ended[stop->worker].push_back({ended[stop->worker].size() + 1,
+                                               stop->task, stop->run,
+                                               run_end::stopped, ""});
+            }
+        }
+        if (const auto* const poll = std::get_if<poll_order>(&o))
+        {
+            jobs::worker_report r;
+            r.clock = std::chrono::duration_cast<worker_clock>(
+                now.time_since_epoch());
+            r.incarnation = 1;
+            r.running = running[poll->worker];
+            for (auto& run : r.running)
+            {
+                run.percent = stalling.contains(run.task.job)
+                                  ? 0
+                                  : static_cast<int>((now - began[run.task]) /
+                                                     milliseconds(1000));
+            }
+            r.ended = ended[poll->worker];
+            leader.on_report(poll->worker, r, now, now);
+        }
+    }
+
+    bool is_running(const std::string& name) const
+    {
+        return std::ranges::any_of(running, [&](const auto& worker) {
+            return std::ranges::any_of(worker.second,
+                                       [&](const running_task& run) {
+                                           return run.task.job == job_id(name);
+                                       });
+        });
+    }
+
+    scheduler leader;
+    time_point now{seconds(1000)};
+    std::set<job_id> malformed;
+    std::set<worker_id> rejecting;
+    std::set<job_id> stalling;
+    std::map<job_id, int> starts;
+    std::map<worker_id, std::vector<running_task>> running;
+    std::map<worker_id, std::vector<ended_run>> ended;
+    std::map<task_key, time_point> began;
+};
+
+} // namespace
+
+// Failure: one job with malformed starts makes all workers avoided, and a sound
+// job waits for as long as there is such a job.
+TEST_F(worker_avoidance_test, malformed_starts_of_a_job_avoid_no_worker)
+{
+    begin(2);
+    malformed.insert(job_id("bad"));
+    add_job("bad", 8);
+    simulate(milliseconds(400));
+    add_job("sound");
+    simulate(milliseconds(300));
+    EXPECT_TRUE(is_running("sound"));
+}
+
+// Failure: a rejected start is repeated in each pass.
+TEST_F(worker_avoidance_test, malformed_starts_are_repeated_after_a_while)
+{
+    begin(4);
+    malformed = {job_id("bad"), job_id("bad-gang")};
+    add_job("bad");
+    add_job("bad-gang", 2, true);
+    simulate(seconds(5));
+    EXPECT_LE(starts[job_id("bad")], 6);
+    EXPECT_LE(starts[job_id("bad-gang")], 12);
+}
+
+// Failure: a worker that rejects each start is offered all of them.
+TEST_F(worker_avoidance_test, worker_that_rejects_several_jobs_is_avoided)
+{
+    begin(1);
+    rejecting.insert(worker_id("w0"));
+    add_job("a");
+    simulate(milliseconds(200));
+    add_job("b");
+    simulate(milliseconds(200));
+    ASSERT_EQ(starts[job_id("b")], 1);
+    add_job("c");
+    simulate(milliseconds(500));
+    EXPECT_EQ(starts[job_id("c")], 0);
+}
