Avoid no worker for the stalls of one job

Cause: the stall limit called avoid_worker() directly, without the condition of failures that tasks of several jobs are affected. Change: a stall counts like a failure: the worker is avoided once tasks of two jobs have failed or stalled there, and the task prefers another worker. Tests: against the code before, the sound job does not run within 0.9 s of the end of the stalling one; and a worker is avoided after the stall of its first job. Both pass now. worker_where_several_jobs_stall_is_avoided checks that the avoidance is still there.

--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -114,7 +114,7 @@
 // tasks.
 struct worker_health
 {
-    // Consecutive failures of tasks of different jobs.
+    // Consecutive failures or stalls of tasks of different jobs.
     unsigned failures = 0;
     job_id last_failed_job;
     // Consecutive starts of different jobs that were rejected as malformed.
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -33,7 +33,7 @@
     std::string checkpoint;
     // Worker on which it is placed.
     worker_id worker;
-    // Worker on which it failed last.
+    // Worker on which it failed or stalled last.
     worker_id failed_on;
     // An earlier leader may have ordered it to a worker that has not been seen
     // yet.
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -14,7 +14,8 @@
 constexpr duration unhealthy_backoff = std::chrono::seconds(1);
 constexpr duration malformed_backoff = std::chrono::seconds(1);
 constexpr duration no_room_backoff = std::chrono::milliseconds(150);
-// Consecutive failures of different jobs after which the worker is avoided.
+// Consecutive failures or stalls of different jobs after which the worker is
+// avoided.
 constexpr unsigned avoidance_threshold = 2;
 // Longer than the interval between two reports of a worker with serving and
 // fill tasks.
@@ -335,7 +336,9 @@
     {
         if (!worker.is_overcommitted(state_.options.serving_use))
         {
-            avoid_worker(worker, now);
+            state_.registry.find(key.job)->task(key).failed_on =
+                worker.entry.id;
+            record_failure(worker, key.job, now);
         }
         state_.order_stop(worker, key, now,
                           "run made no progress within the stall limit");
--- a/tests/jobs/worker_avoidance_test.cpp
+++ b/tests/jobs/worker_avoidance_test.cpp
@@ -189,3 +189,36 @@
     simulate(milliseconds(500));
     EXPECT_EQ(starts[job_id("c")], 0);
 }
+
+// Failure: one job whose tasks make no progress makes all workers avoided.
+TEST_F(worker_avoidance_test, stalls_of_one_job_avoid_no_worker)
+{
+    begin(3);
+    stalling.insert(job_id("bad"));
+    add_job("bad", 3);
+    simulate(milliseconds(2300));
+    ASSERT_EQ(starts[job_id("bad")], 3);
+    add_job("sound", 3);
+    simulate(milliseconds(900));
+    leader.cancel_job(job_id("bad"), now);
+    simulate(milliseconds(900));
+    EXPECT_TRUE(is_running("sound"));
+}
+
+// Failure: a worker on which no task makes progress is used again at once.
+TEST_F(worker_avoidance_test, worker_where_several_jobs_stall_is_avoided)
+{
+    begin(1);
+    stalling = {job_id("a"), job_id("b")};
+    add_job("a");
+    simulate(seconds(3));
+    leader.cancel_job(job_id("a"), now);
+    add_job("b");
+    simulate(milliseconds(3200));
+    leader.cancel_job(job_id("b"), now);
+    simulate(milliseconds(200));
+    ASSERT_EQ(starts[job_id("b")], 1);
+    add_job("c");
+    simulate(seconds(2));
+    EXPECT_EQ(starts[job_id("c")], 0);
+}
