Count no ended workers in the majority of a leader without the store

Seen (by reading, confirmed by test): after three of three workers crashed and were replaced on their VMs, a leader without the store extends no lease although every live worker responds, and all runs would lapse. Cause: reaches_majority() compares with all entries, also those of processes that are known to have ended. Change: ended processes do not count.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -359,13 +359,16 @@
 
 bool scheduler::reaches_majority(time_point now) const
 {
+    const auto ended = std::ranges::count_if(
+        state_.fleet, [](const auto& entry) { return entry.second.has_ended; });
     const auto reached =
         std::ranges::count_if(state_.fleet, [&](const auto& entry) {
             const auto& contact = entry.second.contact_at;
-            return contact &&
+            return !entry.second.has_ended && contact &&
                    now - *contact < state_.options.lease_extension_contact;
         });
-    return 2 * static_cast<std::size_t>(reached) > state_.fleet.size();
+    return 2 * static_cast<std::size_t>(reached) >
+           state_.fleet.size() - static_cast<std::size_t>(ended);
 }
 
 void scheduler::log_load(time_point now)
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -63,7 +63,8 @@
     bool unseen_workers_changed_ = true;
     time_point leases_expire_at_{};
     time_point begun_at_{};
-    // Number of workers in the list that an earlier leader stored.
+    // Number of workers in the list that an earlier leader stored, without
+    // those that are known to have ended.
     std::size_t recovered_workers_ = 0;
     bool lease_extension_is_bounded_ = false;
     bool has_begun_ = false;
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -233,6 +233,63 @@
     EXPECT_GT(lease_extensions, 0U);
 }
 
+// Failure: a leader without the store stops extending leases although all
+// workers respond, because ended ones count as not reached.
+TEST_F(takeover_test, ended_workers_do_not_count_in_the_majority)
+{
+    for (const auto* const name : {"a", "b", "c"})
+    {
+        auto earlier = entry(name);
+        earlier.vm = vm_id(std::string("vm-") + name);
+        leader.set_worker(earlier, now);
+    }
+    leader.begin(now);
+    all_respond = true;
+    simulate(seconds(1));
+    for (const auto* const name : {"a", "b", "c"})
+    {
+        auto later = entry(std::string("later-") + name);
+        later.vm = vm_id(std::string("vm-") + name);
+        leader.set_worker(later, now);
+    }
+    simulate(seconds(1));
+    permission.lead_is_valid = false;
+    permission.may_start = false;
+    simulate(seconds(4));
+    lease_extensions = 0;
+    simulate(seconds(1));
+    EXPECT_GT(lease_extensions, 0U);
+}
+
+// Failure: a worker that has ended counts as one that follows this leader, and
+// the wait for lease extensions ends while an earlier leader, which does not
+// count it, reaches most of the others.
+TEST_F(takeover_test, replaced_workers_do_not_count_as_followers)
+{
+    std::vector<fleet_record> fleet = {
+        {worker_id("gone"), std::nullopt, vm_id("vm-x")},
+        {worker_id("gone-2"), std::nullopt, vm_id("vm-y")}};
+    for (const auto* const name : {"a", "b", "c", "d", "e"})
+    {
+        const auto vm = vm_id(std::string("vm-") + name);
+        fleet.push_back(
+            {worker_id(std::string("ended-") + name), std::nullopt, vm});
+    }
+    leader.recover_fleet(fleet);
+    for (const auto* const name : {"a", "b", "c", "d", "e"})
+    {
+        auto later = entry(name);
+        later.vm = vm_id(std::string("vm-") + name);
+        leader.set_worker(later, now);
+    }
+    leader.begin(now);
+    all_respond = true;
+    // Five of seven have been replaced; the other two may follow an earlier
+    // leader.
+    EXPECT_THAT(simulate(seconds(14)), testing::IsEmpty());
+    EXPECT_THAT(simulate(seconds(2)), testing::ElementsAre(0U, 1U));
+}
+
 // Failure: the new leader waits for lease extensions by a leader that is known
 // to be dead.
 TEST_F(takeover_test, a_dead_leader_extends_no_leases)
