Ignore late reports of an ended worker

Seen (by test): a report that a worker sent before its end, and that arrives after the first one of its successor on the VM, makes the ended worker eligible; tasks are started there and wait for the leases of a process that is gone. Cause: each report reset `has_ended`, and a first one even ended the successor. Change: the scheduler ignores a report of an ended worker unless it comes from another incarnation, that is from a process that started later under the id. Test: a_late_report_does_not_revive_an_ended_worker fails on the code before: neither task runs on the successor.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -198,6 +198,11 @@
         return;
     }
     worker->poll_sent_at.reset();
+    if (worker->has_ended && report.incarnation == worker->entry.incarnation)
+    {
+        // Sent before the end; the runs of the process have been dropped.
+        return;
+    }
     const bool is_first_contact = !worker->has_been_seen();
     intake_.on_report(*worker, report, sent_at, now);
     if (is_first_contact)
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -290,6 +290,37 @@
     EXPECT_THAT(simulate(seconds(2)), testing::ElementsAre(0U, 1U));
 }
 
+// Failure: a report that a worker sent before its end makes it eligible again,
+// and tasks are started there.
+TEST_F(takeover_test, a_late_report_does_not_revive_an_ended_worker)
+{
+    auto earlier = entry("here");
+    earlier.vm = vm_id("vm-1");
+    leader.set_worker(earlier, now);
+    leader.begin(now);
+    ASSERT_THAT(simulate(seconds(1)), testing::ElementsAre(0U, 1U));
+    jobs::worker_report late;
+    late.incarnation = 1;
+    late.clock =
+        std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
+    late.running = running;
+    const auto late_sent_at = now;
+    auto later = entry("later");
+    later.vm = vm_id("vm-1");
+    leader.set_worker(later, now);
+    running.clear();
+    reachable_worker = worker_id("later");
+    now += milliseconds(20);
+    jobs::worker_report first;
+    first.incarnation = 1;
+    first.clock = late.clock;
+    leader.on_report(worker_id("later"), first, now, now);
+    leader.on_report(worker_id("here"), late, late_sent_at, now);
+    simulate(seconds(1));
+    EXPECT_EQ(ran_on[key(0)], worker_id("later"));
+    EXPECT_EQ(ran_on[key(1)], worker_id("later"));
+}
+
 // Failure: the new leader waits for lease extensions by a leader that is known
 // to be dead.
 TEST_F(takeover_test, a_dead_leader_extends_no_leases)
