Count the suspects of unseen workers when their leases have ended

Cause: a new leader counts the recorded suspects of a worker when a later one runs on the VM, but drops the record when the recovery ends (up to 15.2 s). Change: when the recovery ends, the suspects of workers that are not listed are counted, as forget_gone_workers() does for workers that the leader has seen. If the worker was only cut off, a run that lasts clears its tasks. Ruled out: keeping the records until the VM is back, since it may never be. Test: suspects_of_a_worker_that_stays_away_are_counted fails on the code before.

--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -76,7 +76,7 @@
     }
     if (unseen_workers_.empty() || now >= leases_expire_at_)
     {
-        end();
+        end(now);
         return;
     }
     bound_lease_extension(now);
@@ -125,10 +125,21 @@
     }
 }
 
-void takeover_recovery::end()
+void takeover_recovery::end(time_point now)
 {
     state_.log_event("recovery of earlier runs complete",
                      {{"not_seen", std::to_string(unseen_workers_.size())}});
+    // A worker that is not listed counts as crashed, because its VM may never
+    // run another one. If it was only cut off, a run that lasts clears its
+    // tasks.
+    for (const auto& [id, record] : unseen_workers_)
+    {
+        const auto* const worker = state_.find_worker(id);
+        if (worker == nullptr || worker->is_unlisted)
+        {
+            crashes_.on_recorded_end(record, now);
+        }
+    }
     // Their stored records are obsolete: the workers are gone, or tasks may be
     // started on them again.
     for (const auto& [id, record] : unseen_workers_)
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -54,7 +54,7 @@
     // Marks only those tasks uncertain that may run on workers that have not
     // been seen.
     void update_uncertain_tasks();
-    void end();
+    void end(time_point now);
 
     scheduler_state& state_;
     crash_attribution& crashes_;
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -321,6 +321,22 @@
     EXPECT_EQ(ran_on[key(1)], worker_id("later"));
 }
 
+// Failure: a task that crashes its worker before each of several takeovers is
+// started for ever if the VMs are away for longer than the leases (BUDGET).
+TEST_F(takeover_test, suspects_of_a_worker_that_stays_away_are_counted)
+{
+    leader.recover_fleet(
+        {{worker_id("here"), std::nullopt},
+         {worker_id("away"), std::vector{key(1)}, vm_id("vm-2"), {key(1)}}});
+    leader.set_worker(entry("here"), now);
+    leader.begin(now);
+    EXPECT_THAT(simulate(seconds(18)), testing::ElementsAre(0U, 1U));
+    const auto events = leader.take_events();
+    EXPECT_TRUE(std::ranges::any_of(events, [](const decision_event& event) {
+        return event.message == "task may have crashed its worker";
+    }));
+}
+
 // Failure: the new leader waits for lease extensions by a leader that is known
 // to be dead.
 TEST_F(takeover_test, a_dead_leader_extends_no_leases)
