Tests: copy the key of a run that a fake worker ends

end() took a reference to the key in the map and used it after the erasure. The caller copies it now. No change of a check; it was found by reading, and not run under the address sanitizer.

--- a/tests/jobs/fake_worker.hpp
+++ b/tests/jobs/fake_worker.hpp
@@ -54,7 +54,7 @@
         {
             while (!running_.empty())
             {
-                end(running_.begin()->first, run_end::lapsed);
+                end(task_key(running_.begin()->first), run_end::lapsed);
             }
             lease_.reset();
             last_end_before_expiry_ = ended_.empty() ? 0 : ended_.back().number;
