--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -182,21 +182,21 @@
     return is_valid ? worker : nullptr;
 }
 
-std::deque<const std::vector<fleet_worker*>*>
+std::deque<task_placer::worker_list>
 task_placer::workers_to_search(const candidate& c, bool is_full_search,
                                time_point now) const
 {
     if (!is_full_search)
     {
-        return {&freed_workers_};
+        return {{freed_workers_}};
     }
-    std::deque<const std::vector<fleet_worker*>*> lists = {&usable_workers_};
+    std::deque<worker_list> lists = {{usable_workers_}};
     const auto& since = c.owner->waiting_since(c.occurrence, c.step);
     const bool is_long_running =
         c.owner->definition().steps[c.step].is_long_running;
     if (is_long_running && since && now - *since >= max_wait_for_sound_worker)
     {
-        lists.push_back(&avoided_workers_);
+        lists.push_back({avoided_workers_, true});
     }
     return lists;
 }
@@ -228,7 +228,7 @@
         auto& left = task.needs_trial() ? searched_for_suspects : searched;
         while (worker == nullptr && !left.empty())
         {
-            worker = choose(*left.front(), *c.owner, key, task, now);
+            worker = choose(left.front(), *c.owner, key, task, now);
             if (worker == nullptr)
             {
                 left.pop_front();
@@ -315,8 +315,8 @@
         auto* worker = reserved_worker(*c.owner, key, now);
         if (worker == nullptr)
         {
-            worker =
-                choose(usable_workers_, *c.owner, key, c.owner->task(key), now);
+            worker = choose({usable_workers_}, *c.owner, key,
+                            c.owner->task(key), now);
         }
         if (worker == nullptr)
         {
@@ -353,10 +353,11 @@
     }
 }
 
-fleet_worker* task_placer::choose(const std::vector<fleet_worker*>& workers,
+fleet_worker* task_placer::choose(const worker_list& list,
                                   const live_job& owner, const task_key& key,
                                   const task_record& task, time_point now) const
 {
+    const auto& workers = list.workers;
     const auto& s = owner.step_of(key);
     const auto image = to_image_hash(s.image);
     // With a preferred rack all workers are evaluated, since only few belong to
@@ -367,7 +368,6 @@
     {
         search_offset_ = 0;
     }
-    const bool is_last_resort = &workers == &avoided_workers_;
     const bool has_waited = now - task.suspected_at >= max_wait_for_trial;
     fleet_worker* best = nullptr;
     double lowest_cost = std::numeric_limits<double>::max();
@@ -377,7 +377,7 @@
     {
         auto* const worker = workers[search_offset_++ % workers.size()];
         if (!eligibility_.accepts_step(*worker, s, now) ||
-            (!(is_last_resort && !task.needs_trial()) &&
+            (!(list.is_last_resort && !task.needs_trial()) &&
              !worker_eligibility::keeps_trials_apart(*worker, task, has_waited,
                                                      now)))
         {
@@ -451,7 +451,7 @@
         return false;
     }
     const auto* const better =
-        choose(usable_workers_, *owner, key, owner->task(key), now);
+        choose({usable_workers_}, *owner, key, owner->task(key), now);
     return better != nullptr && better != &worker &&
            cost_.fill_cost(*better, owner->step_of(key), run.image, now) <
                full_pace_cost;
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -49,6 +49,14 @@
         placing_position position;
     };
 
+    // Workers that are searched together for a place.
+    struct worker_list
+    {
+        const std::vector<fleet_worker*>& workers;
+        // The workers are avoided: a task may start there beside a suspect.
+        bool is_last_resort = false;
+    };
+
     std::vector<candidate> candidates(time_point now,
                                       std::chrono::milliseconds unix_now) const;
     void find_usable_workers(time_point now);
@@ -60,9 +68,9 @@
     bool prepare_start(live_job& owner, const task_key& key,
                        fleet_worker& worker, time_point now);
     // Lists of workers to search for the step, the preferred ones first.
-    std::deque<const std::vector<fleet_worker*>*>
-    workers_to_search(const candidate& c, bool is_full_search,
-                      time_point now) const;
+    std::deque<worker_list> workers_to_search(const candidate& c,
+                                              bool is_full_search,
+                                              time_point now) const;
     void place_step(const candidate& c, time_point now);
     void place_gang(const candidate& c, time_point now);
     // The worker reserved for the task, or null if there is none or it can no
@@ -70,9 +78,9 @@
     fleet_worker* reserved_worker(live_job& owner, const task_key& key,
                                   time_point now);
     // The worker with the lowest cost, or null if none can take the task.
-    fleet_worker* choose(const std::vector<fleet_worker*>& workers,
-                         const live_job& owner, const task_key& key,
-                         const task_record& task, time_point now) const;
+    fleet_worker* choose(const worker_list& list, const live_job& owner,
+                         const task_key& key, const task_record& task,
+                         time_point now) const;
     void request_advice(const candidate& c, time_point now);
     bool should_move(const fleet_worker& worker, const task_key& key,
                      const run_record& run, time_point now);
