tests: divide the simulated fleet and the scheduler's tests by concern

The scheduler's regression tests share scheduler_fixture.hpp; those of leases, restarted or unresponsive workers and acknowledgements are in scheduler_lease_test.cpp.

--- a/tests/jobs/fleet_world.hpp
+++ b/tests/jobs/fleet_world.hpp
@@ -53,6 +53,8 @@
     const std::vector<std::string>& violations() const { return violations_; }
 
 private:
+    static constexpr std::uint32_t max_attempts = 3;
+
     struct pending_event
     {
         time_point at{};
--- /dev/null
+++ b/tests/jobs/scheduler_lease_test.cpp
@@ -0,0 +1,180 @@
+// Regression tests for faults of the scheduler with leases, restarted or
+// unresponsive workers and acknowledgements: each has the shortest sequence of
+// events that causes the fault.
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "scheduler_fixture.hpp"
+
+using namespace hemlockdeal;
+using namespace hemlockdeal::jobs;
+using namespace hemlockdeal::jobs::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Failure: the long-running task of a crashed worker is never placed again,
+// because each unanswered poll carries a later deadline (LOST, scale-2).
+TEST_F(scheduler_test, tasks_of_an_unresponsive_worker_are_placed_again)
+{
+    add_worker("a");
+    leader.begin(now);
+    auto s = short_step(1);
+    s.is_long_running = true;
+    leader.add_job(make_job("j", s));
+    ASSERT_EQ(orders_of<start_order>(simulate()).size(), 1U);
+    unresponsive.insert(worker_id("a"));
+    leader.remove_worker(worker_id("a"), now);
+    add_worker("b");
+    const auto starts = orders_of<start_order>(simulate(seconds(9)));
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts.front().worker, worker_id("b"));
+    EXPECT_GT(starts.front().run, 1U);
+}
+
+// Failure: a task is placed again while its lease may still be valid.
+TEST_F(scheduler_test, tasks_of_an_unresponsive_worker_wait_for_their_leases)
+{
+    add_worker("a");
+    leader.begin(now);
+    leader.add_job(make_job("j", short_step(1)));
+    simulate();
+    unresponsive.insert(worker_id("a"));
+    add_worker("b");
+    EXPECT_TRUE(orders_of<start_order>(simulate(seconds(5))).empty());
+}
+
+// Failure: the tasks of a crashed worker wait for its leases although a new
+// process on its VM shows that it has ended.
+TEST_F(scheduler_test, tasks_of_a_worker_replaced_on_its_vm_restart_at_once)
+{
+    auto crashed = entry("a");
+    crashed.vm = vm_id("vm-1");
+    leader.set_worker(crashed, now);
+    leader.begin(now);
+    leader.add_job(make_job("j", short_step(1)));
+    ASSERT_EQ(orders_of<start_order>(simulate()).size(), 1U);
+    unresponsive.insert(worker_id("a"));
+    auto later = entry("b");
+    later.vm = vm_id("vm-1");
+    unresponsive.insert(worker_id("b"));
+    leader.set_worker(later, now);
+    ASSERT_TRUE(orders_of<start_order>(simulate(seconds(2))).empty());
+    unresponsive.erase(worker_id("b"));
+    const auto starts = orders_of<start_order>(simulate(seconds(2)));
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts.front().worker, worker_id("b"));
+}
+
+// Failure: a start without a response is forgotten, or repeated elsewhere
+// before it is certainly withdrawn.
+TEST_F(scheduler_test, unanswered_start_is_withdrawn_first)
+{
+    add_worker("a");
+    leader.begin(now);
+    simulate();
+    unresponsive.insert(worker_id("a"));
+    leader.add_job(make_job("j", short_step(1)));
+    const auto start = orders_of<start_order>(simulate(milliseconds(60))).at(0);
+    leader.on_start_answer(start.worker, start.task, start.run,
+                           start_answer::unknown, now);
+    unresponsive.clear();
+    auto orders = simulate(milliseconds(600));
+    const auto stops = orders_of<stop_order>(orders);
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops.front().run, start.run);
+    EXPECT_TRUE(orders_of<start_order>(orders).empty());
+    leader.on_stop_confirmed(start.worker, start.task, start.run, now);
+    const auto restarts = orders_of<start_order>(simulate(milliseconds(600)));
+    ASSERT_EQ(restarts.size(), 1U);
+    EXPECT_GT(restarts.front().run, start.run);
+}
+
+// Failure: a leader that may have been superseded starts tasks.
+TEST_F(scheduler_test, nothing_starts_while_the_lead_is_in_doubt)
+{
+    add_worker("a");
+    leader.begin(now);
+    simulate();
+    leader.add_job(make_job("j", short_step(1)));
+    EXPECT_TRUE(
+        orders_of<start_order>(
+            leader.decide(now, milliseconds(0),
+                          {.may_start = false, .may_extend_leases = true}))
+            .empty());
+}
+
+// Failure: polls continue when the leases must expire.
+TEST_F(scheduler_test, leases_are_not_extended_when_they_must_expire)
+{
+    add_worker("a");
+    leader.begin(now);
+    leader.add_job(make_job("j", short_step(1)));
+    simulate();
+    now += seconds(3);
+    EXPECT_TRUE(
+        orders_of<poll_order>(
+            leader.decide(now, milliseconds(0),
+                          {.may_start = false, .may_extend_leases = false}))
+            .empty());
+}
+
+// Failure: a restarted worker is told to forget ended runs by a number of its
+// previous incarnation, so that a finished task runs again (soak seed 3).
+TEST_F(scheduler_test, ends_are_acknowledged_once)
+{
+    add_worker("a");
+    leader.begin(now);
+    leader.add_job(make_job("j", short_step(2)));
+    const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
+    ASSERT_EQ(starts.size(), 2U);
+    const worker_id a("a");
+    running[a].pop_back();
+    ended[a] = {{7, starts[1].task, starts[1].run, run_end::done, ""}};
+    simulate(milliseconds(100));
+    ended[a].clear();
+    simulate(milliseconds(300));
+    EXPECT_EQ(std::ranges::count(acknowledged, 7U), 1);
+    EXPECT_EQ(acknowledged.back(), 0U);
+}
+
+// Failure: the same after a period without responses, in which the worker may
+// have restarted.
+TEST_F(scheduler_test, nothing_is_acknowledged_after_failed_polls)
+{
+    add_worker("a");
+    leader.begin(now);
+    leader.add_job(make_job("j", short_step(2)));
+    const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
+    const worker_id a("a");
+    running[a].pop_back();
+    ended[a] = {{7, starts[1].task, starts[1].run, run_end::done, ""}};
+    now += milliseconds(50);
+    leader.on_report(a, report_of(a), now, now);
+    leader.take_changes();
+    leader.on_changes_stored(now);
+    leader.on_poll_failed(a, now);
+    acknowledged.clear();
+    unresponsive.insert(a);
+    simulate(seconds(2));
+    EXPECT_GT(acknowledged.size(), 1U);
+    EXPECT_TRUE(std::ranges::all_of(
+        acknowledged, [](std::uint64_t number) { return number == 0; }));
+}
+
+// Failure: a start goes to a worker whose clock and state are known only from
+// its previous incarnation, so that neither deadline nor stop bounds it.
+TEST_F(scheduler_test, restarted_worker_is_polled_before_a_start)
+{
+    add_worker("a");
+    leader.begin(now);
+    simulate();
+    unresponsive.insert(worker_id("a"));
+    auto restarted = entry("a");
+    restarted.incarnation = 2;
+    leader.set_worker(restarted, now);
+    leader.add_job(make_job("j", short_step(1)));
+    EXPECT_TRUE(orders_of<start_order>(simulate()).empty());
+    unresponsive.clear();
+    EXPECT_EQ(orders_of<start_order>(simulate(seconds(1))).size(), 1U);
+}
