Give repeated code of simulations and tests a common place

No check is changed, but that all three tests of leader_role_test now require that the leader leads; one did so before.

--- a/src/emulation/crash_simulation.cpp
+++ b/src/emulation/crash_simulation.cpp
@@ -66,12 +66,7 @@
         worker.advance(now_);
     }
     record_ends();
-    while (!events_.empty() && events_.top().at <= now_)
-    {
-        const auto call = events_.top().call;
-        events_.pop();
-        call();
-    }
+    events_.call_due(now_);
     while (next_fault_ < faults_.size() && faults_[next_fault_].at <= now_)
     {
         inject(faults_[next_fault_++]);
--- a/src/emulation/crash_simulation.hpp
+++ b/src/emulation/crash_simulation.hpp
@@ -7,14 +7,14 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
+#include <random>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "emulation/crash_ledger.hpp"
 #include "emulation/crash_options.hpp"
 #include "emulation/crash_workload.hpp"
+#include "emulation/event_queue.hpp"
 #include "emulation/fault_schedule.hpp"
 #include "emulation/gang_clock.hpp"
 #include "emulation/leased_worker.hpp"
@@ -32,16 +32,6 @@
     crash_result simulate();
 
 private:
-    struct event
-    {
-        time_point at{};
-        std::uint64_t order = 0;
-        std::function<void()> call;
-        bool operator<(const event& other) const
-        {
-            return std::tie(at, order) > std::tie(other.at, other.order);
-        }
-    };
     struct simulated_vm
     {
         vm_id id;
@@ -126,7 +116,7 @@
                  std::function<void(jobs::scheduler&)> call);
     void schedule(duration delay, std::function<void()> call)
     {
-        events_.push({now_ + delay, ++event_count_, std::move(call)});
+        events_.add(now_ + delay, std::move(call));
     }
     bool is_cut_off(const worker_id& id) const;
     bool happens(double share)
@@ -139,8 +129,7 @@
     std::mt19937 random_;
     time_point now_{std::chrono::seconds(100)};
     time_point end_{};
-    std::priority_queue<event> events_;
-    std::uint64_t event_count_ = 0;
+    event_queue events_;
 
     std::vector<simulated_vm> vms_;
     std::map<worker_id, leased_worker> workers_;
--- a/src/emulation/load_simulation.cpp
+++ b/src/emulation/load_simulation.cpp
@@ -206,12 +206,7 @@
     {
         w.advance(now_, step_time, wave_, pressures_);
     }
-    while (!events_.empty() && events_.top().at <= now_)
-    {
-        const auto call = events_.top().call;
-        events_.pop();
-        call();
-    }
+    events_.call_due(now_);
     const auto unix_now =
         std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
     const auto orders = timed(
--- a/src/emulation/load_simulation.hpp
+++ b/src/emulation/load_simulation.hpp
@@ -6,13 +6,12 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "emulation/emulated_worker.hpp"
+#include "emulation/event_queue.hpp"
 #include "jobs/jobs.hpp"
 
 namespace hemlockdeal::emulation
@@ -84,17 +83,6 @@
     simulation_result result() const;
 
 private:
-    struct event
-    {
-        time_point at{};
-        std::uint64_t order = 0;
-        std::function<void()> call;
-        bool operator<(const event& other) const
-        {
-            return std::tie(at, order) > std::tie(other.at, other.order);
-        }
-    };
-
     // Calls the function and adds its duration to `sum`.
     template <typename Call>
     auto timed(double& sum, Call&& call)
@@ -151,7 +139,7 @@
                       time_point until);
     void schedule(duration delay, std::function<void()> call)
     {
-        events_.push({now_ + delay, ++event_count_, std::move(call)});
+        events_.add(now_ + delay, std::move(call));
     }
     double draw(double mean, double spread)
     {
@@ -163,8 +151,7 @@
     simulation_options options_;
     double rate_;
     time_point now_{std::chrono::seconds(100)};
-    std::priority_queue<event> events_;
-    std::uint64_t event_count_ = 0;
+    event_queue events_;
     pressure_table pressures_;
     load_wave wave_;
     capacity_wave capacity_wave_;
--- a/tests/emulation/capacity_change_test.cpp
+++ b/tests/emulation/capacity_change_test.cpp
@@ -1,39 +1,26 @@
 // Plays a load on emulated workers whose capacity shrinks and grows back, and
 // which do not guard it.
-#include <chrono>
 #include <vector>
 
 #include <gtest/gtest.h>
 
-#include "emulation/emulation.hpp"
+#include "overload.hpp"
 
 using namespace hemlockdeal;
 using namespace hemlockdeal::emulation;
+using namespace hemlockdeal::emulation::test;
 
 namespace
 {
 
-constexpr std::uint32_t seed_count = 3;
-constexpr duration played = std::chrono::seconds(30);
-
 simulation_options changing_fleet(std::uint32_t seed)
 {
-    simulation_options options;
-    options.workers = 48;
-    options.jobs_per_second = 7.0;
-    options.seed = seed;
+    auto options = overload(seed);
     options.changes_capacity = true;
     options.enforces_capacity = false;
     return options;
 }
 
-simulation_result play(const simulation_options& options)
-{
-    load_simulation simulation(options);
-    simulation.simulate(played);
-    return simulation.result();
-}
-
 // One result a seed; played once for all tests.
 const std::vector<simulation_result>& changing_results()
 {
--- a/tests/emulation/load_policy_test.cpp
+++ b/tests/emulation/load_policy_test.cpp
@@ -1,38 +1,18 @@
 // Plays loads on the emulated fleet and checks what callers get. Each test also
 // plays the load with the policy switched off and shows that it is worse.
 #include <algorithm>
-#include <chrono>
 
 #include <gtest/gtest.h>
 
-#include "emulation/emulation.hpp"
+#include "overload.hpp"
 
 using namespace hemlockdeal;
 using namespace hemlockdeal::emulation;
+using namespace hemlockdeal::emulation::test;
 
 namespace
 {
 
-constexpr std::uint32_t seed_count = 3;
-constexpr duration played = std::chrono::seconds(30);
-
-// More fill work than the processors that serving tasks leave unused.
-simulation_options overload(std::uint32_t seed)
-{
-    simulation_options options;
-    options.workers = 48;
-    options.jobs_per_second = 7.0;
-    options.seed = seed;
-    return options;
-}
-
-simulation_result play(const simulation_options& options)
-{
-    load_simulation simulation(options);
-    simulation.simulate(played);
-    return simulation.result();
-}
-
 struct totals
 {
     std::size_t fills_due = 0;
--- a/tests/jobs/fleet_world.cpp
+++ b/tests/jobs/fleet_world.cpp
@@ -189,7 +189,7 @@
 
 void fleet_world::schedule(duration delay, std::function<void()> call)
 {
-    pending_events_.push({now_ + delay, ++event_count_, std::move(call)});
+    events_.add(now_ + delay, std::move(call));
 }
 
 bool fleet_world::is_disconnected(const worker_id& id) const
@@ -235,12 +235,7 @@
         w.advance(now_);
     }
     inject_faults();
-    while (!pending_events_.empty() && pending_events_.top().at <= now_)
-    {
-        const auto call = pending_events_.top().call;
-        pending_events_.pop();
-        call();
-    }
+    events_.call_due(now_);
     if (!leader_ && now_ >= next_leader_at_)
     {
         start_leader();
--- a/tests/jobs/fleet_world.hpp
+++ b/tests/jobs/fleet_world.hpp
@@ -8,12 +8,12 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "emulation/event_queue.hpp"
 #include "fake_worker.hpp"
 #include "jobs/jobs.hpp"
 
@@ -55,18 +55,6 @@
 private:
     static constexpr std::uint32_t max_attempts = 3;
 
-    struct pending_event
-    {
-        time_point at{};
-        std::uint64_t order = 0;
-        std::function<void()> call;
-
-        bool operator<(const pending_event& other) const
-        {
-            return std::tie(at, order) > std::tie(other.at, other.order);
-        }
-    };
-
     void add_worker(const std::string& name, const vm_id& vm, double clock_rate,
                     time_point started_at);
     // Ends the worker; its VM runs a new one after a while.
@@ -105,8 +93,7 @@
     bool crashes_;
     bool capacity_changes_;
     time_point now_{std::chrono::seconds(100)};
-    std::uint64_t event_count_ = 0;
-    std::priority_queue<pending_event> pending_events_;
+    emulation::event_queue events_;
     std::map<worker_id, fake_worker> workers_;
     // Workers in the membership list, which lags behind.
     std::set<worker_id> listed_;
--- a/tests/jobs/scheduler_fixture.hpp
+++ b/tests/jobs/scheduler_fixture.hpp
@@ -14,6 +14,15 @@
 namespace hemlockdeal::jobs::test
 {
 
+inline step short_step(std::uint32_t count)
+{
+    step s;
+    s.task_count = count;
+    s.size = {1000, 1000, 0};
+    s.estimate = std::chrono::milliseconds(1000);
+    return s;
+}
+
 class scheduler_test : public testing::Test
 {
 protected:
@@ -108,6 +117,23 @@
         return r;
     }
 
+    // Starts tasks of two jobs and lets their workers report that they failed.
+    void fail_tasks_of_two_jobs()
+    {
+        leader.add_job(make_job("j", short_step(1)));
+        leader.add_job(make_job("k", short_step(1)));
+        const auto starts =
+            orders_of<start_order>(simulate(std::chrono::milliseconds(100)));
+        ASSERT_EQ(starts.size(), 2U);
+        running.clear();
+        std::uint64_t number = 0;
+        for (const auto& start : starts)
+        {
+            ended[start.worker].push_back(
+                {++number, start.task, start.run, run_end::failed, ""});
+        }
+    }
+
     template <typename Order>
     static std::vector<Order> orders_of(const std::vector<order>& orders)
     {
@@ -130,13 +156,4 @@
     std::vector<std::uint64_t> acknowledged;
 };
 
-inline step short_step(std::uint32_t count)
-{
-    step s;
-    s.task_count = count;
-    s.size = {1000, 1000, 0};
-    s.estimate = std::chrono::milliseconds(1000);
-    return s;
-}
-
 } // namespace hemlockdeal::jobs::test
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -187,17 +187,7 @@
 {
     add_worker("a");
     leader.begin(now);
-    leader.add_job(make_job("j", short_step(1)));
-    leader.add_job(make_job("k", short_step(1)));
-    const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
-    ASSERT_EQ(starts.size(), 2U);
-    running.clear();
-    std::uint64_t number = 0;
-    for (const auto& start : starts)
-    {
-        ended[start.worker].push_back(
-            {++number, start.task, start.run, run_end::failed, ""});
-    }
+    ASSERT_NO_FATAL_FAILURE(fail_tasks_of_two_jobs());
     add_worker("b");
     const auto restarts = orders_of<start_order>(simulate(milliseconds(900)));
     EXPECT_EQ(restarts.size(), 2U);
@@ -213,17 +203,7 @@
 {
     add_worker("a");
     leader.begin(now);
-    leader.add_job(make_job("j", short_step(1)));
-    leader.add_job(make_job("k", short_step(1)));
-    const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
-    ASSERT_EQ(starts.size(), 2U);
-    running.clear();
-    std::uint64_t number = 0;
-    for (const auto& start : starts)
-    {
-        ended[start.worker].push_back(
-            {++number, start.task, start.run, run_end::failed, ""});
-    }
+    ASSERT_NO_FATAL_FAILURE(fail_tasks_of_two_jobs());
     simulate(milliseconds(100));
     auto s = short_step(1);
     s.is_long_running = true;
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -154,6 +154,17 @@
         }
     }
 
+    // Stores a job and lets the leader start a part of its tasks.
+    void start_some_tasks(leader_type& leader)
+    {
+        store_job();
+        leader.set_services({{service_id("s"), {}}});
+        run_for(leader, milliseconds(300));
+        ASSERT_TRUE(leader.leads());
+        ASSERT_GT(workers.starts, 0U);
+        ASSERT_LT(workers.starts, 400U);
+    }
+
     test_clock clock;
     fake_store store;
     busy_workers workers;
@@ -204,12 +215,8 @@
 // Failure: a leader starts tasks when another VM may have taken over.
 TEST_F(leader_role_test, no_starts_after_the_lease_has_expired)
 {
-    store_job();
     auto a = make_leader("a");
-    a.set_services({{service_id("s"), {}}});
-    run_for(a, milliseconds(300));
-    ASSERT_GT(workers.starts, 0U);
-    ASSERT_LT(workers.starts, 400U);
+    ASSERT_NO_FATAL_FAILURE(start_some_tasks(a));
     store.mode = store_mode::rejects;
     run_for(a, milliseconds(1400));
     const auto starts_before = workers.starts;
@@ -226,13 +233,8 @@
     {
         store = {};
         workers = {};
-        store_job();
         auto a = make_leader("a");
-        a.set_services({{service_id("s"), {}}});
-        run_for(a, milliseconds(300));
-        ASSERT_TRUE(a.leads());
-        ASSERT_GT(workers.starts, 0U);
-        ASSERT_LT(workers.starts, 400U);
+        ASSERT_NO_FATAL_FAILURE(start_some_tasks(a));
         auto b = make_leader("b");
         b.set_services({{service_id("s"), {}}});
         run_for(b, pause);
@@ -322,12 +324,8 @@
 // earlier one, or is not used again once it can be read.
 TEST_F(leader_role_test, nothing_starts_by_an_entry_that_is_out_of_date)
 {
-    store_job();
     auto a = make_leader("a");
-    a.set_services({{service_id("s"), {}}});
-    run_for(a, milliseconds(300));
-    ASSERT_GT(workers.starts, 0U);
-    ASSERT_LT(workers.starts, 400U);
+    ASSERT_NO_FATAL_FAILURE(start_some_tasks(a));
     list.next_change = {worker_id("w"), std::nullopt};
     run_for(a, milliseconds(400));
     const auto starts_before = workers.starts;
