Remove members that nothing uses

Nothing reads scheduler_options::due_margin, service_policy::is_standby (the decoder of declarations set it) or http_server_connection::caller_closed_, and nothing calls leadership::is_mine, http_responder::is_connected, caller_listener::has_unsent_bytes (and caller_connection's, which only that called). caller_connection::linger was declared without a definition. Both ways in which a connection ended after its caller closed did the same as close().

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -60,11 +60,6 @@
     }
 }
 
-bool http_responder::is_connected() const
-{
-    return !connection_.expired();
-}
-
 http_server::http_server(const socket_address& address,
                          http_server_limits limits, http_service service)
     : limits_(limits), service_(std::move(service)),
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -37,8 +37,6 @@
     explicit http_responder(std::weak_ptr<http_server_connection> connection);
 
     void operator()(const http_response& response) const;
-    // False when the connection is closed.
-    bool is_connected() const;
 
 private:
     std::weak_ptr<http_server_connection> connection_;
--- a/src/http/http_server_connection.cpp
+++ b/src/http/http_server_connection.cpp
@@ -42,18 +42,7 @@
     const auto self = shared_from_this();
     if (!socket_.receive(received_))
     {
-        // The received bytes may hold a complete request from a caller that
-        // only shut down its sending side.
-        caller_closed_ = true;
-        if (!serving_)
-        {
-            close();
-        }
-        else
-        {
-            closed_ = true;
-            server_.remove(descriptor_);
-        }
+        close();
         return;
     }
     if (!serving_)
--- a/src/http/http_server_connection.hpp
+++ b/src/http/http_server_connection.hpp
@@ -45,7 +45,6 @@
     std::optional<parser> parser_;
     bool serving_ = false;
     bool close_after_response_ = false;
-    bool caller_closed_ = false;
     bool closed_ = false;
     time_point last_activity_;
 };
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -52,11 +52,6 @@
     : self_(std::move(self)), process_(process), options_(options)
 {}
 
-bool leadership::is_mine(const lease_row& row) const
-{
-    return row.holder == self_ && row.process == process_;
-}
-
 void leadership::on_read(const std::optional<lease_row>& row,
                          row_version version, time_point now, duration elapsed)
 {
--- a/src/jobs/leadership.hpp
+++ b/src/jobs/leadership.hpp
@@ -111,8 +111,6 @@
     void relinquish(time_point now);
 
 private:
-    bool is_mine(const lease_row& row) const;
-
     vm_id self_;
     std::uint64_t process_;
     leadership_options options_;
--- a/src/jobs/queue_directory.hpp
+++ b/src/jobs/queue_directory.hpp
@@ -28,7 +28,6 @@
 {
     // True if workers refuse tasks that exceed their capacity.
     bool enforces_capacity = true;
-    bool is_standby = false;
 };
 
 struct queue_match
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -52,8 +52,6 @@
     duration max_avoidance = std::chrono::seconds(24);
     // A task without progress for this long counts as stalled.
     duration stall_limit = std::chrono::milliseconds(2500);
-    // Margin for comparisons with times of remote wall clocks.
-    duration due_margin = std::chrono::milliseconds(50);
     // Factor by which a task takes longer outside its preferred rack.
     double far_factor = 2.0;
     // Longest time for which fill tasks may keep a serving task above its tail
--- a/src/proxy/caller_connection.cpp
+++ b/src/proxy/caller_connection.cpp
@@ -297,11 +297,6 @@
     return socket_->bytesToWrite() < static_cast<qint64>(limits_.window);
 }
 
-bool caller_connection::has_unsent_bytes() const
-{
-    return phase_ != phase::ended && socket_->bytesToWrite() > 0;
-}
-
 void caller_connection::finish_response()
 {
     // A response without a body has no terminating chunk either.
--- a/src/proxy/caller_connection.hpp
+++ b/src/proxy/caller_connection.hpp
@@ -94,7 +94,6 @@
     void check_time(time_point now);
 
     bool is_idle() const { return phase_ == phase::idle; }
-    bool has_unsent_bytes() const;
     time_point last_activity() const { return last_activity_; }
 
 private:
@@ -117,7 +116,6 @@
     void reject(unsigned status, std::string_view reason);
     void reject_parse_error(const boost::beast::error_code& error);
     void start_next_request();
-    void linger();
     void end();
     bool body_window_full() const;
     std::size_t unparsed() const { return input_.size() - input_offset_; }
--- a/src/proxy/caller_listener.cpp
+++ b/src/proxy/caller_listener.cpp
@@ -101,11 +101,4 @@
                           [](caller_connection* c) { c->close_when_sent(); });
 }
 
-bool caller_listener::has_unsent_bytes() const
-{
-    return std::ranges::any_of(connections_, [](const auto& entry) {
-        return entry.second->has_unsent_bytes();
-    });
-}
-
 } // namespace hemlockdeal
--- a/src/proxy/caller_listener.hpp
+++ b/src/proxy/caller_listener.hpp
@@ -42,8 +42,6 @@
     // Closes connections without a request and without activity since
     // `idle_since`.
     void close_idle(time_point idle_since);
-    // True if response bytes have not yet been passed to the kernel.
-    bool has_unsent_bytes() const;
 
 private:
     void accept();
