leader_role: recover one job of the inbox in a function of its own

recover_inbox had 42 lines, most of them the handling of one row within a lambda. Code is moved only.

--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -104,6 +104,32 @@
     }
 }
 
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::recover_job(const stored_row& row)
+{
+    const job_id id(row.key);
+    auto definition = jobs::decode_job(id, row.value);
+    if (!definition)
+    {
+        log(log_level::error, "stored job cannot be decoded",
+            {{"job", row.key}});
+        return;
+    }
+    const auto stored_progress = recovered_progress_.find(id);
+    const bool has_stored_progress =
+        stored_progress != recovered_progress_.end();
+    if (has_stored_progress && !stored_progress->second)
+    {
+        // Without the progress, completed tasks would run again.
+        log(log_level::error, "stored progress cannot be decoded",
+            {{"job", row.key}});
+        return;
+    }
+    scheduler_->recover_job(std::move(*definition),
+                            has_stored_progress ? stored_progress->second
+                                                : std::nullopt);
+}
+
 template <row_store Store, worker_port Workers, worker_list List>
 void leader_role<Store, Workers, List>::recover_inbox()
 {
@@ -116,27 +142,7 @@
                     row.key.substr(0, row.key.size() - cancel_suffix.size()));
                 return;
             }
-            const job_id id(row.key);
-            auto definition = jobs::decode_job(id, row.value);
-            if (!definition)
-            {
-                log(log_level::error, "stored job cannot be decoded",
-                    {{"job", row.key}});
-                return;
-            }
-            const auto stored_progress = recovered_progress_.find(id);
-            const bool has_stored_progress =
-                stored_progress != recovered_progress_.end();
-            if (has_stored_progress && !stored_progress->second)
-            {
-                // Without the progress, completed tasks would run again.
-                log(log_level::error, "stored progress cannot be decoded",
-                    {{"job", row.key}});
-                return;
-            }
-            scheduler_->recover_job(
-                std::move(*definition),
-                has_stored_progress ? stored_progress->second : std::nullopt);
+            recover_job(row);
         },
         [this, cancelled] {
             for (const auto& [id, state] : scheduler_->registry().over())
--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -148,6 +148,8 @@
     void read_inbox(std::function<void(const stored_row&)> on_row,
                     std::function<void()> callback);
     void recover_inbox();
+    // Passes a job from the inbox and its progress to the scheduler.
+    void recover_job(const stored_row& row);
     void recover_fleet();
     void recover_learnt();
     void finish_recovery();
