Suspend fill tasks in time when a serving task's reports are late

Cause, from a play with a log line for each reported tail: a poll that waits for 1.5 s was sent while no fill task was on the worker. Fill tasks were placed there at 1.498 s, and the next report after that of 1.346 s came at 2.899 s. The time over target counted from this report, 1.26 s after the target was passed. The limit of 2 s was missed by 46 ms at the report of 4.851 s, so that the suspension came with the next one. The allowance of one half of the bound did not cover a late first report, the interval of reports, the calls, and the time until a suspension shows in the tail. For the same reason further fill tasks were placed at 2.578 s: the leader had no report of the harm.

Ruled out: scattered reports. All reports of the two tasks from 2.899 s on were above the target (151 to 895 ms against 45 ms), and the reset after 0.7 s below it did not act on them.

Change: the time over target counts from the last report that showed the task below it, or from the confirmation of its run. The limit is the bound less the interval of reports, three calls and the delay of a suspension (1.91 s for 4 s).

Test: fill_suspender_test.suspension_takes_effect_within_the_harm_limit, in each phase of the poll and with fast and slow calls.

--- a/src/jobs/fill_suspender.cpp
+++ b/src/jobs/fill_suspender.cpp
@@ -15,6 +15,17 @@
 
 } // namespace
 
+duration fill_suspender::max_time_over_target(const scheduler_options& options)
+{
+    // The calls are the report below the target, the next report and the order
+    // to suspend.
+    constexpr int calls = 3;
+    const auto report_interval =
+        options.mixed_poll_wait + options.min_poll_interval;
+    return options.harm_limit - report_interval -
+           calls * options.max_call_time - options.suspension_delay;
+}
+
 bool fill_suspender::must_suspend(const fleet_worker& worker,
                                   time_point now) const
 {
@@ -22,7 +33,7 @@
     {
         return false;
     }
-    const auto limit = state_.options.harm_limit / harm_margin;
+    const auto limit = max_time_over_target(state_.options);
     return std::ranges::any_of(worker.runs(), [&](const auto& entry) {
         const auto& over_since = entry.second.over_since;
         return over_since && now - *over_since > limit;
--- a/src/jobs/fill_suspender.hpp
+++ b/src/jobs/fill_suspender.hpp
@@ -16,6 +16,10 @@
 public:
     explicit fill_suspender(scheduler_state& state) : state_(state) {}
 
+    // The time since a serving task was last reported below its target after
+    // which a suspension at the next report could come too late.
+    static duration max_time_over_target(const scheduler_options& options);
+
     // Suspends or resumes the fill tasks after a report of this worker.
     void adjust(fleet_worker& worker, time_point now);
 
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -78,11 +78,13 @@
     int percent = 0;
     time_point progressed_at{};
     std::int64_t measurement = -1;
-    // For a serving task: since when its tail latency has been above its
-    // target, and when it was so last. Reported tails scatter, so that a single
-    // one below the target does not end the time above it.
+    // For a serving task: since when its tail latency may have been above its
+    // target, and when it was last reported above and not above it. Reported
+    // tails scatter, so that a single one below the target does not end the
+    // time above it.
     std::optional<time_point> over_since;
     time_point over_at{};
+    time_point below_at{};
     int pace = 100;
     // Found on the worker by a new leader, which knows neither the pace nor
     // since when a serving task has been above its target.
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -301,25 +301,40 @@
         (taken_over_tasks_.empty() ? "" : ",") + to_text(reported.task);
 }
 
-void report_intake::update_progress(fleet_worker& worker, const task_key& key,
-                                    run_record& run,
-                                    const running_task& reported,
-                                    time_point now)
+void report_intake::note_tail(fleet_worker& worker, run_record& run,
+                              time_point now) const
 {
-    run.measurement = reported.measurement;
-    if (!is_over_target(run) && now - run.over_at >= min_time_below_target)
-    {
-        run.over_since.reset();
-    }
     if (is_over_target(run))
     {
         run.over_at = now;
-        // The earlier leader may have waited for part of the limit already.
-        const auto earlier =
-            run.is_adopted ? state_.options.harm_limit / 4 : duration{};
-        run.over_since = run.over_since.value_or(now - earlier);
+        run.over_since =
+            run.over_since.value_or(earliest_time_over_target(run, now));
         worker.over_target_at = now;
+        return;
+    }
+    run.below_at = now;
+    if (now - run.over_at >= min_time_below_target)
+    {
+        run.over_since.reset();
     }
+}
+
+time_point report_intake::earliest_time_over_target(const run_record& run,
+                                                    time_point now) const
+{
+    // The earlier leader may have waited for part of the limit already.
+    return run.is_adopted
+               ? now - state_.options.harm_limit / 4
+               : std::max(run.below_at, run.confirmed_at.value_or(now));
+}
+
+void report_intake::update_progress(fleet_worker& worker, const task_key& key,
+                                    run_record& run,
+                                    const running_task& reported,
+                                    time_point now)
+{
+    run.measurement = reported.measurement;
+    note_tail(worker, run, now);
     run.is_adopted = run.is_adopted && run.fills;
     if (reported.percent != run.percent ||
         reported.checkpoint != run.checkpoint)
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -52,6 +52,12 @@
     void update_progress(fleet_worker& worker, const task_key& key,
                          run_record& run, const running_task& reported,
                          time_point now);
+    // Records whether a serving task is above its target.
+    void note_tail(fleet_worker& worker, run_record& run, time_point now) const;
+    // A report shows the tail at one time only, so that the task may have been
+    // above its target since just after the report before it.
+    time_point earliest_time_over_target(const run_record& run,
+                                         time_point now) const;
     void check_missing_runs(fleet_worker& worker, const worker_report& report,
                             time_point sent_at, time_point now);
     bool is_run_over(const run_record& run, const worker_report& report,
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -8,10 +8,6 @@
 namespace hemlockdeal::jobs
 {
 
-// Reports lag by up to a second, and a suspension takes effect after a call, so
-// that fill tasks are suspended after this fraction of the time limit.
-constexpr int harm_margin = 2;
-
 struct scheduler_options
 {
     // Longest lease that a worker grants.
@@ -57,6 +53,11 @@
     // Longest time for which fill tasks may keep a serving task above its tail
     // latency target.
     duration harm_limit = std::chrono::milliseconds(4000);
+    // Longest time until a call that does not wait is answered.
+    duration max_call_time = std::chrono::milliseconds(350);
+    // A suspended task disturbs for up to this time, and the tail latency is
+    // measured over a window that contains it.
+    duration suspension_delay = std::chrono::milliseconds(600);
     // A fill task that has been slowed for this long may be moved.
     duration slowed_limit = std::chrono::milliseconds(700);
     // Fill tasks may demand up to this multiple of the processors that are
