Count the time over target from the start of the fill tasks at the earliest

Without fill tasks beside it a serving task is not harmed by them; the users' rule says so in the same words. For a fill task that an earlier leader started, the start is unknown and nothing is left out.

Test: time_before_the_fill_task_does_not_count failed before in 36 of 40 phases. start_of_an_adopted_fill_task_is_unknown guards the new value; it has no code before it to fail on.

--- a/src/jobs/fill_suspender.cpp
+++ b/src/jobs/fill_suspender.cpp
@@ -36,7 +36,8 @@
     const auto limit = max_time_over_target(state_.options);
     return std::ranges::any_of(worker.runs(), [&](const auto& entry) {
         const auto& over_since = entry.second.over_since;
-        return over_since && now - *over_since > limit;
+        return over_since &&
+               now - std::max(*over_since, worker.fills_since()) > limit;
     });
 }
 
--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -190,6 +190,10 @@
         run.is_serving() ? sign * run.size.processor_millis : 0;
     const auto step = static_cast<std::size_t>(sign);
     serving_count_ += run.is_serving() ? step : 0;
+    if (run.fills && sign > 0 && fill_count_ == 0)
+    {
+        fills_since_ = run.is_adopted ? time_point{} : run.ordered_at;
+    }
     fill_count_ += run.fills ? step : 0;
     trial_count_ += run.is_trial ? step : 0;
     unknown_size_count_ += run.has_unknown_size ? step : 0;
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -235,6 +235,9 @@
     void on_capacity_changed(time_point now);
     std::size_t serving_count() const { return serving_count_; }
     std::size_t fill_count() const { return fill_count_; }
+    // Since when there has always been a fill task on the worker; the earliest
+    // time if an earlier leader started the first one.
+    time_point fills_since() const { return fills_since_; }
     std::size_t trial_count() const { return trial_count_; }
     void end_trial(run_record& run);
 
@@ -279,6 +282,7 @@
     std::int64_t serving_reserved_ = 0;
     std::size_t serving_count_ = 0;
     std::size_t fill_count_ = 0;
+    time_point fills_since_{};
     std::size_t trial_count_ = 0;
     std::size_t unknown_size_count_ = 0;
     bool has_freed_capacity_ = true;
--- a/tests/jobs/fill_suspender_test.cpp
+++ b/tests/jobs/fill_suspender_test.cpp
@@ -232,6 +232,32 @@
     }
 }
 
+// Failure: a fill task is suspended earlier than the bound asks, because the
+// time before its start counts as harm.
+TEST(fill_suspender_test, time_before_the_fill_task_does_not_count)
+{
+    const auto limit = fill_suspender::max_time_over_target({});
+    for (const auto phase : phases())
+    {
+        const auto time = time_to_suspension(fast_call, phase);
+        ASSERT_TRUE(time) << phase.count();
+        EXPECT_GE(*time, limit) << phase.count();
+    }
+}
+
+// Failure: a new leader takes the time at which it learnt of a fill task for
+// its start, and suspends it too late.
+TEST(fill_suspender_test, start_of_an_adopted_fill_task_is_unknown)
+{
+    fleet_worker worker{worker_entry{}};
+    run_record fill;
+    fill.fills = true;
+    fill.ordered_at = time_point(std::chrono::seconds(1000));
+    fill.is_adopted = true;
+    worker.add_run({job_id("fill"), 0, 0, 0}, fill);
+    EXPECT_EQ(worker.fills_since(), time_point{});
+}
+
 // The safeguard: without it no fill task is suspended.
 TEST(fill_suspender_test, the_check_notices_a_missing_suspension)
 {
