Suspect a task on each worker of its own

Callers could see a task that may have crashed a worker started beside others, so that its next crash took those down and had other suspects.

Cause: `is_suspected` was one flag, although a task may have been started again after the first worker fell silent, and be suspected on two workers. The second one's return cleared the flag while the fate of the first was not known.

Change: the task holds the workers on which it is suspected; the return, the end or the mass failure of a worker removes that worker alone. A run that outlives the earlier crashes clears them all, as before. A worker that ended during a takeover stays in the set, as it did with the flag.

Test: suspect_on_two_workers_is_cleared_on_one failed before (the start on the third worker was not a trial).

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -73,7 +73,7 @@
         task->suspected_at = now;
         if (is_mass_failure && !is_common_suspect(worker, run.task.job))
         {
-            task->is_suspected = false;
+            task->suspected_on.erase(worker.entry.id);
         }
     }
 }
@@ -99,7 +99,7 @@
             {key, now - run.ordered_at, in_start_up, is_suspect});
         if (auto* const task = is_suspect ? find_task(key) : nullptr)
         {
-            task->is_suspected = true;
+            task->suspected_on.insert(worker.entry.id);
         }
     }
 }
@@ -114,17 +114,18 @@
     std::erase_if(silences_, [&](const silence& entry) {
         return entry.worker == worker.entry.id;
     });
-    clear_suspicion(std::exchange(worker.interrupted_runs, {}));
+    clear_suspicion(worker.entry.id,
+                    std::exchange(worker.interrupted_runs, {}));
 }
 
 void crash_attribution::clear_suspicion(
-    const std::vector<interrupted_run>& runs) const
+    const worker_id& worker, const std::vector<interrupted_run>& runs) const
 {
     for (const auto& run : runs)
     {
         if (auto* const task = find_task(run.task))
         {
-            task->is_suspected = false;
+            task->suspected_on.erase(worker);
         }
     }
 }
@@ -133,7 +134,7 @@
                                time_point now)
 {
     const auto runs = std::exchange(worker.interrupted_runs, {});
-    clear_suspicion(runs);
+    clear_suspicion(worker.entry.id, runs);
     if (worker.entry.is_leaving)
     {
         return;
@@ -199,7 +200,7 @@
     {
         if (auto* const task = find_task(key))
         {
-            task->is_suspected = true;
+            task->suspected_on.insert(record.worker);
         }
     }
 }
@@ -278,7 +279,7 @@
     {
         return;
     }
-    task->is_suspected = false;
+    task->suspected_on.clear();
     if (!task->crashes.empty())
     {
         task->crashes = {};
--- a/src/jobs/crash_attribution.hpp
+++ b/src/jobs/crash_attribution.hpp
@@ -73,7 +73,8 @@
                             IsInDomain is_in_domain) const;
     void count_crash(const worker_id& life, const interrupted_run& run,
                      bool is_only_suspect, bool is_reliable, time_point now);
-    void clear_suspicion(const std::vector<interrupted_run>& runs) const;
+    void clear_suspicion(const worker_id& worker,
+                         const std::vector<interrupted_run>& runs) const;
     void forget_evidence(const task_key& key);
     task_record* find_task(const task_key& key) const;
 
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,9 +49,9 @@
     // none.
     std::uint64_t first_change_set = 0;
     crash_history crashes;
-    // It may have crashed a worker of which it is not known whether it has
-    // crashed.
-    bool is_suspected = false;
+    // Workers that it may have crashed and of which it is not known whether
+    // they have crashed.
+    std::set<worker_id> suspected_on;
     // When it last became a suspect that may be started again.
     time_point suspected_at{};
     // The next stored row of the job will contain a new crash.
@@ -59,7 +60,10 @@
     std::uint64_t crash_change_set = 0;
 
     // True if nothing else may be started beside the task.
-    bool needs_trial() const { return is_suspected || crashes.needs_trial(); }
+    bool needs_trial() const
+    {
+        return !suspected_on.empty() || crashes.needs_trial();
+    }
     // False while a later leader would not learn of the task's latest crash.
     bool is_crash_stored(std::uint64_t stored_set) const
     {
--- a/tests/jobs/crash_attribution_test.cpp
+++ b/tests/jobs/crash_attribution_test.cpp
@@ -484,6 +484,42 @@
     EXPECT_NE(worker_of("a"), worker_id());
 }
 
+// Failure: a worker that responds again clears a suspect of the crash of
+// another worker, of which it is not known yet.
+TEST_F(crash_attribution_test, suspect_on_two_workers_is_cleared_on_one)
+{
+    add_workers();
+    add_job("a", 1, true);
+    simulate(milliseconds(100));
+    const auto fall_silent = [&](const worker_id& worker) {
+        silent.insert(worker);
+        running[worker].clear();
+        polls_in_progress.erase(worker);
+        leader->on_poll_failed(worker, now);
+    };
+    fall_silent(worker_of("a"));
+    const auto await_start = [&] {
+        for (int i = 0; i < 1000 && worker_of("a").empty(); ++i)
+        {
+            simulate(crash_delay);
+        }
+        return worker_of("a");
+    };
+    const auto second = await_start();
+    ASSERT_NE(second, worker_id());
+    simulate(milliseconds(100));
+    const auto run = running[second].front();
+    fall_silent(second);
+    ended[second].push_back({1, run.task, run.run, run_end::failed, ""});
+    silent.erase(second);
+    const auto third = await_start();
+    ASSERT_NE(third, worker_id());
+    const auto stored = decode_progress(progress_rows.at(job_id("a")));
+    ASSERT_TRUE(stored);
+    ASSERT_EQ(stored->histories.size(), 1U);
+    EXPECT_EQ(stored->histories.begin()->second.crashes.tried_on, third);
+}
+
 // Failure: the loss of a zone makes suspects of all tasks that had just
 // started there.
 TEST_F(crash_attribution_test, mass_failure_blames_no_task)
