Use crash_attribution::simultaneous for mass failures

A local variable of is_part_of_mass_failure had the name of the member function and repeated what it does.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -345,12 +345,7 @@
     {
         return false;
     }
-    const auto simultaneous = static_cast<std::size_t>(
-        std::ranges::count_if(silences_, [&](const silence& other) {
-            return std::chrono::abs(other.since - *worker.silent_since) <=
-                   common_cause_time;
-        }));
-    if (simultaneous >=
+    if (simultaneous(worker).size() >=
         std::max(min_mass_failure, state_.fleet.size() / mass_failure_divisor))
     {
         return true;
