report_intake: move the avoidance of workers to a class of its own

The decisions to avoid a worker after failures, stalls and rejected starts are a concern of their own.

--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -11,12 +11,7 @@
 namespace
 {
 
-constexpr duration unhealthy_backoff = std::chrono::seconds(1);
-constexpr duration malformed_backoff = std::chrono::seconds(1);
 constexpr duration no_room_backoff = std::chrono::milliseconds(150);
-// Consecutive failures or stalls of different jobs after which the worker is
-// avoided.
-constexpr unsigned avoidance_threshold = 2;
 // Longer than the interval between two reports of a worker with serving and
 // fill tasks.
 constexpr duration min_time_below_target = std::chrono::milliseconds(700);
@@ -194,7 +189,7 @@
     {
         return;
     }
-    record_failure(worker, end.task.job, now);
+    avoidance_.on_failure(worker, end.task.job, now);
     state_.registry.mark_changed(end.task.job);
     auto& task = owner.task(end.task);
     task.failed_on = worker.entry.id;
@@ -212,29 +207,6 @@
     }
 }
 
-void report_intake::record_failure(fleet_worker& worker, const job_id& id,
-                                   time_point now)
-{
-    auto& health = worker.health;
-    if (health.last_failed_job == id)
-    {
-        return;
-    }
-    health.last_failed_job = id;
-    ++health.failures;
-    if (health.failures < avoidance_threshold ||
-        !state_.options.policy.avoids_failing_workers)
-    {
-        return;
-    }
-    avoid_worker(worker, now);
-    state_.log_event(
-        "avoiding worker after repeated failures",
-        {{"worker", worker.entry.id.value()},
-         {"failures", std::to_string(health.failures)},
-         {"for_ms", std::to_string(health.avoidance.count() / 1000)}});
-}
-
 bool report_intake::is_current_run(const fleet_worker& worker,
                                    const task_key& key, std::uint32_t run)
 {
@@ -353,22 +325,13 @@
         {
             state_.registry.find(key.job)->task(key).failed_on =
                 worker.entry.id;
-            record_failure(worker, key.job, now);
+            avoidance_.on_failure(worker, key.job, now);
         }
         state_.order_stop(worker, key, now,
                           "run made no progress within the stall limit");
     }
 }
 
-void report_intake::avoid_worker(fleet_worker& worker, time_point now)
-{
-    auto& health = worker.health;
-    const auto& options = state_.options;
-    health.avoidance = std::clamp(
-        health.avoidance * 2, options.initial_avoidance, options.max_avoidance);
-    health.avoided_until = now + health.avoidance;
-}
-
 bool report_intake::is_run_over(const run_record& run,
                                 const worker_report& report,
                                 time_point sent_at) const
@@ -436,7 +399,7 @@
         record->progressed_at = now;
         record->is_unresolved = false;
         worker.responded_at = now;
-        worker.health.rejections = 0;
+        avoidance_.on_accepted_start(worker);
         return;
     }
     state_.log_event("start not accepted",
@@ -459,11 +422,11 @@
     }
     if (response == start_answer::unhealthy)
     {
-        worker.health.avoided_until = now + unhealthy_backoff;
+        avoidance_.on_unhealthy_start(worker, now);
     }
     if (response == start_answer::malformed)
     {
-        handle_malformed_start(worker, key, now);
+        avoidance_.on_malformed_start(worker, key, now);
     }
     if (response == start_answer::no_ticket)
     {
@@ -483,32 +446,6 @@
     }
 }
 
-void report_intake::handle_malformed_start(fleet_worker& worker,
-                                           const task_key& key, time_point now)
-{
-    auto* const owner = state_.registry.find(key.job);
-    if (owner == nullptr || !owner->has(key))
-    {
-        return;
-    }
-    auto& task = owner->task(key);
-    task.not_before = now + malformed_backoff;
-    task.failed_on = worker.entry.id;
-    auto& health = worker.health;
-    if (!owner->add_rejection(worker.entry.id) ||
-        health.last_rejected_job == key.job)
-    {
-        return;
-    }
-    health.last_rejected_job = key.job;
-    ++health.rejections;
-    if (health.rejections >= avoidance_threshold)
-    {
-        health.avoided_until =
-            std::max(health.avoided_until, now + unhealthy_backoff);
-    }
-}
-
 void report_intake::on_stop_confirmed(fleet_worker& worker, const task_key& key,
                                       std::uint32_t run, time_point now)
 {
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -6,6 +6,7 @@
 
 #include "jobs/crash_attribution.hpp"
 #include "jobs/scheduler_state.hpp"
+#include "jobs/worker_avoidance.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -64,15 +65,10 @@
                      time_point sent_at) const;
     bool is_current_run(const fleet_worker& worker, const task_key& key,
                         std::uint32_t run);
-    void record_failure(fleet_worker& worker, const job_id& id, time_point now);
-    // Lets the task wait, and avoids the worker if it rejects several jobs.
-    void handle_malformed_start(fleet_worker& worker, const task_key& key,
-                                time_point now);
-    // Each time longer than the last, up to a limit.
-    void avoid_worker(fleet_worker& worker, time_point now);
 
     scheduler_state& state_;
     crash_attribution& crashes_;
+    worker_avoidance avoidance_{state_};
     // For the log: tasks of the current report that an earlier leader started.
     std::string taken_over_tasks_;
 };
