Count only workers of the lead in the majority of a leader that lost it

A task could run twice beside two leaders in touch.

Cause: a later leader ends its wait for lease extensions once more than two thirds of the workers have followed it. Followers may crash after that. The earlier leader left them out of the number of workers that it needs, and counted the workers that replace them on their VMs, although a worker that starts later may respond to the earlier leader first.

Change: when the lead becomes invalid, the leader notes the workers that have not ended. Only these count from then on, both as reached and as needed. More than two thirds of the workers that follow a later leader leave less than half of the noted ones for the earlier one, whatever crashes afterwards.

Ruled out: dropping crashed followers from the count of the later leader. It does not learn of a crash at once, and cannot take back a bound that has passed.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -354,7 +354,11 @@
         return {permission.may_extend_leases, permission.may_extend_leases,
                 false};
     }
-    lead_invalid_since_ = lead_invalid_since_.value_or(now);
+    if (!lead_invalid_since_)
+    {
+        lead_invalid_since_ = now;
+        note_followers();
+    }
     const bool may_extend =
         now - *lead_invalid_since_ < state_.options.lease_extension_contact ||
         reaches_majority(now);
@@ -362,18 +366,28 @@
             permission.may_extend_leases && may_extend, true};
 }
 
+void scheduler::note_followers()
+{
+    followers_.clear();
+    for (const auto& [id, worker] : state_.fleet)
+    {
+        if (!worker.has_ended)
+        {
+            followers_.insert(id);
+        }
+    }
+}
+
 bool scheduler::reaches_majority(time_point now) const
 {
-    const auto ended = std::ranges::count_if(
-        state_.fleet, [](const auto& entry) { return entry.second.has_ended; });
     const auto reached =
-        std::ranges::count_if(state_.fleet, [&](const auto& entry) {
-            const auto& contact = entry.second.contact_at;
-            return !entry.second.has_ended && contact &&
-                   now - *contact < state_.options.lease_extension_contact;
+        std::ranges::count_if(followers_, [&](const worker_id& id) {
+            const auto found = state_.fleet.find(id);
+            return found != state_.fleet.end() && found->second.contact_at &&
+                   now - *found->second.contact_at <
+                       state_.options.lease_extension_contact;
         });
-    return 2 * static_cast<std::size_t>(reached) >
-           state_.fleet.size() - static_cast<std::size_t>(ended);
+    return 2 * static_cast<std::size_t>(reached) > followers_.size();
 }
 
 void scheduler::log_load(time_point now)
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -135,6 +135,8 @@
                              time_point now);
     poll_permission poll_permission_for(time_point now,
                                         leader_permission permission);
+    void note_followers();
+    // True if most of the followers have responded lately.
     bool reaches_majority(time_point now) const;
     void check_closed_workers();
     std::vector<fleet_part> record_fleet();
@@ -153,6 +155,9 @@
     fill_suspender suspender_;
     speed_monitor speeds_;
     std::optional<time_point> lead_invalid_since_;
+    // The workers that had not ended at that time. A majority counts these
+    // alone: a worker that starts later may follow two leaders in turn.
+    std::set<worker_id> followers_;
     time_point load_logged_at_{};
     time_point fleet_checked_at_{};
     // Workers named in the list that is being stored.
