Prefer workers on which a task has not failed lately to all others

A task was offered to the same two bad workers for ever, also one that is to last (LOST).

Cause: a task remembered only the last worker on which it had failed, so that each of two bad ones sent it back to the other.

It prefers all others; the memory still excludes none of them.

Ruled out: avoiding workers for one job again, which lets a bad job take all workers from the sound ones.

Tests: task_rejected_by_two_workers_runs_on_a_third, task_stalled_on_two_workers_runs_on_a_third and all_tasks_of_a_job_reach_sound_workers fail with a memory of one worker, as before.

--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -12,6 +12,7 @@
 #include "jobs/crash_history.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_progress.hpp"
+#include "jobs/recent_workers.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -34,8 +35,8 @@
     std::string checkpoint;
     // Worker on which it is placed.
     worker_id worker;
-    // Worker on which it failed or stalled last.
-    worker_id failed_on;
+    // The last workers on which it failed, stalled or was rejected.
+    recent_workers failed_on;
     // An earlier leader may have ordered it to a worker that has not been seen
     // yet.
     bool may_run_elsewhere = false;
--- a/src/jobs/place_cost.cpp
+++ b/src/jobs/place_cost.cpp
@@ -125,7 +125,7 @@
     {
         sum += rack_weight * (state_.options.far_factor - 1.0);
     }
-    if (task.failed_on == worker.entry.id)
+    if (task.failed_on.contains(worker.entry.id))
     {
         sum += failure_weight;
     }
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -192,7 +192,7 @@
     avoidance_.on_failure(worker, end.task.job, now);
     state_.registry.mark_changed(end.task.job);
     auto& task = owner.task(end.task);
-    task.failed_on = worker.entry.id;
+    task.failed_on.add(worker.entry.id);
     if (!end.checkpoint.empty())
     {
         task.checkpoint = end.checkpoint;
@@ -323,8 +323,8 @@
     {
         if (!worker.is_overcommitted(state_.options.serving_use))
         {
-            state_.registry.find(key.job)->task(key).failed_on =
-                worker.entry.id;
+            state_.registry.find(key.job)->task(key).failed_on.add(
+                worker.entry.id);
             avoidance_.on_failure(worker, key.job, now);
         }
         state_.order_stop(worker, key, now,
--- a/src/jobs/worker_avoidance.cpp
+++ b/src/jobs/worker_avoidance.cpp
@@ -52,7 +52,7 @@
     }
     auto& task = owner->task(key);
     task.not_before = now + malformed_backoff;
-    task.failed_on = worker.entry.id;
+    task.failed_on.add(worker.entry.id);
     auto& health = worker.health;
     if (!owner->add_rejection(worker.entry.id) ||
         health.last_rejected_job == key.job)
--- a/tests/jobs/worker_avoidance_test.cpp
+++ b/tests/jobs/worker_avoidance_test.cpp
@@ -30,20 +30,38 @@
     {
         for (int i = 0; i < workers; ++i)
         {
-            worker_entry e;
-            e.id = worker_id("w" + std::to_string(i));
-            e.service = service_id("s");
-            e.zone = availability_zone_id("z");
-            e.capacity = {16000, 64000, 0};
-            e.incarnation = 1;
-            leader.set_worker(e, now);
+            add_worker("w" + std::to_string(i));
         }
         leader.begin(now);
         simulate(milliseconds(200));
     }
 
+    void add_worker(const std::string& name)
+    {
+        worker_entry e;
+        e.id = worker_id(name);
+        e.service = service_id("s");
+        e.zone = availability_zone_id("z");
+        e.capacity = {16000, 64000, 0};
+        e.incarnation = 1;
+        leader.set_worker(e, now);
+    }
+
+    // Two idle workers beside a sound one that is half full.
+    void begin_with_two_idle_workers()
+    {
+        begin(1);
+        task_processors = 8000;
+        add_job("load");
+        simulate(seconds(1));
+        add_worker("w1");
+        add_worker("w2");
+        simulate(seconds(1));
+        task_processors = 1000;
+    }
+
     void add_job(const std::string& name, std::uint32_t tasks = 1,
-                 bool is_gang = false)
+                 bool is_gang = false, bool is_long_running = false)
     {
         job j;
         j.id = job_id(name);
@@ -53,7 +71,8 @@
         step s;
         s.task_count = tasks;
         s.is_gang = is_gang;
-        s.size = {16000, 1000, 0};
+        s.is_long_running = is_long_running;
+        s.size = {task_processors, 1000, 0};
         s.estimate = seconds(60);
         j.steps = {s};
         leader.add_job(j);
@@ -117,7 +136,8 @@
             r.running = running[poll->worker];
             for (auto& run : r.running)
             {
-                run.percent = stalling.contains(run.task.job)
+                run.percent = stalling.contains(run.task.job) ||
+                                      stalled_workers.contains(poll->worker)
                                   ? 0
                                   : static_cast<int>((now - began[run.task]) /
                                                      milliseconds(1000));
@@ -127,6 +147,18 @@
         }
     }
 
+    std::size_t running_on(const worker_id& worker,
+                           const std::string& name) const
+    {
+        const auto found = running.find(worker);
+        return found == running.end()
+                   ? 0
+                   : static_cast<std::size_t>(std::ranges::count_if(
+                         found->second, [&](const running_task& run) {
+                             return run.task.job == job_id(name);
+                         }));
+    }
+
     bool is_running(const std::string& name) const
     {
         return std::ranges::any_of(running, [&](const auto& worker) {
@@ -142,6 +174,8 @@
     std::set<job_id> malformed;
     std::set<worker_id> rejecting;
     std::set<job_id> stalling;
+    std::set<worker_id> stalled_workers;
+    std::int64_t task_processors = 16000;
     std::map<job_id, int> starts;
     std::map<worker_id, std::vector<running_task>> running;
     std::map<worker_id, std::vector<ended_run>> ended;
@@ -222,3 +256,57 @@
     simulate(seconds(2));
     EXPECT_EQ(starts[job_id("c")], 0);
 }
+
+// Failure: two workers that reject all starts get the same tasks in turn, and
+// a task never reaches a sound worker (LOST for one that is to last).
+TEST_F(worker_avoidance_test, task_rejected_by_two_workers_runs_on_a_third)
+{
+    begin_with_two_idle_workers();
+    rejecting = {worker_id("w1"), worker_id("w2")};
+    add_job("batch");
+    add_job("lasting", 1, false, true);
+    simulate(milliseconds(2500));
+    EXPECT_EQ(running_on(worker_id("w0"), "batch"), 1U);
+    EXPECT_EQ(running_on(worker_id("w0"), "lasting"), 1U);
+}
+
+// Failure: a task that makes no progress on two workers is moved from one to
+// the other for ever.
+TEST_F(worker_avoidance_test, task_stalled_on_two_workers_runs_on_a_third)
+{
+    begin_with_two_idle_workers();
+    stalled_workers = {worker_id("w1"), worker_id("w2")};
+    add_job("batch");
+    simulate(seconds(6));
+    EXPECT_EQ(running_on(worker_id("w0"), "batch"), 1U);
+}
+
+// Failure: the tasks of a job stay on two of six workers that make no progress
+// or reject them, although the others have room.
+TEST_F(worker_avoidance_test, all_tasks_of_a_job_reach_sound_workers)
+{
+    task_processors = 1000;
+    begin(6);
+    stalled_workers = {worker_id("w1")};
+    rejecting = {worker_id("w2")};
+    add_job("batch", 48);
+    simulate(seconds(6));
+    EXPECT_EQ(running_on(worker_id("w0"), "batch") +
+                  running_on(worker_id("w3"), "batch") +
+                  running_on(worker_id("w4"), "batch") +
+                  running_on(worker_id("w5"), "batch"),
+              48U);
+}
+
+// Failure: a task that is rejected everywhere takes more and more memory.
+TEST_F(worker_avoidance_test, number_of_noted_workers_is_bounded)
+{
+    recent_workers workers;
+    for (std::size_t i = 0; i <= recent_workers::max_count; ++i)
+    {
+        workers.add(worker_id(std::to_string(i)));
+        workers.add(worker_id(std::to_string(i)));
+    }
+    EXPECT_FALSE(workers.contains(worker_id("0")));
+    EXPECT_TRUE(workers.contains(worker_id("1")));
+}
