Count the ends in a late report of an ended worker

A task that was done could be started again: its end was in a report that arrived after the first one of a later worker on the VM.

Change: the ends in such a report count; its running tasks, which have been dropped with the process, do not. A report of an earlier incarnation is ignored; until now it was taken for one of a later process.

Test: ends_in_a_late_report_of_an_ended_worker_count fails on the code before: both tasks start again.

--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -43,14 +43,7 @@
     {
         state_.orders.emplace_back(stop_order{worker.entry.id, key, run});
     }
-    for (const auto& end : report.ended)
-    {
-        if (end.number > worker.taken_ends)
-        {
-            worker.taken_ends = end.number;
-            handle_end(worker, end, now);
-        }
-    }
+    handle_ends(worker, report, now);
     for (const auto& reported : report.running)
     {
         handle_running(worker, reported, now);
@@ -66,6 +59,28 @@
     check_missing_runs(worker, report, sent_at, now);
 }
 
+void report_intake::on_late_report(fleet_worker& worker,
+                                   const worker_report& report, time_point now)
+{
+    if (report.incarnation == worker.entry.incarnation)
+    {
+        handle_ends(worker, report, now);
+    }
+}
+
+void report_intake::handle_ends(fleet_worker& worker,
+                                const worker_report& report, time_point now)
+{
+    for (const auto& end : report.ended)
+    {
+        if (end.number > worker.taken_ends)
+        {
+            worker.taken_ends = end.number;
+            handle_end(worker, end, now);
+        }
+    }
+}
+
 void report_intake::handle_restart(fleet_worker& worker,
                                    worker_incarnation incarnation,
                                    time_point sent_at, time_point now)
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -20,6 +20,10 @@
 
     void on_report(fleet_worker& worker, const worker_report& report,
                    time_point sent_at, time_point now);
+    // The report was sent before the end of the worker process. Its running
+    // tasks have been dropped; its ended ones count.
+    void on_late_report(fleet_worker& worker, const worker_report& report,
+                        time_point now);
     void on_start_answer(fleet_worker& worker, const task_key& key,
                          std::uint32_t run, start_answer response,
                          time_point now);
@@ -40,6 +44,8 @@
     // Handles a report from a new process of the worker.
     void handle_restart(fleet_worker& worker, worker_incarnation incarnation,
                         time_point sent_at, time_point now);
+    void handle_ends(fleet_worker& worker, const worker_report& report,
+                     time_point now);
     void handle_end(fleet_worker& worker, const ended_run& end, time_point now);
     void handle_done(fleet_worker& worker, live_job& owner, const task_key& key,
                      time_point now);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -198,9 +198,9 @@
         return;
     }
     worker->poll_sent_at.reset();
-    if (worker->has_ended && report.incarnation == worker->entry.incarnation)
+    if (worker->has_ended && report.incarnation <= worker->entry.incarnation)
     {
-        // Sent before the end; the runs of the process have been dropped.
+        intake_.on_late_report(*worker, report, now);
         return;
     }
     const bool is_first_contact = !worker->has_been_seen();
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -321,6 +321,40 @@
     EXPECT_EQ(ran_on[key(1)], worker_id("later"));
 }
 
+// Failure: a task whose end arrives after the first report of a later worker
+// on the VM is started again.
+TEST_F(takeover_test, ends_in_a_late_report_of_an_ended_worker_count)
+{
+    auto earlier = entry("here");
+    earlier.vm = vm_id("vm-1");
+    leader.set_worker(earlier, now);
+    leader.begin(now);
+    ASSERT_THAT(simulate(seconds(1)), testing::ElementsAre(0U, 1U));
+    jobs::worker_report late;
+    late.incarnation = 1;
+    late.clock =
+        std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
+    for (const auto& run : running)
+    {
+        late.ended.push_back({late.ended.size() + 1, run.task, run.run,
+                              jobs::run_end::done, ""});
+    }
+    const auto late_sent_at = now;
+    auto later = entry("later");
+    later.vm = vm_id("vm-1");
+    leader.set_worker(later, now);
+    running.clear();
+    reachable_worker = worker_id("later");
+    now += milliseconds(20);
+    jobs::worker_report first;
+    first.incarnation = 1;
+    first.clock = late.clock;
+    leader.on_report(worker_id("later"), first, now, now);
+    leader.on_report(worker_id("here"), late, late_sent_at, now);
+    EXPECT_THAT(simulate(seconds(1)), testing::IsEmpty());
+    EXPECT_TRUE(leader.registry().over().contains(definition.id));
+}
+
 // Failure: a task that crashes its worker before each of several takeovers is
 // started for ever if the VMs are away for longer than the leases (BUDGET).
 TEST_F(takeover_test, suspects_of_a_worker_that_stays_away_are_counted)
