control: confirm nothing before the list of VMs is known

Cause: a daemon that has not received its first membership list knows no peers, and answered for itself alone; with one entry, confirmed, the wait was over.

Change: until then the daemon answers that it has no list of VMs yet; the wait goes on and reports this if its time runs out.

Ruled out: a lost message between peers.

Test: confirms_nothing_before_the_list_of_vms_is_known fails on the code before.

--- a/src/control/configuration_manager.ipp
+++ b/src/control/configuration_manager.ipp
@@ -331,6 +331,12 @@
     }
     else if (std::holds_alternative<confirmations_query>(request))
     {
+        if (!peers_.is_known())
+        {
+            send_reply(number, error{error_code::unavailable,
+                                     "the daemon has no list of VMs yet"});
+            return;
+        }
         send_reply(number, confirmations(now, unix_ms));
     }
 }
--- a/src/control/peer_view.cpp
+++ b/src/control/peer_view.cpp
@@ -14,6 +14,7 @@
 void peer_view::set_peers(
     const std::vector<std::pair<vm_id, availability_zone_id>>& vms)
 {
+    is_known_ = true;
     std::erase_if(peers_, [&](const auto& peer) {
         return std::ranges::none_of(
             vms, [&](const auto& vm) { return vm.first == peer.first; });
--- a/src/control/peer_view.hpp
+++ b/src/control/peer_view.hpp
@@ -22,6 +22,9 @@
     void
     set_peers(const std::vector<std::pair<vm_id, availability_zone_id>>& vms);
 
+    // False until the membership list has been set once: peers are missing.
+    bool is_known() const { return is_known_; }
+
     void record_contact(const vm_id& peer, time_point now);
     void on_heartbeat(const vm_id& peer, const peer_heartbeat& heartbeat,
                       time_point now);
@@ -54,6 +57,7 @@
     duration timeout_;
     duration push_delay_;
     std::map<vm_id, peer_state> peers_;
+    bool is_known_ = false;
 };
 
 } // namespace hemlockdeal
--- a/tests/control/configuration_manager_test.cpp
+++ b/tests/control/configuration_manager_test.cpp
@@ -354,3 +354,29 @@
     EXPECT_EQ(lost->author, "ana");
     EXPECT_EQ(lost->version, configuration_version(1));
 }
+
+// Failure: a daemon that has no list of VMs yet confirms for itself alone, and
+// a change counts as in force everywhere.
+TEST(configuration_manager, confirms_nothing_before_the_list_of_vms_is_known)
+{
+    manager daemon(vm_id("entry-0"), zone, any_declaration{});
+    const auto reply = [&]() -> operator_reply {
+        daemon.on_operator(1, confirmations_query{}, time_point(100s), 100'000);
+        for (auto& action : daemon.take_actions())
+        {
+            if (auto* const answer = std::get_if<operator_answer>(&action))
+            {
+                return answer->reply;
+            }
+        }
+        ADD_FAILURE() << "no reply";
+        return {};
+    };
+    EXPECT_TRUE(std::holds_alternative<error>(reply()));
+    daemon.set_known_vms({{vm_id("entry-0"), zone}, {vm_id("entry-1"), zone}});
+    const auto later = reply();
+    const auto* const daemons =
+        std::get_if<std::vector<daemon_confirmation>>(&later);
+    ASSERT_NE(daemons, nullptr);
+    EXPECT_EQ(daemons->size(), 2U);
+}
