--- a/tests/jobs/two_leaders_test.cpp
+++ b/tests/jobs/two_leaders_test.cpp
@@ -100,6 +100,7 @@
         progress.ordered = {{0, 0, 0}};
         later.recover_job(definition, progress);
         std::vector<fleet_record> fleet;
+        fleet.reserve(worker_count);
         for (int i = 0; i < worker_count; ++i)
         {
             fleet.push_back(
