takeover_test: share the set-up of the tests of late reports

Two tests had the same 25 lines. No assertion changed; each still fails with its fault put back (late reports dropped whole, ended workers revived).

--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -93,10 +93,7 @@
             leader.on_poll_failed(poll->worker, now);
             return;
         }
-        jobs::worker_report report;
-        report.incarnation = 1;
-        report.clock =
-            std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
+        auto report = make_report();
         std::ranges::copy_if(running, std::back_inserter(report.running),
                              [&](const running_task& r) {
                                  return !all_respond ||
@@ -105,6 +102,42 @@
         leader.on_report(poll->worker, report, now, now);
     }
 
+    // A report of a worker on which nothing runs.
+    jobs::worker_report make_report() const
+    {
+        jobs::worker_report report;
+        report.incarnation = 1;
+        report.clock =
+            std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
+        return report;
+    }
+
+    // Starts both tasks on the worker "here" of the VM "vm-1".
+    void start_tasks_on_one_vm()
+    {
+        auto earlier = entry("here");
+        earlier.vm = vm_id("vm-1");
+        leader.set_worker(earlier, now);
+        leader.begin(now);
+        ASSERT_THAT(simulate(seconds(1)), testing::ElementsAre(0U, 1U));
+    }
+
+    // The worker "later" replaces "here" on its VM and responds; only then the
+    // report of "here" arrives.
+    void replace_worker_and_deliver(const jobs::worker_report& late)
+    {
+        const auto late_sent_at = now;
+        auto later = entry("later");
+        later.vm = vm_id("vm-1");
+        leader.set_worker(later, now);
+        running.clear();
+        reachable_worker = worker_id("later");
+        const auto first = make_report();
+        now += milliseconds(20);
+        leader.on_report(worker_id("later"), first, now, now);
+        leader.on_report(worker_id("here"), late, late_sent_at, now);
+    }
+
     scheduler leader;
     job definition;
     std::vector<running_task> running;
@@ -294,28 +327,10 @@
 // and tasks are started there.
 TEST_F(takeover_test, a_late_report_does_not_revive_an_ended_worker)
 {
-    auto earlier = entry("here");
-    earlier.vm = vm_id("vm-1");
-    leader.set_worker(earlier, now);
-    leader.begin(now);
-    ASSERT_THAT(simulate(seconds(1)), testing::ElementsAre(0U, 1U));
-    jobs::worker_report late;
-    late.incarnation = 1;
-    late.clock =
-        std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
+    ASSERT_NO_FATAL_FAILURE(start_tasks_on_one_vm());
+    auto late = make_report();
     late.running = running;
-    const auto late_sent_at = now;
-    auto later = entry("later");
-    later.vm = vm_id("vm-1");
-    leader.set_worker(later, now);
-    running.clear();
-    reachable_worker = worker_id("later");
-    now += milliseconds(20);
-    jobs::worker_report first;
-    first.incarnation = 1;
-    first.clock = late.clock;
-    leader.on_report(worker_id("later"), first, now, now);
-    leader.on_report(worker_id("here"), late, late_sent_at, now);
+    replace_worker_and_deliver(late);
     simulate(seconds(1));
     EXPECT_EQ(ran_on[key(0)], worker_id("later"));
     EXPECT_EQ(ran_on[key(1)], worker_id("later"));
@@ -325,32 +340,14 @@
 // on the VM is started again.
 TEST_F(takeover_test, ends_in_a_late_report_of_an_ended_worker_count)
 {
-    auto earlier = entry("here");
-    earlier.vm = vm_id("vm-1");
-    leader.set_worker(earlier, now);
-    leader.begin(now);
-    ASSERT_THAT(simulate(seconds(1)), testing::ElementsAre(0U, 1U));
-    jobs::worker_report late;
-    late.incarnation = 1;
-    late.clock =
-        std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
+    ASSERT_NO_FATAL_FAILURE(start_tasks_on_one_vm());
+    auto late = make_report();
     for (const auto& run : running)
     {
         late.ended.push_back({late.ended.size() + 1, run.task, run.run,
                               jobs::run_end::done, ""});
     }
-    const auto late_sent_at = now;
-    auto later = entry("later");
-    later.vm = vm_id("vm-1");
-    leader.set_worker(later, now);
-    running.clear();
-    reachable_worker = worker_id("later");
-    now += milliseconds(20);
-    jobs::worker_report first;
-    first.incarnation = 1;
-    first.clock = late.clock;
-    leader.on_report(worker_id("later"), first, now, now);
-    leader.on_report(worker_id("here"), late, late_sent_at, now);
+    replace_worker_and_deliver(late);
     EXPECT_THAT(simulate(seconds(1)), testing::IsEmpty());
     EXPECT_TRUE(leader.registry().over().contains(definition.id));
 }
