--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -267,6 +267,31 @@
     }
 }
 
+// Failure: a process that cannot give orders in the required way starts, takes
+// jobs and never runs them.
+TEST(vm_settings, unsupported_way_of_orders_is_an_error)
+{
+    const auto parse_with = [](const std::string& orders) {
+        return parse_vm_settings(
+            R"({"node_name":"edge-1","zone":"z","zones":{"z":"r"},)"
+            R"("listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81"},)"
+            R"("platform":{"address":"10.0.0.2:82"},)"
+            R"("bounds":{"hold_max_ms":6000,"grace_s":6})" +
+                orders + "}",
+            "file.json");
+    };
+    EXPECT_TRUE(std::holds_alternative<vm_settings>(parse_with("")));
+    EXPECT_TRUE(std::holds_alternative<vm_settings>(
+        parse_with(R"(, "orders": "invocation")")));
+    const auto wrong = parse_with(R"(, "orders": "heartbeat")");
+    const auto* const found = std::get_if<findings>(&wrong);
+    ASSERT_NE(found, nullptr);
+    ASSERT_EQ(found->size(), 1U);
+    EXPECT_NE(to_text(found->front()).find("orders"), std::string::npos);
+    EXPECT_TRUE(
+        std::holds_alternative<findings>(parse_with(R"(, "orders": 1)")));
+}
+
 // Failure: only the first error in a settings file is reported, or the process
 // starts with an invalid file.
 TEST(vm_settings, all_errors_are_reported_together)
