Remember for each job which workers reject it

A task that is to last was offered to the same workers for ever if more than 16 of them reject its starts as malformed (LOST).

Cause: each task remembered its last 16 workers, and the 17th pushed out the first.

Change: the job remembers the workers that reject it, until they accept one of its starts. The set is bounded by the fleet, once for a job instead of once for each task, and its tasks and gangs share it. Whether several workers reject the job is known from the same set, and no longer for ever after a single rejection of each of two. The bound of 16 stays for failures, which are limited, and stalls. A start refused as unhealthy no longer shortens a longer avoidance.

Each rejection still makes the task wait for 1 s, so that 20 such workers take up to 20 s. Ruled out: no wait before a worker that has not rejected the job; a bad job of many tasks would then have as many starts at once as there are workers.

Test: job_rejected_by_many_workers_runs_on_a_sound_one fails on the code before. The shorter avoidance has no test of its own (by reading).

--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -142,12 +142,8 @@
 
 bool live_job::add_rejection(const worker_id& worker)
 {
-    if (rejected_by_.empty())
-    {
-        rejected_by_ = worker;
-    }
-    is_rejected_by_several_ |= rejected_by_ != worker;
-    return !is_rejected_by_several_;
+    rejected_by_.insert(worker);
+    return rejected_by_.size() == 1;
 }
 
 bool live_job::has_failed(const task_key& key) const
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -35,7 +35,7 @@
     std::string checkpoint;
     // Worker on which it is placed.
     worker_id worker;
-    // The last workers on which it failed, stalled or was rejected.
+    // The last workers on which it failed or stalled.
     recent_workers failed_on;
     // An earlier leader may have ordered it to a worker that has not been seen
     // yet.
@@ -154,9 +154,20 @@
     // False if this failure was counted before.
     bool add_failure(const task_key& key, std::uint32_t run);
     bool has_failed(const task_key& key) const;
-    // A worker has rejected a start as malformed. False if another one has
-    // done so before, which shows that the fault is not the worker's.
+    // A worker has rejected a start as malformed. False if another one also
+    // rejects the job, which shows that the fault is not the worker's.
     bool add_rejection(const worker_id& worker);
+    // A worker has accepted a start.
+    void remove_rejection(const worker_id& worker)
+    {
+        rejected_by_.erase(worker);
+    }
+    // True if the worker has rejected a start of the job and accepted none
+    // since.
+    bool is_rejected_by(const worker_id& worker) const
+    {
+        return rejected_by_.contains(worker);
+    }
     bool is_complete() const
     {
         return done_occurrences_ == job_.repeats_count();
@@ -194,10 +205,7 @@
     duration critical_path_;
     job_state state_ = job_state::queued;
     bool has_started_ = false;
-    // The first worker that rejected a start as malformed, and whether another
-    // one has done so since.
-    worker_id rejected_by_;
-    bool is_rejected_by_several_ = false;
+    std::set<worker_id> rejected_by_;
     std::uint32_t done_occurrences_ = 0;
     // True if the recovered row lists the tasks that may have been ordered. A
     // job without a row has no such tasks.
--- a/src/jobs/place_cost.cpp
+++ b/src/jobs/place_cost.cpp
@@ -114,9 +114,9 @@
     return sum;
 }
 
-double place_cost::total(const fleet_worker& worker, const step& s,
-                         image_hash image, const task_record& task,
-                         time_point now) const
+double place_cost::total(const fleet_worker& worker, const live_job& owner,
+                         const step& s, image_hash image,
+                         const task_record& task, time_point now) const
 {
     double sum = state_.options.policy.weighs_slowness
                      ? slowness_weight * (worker.health.slowness_at(now) - 1.0)
@@ -125,7 +125,8 @@
     {
         sum += rack_weight * (state_.options.far_factor - 1.0);
     }
-    if (task.failed_on.contains(worker.entry.id))
+    if (task.failed_on.contains(worker.entry.id) ||
+        owner.is_rejected_by(worker.entry.id))
     {
         sum += failure_weight;
     }
--- a/src/jobs/place_cost.hpp
+++ b/src/jobs/place_cost.hpp
@@ -12,8 +12,9 @@
 public:
     explicit place_cost(const scheduler_state& state) : state_(state) {}
 
-    double total(const fleet_worker& worker, const step& s, image_hash image,
-                 const task_record& task, time_point now) const;
+    double total(const fleet_worker& worker, const live_job& owner,
+                 const step& s, image_hash image, const task_record& task,
+                 time_point now) const;
     // Increase of a fill task's duration by contention, and the harm that it
     // adds to the serving tasks on the worker. Harm that other fill tasks do
     // already doesn't count: one fill task with high pressure would otherwise
--- a/src/jobs/recent_workers.hpp
+++ b/src/jobs/recent_workers.hpp
@@ -29,7 +29,7 @@
         return std::ranges::find(workers_, worker) != workers_.end();
     }
 
-    // Bounds the memory of a task that is rejected everywhere.
+    // Bounds the memory of a task that stalls everywhere.
     static constexpr std::size_t max_count = 16;
 
 private:
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -414,7 +414,7 @@
         record->progressed_at = now;
         record->is_unresolved = false;
         worker.responded_at = now;
-        avoidance_.on_accepted_start(worker);
+        avoidance_.on_accepted_start(worker, key.job);
         return;
     }
     state_.log_event("start not accepted",
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -383,7 +383,7 @@
         {
             continue;
         }
-        double cost = cost_.total(*worker, s, image, task, now);
+        double cost = cost_.total(*worker, owner, s, image, task, now);
         const bool is_too_expensive = s.fills && cost > max_fill_cost;
         cost += s.fills && state_.options.policy.spares_versatile_workers
                     ? cost_.versatility_cost(*worker, now)
--- a/src/jobs/worker_avoidance.cpp
+++ b/src/jobs/worker_avoidance.cpp
@@ -50,9 +50,7 @@
     {
         return;
     }
-    auto& task = owner->task(key);
-    task.not_before = now + malformed_backoff;
-    task.failed_on.add(worker.entry.id);
+    owner->task(key).not_before = now + malformed_backoff;
     auto& health = worker.health;
     if (!owner->add_rejection(worker.entry.id) ||
         health.last_rejected_job == key.job)
@@ -70,12 +68,17 @@
 
 void worker_avoidance::on_unhealthy_start(fleet_worker& worker, time_point now)
 {
-    worker.health.avoided_until = now + unhealthy_backoff;
+    worker.health.avoided_until =
+        std::max(worker.health.avoided_until, now + unhealthy_backoff);
 }
 
-void worker_avoidance::on_accepted_start(fleet_worker& worker)
+void worker_avoidance::on_accepted_start(fleet_worker& worker, const job_id& id)
 {
     worker.health.rejections = 0;
+    if (auto* const owner = state_.registry.find(id))
+    {
+        owner->remove_rejection(worker.entry.id);
+    }
 }
 
 void worker_avoidance::avoid(fleet_worker& worker, time_point now)
--- a/src/jobs/worker_avoidance.hpp
+++ b/src/jobs/worker_avoidance.hpp
@@ -14,13 +14,13 @@
 
     // A task of the job has failed or stalled on the worker.
     void on_failure(fleet_worker& worker, const job_id& id, time_point now);
-    // The worker has rejected a start as malformed: the task waits and prefers
-    // another worker.
+    // The worker has rejected a start as malformed: the task waits, and the job
+    // prefers other workers.
     void on_malformed_start(fleet_worker& worker, const task_key& key,
                             time_point now);
     // The worker has rejected a start because it is unhealthy.
     static void on_unhealthy_start(fleet_worker& worker, time_point now);
-    static void on_accepted_start(fleet_worker& worker);
+    void on_accepted_start(fleet_worker& worker, const job_id& id);
 
 private:
     // Each time longer than the last, up to a limit.
--- a/tests/jobs/worker_avoidance_test.cpp
+++ b/tests/jobs/worker_avoidance_test.cpp
@@ -298,7 +298,30 @@
               48U);
 }
 
-// Failure: a task that is rejected everywhere takes more and more memory.
+// Failure: many workers that reject all starts get the tasks of a job in turn,
+// and a lasting task never reaches a sound worker (LOST).
+TEST_F(worker_avoidance_test, job_rejected_by_many_workers_runs_on_a_sound_one)
+{
+    constexpr int rejecting_workers = 20;
+    begin(1);
+    task_processors = 8000;
+    add_job("load");
+    simulate(seconds(1));
+    for (int i = 1; i <= rejecting_workers; ++i)
+    {
+        const auto name = "w" + std::to_string(i);
+        add_worker(name);
+        rejecting.insert(worker_id(name));
+    }
+    simulate(seconds(1));
+    task_processors = 1000;
+    add_job("lasting", 1, false, true);
+    simulate(seconds(rejecting_workers + 1));
+    EXPECT_EQ(running_on(worker_id("w0"), "lasting"), 1U);
+    EXPECT_LE(starts[job_id("lasting")], rejecting_workers + 1);
+}
+
+// Failure: a task that stalls everywhere takes more and more memory.
 TEST_F(worker_avoidance_test, number_of_noted_workers_is_bounded)
 {
     recent_workers workers;
