control: divide configuration_manager by concern

Change: pending_reads registers reads and their purposes, pending_changes commits operators' changes and repeats them, control_action.hpp holds the actions that they share. on_row and on_peer call one function for each kind of response or message. The search for a missing version, which stood twice, is one function. Confirmation requests have numbers of their own; they were never looked up among the reads.

--- a/src/control/configuration_manager.hpp
+++ b/src/control/configuration_manager.hpp
@@ -8,12 +8,12 @@
 #include <optional>
 #include <string>
 #include <utility>
-#include <variant>
 #include <vector>
 
-#include "control/configuration_row.hpp"
+#include "control/control_action.hpp"
 #include "control/peer_view.hpp"
-#include "core/core.hpp"
+#include "control/pending_changes.hpp"
+#include "control/pending_reads.hpp"
 
 namespace hemlockdeal
 {
@@ -45,16 +45,6 @@
     duration start_bound = std::chrono::seconds(4);
 };
 
-// The daemon adopted this version.
-struct configuration_adopted
-{
-    configuration_version version;
-};
-
-using control_action =
-    std::variant<send_commit, read_row, read_rows, send_to_peer, record_event,
-                 operator_answer, configuration_adopted>;
-
 // Heartbeat fields that other libraries provide.
 struct heartbeat_fields
 {
@@ -71,7 +61,9 @@
                           configuration_manager_settings settings = {})
         : self_(std::move(self)), zone_(std::move(zone)),
           parser_(std::move(parser)), settings_(settings), state_(limits),
-          peers_(self_, settings.peer_timeout, settings.push_delay)
+          peers_(self_, settings.peer_timeout, settings.push_delay),
+          changes_(self_, {settings.change_timeout, settings.retry_interval},
+                   reads_, actions_)
     {}
 
     const configuration_state& state() const { return state_; }
@@ -110,52 +102,30 @@
     }
 
 private:
-    enum class read_purpose
-    {
-        poll_head,
-        fetch_version,
-        change_head,
-        change_resolve,
-        history
-    };
-
-    struct pending_read
-    {
-        read_purpose purpose = read_purpose::poll_head;
-        time_point sent_at;
-        std::uint64_t request = 0; // operator request, for changes and history
-    };
-
-    struct pending_change
-    {
-        configuration_change change;
-        time_point deadline;
-        time_point next_attempt;
-        std::optional<table_commit>
-            commit; // set once it has been handed out for sending
-        bool in_flight = false;
-    };
-
-    std::uint64_t start_read(read_purpose purpose, const std::string& key,
-                             time_point now, std::uint64_t request = 0);
     void poll(time_point now);
+    // Reads the newest version if it is known to exist and not held.
+    void fetch_missing_version(time_point now);
     void request_confirmations(time_point now);
     void send_heartbeat(time_point now, const heartbeat_fields& fields);
-    void retry_changes(time_point now);
-    void expire_reads(time_point now);
+    void on_head(const std::optional<table_row>& row, time_point sent_at,
+                 time_point now);
+    void on_version(const std::optional<table_row>& row, time_point now,
+                    std::int64_t unix_ms);
+    void on_heartbeat(const vm_id& sender, const peer_heartbeat& heartbeat,
+                      time_point now);
+    void on_confirm_request(const vm_id& sender, const confirm_request& request,
+                            time_point now);
+    void on_confirm_reply(const confirm_reply& reply);
     void adopt(const configuration_row& row, time_point now,
                std::int64_t unix_ms);
     void push_to(std::optional<vm_id> to);
     void begin_change(std::uint64_t number, const configuration_change& change,
                       time_point now);
-    void on_change_head(std::uint64_t request,
-                        const std::optional<table_row>& row, time_point now,
-                        std::int64_t unix_ms);
-    void on_change_row(std::uint64_t request,
-                       const std::optional<table_row>& row, time_point now,
-                       std::int64_t unix_ms);
-    void complete_change(std::uint64_t request, const configuration_row& row,
-                         time_point now, std::int64_t unix_ms);
+    void complete_change(
+        const std::optional<pending_changes::accepted_change>& change,
+        time_point now, std::int64_t unix_ms);
+    void read_history(std::uint64_t number, const history_query& query,
+                      time_point now);
     void send_reply(std::uint64_t request, operator_reply reply);
     std::vector<daemon_confirmation> confirmations(time_point now,
                                                    std::int64_t unix_ms) const;
@@ -168,10 +138,10 @@
     configuration_state state_;
     std::vector<control_action> actions_;
     peer_view peers_;
-    std::map<std::uint64_t, pending_read> reads_;
-    std::map<std::uint64_t, pending_change> changes_;
+    pending_reads reads_;
+    pending_changes changes_;
     std::map<std::uint64_t, time_point> confirm_requests_;
-    std::uint64_t next_number_ = 1;
+    std::uint64_t next_confirm_request_number_ = 1;
     time_point next_poll_{};
     time_point next_heartbeat_{};
     time_point next_confirm_request_{};
--- a/src/control/configuration_manager.ipp
+++ b/src/control/configuration_manager.ipp
@@ -12,7 +12,7 @@
                                             std::int64_t /*unix_ms*/,
                                             const heartbeat_fields& fields)
 {
-    expire_reads(now);
+    reads_.expire(settings_.change_timeout, now);
     if (now >= next_poll_)
     {
         next_poll_ = now + settings_.poll_interval;
@@ -28,33 +28,25 @@
         next_heartbeat_ = now + settings_.heartbeat_interval;
         send_heartbeat(now, fields);
     }
-    retry_changes(now);
+    changes_.retry(now);
 }
 
 template <declaration_parser Parser>
-std::uint64_t configuration_manager<Parser>::start_read(read_purpose purpose,
-                                                        const std::string& key,
-                                                        time_point now,
-                                                        std::uint64_t request)
+void configuration_manager<Parser>::poll(time_point now)
 {
-    const auto number = next_number_++;
-    reads_[number] = {purpose, now, request};
-    actions_.emplace_back(read_row{number, key});
-    return number;
+    actions_.emplace_back(
+        reads_.start(read_purpose::poll_head, configuration_head_key, now));
+    fetch_missing_version(now);
 }
 
 template <declaration_parser Parser>
-void configuration_manager<Parser>::poll(time_point now)
+void configuration_manager<Parser>::fetch_missing_version(time_point now)
 {
-    start_read(read_purpose::poll_head, configuration_head_key, now);
     const auto missing = state_.missing_version();
-    const auto fetching = std::ranges::any_of(reads_, [](const auto& read) {
-        return read.second.purpose == read_purpose::fetch_version;
-    });
-    if (missing && !fetching)
+    if (missing && !reads_.is_outstanding(read_purpose::fetch_version))
     {
-        start_read(read_purpose::fetch_version, configuration_key(*missing),
-                   now);
+        actions_.emplace_back(reads_.start(read_purpose::fetch_version,
+                                           configuration_key(*missing), now));
     }
 }
 
@@ -69,7 +61,7 @@
     std::erase_if(confirm_requests_, [&](const auto& request) {
         return now - request.second > settings_.peer_timeout;
     });
-    const auto number = next_number_++;
+    const auto number = next_confirm_request_number_++;
     confirm_requests_[number] = now;
     actions_.emplace_back(send_to_peer{std::nullopt, confirm_request{number}});
 }
@@ -84,105 +76,90 @@
                                     table_reachable(now), fields.shards}});
 }
 
-template <declaration_parser Parser>
-void configuration_manager<Parser>::expire_reads(time_point now)
-{
-    // The table client responds to every read, also on a timeout. The expiry
-    // bounds the map in case a response is dropped because a ring is full.
-    std::erase_if(reads_, [&](const auto& read) {
-        return now - read.second.sent_at > settings_.change_timeout;
-    });
-}
-
 template <declaration_parser Parser>
 void configuration_manager<Parser>::on_row(
     std::uint64_t number, const result<std::optional<table_row>>& row,
     time_point now, std::int64_t unix_ms)
 {
-    const auto found = reads_.find(number);
-    if (found == reads_.end())
+    const auto read = reads_.take(number);
+    if (!read)
     {
         return;
     }
-    const auto read = found->second;
-    reads_.erase(found);
     if (!is_ok(row))
     {
-        if (const auto change = changes_.find(read.request);
-            change != changes_.end())
-        {
-            // retry_changes() sends the commit again, and the conflict that
-            // it causes triggers this read again.
-            change->second.in_flight = false;
-        }
+        changes_.on_read_failed(read->request);
         return;
     }
     table_responded_at_ = now;
     const auto& content = value_of(row);
-    switch (read.purpose)
+    switch (read->purpose)
     {
-    case read_purpose::poll_head: {
-        const auto version =
-            content ? parse_head(content->value)
-                    : result<configuration_version>(configuration_version());
-        if (!is_ok(version))
-        {
-            emit_event("configuration.invalid", error_of(version).message);
-            return;
-        }
-        state_.confirm_from_table(value_of(version), read.sent_at);
-        const auto missing = state_.missing_version();
-        const auto fetching =
-            std::ranges::any_of(reads_, [](const auto& other) {
-                return other.second.purpose == read_purpose::fetch_version;
-            });
-        if (missing && !fetching)
-        {
-            start_read(read_purpose::fetch_version, configuration_key(*missing),
-                       now);
-        }
+    case read_purpose::poll_head:
+        on_head(content, read->sent_at, now);
         return;
-    }
-    case read_purpose::fetch_version: {
-        const auto parsed = content ? parse_configuration_row(content->value)
-                                    : result<configuration_row>(error{
-                                          error_code::not_found,
-                                          "the row of the newest configuration "
-                                          "version is missing"});
-        if (!is_ok(parsed))
-        {
-            emit_event("configuration.invalid", error_of(parsed).message);
-            return;
-        }
-        adopt(value_of(parsed), now, unix_ms);
+    case read_purpose::fetch_version:
+        on_version(content, now, unix_ms);
         return;
-    }
     case read_purpose::change_head:
-        on_change_head(read.request, content, now, unix_ms);
+        changes_.on_head(read->request, content, now, unix_ms);
         return;
     case read_purpose::change_resolve:
-        on_change_row(read.request, content, now, unix_ms);
+        complete_change(changes_.on_row(read->request, content, now), now,
+                        unix_ms);
         return;
     case read_purpose::history:
         return;
     }
 }
 
+template <declaration_parser Parser>
+void configuration_manager<Parser>::on_head(const std::optional<table_row>& row,
+                                            time_point sent_at, time_point now)
+{
+    const auto version =
+        row ? parse_head(row->value)
+            : result<configuration_version>(configuration_version());
+    if (!is_ok(version))
+    {
+        emit_event("configuration.invalid", error_of(version).message);
+        return;
+    }
+    state_.confirm_from_table(value_of(version), sent_at);
+    fetch_missing_version(now);
+}
+
+template <declaration_parser Parser>
+void configuration_manager<Parser>::on_version(
+    const std::optional<table_row>& row, time_point now, std::int64_t unix_ms)
+{
+    const auto parsed =
+        row ? parse_configuration_row(row->value)
+            : result<configuration_row>(
+                  error{error_code::not_found,
+                        "the row of the newest configuration version is "
+                        "missing"});
+    if (!is_ok(parsed))
+    {
+        emit_event("configuration.invalid", error_of(parsed).message);
+        return;
+    }
+    adopt(value_of(parsed), now, unix_ms);
+}
+
 template <declaration_parser Parser>
 void configuration_manager<Parser>::on_rows(std::uint64_t number,
                                             const result<table_page>& page,
                                             time_point now)
 {
-    const auto found = reads_.find(number);
-    if (found == reads_.end() || found->second.purpose != read_purpose::history)
+    const auto read = reads_.take(number);
+    if (!read || read->purpose != read_purpose::history)
     {
         return;
     }
-    const auto request = found->second.request;
-    reads_.erase(found);
     if (!is_ok(page))
     {
-        send_reply(request, error_of(page));
+        send_reply(read->request, error_of(page));
         return;
     }
     table_responded_at_ = now;
@@ -196,7 +173,7 @@
                                entry.accepted_at_unix_ms, entry.zones_out});
         }
     });
-    send_reply(request, std::move(history));
+    send_reply(read->request, std::move(history));
 }
 
 template <declaration_parser Parser>
@@ -257,34 +234,15 @@
     peers_.record_contact(message.sender, now);
     if (const auto* heartbeat = std::get_if<peer_heartbeat>(&message.body))
     {
-        peers_.on_heartbeat(message.sender, *heartbeat, now);
-        const auto push_delay_elapsed =
-            adopted_at_ && now - *adopted_at_ >= settings_.push_delay;
-        if (push_delay_elapsed &&
-            peers_.begin_push(message.sender, state_.version(), now))
-        {
-            push_to(message.sender);
-        }
+        on_heartbeat(message.sender, *heartbeat, now);
     }
-    else if (const auto* confirm_query =
-                 std::get_if<confirm_request>(&message.body))
+    else if (const auto* request = std::get_if<confirm_request>(&message.body))
     {
-        if (const auto confirmed = state_.confirmed_at())
-        {
-            actions_.emplace_back(send_to_peer{
-                message.sender,
-                confirm_reply{confirm_query->number, state_.newest_known(),
-                              now - *confirmed}});
-        }
+        on_confirm_request(message.sender, *request, now);
     }
     else if (const auto* reply = std::get_if<confirm_reply>(&message.body))
     {
-        const auto sent_request = confirm_requests_.find(reply->number);
-        if (sent_request != confirm_requests_.end())
-        {
-            state_.confirm_from_peer(reply->version, reply->age,
-                                     sent_request->second);
-        }
+        on_confirm_reply(*reply);
     }
     else if (const auto* pushed =
                  std::get_if<peer_configuration>(&message.body))
@@ -299,6 +257,42 @@
     }
 }
 
+template <declaration_parser Parser>
+void configuration_manager<Parser>::on_heartbeat(
+    const vm_id& sender, const peer_heartbeat& heartbeat, time_point now)
+{
+    peers_.on_heartbeat(sender, heartbeat, now);
+    const auto push_delay_elapsed =
+        adopted_at_ && now - *adopted_at_ >= settings_.push_delay;
+    if (push_delay_elapsed && peers_.begin_push(sender, state_.version(), now))
+    {
+        push_to(sender);
+    }
+}
+
+template <declaration_parser Parser>
+void configuration_manager<Parser>::on_confirm_request(
+    const vm_id& sender, const confirm_request& request, time_point now)
+{
+    if (const auto confirmed = state_.confirmed_at())
+    {
+        actions_.emplace_back(send_to_peer{
+            sender, confirm_reply{request.number, state_.newest_known(),
+                                  now - *confirmed}});
+    }
+}
+
+template <declaration_parser Parser>
+void configuration_manager<Parser>::on_confirm_reply(const confirm_reply& reply)
+{
+    const auto sent_request = confirm_requests_.find(reply.number);
+    if (sent_request != confirm_requests_.end())
+    {
+        state_.confirm_from_peer(reply.version, reply.age,
+                                 sent_request->second);
+    }
+}
+
 template <declaration_parser Parser>
 void configuration_manager<Parser>::on_operator(std::uint64_t number,
                                                 const operator_request& request,
@@ -321,13 +315,7 @@
     }
     else if (const auto* query = std::get_if<history_query>(&request))
     {
-        const auto newest = state_.version().value();
-        const auto first = newest > query->limit ? newest - query->limit : 0;
-        const auto read = next_number_++;
-        reads_[read] = {read_purpose::history, now, number};
-        actions_.emplace_back(read_rows{
-            read, configuration_prefix,
-            configuration_key(configuration_version(first)), query->limit});
+        read_history(number, *query, now);
     }
     else if (std::holds_alternative<confirmations_query>(request))
     {
@@ -341,6 +329,17 @@
     }
 }
 
+template <declaration_parser Parser>
+void configuration_manager<Parser>::read_history(std::uint64_t number,
+                                                 const history_query& query,
+                                                 time_point now)
+{
+    const auto newest = state_.version().value();
+    const auto first = newest > query.limit ? newest - query.limit : 0;
+    actions_.emplace_back(reads_.start_history(configuration_version(first),
+                                               query.limit, now, number));
+}
+
 template <declaration_parser Parser>
 void configuration_manager<Parser>::begin_change(
     std::uint64_t number, const configuration_change& change, time_point now)
@@ -351,64 +350,7 @@
         send_reply(number, error_of(parsed));
         return;
     }
-    changes_[number] = {change, now + settings_.change_timeout,
-                        now + settings_.retry_interval, std::nullopt, true};
-    start_read(read_purpose::change_head, configuration_head_key, now, number);
-}
-
-template <declaration_parser Parser>
-void configuration_manager<Parser>::on_change_head(
-    std::uint64_t request, const std::optional<table_row>& row, time_point now,
-    std::int64_t unix_ms)
-{
-    const auto found = changes_.find(request);
-    if (found == changes_.end())
-    {
-        return;
-    }
-    auto& pending = found->second;
-    const auto head =
-        row ? parse_head(row->value)
-            : result<configuration_version>(configuration_version());
-    if (!is_ok(head))
-    {
-        send_reply(request, error_of(head));
-        changes_.erase(found);
-        return;
-    }
-    const auto& change = pending.change;
-    if (value_of(head) < change.based_on)
-    {
-        send_reply(request,
-                   error{error_code::invalid_input,
-                         "version " + std::to_string(change.based_on.value()) +
-                             " does not exist; the newest version is " +
-                             std::to_string(value_of(head).value())});
-        changes_.erase(found);
-        return;
-    }
-    if (value_of(head) > change.based_on)
-    {
-        // Another change, or an earlier attempt of this one, was committed.
-        start_read(read_purpose::change_resolve,
-                   configuration_key(change.based_on.next()), now, request);
-        return;
-    }
-    const configuration_row next{
-        change.based_on.next(), change.text, change.zones_out,
-        change.author,          unix_ms,     change.id};
-    table_expectation head_expected = expect_absent{};
-    if (row)
-    {
-        head_expected = row->version;
-    }
-    pending.commit = table_commit{
-        commit_id("config:" + change.id + ":" + std::to_string(request) + ":" +
-                  self_.value()),
-        {},
-        {{configuration_key(next.version), expect_absent{}, to_text(next)},
-         {configuration_head_key, head_expected, head_to_text(next.version)}}};
-    actions_.emplace_back(send_commit{*pending.commit});
+    changes_.begin(number, change, now);
 }
 
 template <declaration_parser Parser>
@@ -417,121 +359,32 @@
                                                time_point now,
                                                std::int64_t unix_ms)
 {
-    const auto found = std::ranges::find_if(changes_, [&](const auto& change) {
-        return change.second.commit && change.second.commit->id == id;
-    });
-    if (found == changes_.end())
+    if (!changes_.contains(id))
     {
         return;
     }
-    auto& pending = found->second;
-    if (std::holds_alternative<commit_unknown>(outcome))
-    {
-        pending.in_flight = false;
-        pending.next_attempt = now + settings_.retry_interval;
-        return;
-    }
-    table_responded_at_ = now;
-    if (std::holds_alternative<commit_done>(outcome))
+    if (!std::holds_alternative<commit_unknown>(outcome))
     {
-        const auto row =
-            parse_configuration_row(*pending.commit->writes.front().value);
-        complete_change(found->first, value_of(row), now, unix_ms);
-        return;
+        table_responded_at_ = now;
     }
-    start_read(read_purpose::change_resolve,
-               configuration_key(pending.change.based_on.next()), now,
-               found->first);
+    complete_change(changes_.on_outcome(id, outcome, now), now, unix_ms);
 }
 
 template <declaration_parser Parser>
-void configuration_manager<Parser>::on_change_row(
-    std::uint64_t request, const std::optional<table_row>& row, time_point now,
-    std::int64_t unix_ms)
+void configuration_manager<Parser>::complete_change(
+    const std::optional<pending_changes::accepted_change>& change,
+    time_point now, std::int64_t unix_ms)
 {
-    const auto found = changes_.find(request);
-    if (found == changes_.end())
-    {
-        return;
-    }
-    const auto parsed = row ? parse_configuration_row(row->value)
-                            : result<configuration_row>(error{
-                                  error_code::not_found,
-                                  "the configuration row does not exist"});
-    if (!is_ok(parsed))
+    if (!change)
     {
-        // The rows changed between the two reads; retry.
-        found->second.in_flight = false;
-        found->second.next_attempt = now + settings_.retry_interval;
         return;
     }
-    if (value_of(parsed).change == found->second.change.id)
-    {
-        complete_change(request, value_of(parsed), now, unix_ms);
-        return;
-    }
-    send_reply(request, change_lost_race{value_of(parsed).version,
-                                         value_of(parsed).author});
-    changes_.erase(found);
-}
-
-template <declaration_parser Parser>
-void configuration_manager<Parser>::complete_change(
-    std::uint64_t request, const configuration_row& row, time_point now,
-    std::int64_t unix_ms)
-{
-    adopt(row, now, unix_ms);
-    if (state_.version() == row.version)
+    adopt(change->row, now, unix_ms);
+    if (state_.version() == change->row.version)
     {
         push_to(std::nullopt);
     }
-    send_reply(request, change_accepted{row.version});
-    changes_.erase(request);
-}
-
-template <declaration_parser Parser>
-void configuration_manager<Parser>::retry_changes(time_point now)
-{
-    std::vector<std::uint64_t> expired;
-    std::ranges::for_each(changes_, [&](auto& entry) {
-        const auto number = entry.first;
-        auto& pending = entry.second;
-        const auto read_outstanding =
-            std::ranges::any_of(reads_, [&](const auto& read) {
-                return read.second.request == number;
-            });
-        if (now >= pending.deadline)
-        {
-            const auto may_be_committed = pending.commit.has_value();
-            send_reply(
-                number,
-                error{may_be_committed ? error_code::outcome_unknown
-                                       : error_code::unavailable,
-                      may_be_committed
-                          ? "the table did not respond; the change may have "
-                            "been accepted, repeat it with the same ID"
-                          : "change not accepted: the table is unreachable"});
-            expired.push_back(number);
-            return;
-        }
-        if (now < pending.next_attempt || read_outstanding)
-        {
-            return;
-        }
-        pending.next_attempt = now + settings_.retry_interval;
-        if (!pending.commit)
-        {
-            start_read(read_purpose::change_head, configuration_head_key, now,
-                       number);
-        }
-        else if (!pending.in_flight)
-        {
-            pending.in_flight = true;
-            actions_.emplace_back(send_commit{*pending.commit});
-        }
-    });
-    std::ranges::for_each(
-        expired, [&](std::uint64_t number) { changes_.erase(number); });
+    send_reply(change->request, change_accepted{change->row.version});
 }
 
 template <declaration_parser Parser>
