--- a/src/jobs/fill_suspender.hpp
+++ b/src/jobs/fill_suspender.hpp
@@ -7,10 +7,10 @@
 namespace hemlockdeal::jobs
 {
 
-// Answers fill tasks that slow a serving task more than the placement expected.
-// It relies on measured tails only, so that a wrong model cannot extend the
-// harm, and it acts late: a fill task that is suspended early disturbs as much
-// once it resumes, and its job waits meanwhile.
+// Suspends fill tasks that slow a serving task more than the placement
+// expected. It relies on measured tails only, so that a wrong model cannot
+// extend the harm, and it acts late: a fill task that is suspended early
+// disturbs as much once it resumes, and its job waits meanwhile.
 class fill_suspender
 {
 public:
--- a/src/jobs/load_forecast.hpp
+++ b/src/jobs/load_forecast.hpp
@@ -9,8 +9,9 @@
 namespace hemlockdeal::jobs
 {
 
-// The load of a job swings within seconds and is the same for all its tasks.
-// Answers fill tasks that would still run when the load is higher than now.
+// Expects the highest load that a serving job may reach while a new fill task
+// runs beside it. The load of a job swings within seconds and is the same for
+// all its tasks.
 class load_forecast
 {
 public:
--- a/src/jobs/placing_order.hpp
+++ b/src/jobs/placing_order.hpp
@@ -44,11 +44,11 @@
                             const placing_position&) = default;
 };
 
-// Answers overload of the processors that fill tasks share. Fill tasks are
-// ordered by the shortest remaining path: by latest start, every job would wait
-// until it is late once there is more work than room. No job starves: one that
-// is older than `starvation_factor` times its target goes before all other fill
-// tasks. `waited` is the time for which tasks of the step have found no room.
+// Orders waiting steps. Fill tasks go by the shortest remaining path, because
+// by latest start every job would wait until it is late once the processors
+// that fill tasks share are overloaded. No job starves: one that is older than
+// `starvation_factor` times its target goes before all other fill tasks.
+// `waited` is the time for which tasks of the step have found no room.
 placing_position
 placing_position_of(const live_job& owner, std::uint32_t occurrence,
                     std::uint32_t step, std::chrono::milliseconds unix_now,
