hemlockdealctl: pass the current configuration to a function

Cause: four verbs repeated the same seven lines: an exit code as an output parameter, the read of the current configuration, and a return of that code.

Change: with_current_configuration reads it and passes it on, or prints the reason of a failure and returns its exit code. The differences of 'diff' are printed by a function of their own.

No change of behaviour. test_operators passes, unchanged; it runs the tool against a daemon's interface.

--- a/src/hemlockdealctl/check_verbs.cpp
+++ b/src/hemlockdealctl/check_verbs.cpp
@@ -133,6 +133,22 @@
               << '\n';
 }
 
+void print_differences(const configuration& current, const declaration& next,
+                       bool as_json)
+{
+    const auto before = current.version == configuration_version()
+                            ? flat_declaration()
+                            : flatten(current.content);
+    const auto differences = compare(before, flatten(next));
+    if (as_json)
+    {
+        print_json(current.version, differences);
+        return;
+    }
+    std::cout << "compared with version " << current.version.value() << '\n';
+    std::ranges::for_each(differences, print);
+}
+
 } // namespace
 
 exit_code run_check(const arguments& args)
@@ -185,25 +201,12 @@
         return exit_code::usage;
     }
     operator_client client = line.client();
-    exit_code code = exit_code::done;
-    const auto current = read_current_configuration(client, code);
-    if (!current)
-    {
-        return code;
-    }
-    const auto before = current->version == configuration_version()
-                            ? flat_declaration()
-                            : flatten(current->content);
-    const auto differences =
-        compare(before, flatten(std::get<declaration>(parsed)));
-    if (line.json())
-    {
-        print_json(current->version, differences);
-        return exit_code::done;
-    }
-    std::cout << "compared with version " << current->version.value() << '\n';
-    std::ranges::for_each(differences, print);
-    return exit_code::done;
+    return with_current_configuration(
+        client, [&](const configuration& current) {
+            print_differences(current, std::get<declaration>(parsed),
+                              line.json());
+            return exit_code::done;
+        });
 }
 
 } // namespace hemlockdeal
--- a/src/hemlockdealctl/configuration_verbs.cpp
+++ b/src/hemlockdealctl/configuration_verbs.cpp
@@ -169,16 +169,13 @@
         return exit_code::usage;
     }
     operator_client client = line.client();
-    exit_code code = exit_code::done;
-    const auto current = read_current_configuration(client, code);
-    if (!current)
-    {
-        return code;
-    }
-    configuration_change change = options.change(*current);
-    change.text = text;
-    drop_undeclared_zones(change, std::get<declaration>(parsed));
-    return submit_change(client, change, options.options(line));
+    return with_current_configuration(
+        client, [&](const configuration& current) {
+            configuration_change change = options.change(current);
+            change.text = text;
+            drop_undeclared_zones(change, std::get<declaration>(parsed));
+            return submit_change(client, change, options.options(line));
+        });
 }
 
 exit_code run_history(const arguments& args)
@@ -236,11 +233,11 @@
                 checked_value(version, 0, 1LL << 53U))),
             wait_limit, line.json());
     }
-    exit_code code = exit_code::done;
-    const auto current = read_current_configuration(client, code);
-    return current ? wait_for_confirmations(client, current->version,
-                                            wait_limit, line.json())
-                   : code;
+    return with_current_configuration(
+        client, [&](const configuration& current) {
+            return wait_for_confirmations(client, current.version, wait_limit,
+                                          line.json());
+        });
 }
 
 exit_code run_zone(const arguments& args)
@@ -262,20 +259,17 @@
                                : "missing argument: zone");
     }
     operator_client client = line.client();
-    exit_code code = exit_code::done;
-    const auto current = read_current_configuration(client, code);
-    if (!current)
-    {
-        return code;
-    }
-    if (list)
-    {
-        print_zones(*current, line.json());
-        return exit_code::done;
-    }
-    return change_zone(client, options, line, *current,
-                       availability_zone_id(zone.getValue()),
-                       action.getValue() == "out");
+    return with_current_configuration(
+        client, [&](const configuration& current) {
+            if (list)
+            {
+                print_zones(current, line.json());
+                return exit_code::done;
+            }
+            return change_zone(client, options, line, current,
+                               availability_zone_id(zone.getValue()),
+                               action.getValue() == "out");
+        });
 }
 
 } // namespace hemlockdeal
--- a/src/hemlockdealctl/current_configuration.cpp
+++ b/src/hemlockdealctl/current_configuration.cpp
@@ -12,21 +12,21 @@
 namespace hemlockdeal
 {
 
-std::optional<configuration> read_current_configuration(operator_client& client,
-                                                        exit_code& code)
+exit_code with_current_configuration(
+    operator_client& client,
+    const std::function<exit_code(const configuration&)>& action)
 {
     const client_response response = client.send_request(configuration_query{});
     if (const auto* const c = std::get_if<configuration>(&response.reply))
     {
-        return *c;
+        return action(*c);
     }
     const auto* const e = std::get_if<error>(&response.reply);
     if (response.reached && e != nullptr && e->code == error_code::not_found)
     {
-        return configuration{};
+        return action(configuration{});
     }
-    code = report_failure(response);
-    return std::nullopt;
+    return report_failure(response);
 }
 
 exit_code submit_change(operator_client& client,
--- a/src/hemlockdealctl/current_configuration.hpp
+++ b/src/hemlockdealctl/current_configuration.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <chrono>
-#include <optional>
+#include <functional>
 #include <string>
 
 #include "core/declaration.hpp"
@@ -13,10 +13,11 @@
 namespace hemlockdeal
 {
 
-// Reads the current configuration; it has version 0 if none has been accepted
-// yet. On failure prints the reason, sets `code` and returns nothing.
-std::optional<configuration> read_current_configuration(operator_client& client,
-                                                        exit_code& code);
+// Reads the current configuration and passes it to `action`; it has version 0
+// if none has been accepted yet. Prints the reason of a failure.
+exit_code with_current_configuration(
+    operator_client& client,
+    const std::function<exit_code(const configuration&)>& action);
 
 struct change_options
 {
