Decode the rows of a worker report one by one

One row of a worker's report that could not be decoded made the whole report an error. What callers saw: the worker counted as silent for as long as it listed the row; nothing was started on it, its leases were not prolonged, its runs lapsed after some 6 s and were started elsewhere, and no end of it was taken. A row of another writer in `running` has no end, so that this lasted for the life of the worker.

An end with an absurd number (1e15) was acknowledged, so that the worker would forget all later ends. An end without a number was ignored and later acknowledged past, and its task ran again. A report without an incarnation counted as one of a restarted worker, and a crash was held against its tasks.

Change: - The other rows hold. The report counts the rows that cannot be decoded and names the first one, which is logged when the counts change. - While a run in progress cannot be decoded, nothing new is started on the worker: the room that it takes is not known. Its other runs go on. Weighed against starting and letting the worker refuse for lack of room: that protects memory, but not the tails of serving tasks. It means that a row of another writer that stands for ever closes its worker for new tasks. - A run of ours that is missing beside such a row may be that row. It is stopped, and its task is started again 2 s after the stop was confirmed (a stop takes 0.2 to 0.9 s on the known deployments). - An end of an unknown kind puts its task back, is not counted as a failure, and makes its worker avoided. An end whose number cannot be decoded is taken if the ledger holds its run. - An end whose task or run cannot be decoded is skipped, and later ones are acknowledged past it. It names no run, so nothing in it could be used later; held back, it would stop all ends of its worker after 500 more, and every poll would return at once. If it was a task of ours, its run is missing from the next two reports and the task runs again, also if it was done. - A report with an incarnation of another type, or without one from a worker that has one, and one whose lists have another type, count as a poll without an answer.

Tests: report_codec.* (the old decoder gives an error for each report there).

Open: a number that is wrong but plausible (an end numbered 900 in place of 9) cannot be told from a right one.

--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -242,6 +242,8 @@
     clock_known_ = false;
     latest_deadline_ = {};
     failed_polls = 0;
+    unreadable_runs = 0;
+    unreadable_ends = 0;
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -170,6 +170,12 @@
     std::uint64_t acknowledged_ends = 0;
     std::uint64_t acknowledging = 0;
 
+    // Rows of the last report that could not be decoded. While a run is among
+    // them, no task is started on this worker, because the room that the run
+    // takes is not known.
+    std::size_t unreadable_runs = 0;
+    std::size_t unreadable_ends = 0;
+
     // Starts without a response that were abandoned after all leases had ended.
     // A worker that has restarted in the meantime knows neither the deadline
     // nor the stop, so it is told to refuse them as soon as it responds.
@@ -220,7 +226,10 @@
     // Reserved resources. Fill tasks reserve memory and accelerators, but no
     // processors.
     const task_size& room_used() const { return used_; }
-    bool has_runs_of_unknown_size() const { return unknown_size_count_ > 0; }
+    bool has_runs_of_unknown_size() const
+    {
+        return unknown_size_count_ > 0 || unreadable_runs > 0;
+    }
     // Processor millis that the fill tasks demand at their present pace.
     std::int64_t fill_demand() const { return fill_demand_; }
     void set_pace(run_record& run, int percent, time_point now);
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -17,6 +17,8 @@
 constexpr duration min_time_below_target = std::chrono::milliseconds(700);
 // A single report can predate the run even if it was requested later.
 constexpr unsigned missing_report_threshold = 2;
+// Longer than a worker takes to end a run after it has confirmed the stop.
+constexpr duration max_stop_time = std::chrono::seconds(2);
 
 } // namespace
 
@@ -43,6 +45,7 @@
     {
         state_.orders.emplace_back(stop_order{worker.entry.id, key, run});
     }
+    note_unreadable_rows(worker, report);
     handle_ends(worker, report, now);
     for (const auto& reported : report.running)
     {
@@ -73,6 +76,16 @@
 {
     for (const auto& end : report.ended)
     {
+        if (end.number == 0)
+        {
+            // The ledger shows whether an end without a number is new.
+            const auto* const run = worker.find_run(end.task);
+            if (run != nullptr && run->run == end.run)
+            {
+                handle_end(worker, end, now);
+            }
+            continue;
+        }
         if (end.number > worker.taken_ends)
         {
             worker.taken_ends = end.number;
@@ -81,6 +94,29 @@
     }
 }
 
+void report_intake::note_unreadable_rows(fleet_worker& worker,
+                                         const worker_report& report)
+{
+    const bool is_changed =
+        worker.unreadable_runs != report.unreadable_running ||
+        worker.unreadable_ends != report.unreadable_ended;
+    if (!is_changed)
+    {
+        return;
+    }
+    if (report.unreadable_running < worker.unreadable_runs)
+    {
+        worker.note_gained_room();
+    }
+    worker.unreadable_runs = report.unreadable_running;
+    worker.unreadable_ends = report.unreadable_ended;
+    state_.log_event("rows of a worker report cannot be decoded",
+                     {{"worker", worker.entry.id.value()},
+                      {"running", std::to_string(report.unreadable_running)},
+                      {"ended", std::to_string(report.unreadable_ended)},
+                      {"first", report.first_unreadable}});
+}
+
 void report_intake::handle_restart(fleet_worker& worker,
                                    worker_incarnation incarnation,
                                    time_point sent_at, time_point now)
@@ -155,6 +191,11 @@
         task.checkpoint = end.checkpoint;
         state_.registry.mark_changed(end.task.job);
     }
+    if (end.how == run_end::unrecognized)
+    {
+        avoidance_.on_failure(worker, end.task.job, now);
+        task.failed_on.add(worker.entry.id);
+    }
     if (is_current)
     {
         owner->set_waiting(end.task);
@@ -351,6 +392,13 @@
                                 const worker_report& report,
                                 time_point sent_at) const
 {
+    if (report.unreadable_running > 0)
+    {
+        // Any row that cannot be decoded may be this run, unless the run has
+        // been stopped.
+        return run.stop_confirmed_at &&
+               *run.stop_confirmed_at + max_stop_time < sent_at;
+    }
     if (run.confirmed_at)
     {
         return run.missing >= missing_report_threshold;
@@ -395,6 +443,13 @@
         {
             state_.order_stop(worker, key, now,
                               "no response to the start order");
+            continue;
+        }
+        if (report.unreadable_running > 0 &&
+            run.missing >= missing_report_threshold)
+        {
+            state_.order_stop(worker, key, now,
+                              "run missing beside rows that cannot be decoded");
         }
     }
 }
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -46,6 +46,9 @@
                         time_point sent_at, time_point now);
     void handle_ends(fleet_worker& worker, const worker_report& report,
                      time_point now);
+    // Logs the number of rows that cannot be decoded when it changes.
+    void note_unreadable_rows(fleet_worker& worker,
+                              const worker_report& report);
     void handle_end(fleet_worker& worker, const ended_run& end, time_point now);
     void handle_done(fleet_worker& worker, live_job& owner, const task_key& key,
                      time_point now);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -197,6 +197,13 @@
     {
         return;
     }
+    if (report.incarnation == 0 && worker->entry.incarnation != 0)
+    {
+        // A report that does not name its incarnation is no restart: the runs
+        // may still be on the worker.
+        on_poll_failed(id, now);
+        return;
+    }
     worker->poll_sent_at.reset();
     if (worker->has_ended && report.incarnation <= worker->entry.incarnation)
     {
--- a/src/jobs/worker_report.cpp
+++ b/src/jobs/worker_report.cpp
@@ -17,8 +17,9 @@
 
 std::string_view to_text(run_end how)
 {
-    constexpr std::array<std::string_view, 6> names = {
-        "done", "failed", "stopped", "lapsed", "broken", "alone"};
+    constexpr std::array<std::string_view, 7> names = {
+        "done",   "failed", "stopped",     "lapsed",
+        "broken", "alone",  "unrecognized"};
     return names.at(static_cast<std::size_t>(how));
 }
 
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -70,12 +71,15 @@
     // Another member of the gang ended.
     broken,
     // The other members of the gang did not start.
-    alone
+    alone,
+    // The report names an end that is not listed here.
+    unrecognized
 };
 
 struct ended_run
 {
-    // Increases with each ended run within one incarnation of the worker.
+    // Increases with each ended run within one incarnation of the worker; 0 if
+    // the number cannot be decoded.
     std::uint64_t number = 0;
     task_key task;
     std::uint32_t run = 0;
@@ -89,6 +93,12 @@
     worker_incarnation incarnation = 0;
     std::vector<running_task> running;
     std::vector<ended_run> ended;
+    // Rows that cannot be attributed to a run. A run in progress that cannot be
+    // decoded still occupies room.
+    std::size_t unreadable_running = 0;
+    std::size_t unreadable_ended = 0;
+    // Place and beginning of the first of these rows.
+    std::string first_unreadable;
 };
 
 enum class start_answer
--- /dev/null
+++ b/tests/adapter/report_codec_test.cpp
@@ -0,0 +1,99 @@
+// Guards against one malformed row of a worker's report that makes the rest of
+// the report, or the worker, unusable.
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "worker_codec.hpp"
+
+using namespace hemlockdeal;
+using namespace hemlockdeal::adapter;
+
+namespace
+{
+
+const std::string good_running = R"(["5c0e.0.1.17",2,"ck",41,12])";
+const std::string good_ended = R"([58,"5c0e.0.1.9",1,"done",""])";
+
+std::string report_with(const std::string& running, const std::string& ended)
+{
+    return R"({"clock_ms":482113,"born":17,"running":[)" + running +
+           R"(],"ended":[)" + ended + "]}";
+}
+
+} // namespace
+
+// Failure: a row of another writer makes the whole report an error, so that the
+// worker counts as silent and its runs lapse.
+TEST(report_codec, malformed_rows_do_not_hide_the_other_rows)
+{
+    for (const std::string odd :
+         {R"(["another task",1,"",5])", R"(["5c0e.0.1.3"])", "[]", "{}", "5",
+          "null", R"([7,7,7,7])", R"(["5c0e.0.1.3",-1,"",5])",
+          R"(["5c0e.0.1.3",4294967298,"",5])", R"(["5c0e.0.1.3","2","",5])"})
+    {
+        const auto report =
+            decode_report(report_with(odd + "," + good_running, good_ended));
+        ASSERT_TRUE(report) << odd;
+        ASSERT_EQ(report->running.size(), 1U) << odd;
+        EXPECT_EQ(report->running.front().run, 2U);
+        EXPECT_EQ(report->ended.size(), 1U);
+        EXPECT_EQ(report->unreadable_running, 1U);
+        EXPECT_EQ(report->unreadable_ended, 0U);
+        EXPECT_TRUE(report->first_unreadable.starts_with("running[0] "));
+    }
+    for (const std::string odd : {R"([57,"another task",1,"done",""])", "[57]",
+                                  "7", "{}", R"([57,"5c0e.0.1.3",0,"done",""])",
+                                  R"([57,"5c0e.0.1.3",1e300,"done",""])"})
+    {
+        const auto report =
+            decode_report(report_with(good_running, odd + "," + good_ended));
+        ASSERT_TRUE(report) << odd;
+        EXPECT_EQ(report->running.size(), 1U);
+        ASSERT_EQ(report->ended.size(), 1U) << odd;
+        EXPECT_EQ(report->ended.front().number, 58U);
+        EXPECT_EQ(report->unreadable_ended, 1U);
+    }
+}
+
+// Failure: an end is lost because a part of its row that is not needed to
+// attribute it cannot be decoded.
+TEST(report_codec, ends_with_odd_numbers_or_kinds_are_kept)
+{
+    for (const std::string number :
+         {"null", "-1", "0", "1e15", R"("58")", "18446744073709551615"})
+    {
+        const auto report = decode_report(report_with(
+            "", "[" + number + R"(,"5c0e.0.1.9",1,"done","")" + "]"));
+        ASSERT_TRUE(report);
+        ASSERT_EQ(report->ended.size(), 1U) << number;
+        EXPECT_EQ(report->ended.front().number, 0U) << number;
+        EXPECT_EQ(report->ended.front().how, jobs::run_end::done);
+    }
+    for (const std::string how : {R"("evicted")", "null", "3"})
+    {
+        const auto report = decode_report(
+            report_with("", R"([58,"5c0e.0.1.9",1,)" + how + R"(,""])"));
+        ASSERT_TRUE(report);
+        ASSERT_EQ(report->ended.size(), 1U) << how;
+        EXPECT_EQ(report->ended.front().how, jobs::run_end::unrecognized);
+    }
+}
+
+// Failure: a report whose incarnation cannot be decoded is taken for one of a
+// restarted worker, and a crash is held against its tasks.
+TEST(report_codec, incarnations_that_cannot_be_decoded_are_errors)
+{
+    EXPECT_TRUE(decode_report(R"({"clock_ms":5,"born":17})"));
+    for (const std::string born : {"null", "1.5", "-3", R"("17")", "[]", "0"})
+    {
+        EXPECT_FALSE(decode_report(R"({"clock_ms":5,"born":)" + born + "}"))
+            << born;
+    }
+    // An error of the worker, and not an empty list.
+    for (const std::string lists : {R"("running":null)", R"("ended":{})"})
+    {
+        EXPECT_FALSE(decode_report(R"({"clock_ms":5,"born":17,)" + lists + "}"))
+            << lists;
+    }
+}
