Close connections that send too much before their response

A caller that went on sending while its request was being served filled the memory of the entry VM: what arrives before the response was kept without limit, for as long as the request took (up to 3 s and more). A sender that is faster than the reader also kept the event loop in one read.

Change: beyond the limits of one request, the connection is closed; one call reads at most 256 KiB. The loop is level-triggered, so that the rest is read later.

Tests: flood_behind_a_request_closes_its_connection fails without the change. malformed_requests_end_only_their_connection found no fault.

--- a/src/http/http_server_connection.cpp
+++ b/src/http/http_server_connection.cpp
@@ -48,6 +48,14 @@
     if (!serving_)
     {
         parse_request();
+        return;
+    }
+    // What arrives before the response is not parsed yet; a caller must not
+    // fill the memory with it.
+    const auto& limits = server_.limits();
+    if (received_.size() > limits.header_bytes + limits.body_bytes)
+    {
+        close();
     }
 }
 
--- a/src/http/nonblocking_socket.cpp
+++ b/src/http/nonblocking_socket.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr std::size_t receive_buffer = 64ULL * 1024;
+constexpr std::size_t max_received_at_once = 4 * receive_buffer;
 // Connections with data unacknowledged for this long are closed by the kernel;
 // the peer may have lost power or be unreachable because of a network
 // partition.
@@ -111,8 +112,15 @@
 bool nonblocking_socket::receive(std::string& into)
 {
     char buffer[receive_buffer];
+    // The rest is received later: a fast sender must neither block the event
+    // loop nor exceed the limits of the reader by much.
+    const auto end = into.size() + max_received_at_once;
     while (true)
     {
+        if (into.size() >= end)
+        {
+            return true;
+        }
         const auto count = recv(descriptor_, buffer, sizeof buffer, 0);
         if (count > 0)
         {
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -243,3 +243,65 @@
         EXPECT_FALSE(parse_socket_address(invalid)) << invalid;
     }
 }
+
+// Failure: a caller that goes on sending while its request is served fills the
+// memory.
+TEST(http, flood_behind_a_request_closes_its_connection)
+{
+    const auto address = test_address();
+    std::vector<http_responder> waiting;
+    http_server server(address, {},
+                       [&](const http_request&, const http_responder& r) {
+                           waiting.push_back(r);
+                       });
+    auto socket = nonblocking_socket::connect_to(address);
+    ASSERT_TRUE(socket);
+    ASSERT_TRUE(socket->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+    ASSERT_TRUE(run_until([&] { return waiting.size() == 1; }));
+    socket->on_writable([&] { socket->flush(); });
+    socket->send(std::string(4'000'000, 'x'));
+    EXPECT_TRUE(run_until([&] { return server.connections() == 0; }));
+    waiting.front()({200, {}, {}});
+}
+
+// Failure: malformed bytes of one caller end the process, or connections of
+// others.
+TEST(http, malformed_requests_end_only_their_connection)
+{
+    const auto address = test_address();
+    http_server server(address, {},
+                       [](const http_request&, const http_responder& r) {
+                           r({200, {}, {}});
+                       });
+    http_client client(address, {1, 1});
+    for (const std::string& odd :
+         {std::string("\0\0\0\0\r\n\r\n", 8), std::string("GET\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 5\r\n"
+                      "Content-Length: 6\r\n\r\nhello"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: "
+                      "99999999999999999999\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "zz\r\n"),
+          std::string("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "ffffffffffffffff\r\n"),
+          "GET /" + std::string(100'000, 'x') + " HTTP/1.1\r\n\r\n",
+          "GET / HTTP/1.1\r\nA: " + std::string(100'000, 'x') + "\r\n\r\n"})
+    {
+        auto socket = nonblocking_socket::connect_to(address);
+        ASSERT_TRUE(socket);
+        socket->send(odd);
+        std::string received;
+        bool is_open = true;
+        socket->on_readable(
+            [&] { is_open = is_open && socket->receive(received); });
+        EXPECT_TRUE(run_until([&] { return !is_open; })) << odd.substr(0, 60);
+        EXPECT_TRUE(received.empty() || received.starts_with("HTTP/1.1 4"))
+            << received;
+        std::optional<call_result> result;
+        client.send({"GET", "/", {}, {}, {}}, milliseconds(1000),
+                    [&](call_result r) { result = std::move(r); });
+        EXPECT_TRUE(run_until([&] { return result.has_value(); }));
+        EXPECT_TRUE(std::holds_alternative<http_response>(*result));
+    }
+}
