Do not take unreadable parts of stored rows for empty ones

Found by reading the decoders of the leader's own rows. A list of another type in a stored progress counted as an empty one, so that the next leader would run tasks again that are done; an odd number in it named the first task, occurrence or step. In the list of workers, runs of another type counted as none, so that tasks would be started a second time, and one record that cannot be decoded hid all the others of its part.

Change: such a progress is an error, which leaves its job out, as before for other errors. A record that cannot be decoded becomes an unknown worker on which any task may run until all leases have ended; the others of its part hold.

fleet_codec.records_survive_the_store asserted that one odd record makes its whole part an error. unreadable_records_become_unknown_workers asserts in its place, for these records and eight more, that each becomes an unknown worker and the others hold.

Tests: unreadable_records_become_unknown_workers and progress_codec.lists_of_another_type_are_errors fail without the change. No such row was ever seen: only the leader writes them.

--- a/src/jobs/fleet_record.cpp
+++ b/src/jobs/fleet_record.cpp
@@ -62,9 +62,16 @@
                            : std::string(text->data(), text->size());
 }
 
-bool read_tasks(const json::array& in, std::vector<task_key>& tasks)
+// False unless the member is absent or lists tasks.
+bool read_tasks(const json::object& in, std::string_view member,
+                std::vector<task_key>& tasks)
 {
-    for (const auto& name : in)
+    const auto* const found = in.if_contains(member);
+    if (found != nullptr && !found->is_array())
+    {
+        return false;
+    }
+    for (const auto& name : list_in(in, member))
     {
         auto key = parse_task_key(to_string(name));
         if (!key)
@@ -98,9 +105,9 @@
     }
     record.worker = worker_id(text_in(*in, "w"));
     record.vm = vm_id(text_in(*in, "v"));
-    if (!read_tasks(list_in(*in, "r"), record.runs.emplace()) ||
-        !read_tasks(list_in(*in, "s"), record.suspects) ||
-        !read_tasks(list_in(*in, "l"), record.late_suspects))
+    if (!in->contains("r") || !read_tasks(*in, "r", record.runs.emplace()) ||
+        !read_tasks(*in, "s", record.suspects) ||
+        !read_tasks(*in, "l", record.late_suspects))
     {
         return std::nullopt;
     }
@@ -150,9 +157,14 @@
     for (const auto& value : *list)
     {
         auto record = to_record(value);
-        if (!record)
+        if (!record || record->worker.empty())
         {
-            return std::nullopt;
+            // A placeholder for a worker that is not known: any task may be
+            // running on it until all leases have expired.
+            record = fleet_record{};
+            record->worker =
+                worker_id("unreadable " + std::to_string(out.size()) + ' ' +
+                          std::to_string(stable_hash(text)));
         }
         out.push_back(std::move(*record));
     }
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -24,16 +24,27 @@
     return {position.occurrence, position.step, position.index};
 }
 
+std::optional<std::uint32_t> index_of(const json::value& value)
+{
+    json::error_code error;
+    const auto index = value.to_number<std::uint32_t>(error);
+    return error ? std::nullopt : std::optional(index);
+}
+
 std::optional<job_progress::task_position> to_position(const json::array& in)
 {
     if (in.size() < 3)
     {
         return std::nullopt;
     }
-    return job_progress::task_position{
-        static_cast<std::uint32_t>(integer_of(in[0])),
-        static_cast<std::uint32_t>(integer_of(in[1])),
-        static_cast<std::uint32_t>(integer_of(in[2]))};
+    const auto occurrence = index_of(in[0]);
+    const auto step = index_of(in[1]);
+    const auto index = index_of(in[2]);
+    if (!occurrence || !step || !index)
+    {
+        return std::nullopt;
+    }
+    return job_progress::task_position{*occurrence, *step, *index};
 }
 
 // Task indices of one step and occurrence as a bit set in hexadecimal digits:
@@ -84,6 +95,12 @@
         {
             return false;
         }
+        const auto occurrence = index_of((*row)[0]);
+        const auto step = index_of((*row)[1]);
+        if (!occurrence || !step)
+        {
+            return false;
+        }
         for (std::uint32_t i = 0; i < text->size(); ++i)
         {
             const auto value = digits.find((*text)[i]);
@@ -96,9 +113,7 @@
                 if ((value & 1U << bit) != 0)
                 {
                     positions.push_back(
-                        {static_cast<std::uint32_t>(integer_of((*row)[0])),
-                         static_cast<std::uint32_t>(integer_of((*row)[1])),
-                         i * tasks_per_digit + bit});
+                        {*occurrence, *step, i * tasks_per_digit + bit});
                 }
             }
         }
@@ -310,6 +325,16 @@
     {
         return std::nullopt;
     }
+    // A list of another type is not an empty list: tasks that are done would
+    // run again.
+    for (const std::string_view member : {"d", "o", "c", "h"})
+    {
+        const auto* const found = in->if_contains(member);
+        if (found != nullptr && !found->is_array())
+        {
+            return std::nullopt;
+        }
+    }
     job_progress progress;
     progress.state = *state;
     progress.has_started = integer_in(*in, "b") != 0;
