Soak with odd entries among the workers' entries

The stand-in puts entries of another writer among those of the workers: odd addresses, capacities, states, missing fields, bytes that cannot be read, deep nesting, keys that go on with a low byte, and rewrites and removes them. The entry of a real worker turns odd for up to 12 s and back. Odd entries with a usable address lead to a decoy: a start there, or on a worker whose entry has been odd for 6 s, is a violation, and all other checks hold as before.

--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -10,6 +10,8 @@
 MAX_LEASE_MS = 6000
 HEARTBEAT_INTERVAL_S = 0.5
 STOP_DELAY_S = 0.05
+# Time for a changed entry to reach the leader, also after a take-over.
+ENTRY_NOTICE_S = 6.0
 
 
 def now_ms():
@@ -84,6 +86,7 @@
         # transaction takes effect, the response is lost) or slow (0.4 s delay).
         self.faults = {}
         self.servers = {}
+        self.page_limit = 500
 
     async def listen(self, port):
         self.faults[port] = "ok"
@@ -153,7 +156,7 @@
         return 200, {"ver": self.version, "now_ms": now_ms()}
 
     def read(self, query):
-        limit = min(int(query.get("limit", 500)), 500)
+        limit = min(int(query.get("limit", 500)), self.page_limit)
         names = sorted(n for n in self.rows
                        if n[0] == query["table"] and n[1] == query["part"]
                        and n[2] >= query.get("from", "")
@@ -184,6 +187,34 @@
                 pass
 
 
+def nested(levels):
+    return b"[" * levels + b"]" * levels
+
+
+def odd_entries(good):
+    """Entries of another writer in the worker list, each odd in one part. None
+    of them names a worker to use. `good` is a valid entry."""
+    def with_value(name, value):
+        return json.dumps({**good, name: value}).encode()
+
+    def with_capacity(name, value):
+        return with_value("capacity", {**good["capacity"], name: value})
+
+    text = json.dumps(good).encode()
+    return ([with_value("address", value) for value in (
+                "127.0.0.1:0", "127.0.0.1:70000", "127.0.0.1:-1", "somewhere",
+                "somewhere:80", "", "127.0.0.1", 80, None)] +
+            [with_value("state", value) for value in ("gone", "", 5, None)] +
+            [with_value("service", value) for value in (5, None)] +
+            [with_capacity(name, value) for name in ("cpu", "mem_mb")
+             for value in (-5, 10**15, 2**53, 2**70, "many", None)] +
+            [json.dumps({k: v for k, v in good.items() if k != name}).encode()
+             for name in ("service", "address", "zone", "state", "capacity")] +
+            [text.replace(b'"cpu": 8000', b'"cpu": 1e400'), text[:-9], b"", b"\x00\xff\xfe",
+             text.replace(b"r1", b"\xc3\x28"), b"null", b"[]", b"5",
+             text[:-1] + b',"x":' + nested(33) + b"}", nested(10000)])
+
+
 class Record:
     """The runs of the workers and the violated guarantees."""
 
@@ -229,8 +260,23 @@
         self.server = Server(self.handle)
         self.is_up = True
         self.late_fraction = 0.0
+        # Written in place of the entry while it is set.
+        self.odd_entry = None
+        # From then on, no task may be started on the worker.
+        self.closed_at = None
         self.restart()
 
+    def write_entry(self):
+        self.store.put("servers", "", self.name,
+                       self.entry() if self.odd_entry is None else self.odd_entry)
+
+    def set_odd_entry(self, entry):
+        """Replaces the entry by one that names no worker; None ends this."""
+        self.odd_entry = entry
+        self.closed_at = (None if entry is None
+                          else time.monotonic() + ENTRY_NOTICE_S)
+        self.write_entry()
+
     def restart(self):
         for task in list(getattr(self, "running", {})):
             self.record.running.pop(task, None)
@@ -279,13 +325,18 @@
     async def send_heartbeats(self):
         while True:
             if self.is_up:
-                self.store.put("servers", "", self.name, self.entry())
+                self.write_entry()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def handle(self, method, target, body):
         if not self.is_up:
             return None
         call = json.loads(body)
+        if target == "/run-start" and self.closed_at is not None \
+                and time.monotonic() > self.closed_at:
+            self.record.record_violation(
+                f"{call['task']} is started on {self.name}, whose entry is "
+                f"{self.odd_entry[:200]}")
         if target == "/run-start" and self.rng.random() < self.late_fraction:
             incarnation = self.incarnation
             await asyncio.sleep(self.rng.uniform(2, 6))
