Reject messages of peers with times out of range

Found by reading: the decoder of the peers' messages took every 64-bit time. A loan of slots with a validity of 292,000 years would hold the slots for ever, and one beyond the clock's range overflowed it. A time stamp of the highest value would become the logical clock of each daemon that receives it and be passed on with its own messages, where the next event overflows it. No such message was seen; only daemons with a key can send one.

Change: validities up to an hour, ages up to a year, and time stamps up to the year 2200 are accepted, all from 0; any other message is malformed, is counted as such, and ends nothing. A clock that is years ahead but before 2200 still drags the others' time stamps along.

--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -13,6 +13,34 @@
 namespace
 {
 
+// A loan of slots lasts a few seconds, and a daemon may be cut off for hours.
+constexpr duration max_validity = std::chrono::hours(1);
+constexpr duration max_age = std::chrono::hours(366 * 24);
+// The end of the year 2200. A higher time stamp would be passed on by every
+// daemon that receives it, and the clocks that follow it would overflow.
+constexpr std::int64_t max_wall_us = 7'289'568'000'000'000;
+
+bool is_between(duration time, duration max)
+{
+    return time >= duration::zero() && time <= max;
+}
+
+// False if a time is beyond all that a daemon sends: a loan without an end
+// would hold slots for ever, and other absurd times would overflow the clock.
+bool has_valid_numbers(const peer_message& message)
+{
+    if (message.stamp.wall_us < 0 || message.stamp.wall_us > max_wall_us)
+    {
+        return false;
+    }
+    if (const auto* const reply = std::get_if<confirm_reply>(&message.body))
+    {
+        return is_between(reply->age, max_age);
+    }
+    const auto* const grant = std::get_if<slot_grant>(&message.body);
+    return grant == nullptr || is_between(grant->valid_for, max_validity);
+}
+
 void write(const shard_id& from, wire::Shard& to)
 {
     to.set_zone(from.zone.value());
@@ -208,10 +236,16 @@
         return error{error_code::invalid_input,
                      "the message body is missing or of an unknown type"};
     }
-    return peer_message{vm_id(envelope.sender()),
-                        incarnation(envelope.incarnation()),
-                        {envelope.wall_us(), envelope.logical()},
-                        std::move(*body)};
+    peer_message message{vm_id(envelope.sender()),
+                         incarnation(envelope.incarnation()),
+                         {envelope.wall_us(), envelope.logical()},
+                         std::move(*body)};
+    if (!has_valid_numbers(message))
+    {
+        return error{error_code::invalid_input,
+                     "a time in the message is out of range"};
+    }
+    return message;
 }
 
 } // namespace hemlockdeal
--- a/tests/peer/codec_test.cpp
+++ b/tests/peer/codec_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the protobuf encoding of peer messages: no field may be lost, and
 // malformed bytes must not crash a daemon.
 #include <algorithm>
+#include <limits>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -66,3 +67,70 @@
     message.body = confirm_request{1};
     EXPECT_FALSE(is_ok(decode(value_of(encode(message)))));
 }
+
+// Failure: a time that no daemon sends is used: a loan without an end holds
+// slots for ever, and an absurd time stamp spreads to the clocks of all
+// daemons.
+TEST(codec, numbers_out_of_range_are_errors)
+{
+    constexpr auto lowest = std::numeric_limits<std::int64_t>::min();
+    constexpr auto highest = std::numeric_limits<std::int64_t>::max();
+    const auto is_read = [](std::int64_t wall_us, const peer_body& body) {
+        peer_message message;
+        message.sender = vm_id("vm");
+        message.stamp.wall_us = wall_us;
+        message.body = body;
+        return is_ok(decode(value_of(encode(message))));
+    };
+    EXPECT_TRUE(is_read(1'700'000'000'000'000, peer_heartbeat{}));
+    EXPECT_TRUE(is_read(0, confirm_reply{1, {}, duration(5'000'000)}));
+    for (const auto odd : {lowest, std::int64_t{-1}, highest})
+    {
+        EXPECT_FALSE(is_read(odd, peer_heartbeat{})) << odd;
+        EXPECT_FALSE(is_read(0, confirm_reply{1, {}, duration(odd)})) << odd;
+        EXPECT_FALSE(is_read(0, slot_grant{1, {}, 3, duration(odd)})) << odd;
+    }
+}
+
+// Failure: a message of another type, or of a later version, ends the decoder
+// or is taken for one of a known type.
+RC_GTEST_PROP(codec, mutated_messages_give_valid_numbers_or_errors, ())
+{
+    const auto body =
+        *rc::gen::inRange<std::size_t>(0, std::variant_size_v<peer_body>);
+    auto bytes = value_of(encode(any_message(body, "vm")));
+    const auto mutations = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < mutations; ++i)
+    {
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size() + 1);
+        switch (*rc::gen::inRange(0, 3))
+        {
+        case 0:
+            bytes.insert(at, any<std::string>());
+            break;
+        case 1:
+            // A varint or a length of the highest value.
+            bytes.insert(at, std::string(9, '\xff') + '\x01');
+            break;
+        default:
+            bytes.erase(at, 1);
+            break;
+        }
+    }
+    const auto decoded = decode(bytes);
+    if (!is_ok(decoded))
+    {
+        return;
+    }
+    const auto& message = value_of(decoded);
+    RC_ASSERT(!message.sender.empty());
+    RC_ASSERT(message.stamp.wall_us >= 0);
+    if (const auto* const grant = std::get_if<slot_grant>(&message.body))
+    {
+        RC_ASSERT(grant->valid_for >= duration::zero());
+        RC_ASSERT(grant->valid_for <= std::chrono::hours(1));
+    }
+    const auto again = decode(value_of(encode(message)));
+    RC_ASSERT(is_ok(again));
+    RC_ASSERT(equal(value_of(again), message));
+}
