--- a/src/http/socket_address.cpp
+++ b/src/http/socket_address.cpp
@@ -11,7 +11,9 @@
 std::optional<socket_address> parse_socket_address(std::string_view text)
 {
     const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
+    // inet_pton() reads only up to a NUL byte.
+    const bool has_nul = text.find('\0') != std::string_view::npos;
+    if (colon == std::string_view::npos || has_nul)
     {
         return std::nullopt;
     }
