Say once that a worker is not used while its entry is odd

Seen: each time that the odd entry of a known worker was written again, the leader logged "worker removed from the membership list": 30 lines for 30 writes, and the entry had not been removed.

Cause: the list passed an odd entry on as a removal, and the removal of a worker that is already out of use was logged as well.

Change: the change of an entry says whether it was removed or is odd, and the line is written when the worker goes out of use.

Test: loss_of_an_entry_is_logged_once fails without the condition (30 lines instead of 1). worker_with_an_unreadable_entry_keeps_its_runs and nothing_starts_by_an_entry_that_is_out_of_date now name the loss as odd.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -138,14 +138,20 @@
          {"memory_reserved", std::to_string(used.memory_mb)}});
 }
 
-void scheduler::remove_worker(const worker_id& id, time_point /*now*/)
+void scheduler::remove_worker(const worker_id& id, time_point /*now*/,
+                              entry_loss reason)
 {
-    if (auto* const worker = state_.find_worker(id))
+    auto* const worker = state_.find_worker(id);
+    // An odd entry may be rewritten each second.
+    if (worker == nullptr || worker->is_unlisted)
     {
-        state_.log_event("worker removed from the membership list",
-                         {{"worker", id.value()}});
-        worker->is_unlisted = true;
+        return;
     }
+    state_.log_event(reason == entry_loss::odd
+                         ? "worker is not used while its entry is odd"
+                         : "worker removed from the membership list",
+                     {{"worker", id.value()}});
+    worker->is_unlisted = true;
 }
 
 void scheduler::offload_leaving_worker(fleet_worker& worker, time_point now)
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -46,6 +46,14 @@
     bool lead_is_valid = true;
 };
 
+// Why the membership list names a worker no longer.
+enum class entry_loss
+{
+    removed,
+    // The entry is there, but cannot be used.
+    odd
+};
+
 class scheduler
 {
 public:
@@ -65,7 +73,10 @@
     void set_services(std::map<service_id, service_policy> services);
     void set_closed_zones(std::set<availability_zone_id> zones);
     void set_worker(const worker_entry& entry, time_point now);
-    void remove_worker(const worker_id& id, time_point now);
+    // Starts nothing on the worker until set_worker() is called for it. Its
+    // runs go on: the list alone ends nothing.
+    void remove_worker(const worker_id& id, time_point now,
+                       entry_loss reason = entry_loss::removed);
 
     // Does nothing if the job is already known.
     void add_job(job definition);
--- a/src/node/concepts.hpp
+++ b/src/node/concepts.hpp
@@ -59,8 +59,10 @@
 struct worker_change
 {
     worker_id id;
-    // Empty if the entry was removed or cannot be decoded.
+    // Empty if the entry was removed or is odd.
     std::optional<jobs::worker_entry> entry;
+    // The entry is there, but names no worker to use.
+    bool is_odd = false;
 };
 
 struct worker_changes
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -352,7 +352,10 @@
     {
         if (!change.entry)
         {
-            scheduler_->remove_worker(change.id, now);
+            scheduler_->remove_worker(change.id, now,
+                                      change.is_odd
+                                          ? jobs::entry_loss::odd
+                                          : jobs::entry_loss::removed);
             continue;
         }
         listed.insert(change.id);
--- a/tests/jobs/capacity_test.cpp
+++ b/tests/jobs/capacity_test.cpp
@@ -489,8 +489,7 @@
 {
     begin({"a"});
     run_job("lasting", serving_step(1, 4000));
-    // The list of workers passes an unreadable entry on as a removal.
-    leader->remove_worker(worker_id("a"), now);
+    leader->remove_worker(worker_id("a"), now, entry_loss::odd);
     add_job("j", step_of(1, 1000));
     leases_extended = 0;
     EXPECT_TRUE(simulate(seconds(8)).empty());
@@ -514,6 +513,27 @@
     EXPECT_EQ(simulate().size(), 1U);
 }
 
+// Failure: an odd entry that is rewritten each second fills the log.
+TEST_F(capacity_test, loss_of_an_entry_is_logged_once)
+{
+    begin({"a"});
+    run_job("lasting", serving_step(1, 4000));
+    leader->take_events();
+    const auto count_lines = [this](const std::string& message) {
+        const auto events = leader->take_events();
+        return std::ranges::count(events, message, &decision_event::message);
+    };
+    const std::string is_odd = "worker is not used while its entry is odd";
+    for (int i = 0; i < 30; ++i)
+    {
+        leader->remove_worker(worker_id("a"), now, entry_loss::odd);
+    }
+    EXPECT_EQ(count_lines(is_odd), 1);
+    publish("a", full_room);
+    leader->remove_worker(worker_id("a"), now, entry_loss::odd);
+    EXPECT_EQ(count_lines(is_odd), 1);
+}
+
 // Failure: sums over absurd capacities overflow, and a task is started without
 // room or none is started where there is room.
 TEST_F(capacity_test, absurd_capacities_do_not_overflow)
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -236,6 +236,41 @@
     EXPECT_THAT(simulate(seconds(1)), testing::ElementsAre(0U, 1U));
 }
 
+// Failure: the tasks of a recorded worker whose entry is odd at the takeover
+// start a second time, or are never started again.
+TEST_F(takeover_test, tasks_wait_for_the_leases_of_a_worker_with_an_odd_entry)
+{
+    leader.recover_fleet(
+        {{worker_id("here"), std::nullopt}, {worker_id("odd"), std::nullopt}});
+    leader.set_worker(entry("here"), now);
+    leader.remove_worker(worker_id("odd"), now, entry_loss::odd);
+    leader.begin(now);
+    EXPECT_THAT(simulate(seconds(12)), testing::IsEmpty());
+    EXPECT_THAT(simulate(seconds(6)), testing::ElementsAre(0U, 1U));
+    EXPECT_THAT(simulate(seconds(6)), testing::IsEmpty());
+}
+
+// Failure: runs on a worker whose entry was odd at the takeover are started
+// again after the entry has become valid.
+TEST_F(takeover_test, runs_are_adopted_once_an_odd_entry_is_valid)
+{
+    leader.recover_fleet(
+        {{worker_id("here"), std::nullopt}, {worker_id("odd"), std::nullopt}});
+    leader.set_worker(entry("here"), now);
+    leader.remove_worker(worker_id("odd"), now, entry_loss::odd);
+    leader.begin(now);
+    ASSERT_THAT(simulate(seconds(3)), testing::IsEmpty());
+    for (const auto index : {0U, 1U})
+    {
+        running.push_back({key(index), 1, "", 0, -1});
+        ran_on[key(index)] = worker_id("odd");
+    }
+    all_respond = true;
+    leader.set_worker(entry("odd"), now);
+    EXPECT_THAT(simulate(seconds(20)), testing::IsEmpty());
+    EXPECT_EQ(leader.fleet().at(worker_id("odd")).runs().size(), 2U);
+}
+
 // Failure: a leader without the store that reaches few workers continues to
 // extend leases there; the next leader cannot know for how long.
 TEST_F(takeover_test, leases_are_extended_only_while_most_workers_respond)
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -71,6 +71,10 @@
 {
     // Delivered with the next changes.
     std::optional<worker_change> next_change;
+    // The feed's history is lost before the next changes.
+    bool loses_history = false;
+    bool entry_is_odd = false;
+    jobs::task_size capacity{16000, 64000, 0};
 
     static jobs::worker_entry entry()
     {
@@ -82,18 +86,32 @@
         out.incarnation = 1;
         return out;
     }
+    jobs::worker_entry listed_entry() const
+    {
+        auto out = entry();
+        out.capacity = capacity;
+        return out;
+    }
     void
     read_all(const std::function<void(worker_list_outcome)>& callback) const
     {
         worker_changes changes;
         changes.newest = row_version(1);
         changes.is_snapshot = true;
-        changes.changes.push_back({entry().id, entry()});
+        changes.changes.push_back(
+            {entry().id,
+             entry_is_odd ? std::nullopt : std::optional(listed_entry()),
+             entry_is_odd});
         callback(changes);
     }
     void read_changes(row_version after,
                       const std::function<void(worker_list_outcome)>& callback)
     {
+        if (std::exchange(loses_history, false))
+        {
+            callback(history_lost{});
+            return;
+        }
         worker_changes changes;
         changes.newest = after;
         if (const auto change = std::exchange(next_change, std::nullopt))
@@ -320,23 +338,59 @@
     EXPECT_FALSE(a.state_of(excessive));
 }
 
+// Failure: a snapshot that holds an odd entry lets its worker be used on, or
+// keeps it unused once the entry is valid.
+TEST_F(leader_role_test, nothing_starts_by_an_odd_entry_in_a_snapshot)
+{
+    // The tasks last until the end of the test.
+    list.capacity = {2000, 64000, 0};
+    auto a = make_leader("a");
+    ASSERT_NO_FATAL_FAILURE(start_some_tasks(a));
+    list.loses_history = true;
+    list.entry_is_odd = true;
+    run_for(a, milliseconds(1100));
+    const auto starts_before = workers.starts;
+    run_for(a, seconds(2));
+    EXPECT_EQ(workers.starts, starts_before);
+    list.loses_history = true;
+    list.entry_is_odd = false;
+    run_for(a, seconds(2));
+    EXPECT_GT(workers.starts, starts_before);
+}
+
+// Failure: a leader that finds only an odd entry starts tasks by it, or none
+// once the entry is valid.
+TEST_F(leader_role_test, odd_entry_at_a_takeover_names_no_worker)
+{
+    store_job();
+    list.entry_is_odd = true;
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, seconds(2));
+    ASSERT_TRUE(a.leads());
+    EXPECT_EQ(workers.starts, 0U);
+    list.next_change = {worker_id("w"), single_worker_list::entry(), false};
+    run_for(a, seconds(1));
+    EXPECT_GT(workers.starts, 0U);
+}
+
 // Failure: a worker whose later entry cannot be read keeps the capacity of the
 // earlier one, or is not used again once it can be read.
 TEST_F(leader_role_test, nothing_starts_by_an_entry_that_is_out_of_date)
 {
     auto a = make_leader("a");
     ASSERT_NO_FATAL_FAILURE(start_some_tasks(a));
-    list.next_change = {worker_id("w"), std::nullopt};
+    list.next_change = {worker_id("w"), std::nullopt, true};
     run_for(a, milliseconds(400));
     const auto starts_before = workers.starts;
     run_for(a, seconds(2));
     EXPECT_EQ(workers.starts, starts_before);
     auto smaller = single_worker_list::entry();
     smaller.capacity = {500, 64000, 0};
-    list.next_change = {smaller.id, smaller};
+    list.next_change = {smaller.id, smaller, false};
     run_for(a, seconds(2));
     EXPECT_EQ(workers.starts, starts_before);
-    list.next_change = {smaller.id, single_worker_list::entry()};
+    list.next_change = {smaller.id, single_worker_list::entry(), false};
     run_for(a, milliseconds(500));
     EXPECT_GT(workers.starts, starts_before);
 }
