--- a/tests/adapter/worker_calls_test.cpp
+++ b/tests/adapter/worker_calls_test.cpp
@@ -1,8 +1,9 @@
 // Guards against a leader that runs out of file descriptors and can then reach
-// neither the store nor its workers.
+// neither the store nor its workers, and against calls without an outcome.
 #include <functional>
 #include <memory>
 #include <stdexcept>
+#include <string>
 #include <vector>
 
 #include <QCoreApplication>
@@ -10,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include "http/http.hpp"
+#include "observe/logging.hpp"
 #include "worker_calls.hpp"
 
 using namespace hemlockdeal;
@@ -95,3 +97,35 @@
     EXPECT_EQ(calls.connections(), 0U);
     call_all();
 }
+
+// Failure: a call to a worker with an invalid address never ends, or each call
+// writes a line to the log.
+TEST(worker_calls, calls_to_an_invalid_address_fail_and_are_logged_once)
+{
+    set_up_buffered_logging(log_level::debug);
+    testing::internal::CaptureStdout();
+    worker_calls calls(std::nullopt);
+    jobs::worker_entry worker;
+    worker.id = worker_id("w");
+    worker.address = "10.0.0.1:0";
+    std::size_t failures = 0;
+    const auto on_done = [&](bool done) { failures += done ? 0 : 1; };
+    for (int i = 0; i < 5; ++i)
+    {
+        calls.stop(worker, {worker.id, {}, 1}, 1, on_done);
+        calls.pace(worker, {worker.id, {}, 1, 50}, 1, on_done);
+        calls.poll(worker, {worker.id, std::nullopt, 0, {}}, 1,
+                   [&](const node::poll_response& response) {
+                       on_done(response.report.has_value());
+                   });
+        calls.start(worker, {}, 1, [&](jobs::start_answer answer) {
+            on_done(answer == jobs::start_answer::accepted);
+        });
+    }
+    flush_log();
+    const auto output = testing::internal::GetCapturedStdout();
+    EXPECT_EQ(failures, 20U);
+    const std::string line = "worker address is invalid";
+    EXPECT_NE(output.find(line), std::string::npos);
+    EXPECT_EQ(output.find(line), output.rfind(line));
+}
