Keep a VM whose entry of the membership list is malformed

Cause: readers know two cases only, a VM that the list shows and one that it does not.

Change: membership_merge joins each received list with the VMs known before. A known VM with a malformed entry is kept by its last good entry in the new state `unusable`: no starts, no requests, no coordinator; what runs there goes on, reports and renewals included. It is not `leaving`, because work is moved off leaving workers; a VM that was leaving stays so. An entry without a readable id may be any VM, so known VMs that such a list does not name are kept in the same way. An id that is named twice is malformed, since nothing tells which entry is right. Owners that never knew the VM (started while the entry is malformed) have no entry to keep; the list then says that it does not prove the absence, and journalled intents on such a worker wait. Sizes of unusable workers still count for "this job can never run".

--- a/src/batch/fleet.cpp
+++ b/src/batch/fleet.cpp
@@ -15,14 +15,17 @@
     for (const member& m : list.members)
     {
         regions_[m.zone] = m.region;
-        if (m.kind != member_kind::worker || m.state != member_state::live)
+        if (m.kind != member_kind::worker || m.state == member_state::leaving)
         {
             continue;
         }
         shard_capacity& shard =
             shards_[shard_of(worker_id(m.id), m.zone, shards_per_zone)];
-        shard.sum += m.size;
-        ++shard.workers;
+        if (m.state == member_state::live)
+        {
+            shard.sum += m.size;
+            ++shard.workers;
+        }
         if (std::ranges::find(shard.sizes, m.size) == shard.sizes.end())
         {
             shard.sizes.push_back(m.size);
--- a/src/batch/fleet.hpp
+++ b/src/batch/fleet.hpp
@@ -16,7 +16,9 @@
 public:
     struct shard_capacity
     {
-        std::vector<resources> sizes; // without duplicates
+        // Without duplicates. Includes workers with a malformed entry, which
+        // are expected back: a task that fits only there can still run.
+        std::vector<resources> sizes;
         resources sum;
         std::uint32_t workers = 0;
     };
--- a/src/batch/worker_driver.cpp
+++ b/src/batch/worker_driver.cpp
@@ -219,7 +219,8 @@
         {
             continue;
         }
-        if (out || !worker.listed || task.runtime.stop_wanted ||
+        if (out || !worker.listed || worker.unusable ||
+            task.runtime.stop_wanted ||
             now - task.runtime.intended_at > unsent_limit)
         {
             state_.withdraw(ref, now);
--- a/src/batch/worker_ledger.cpp
+++ b/src/batch/worker_ledger.cpp
@@ -38,14 +38,20 @@
     {
         found->second.id = id;
         found->second.next_visit_at = now;
-        if (context_.members.version > 0)
-        {
-            found->second.absent_since = now;
-        }
+        note_absence(found->second, now);
     }
     return found->second;
 }
 
+void worker_ledger::note_absence(worker_state& worker, time_point now) const
+{
+    if (context_.members.version > 0 && !worker.absent_since &&
+        context_.members.proves_absence_of(worker.id.value()))
+    {
+        worker.absent_since = now;
+    }
+}
+
 void worker_ledger::update_members(time_point now)
 {
     std::set<worker_id> listed;
@@ -63,6 +69,7 @@
         worker.address = m.address;
         worker.size = m.size;
         worker.leaving = m.state == member_state::leaving;
+        worker.unusable = m.state == member_state::unusable;
         worker.listed = true;
         worker.absent_since.reset();
         worker.next_visit_at = std::min(worker.next_visit_at, now);
@@ -72,10 +79,7 @@
         if (!listed.contains(id))
         {
             worker.listed = false;
-            if (!worker.absent_since)
-            {
-                worker.absent_since = now;
-            }
+            note_absence(worker, now);
         }
     }
     remove_gone();
@@ -112,8 +116,9 @@
     {
         return worker.listed;
     }
-    return worker.listed && !worker.leaving && worker.reported &&
-           now >= worker.no_starts_until && now >= starts_after_ &&
+    return worker.listed && !worker.leaving && !worker.unusable &&
+           worker.reported && now >= worker.no_starts_until &&
+           now >= starts_after_ &&
            now - worker.report_received_at < report_too_old;
 }
 
--- a/src/batch/worker_ledger.hpp
+++ b/src/batch/worker_ledger.hpp
@@ -33,7 +33,9 @@
     resources size;
     bool listed = false;
     bool leaving = false;
-    // Since when the membership list does not show the worker.
+    // Its entry of the list is malformed: nothing starts, what runs goes on.
+    bool unusable = false;
+    // Since when the membership list does not name the worker.
     std::optional<time_point> absent_since;
 
     std::vector<task_ref> assigned;
@@ -88,6 +90,8 @@
     void set_starts_after(time_point at) { starts_after_ = at; }
 
 private:
+    // Counts the worker as absent from now on if the list proves it.
+    void note_absence(worker_state& worker, time_point now) const;
     worker_state& ensure(const worker_id& id, time_point now);
 
     batch_context& context_;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -10,6 +10,7 @@
 #include "core/finding.hpp"
 #include "core/ids.hpp"
 #include "core/membership.hpp"
+#include "core/membership_merge.hpp"
 #include "core/operator_message.hpp"
 #include "core/peer_message.hpp"
 #include "core/resources.hpp"
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -2,8 +2,11 @@
 // actual state.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/ids.hpp"
@@ -22,7 +25,10 @@
 enum class member_state
 {
     live,
-    leaving
+    leaving,
+    // The list names the VM, or may name it, by an entry that cannot be used:
+    // it gets nothing new, and what runs there goes on.
+    unusable
 };
 
 // An entry of the list. `id` identifies a VM (entry VM, worker) or an instance.
@@ -45,6 +51,40 @@
 {
     std::uint64_t version = 0;
     std::vector<member> members;
+    // VMs that were never known and whose entries cannot be used.
+    std::vector<std::string> unknown_ids{};
+    // Some entry has no readable id, so it may name any VM.
+    bool may_name_any_vm = false;
+
+    // Whether the absence of `id` from `members` means that the list does not
+    // name it.
+    bool proves_absence_of(std::string_view id) const
+    {
+        return !may_name_any_vm &&
+               std::ranges::find(unknown_ids, id) == unknown_ids.end();
+    }
+};
+
+// An entry that names no VM to use.
+struct malformed_member
+{
+    std::size_t index = 0; // place in the list, counted from 0
+    std::string id;        // empty when it cannot be read
+    std::string fault;     // field and what was expected, bounded
+};
+
+struct received_member
+{
+    std::size_t index = 0; // place in the list, counted from 0
+    member vm;
+};
+
+// The list as the platform sends it.
+struct received_membership
+{
+    std::uint64_t version = 0;
+    std::vector<received_member> members;
+    std::vector<malformed_member> malformed{};
 };
 
 } // namespace hemlockdeal
--- a/src/request/ejector.cpp
+++ b/src/request/ejector.cpp
@@ -106,7 +106,7 @@
     for (instance_index i = 0; i < directory_.size(); ++i)
     {
         endpoint_instance& e = directory_.at(i);
-        if (!e.listed || e.listed_leaving)
+        if (!e.listed || e.listed_leaving || e.unusable)
         {
             continue;
         }
--- a/src/request/endpoint_directory.cpp
+++ b/src/request/endpoint_directory.cpp
@@ -63,6 +63,7 @@
     }
     e.listed = true;
     e.listed_leaving = listed_as_leaving;
+    e.unusable = m.state == member_state::unusable;
     e.address = m.address;
     e.zone = m.zone;
     e.service = service_of(m.service);
--- a/src/request/endpoint_directory.hpp
+++ b/src/request/endpoint_directory.hpp
@@ -36,6 +36,8 @@
 
     bool listed = false;
     bool listed_leaving = false;
+    // The entry of the list is malformed.
+    bool unusable = false;
     // The zone was taken out of service by an operator.
     bool zone_out = false;
     // Time at which the instance announced that it is leaving.
@@ -48,9 +50,10 @@
     // Peak number of requests in flight since the last loan round.
     std::uint32_t peak_in_flight = 0;
 
+    // Whether the instance gets no new requests.
     bool is_leaving() const
     {
-        return !listed || listed_leaving || zone_out ||
+        return !listed || listed_leaving || unusable || zone_out ||
                announced_leaving.has_value();
     }
 };
--- a/tests/batch/cluster.cpp
+++ b/tests/batch/cluster.cpp
@@ -109,6 +109,7 @@
     d.valid_until.reset();
     d.lease_version.reset();
     d.core.reset();
+    d.merge = membership_merge();
     d.configuration = configuration_state();
     batch_options o;
     o.vm = d.vm;
@@ -121,7 +122,7 @@
     on_daemon(index, [this, index](daemon& started) {
         started.core->on_lease(std::nullopt, started.own_incarnation,
                                started.local(now_));
-        started.core->on_membership(members(), started.local(now_));
+        started.core->on_membership(members(started), started.local(now_));
         after_event(index);
     });
     tick(index);
--- a/tests/batch/cluster.hpp
+++ b/tests/batch/cluster.hpp
@@ -32,6 +32,14 @@
     bool workers_fence = true;
 };
 
+// How the membership list names a worker.
+enum class entry_fault
+{
+    none,
+    malformed,
+    without_id
+};
+
 // Network and table faults that hold now.
 struct cluster_faults
 {
@@ -72,6 +80,10 @@
     void cut_from_workers(std::size_t daemon, bool cut);
     void kill_worker(std::size_t worker);
     void set_zone_out(std::size_t zone, bool out);
+    // Publishes a new list with the worker's entry changed.
+    void set_entry_fault(std::size_t worker, entry_fault fault);
+    // Daemons drop VMs whose entries are malformed, as if they were removed.
+    bool drops_malformed_entries = false;
 
     // Every accepted job is over: finished, cancelled or failed for good.
     bool all_over() const;
@@ -99,6 +111,7 @@
         std::unique_ptr<fake_worker> worker;
         std::size_t zone = 0;
         bool listed = true;
+        entry_fault fault = entry_fault::none;
     };
     struct event
     {
@@ -152,7 +165,8 @@
     void control(std::size_t index);
     void start_daemon(std::size_t index);
     void publish_members();
-    membership_list members() const;
+    received_membership received_list() const;
+    membership_list members(daemon& d) const;
     void add_worker(std::size_t zone);
     void on_started(const fake_worker& worker, const worker_command& command,
                     const run_of_task& run);
--- a/tests/batch/cluster_checks.cpp
+++ b/tests/batch/cluster_checks.cpp
@@ -1,5 +1,6 @@
 // Requests, faults and the checks of the test cluster.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "batch/batch_codec.hpp"
@@ -173,9 +174,31 @@
     }
 }
 
-membership_list cluster::members() const
+void cluster::set_entry_fault(std::size_t worker, entry_fault fault)
 {
+    workers_[worker].fault = fault;
+    ++list_version_;
+    publish_members();
+}
+
+membership_list cluster::members(daemon& d) const
+{
+    const auto received = received_list();
+    if (!drops_malformed_entries)
+    {
+        return d.merge.apply(received).list;
+    }
     membership_list list;
+    list.version = received.version;
+    std::ranges::transform(received.members, std::back_inserter(list.members),
+                           &received_member::vm);
+    return list;
+}
+
+received_membership cluster::received_list() const
+{
+    received_membership list;
+    std::size_t index = 0;
     list.version = list_version_;
     for (const auto& d : daemons_)
     {
@@ -184,11 +207,17 @@
         m.kind = member_kind::entry_vm;
         m.zone = d->zone;
         m.region = region_id("region");
-        list.members.push_back(m);
+        list.members.push_back({index++, m});
     }
     for (const worker_vm& vm : workers_)
     {
-        if (vm.listed)
+        if (vm.listed && vm.fault != entry_fault::none)
+        {
+            const bool has_id = vm.fault == entry_fault::malformed;
+            list.malformed.push_back(
+                {index++, has_id ? vm.worker->id.value() : "", "malformed"});
+        }
+        else if (vm.listed)
         {
             member m;
             m.id = vm.worker->id.value();
@@ -197,7 +226,7 @@
             m.region = region_id("region");
             m.address = "address of " + m.id;
             m.size = vm.worker->size;
-            list.members.push_back(m);
+            list.members.push_back({index++, m});
         }
     }
     return list;
@@ -208,7 +237,7 @@
     for (std::size_t i = 0; i < daemons_.size(); ++i)
     {
         on_daemon(i, [this, i](daemon& d) {
-            d.core->on_membership(members(), d.local(now_));
+            d.core->on_membership(members(d), d.local(now_));
             after_event(i);
         });
     }
--- a/tests/batch/cluster_daemon.hpp
+++ b/tests/batch/cluster_daemon.hpp
@@ -29,6 +29,7 @@
     bool cut_from_workers = false;
     duration clock_offset{};
 
+    membership_merge merge;
     configuration_state configuration;
     std::unique_ptr<batch_core<first_fit_policy>> core;
 
--- a/tests/request/limits_test.cpp
+++ b/tests/request/limits_test.cpp
@@ -258,6 +258,32 @@
     }
 }
 
+// Guards against new requests to an instance whose entry is malformed, against
+// the end of its requests in flight, and against forgetting that it announced
+// its stop.
+TEST(endpoint_directory, instance_with_a_malformed_entry_gets_nothing_new)
+{
+    endpoint_directory d = make_directory(2, 3);
+    d.add_in_flight(0, request_id(1), at(0s));
+    d.at(0).announced_leaving = at(0s);
+    membership_list list = make_list(2, 3);
+    for (member& m : list.members)
+    {
+        if (m.id == "instance-0" || m.id == "instance-1")
+        {
+            m.state = member_state::unusable;
+        }
+    }
+    d.apply(list, at(1s));
+    EXPECT_TRUE(d.at(0).is_leaving());
+    EXPECT_TRUE(d.at(1).is_leaving());
+    EXPECT_FALSE(d.at(2).is_leaving());
+    EXPECT_EQ(d.at(0).in_flight.size(), 1U);
+    d.apply(make_list(2, 3), at(2s));
+    EXPECT_TRUE(d.at(0).is_leaving());
+    EXPECT_FALSE(d.at(1).is_leaving());
+}
+
 // Guards against ejecting all instances of a service when all of them fail.
 RC_GTEST_PROP(ejector, at_most_half_of_the_instances_are_ejected,
               (const std::vector<std::uint8_t>& failing))
