Decode the members of the membership list one by one

What operators saw: one entry of an unknown kind or state, with a missing field or a number out of range made the whole list an error at each fetch for as long as the entry stood. hemlockdeald kept its last list without a log line: new VMs got nothing, removed ones were never given up.

Cause: decode_list decoded all members in one go and the first exception ended it.

Change: each entry is decoded by itself. The others hold; malformed ones are reported with place, id (if it can be read) and fault, and the daemon joins the list with the known VMs by membership_merge.

--- a/src/hemlockdeald/platform_thread.cpp
+++ b/src/hemlockdeald/platform_thread.cpp
@@ -91,19 +91,24 @@
         return;
     }
     is_fetching_ = true;
-    clients_->membership.fetch([this](result<membership_list> list) {
+    clients_->membership.fetch([this](result<received_membership> list) {
         is_fetching_ = false;
-        if (!is_ok(list))
+        if (is_ok(list))
         {
-            return;
+            publish_membership(value_of(std::move(list)));
         }
-        const auto shared =
-            std::make_shared<const membership_list>(value_of(std::move(list)));
-        batch_replies_.post(shared);
-        proxy_replies_.post(shared);
     });
 }
 
+void platform_thread::publish_membership(received_membership&& received)
+{
+    auto merged = merge_.apply(std::move(received));
+    const auto shared =
+        std::make_shared<const membership_list>(std::move(merged.list));
+    batch_replies_.post(shared);
+    proxy_replies_.post(shared);
+}
+
 void platform_thread::execute(platform_request&& request, reply_sender& to)
 {
     if (!clients_)
--- a/src/hemlockdeald/platform_thread.hpp
+++ b/src/hemlockdeald/platform_thread.hpp
@@ -58,6 +58,7 @@
     void open();
     void execute(platform_request&& request, reply_sender& to);
     void fetch_membership();
+    void publish_membership(received_membership&& received);
     void schedule_retry();
 
     platform_settings settings_;
@@ -70,6 +71,7 @@
     // Created and destroyed in the thread that uses it.
     std::optional<clients> clients_;
     bool is_fetching_ = false;
+    membership_merge merge_;
     event_loop_thread thread_;
 };
 
--- a/src/platform/concepts.hpp
+++ b/src/platform/concepts.hpp
@@ -22,7 +22,7 @@
 using commit_callback = std::function<void(commit_outcome)>;
 using row_callback = std::function<void(result<std::optional<table_row>>)>;
 using page_callback = std::function<void(result<table_page>)>;
-using membership_callback = std::function<void(result<membership_list>)>;
+using membership_callback = std::function<void(result<received_membership>)>;
 using worker_report_callback = std::function<void(worker_report_reply)>;
 using worker_command_callback = std::function<void(worker_command_reply)>;
 
--- a/src/platform/membership_client.cpp
+++ b/src/platform/membership_client.cpp
@@ -2,7 +2,7 @@
 // protocol.
 #include "platform/membership_client.hpp"
 
-#include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "platform/response.hpp"
@@ -15,6 +15,8 @@
 
 namespace json = boost::json;
 const std::string service_name = "membership";
+// Ids are keys of the platform's store, which are no longer.
+constexpr std::size_t max_id_bytes = 200;
 
 member_kind kind_of(const std::string& text)
 {
@@ -63,14 +65,47 @@
     return out;
 }
 
-membership_list decode_list(const json::object& response)
+// Empty when the entry has no id to go by.
+std::string readable_id(const json::value& entry)
 {
-    membership_list list;
+    const auto* object = entry.if_object();
+    const auto* id = object == nullptr ? nullptr : object->if_contains("id");
+    if (id == nullptr || !id->is_string() ||
+        id->get_string().size() > max_id_bytes)
+    {
+        return {};
+    }
+    return {id->get_string().data(), id->get_string().size()};
+}
+
+void decode_entry(const json::value& entry, std::size_t index,
+                  received_membership& list)
+{
+    const auto id = readable_id(entry);
+    try
+    {
+        const auto& vm = json_fields::object(entry, "vms");
+        if (id.empty())
+        {
+            json_fields::fail("id", "a text of 1 to 200 bytes");
+        }
+        list.members.push_back({index, decode_member(vm)});
+    }
+    catch (const std::exception& fault)
+    {
+        list.malformed.push_back({index, id, fault.what()});
+    }
+}
+
+received_membership decode_list(const json::object& response)
+{
+    received_membership list;
     list.version = json_fields::count(response, "version");
-    const auto& vms = json_fields::array(response, "vms");
-    std::ranges::for_each(vms, [&](const json::value& vm) {
-        list.members.push_back(decode_member(json_fields::object(vm, "vms")));
-    });
+    std::size_t index = 0;
+    for (const json::value& entry : json_fields::array(response, "vms"))
+    {
+        decode_entry(entry, index++, list);
+    }
     return list;
 }
 
@@ -86,9 +121,9 @@
         http_.get(service_url(address_, "/membership"),
                   [done](const call_response& response) {
                       done(response.status != 200
-                               ? result<membership_list>(
+                               ? result<received_membership>(
                                      response_error(service_name, response))
-                               : decode_response<membership_list>(
+                               : decode_response<received_membership>(
                                      service_name, response, decode_list));
                   });
     if (!sent)
--- a/src/platform/membership_client.hpp
+++ b/src/platform/membership_client.hpp
@@ -15,8 +15,9 @@
     // `address` is the service's "http://ip:port".
     explicit membership_client(std::string address, http_limits limits = {});
 
-    // Passes the complete list, or an error when any entry is malformed: VMs
-    // that are missing in a partial list would be treated as removed.
+    // Passes the list with its malformed entries, or an error when the response
+    // as a whole is incomplete or malformed. Malformed entries are never left
+    // out: VMs that are missing in a list count as removed.
     void fetch(const membership_callback& done);
 
     const traffic& bytes() const { return http_.bytes(); }
