Hold the last membership list and show its age

What operators saw: while the membership list could not be fetched or parsed, hemlockdeald held its last list without a log line or a metric. One entry that nested deeper than 32 levels, or that held bytes that are not UTF-8, made the whole body unreadable.

Cause: platform_thread::fetch_membership ignored errors, and the parser ran with its default limits.

Change: the log says once that the list is old (10 s, with the reason) and once that it is up to date again; hemlockdeal_membership_age_seconds and hemlockdeal_membership_malformed_entries show it. The list alone is parsed with a depth of 1,000 and with invalid UTF-8 allowed, so that such an entry is malformed by itself. Beyond that depth the body is unreadable and the last list holds.

Ruled out: no limit at all (a body of 32 MB could nest 16 million levels). A number such as 1e400 was no fault; the test keeps it.

Seen failing before: with the parser's defaults, unreadable_values_in_an_entry_leave_the_others fails. The daemon's log line has no test of its own; its decision is tested (membership_age).

--- a/src/hemlockdeald/daemon.cpp
+++ b/src/hemlockdeald/daemon.cpp
@@ -245,6 +245,16 @@
         .set(state.configuration_age
                  ? static_cast<double>(state.configuration_age->count()) / 1e6
                  : -1.0);
+    registry
+        .gauge("hemlockdeal_membership_age_seconds",
+               "Time since the last readable membership list")
+        .set(static_cast<double>(
+                 platform_.membership_age_at(lease_clock_now()).count()) /
+             1e6);
+    registry
+        .gauge("hemlockdeal_membership_malformed_entries",
+               "Entries of the membership list that name no VM to use")
+        .set(static_cast<double>(platform_.malformed_members()));
     const auto traffic = peers_->traffic();
     registry.gauge("hemlockdeal_peer_bytes_sent", "Bytes sent to other daemons")
         .set(static_cast<double>(traffic.bytes_sent));
--- a/src/hemlockdeald/platform_thread.cpp
+++ b/src/hemlockdeald/platform_thread.cpp
@@ -5,6 +5,7 @@
 
 #include "clock.hpp"
 #include "core/core.hpp"
+#include "observe/observe.hpp"
 
 namespace hemlockdeal
 {
@@ -31,7 +32,8 @@
       to_proxy_(reply_ring_capacity),
       batch_replies_{&to_batch_, {}, [this] { schedule_retry(); }},
       proxy_replies_{&to_proxy_, {}, [this] { schedule_retry(); }},
-      thread_("platform")
+      membership_age_(lease_clock_now()),
+      membership_received_at_(lease_clock_now()), thread_("platform")
 {
     from_batch_.connect(thread_.context(), [this](platform_request&& request) {
         execute(std::move(request), batch_replies_);
@@ -62,7 +64,10 @@
 {
     clients_.emplace(settings_);
     QObject::connect(&clients_->membership_timer, &QTimer::timeout,
-                     &thread_.context(), [this] { fetch_membership(); });
+                     &thread_.context(), [this] {
+                         log_membership_age();
+                         fetch_membership();
+                     });
     clients_->membership_timer.start(membership_interval_ms);
     QObject::connect(&clients_->retry_timer, &QTimer::timeout,
                      &thread_.context(), [this] {
@@ -93,22 +98,55 @@
     is_fetching_ = true;
     clients_->membership.fetch([this](result<received_membership> list) {
         is_fetching_ = false;
-        if (is_ok(list))
+        if (!is_ok(list))
         {
-            publish_membership(value_of(std::move(list)));
+            membership_error_ = error_of(list).message;
+            return;
         }
+        membership_error_.clear();
+        publish_membership(value_of(std::move(list)));
     });
 }
 
 void platform_thread::publish_membership(received_membership&& received)
 {
+    const auto now = lease_clock_now();
+    membership_age_.on_list(now);
+    membership_received_at_ = now;
     auto merged = merge_.apply(std::move(received));
+    malformed_members_ = merged.malformed.size();
     const auto shared =
         std::make_shared<const membership_list>(std::move(merged.list));
     batch_replies_.post(shared);
     proxy_replies_.post(shared);
 }
 
+void platform_thread::log_membership_age()
+{
+    const auto now = lease_clock_now();
+    const auto change = membership_age_.check(now);
+    if (!change)
+    {
+        return;
+    }
+    if (*change == membership_age::change::is_fresh_again)
+    {
+        log(log_level::info, "the membership list is up to date again");
+        return;
+    }
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
+        membership_age_.age(now));
+    log(log_level::warning, "the membership list is old; the last one holds",
+        {{"seconds", std::to_string(seconds.count())},
+         {"reason",
+          membership_error_.empty() ? "no response" : membership_error_}});
+}
+
+duration platform_thread::membership_age_at(time_point now) const
+{
+    return now - membership_received_at_.load();
+}
+
 void platform_thread::execute(platform_request&& request, reply_sender& to)
 {
     if (!clients_)
--- a/src/hemlockdeald/platform_thread.hpp
+++ b/src/hemlockdeald/platform_thread.hpp
@@ -2,9 +2,12 @@
 // workers.
 #pragma once
 
+#include <atomic>
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <optional>
+#include <string>
 
 #include <QTimer>
 
@@ -29,6 +32,11 @@
     mailbox<platform_reply>& to_batch() { return to_batch_; }
     mailbox<platform_reply>& to_proxy() { return to_proxy_; }
 
+    // Thread-safe. Time since the last readable membership list, or since the
+    // start, and the number of malformed entries in it.
+    duration membership_age_at(time_point now) const;
+    std::size_t malformed_members() const { return malformed_members_; }
+
     void start();
     void stop();
 
@@ -59,6 +67,7 @@
     void execute(platform_request&& request, reply_sender& to);
     void fetch_membership();
     void publish_membership(received_membership&& received);
+    void log_membership_age();
     void schedule_retry();
 
     platform_settings settings_;
@@ -72,6 +81,10 @@
     std::optional<clients> clients_;
     bool is_fetching_ = false;
     membership_merge merge_;
+    membership_age membership_age_;
+    std::string membership_error_; // of the last call, empty if it succeeded
+    std::atomic<time_point> membership_received_at_;
+    std::atomic<std::size_t> malformed_members_ = 0;
     event_loop_thread thread_;
 };
 
--- a/src/platform/json_fields.hpp
+++ b/src/platform/json_fields.hpp
@@ -26,11 +26,13 @@
                        std::string(expected));
 }
 
-inline boost::json::value parse(std::string_view text)
+inline boost::json::value parse(std::string_view text,
+                                const boost::json::parse_options& options = {})
 {
     boost::system::error_code ec;
-    auto value = boost::json::parse(
-        boost::json::string_view(text.data(), text.size()), ec);
+    auto value =
+        boost::json::parse(boost::json::string_view(text.data(), text.size()),
+                           ec, boost::json::storage_ptr(), options);
     if (ec)
     {
         throw format_error("invalid JSON: " + ec.message());
--- a/src/platform/membership_client.cpp
+++ b/src/platform/membership_client.cpp
@@ -18,6 +18,20 @@
 // Ids are keys of the platform's store, which are no longer.
 constexpr std::size_t max_id_bytes = 200;
 
+// An entry of another writer may nest deeper than the parser's default of 32.
+// The parser and the destructor of its result recurse once a level; at this
+// depth they fit into a stack of 512 KB.
+constexpr std::size_t max_depth = 1000;
+
+// Options with which one unreadable entry does not hide the others.
+json::parse_options lenient_options()
+{
+    json::parse_options options;
+    options.max_depth = max_depth;
+    options.allow_invalid_utf8 = true;
+    return options;
+}
+
 member_kind kind_of(const std::string& text)
 {
     if (text == "entry")
@@ -124,7 +138,8 @@
                                ? result<received_membership>(
                                      response_error(service_name, response))
                                : decode_response<received_membership>(
-                                     service_name, response, decode_list));
+                                     service_name, response, decode_list,
+                                     lenient_options()));
                   });
     if (!sent)
     {
--- a/src/platform/response.hpp
+++ b/src/platform/response.hpp
@@ -44,13 +44,15 @@
 // unexpected content.
 template <typename T, typename Decode>
 result<T> decode_response(const std::string& service,
-                          const call_response& response, Decode decode)
+                          const call_response& response, Decode decode,
+                          const boost::json::parse_options& options = {})
 {
     try
     {
-        const auto document = json_fields::parse(
-            {response.body.constData(),
-             static_cast<std::size_t>(response.body.size())});
+        const auto document =
+            json_fields::parse({response.body.constData(),
+                                static_cast<std::size_t>(response.body.size())},
+                               options);
         return result<T>(decode(json_fields::object(document, "response")));
     }
     catch (const std::exception& fault)
--- a/tests/platform/membership_test.cpp
+++ b/tests/platform/membership_test.cpp
@@ -178,6 +178,67 @@
     }
 }
 
+namespace
+{
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// The list of two entries with `odd`, any bytes, between them.
+std::string list_around_text(const std::string& odd)
+{
+    const auto sound = json::serialize(entry("entry-1", "entry"));
+    const auto other = json::serialize(entry("w-1", "worker"));
+    return R"({"version": 1, "vms": [)" + sound + "," + odd + "," + other +
+           "]}";
+}
+
+} // namespace
+
+// Failure: an entry that nests deeply, or with bytes that are not UTF-8 or a
+// number beyond all ranges, makes the whole list unreadable.
+TEST_F(membership_test, unreadable_values_in_an_entry_leave_the_others)
+{
+    const std::string start = R"({"id": "odd-1", "kind": )";
+    for (const std::string& value :
+         {nested(31), nested(900), std::string("\"\xff\xfe\""),
+          std::string("1e400")})
+    {
+        const auto list = fetch_body(list_around_text(start + value + "}"));
+        ASSERT_TRUE(is_ok(list)) << value << error_of(list).message;
+        EXPECT_EQ(value_of(list).members.size(), 2U);
+        ASSERT_EQ(value_of(list).malformed.size(), 1U) << value;
+        EXPECT_EQ(value_of(list).malformed[0].id, "odd-1");
+    }
+}
+
+// Failure: an entry that nests without bound exhausts the stack.
+TEST_F(membership_test, nesting_beyond_the_bound_is_an_error)
+{
+    EXPECT_FALSE(is_ok(fetch_body(list_around_text(nested(1001)))));
+    EXPECT_FALSE(is_ok(fetch_body(list_around_text(nested(1000000)))));
+}
+
+// Failure: an old list is not reported, or is reported each second.
+TEST(membership_age, old_list_is_reported_once)
+{
+    using std::chrono::seconds;
+    const time_point start(seconds(100));
+    membership_age age(start);
+    const auto limit = membership_age::old_after;
+    EXPECT_FALSE(age.check(start + limit));
+    EXPECT_EQ(age.check(start + limit + seconds(1)),
+              membership_age::change::became_old);
+    EXPECT_FALSE(age.check(start + limit + seconds(2)));
+    age.on_list(start + limit + seconds(3));
+    EXPECT_EQ(age.check(start + limit + seconds(4)),
+              membership_age::change::is_fresh_again);
+    EXPECT_FALSE(age.check(start + limit + seconds(5)));
+    EXPECT_EQ(age.age(start + limit + seconds(5)), seconds(2));
+}
+
 // Failure: an endpoint in the list is not reachable, or the record does not
 // count its runs.
 TEST_F(membership_test, endpoints_of_the_list_are_started)
