--- a/src/standin/membership_standin.cpp
+++ b/src/standin/membership_standin.cpp
@@ -28,21 +28,33 @@
 void membership_standin::change(const json::object& message, standin_time now)
 {
     auto next = history_.back().second;
-    ++next.first;
+    ++next.version;
     if (json_fields::find(message, "vms") != nullptr)
     {
-        next.second.clear();
-        add_vms(next.second, message, "vms");
+        next.entries.clear();
+        add_vms(next.entries, message, "vms");
     }
     if (json_fields::find(message, "set") != nullptr)
     {
-        add_vms(next.second, message, "set");
+        add_vms(next.entries, message, "set");
+    }
+    if (json_fields::find(message, "raw") != nullptr)
+    {
+        next.raw = json_fields::array(message, "raw");
+    }
+    if (json_fields::find(message, "hide") != nullptr)
+    {
+        next.hidden.clear();
+        const auto& ids = json_fields::array(message, "hide");
+        std::ranges::for_each(ids, [&](const json::value& id) {
+            next.hidden.emplace(id.as_string());
+        });
     }
     if (json_fields::find(message, "remove") != nullptr)
     {
         const auto& ids = json_fields::array(message, "remove");
         std::ranges::for_each(ids, [&](const json::value& id) {
-            next.second.erase(std::string(id.as_string()));
+            next.entries.erase(std::string(id.as_string()));
         });
     }
     lag_ = std::chrono::milliseconds(
@@ -56,12 +68,17 @@
     {
         history_.pop_front();
     }
-    const auto& [version, members] = history_.front().second;
+    const auto& list = history_.front().second;
     json::array out;
-    std::ranges::for_each(
-        members, [&](const auto& entry) { out.push_back(entry.second); });
+    std::ranges::for_each(list.entries, [&](const auto& entry) {
+        if (!list.hidden.contains(entry.first))
+        {
+            out.push_back(entry.second);
+        }
+    });
+    out.insert(out.end(), list.raw.begin(), list.raw.end());
     return json::serialize(
-        json::object{{"version", version}, {"vms", std::move(out)}});
+        json::object{{"version", list.version}, {"vms", std::move(out)}});
 }
 
 } // namespace hemlockdeal
--- a/src/standin/membership_standin.hpp
+++ b/src/standin/membership_standin.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -21,25 +22,33 @@
     // VM id to entry of GET /membership.
     using vms = std::map<std::string, boost::json::object>;
 
-    membership_standin() : history_{{standin_time::min(), {0, {}}}} {}
+    membership_standin() : history_{{standin_time::min(), {}}} {}
 
     // Optional members of the message: "lag_ms"; "vms", which replaces the
     // whole list; "set", which adds or replaces single VMs; "remove", a list
-    // of ids. Throws std::exception when the message is malformed.
+    // of ids; "raw", entries of any form that replace those set before and are
+    // listed after the others; "hide", ids whose entries are not listed while
+    // their VMs run on. Throws std::exception when the message is malformed.
     void change(const boost::json::object& message, standin_time now);
 
-    // The latest list, regardless of the lag.
-    const vms& current() const { return history_.back().second.second; }
+    // The VMs that run, regardless of the lag and of hidden entries.
+    const vms& current() const { return history_.back().second.entries; }
 
     // The response to GET /membership: the list as of `now` minus the lag.
     std::string delayed_list(standin_time now);
 
 private:
-    using versioned_vms = std::pair<std::uint64_t, vms>;
+    struct listed_state
+    {
+        std::uint64_t version = 0;
+        vms entries;
+        boost::json::array raw{};
+        std::set<std::string> hidden{};
+    };
 
     std::chrono::milliseconds lag_{0};
     // Time of the change and list, oldest first; never empty.
-    std::deque<std::pair<standin_time, versioned_vms>> history_;
+    std::deque<std::pair<standin_time, listed_state>> history_;
 };
 
 } // namespace hemlockdeal
