Refuse keys with thousands of parts in settings and declarations

A declaration or settings file with a key of 100,000 parts (200 KB) ended the process by a stack overflow: the parser nests a table for each part and frees them recursively. By reading: the operators' API takes declarations of up to 1 MB with the same parser, and peers' configurations and the stored one pass it too, so that one request could end a daemon.

Change: text between two delimiters with more than 256 dots is a syntax error, found before the parser runs. A string with so many dots is refused too; no value needs one.

Test: settings.deep_and_long_documents_give_findings_soon ended with a segmentation fault (status 139) without the change. operator_json.deep_and_long_bodies_are_refused found no fault.

--- a/src/settings/finding_list.cpp
+++ b/src/settings/finding_list.cpp
@@ -17,6 +17,30 @@
 // error.
 constexpr int max_syntax_findings = 20;
 
+// The parser nests a table for each part of a key and frees them recursively,
+// which overflows the stack beyond some ten thousand parts.
+constexpr std::size_t max_key_dots = 256;
+
+// Line of the first text between two delimiters that may be a key with too many
+// parts; 0 if there is none.
+std::uint32_t find_overlong_key(std::string_view text)
+{
+    constexpr std::string_view delimiters = "=,[]{}#\n";
+    std::uint32_t line = 1;
+    std::size_t dots = 0;
+    for (const char c : text)
+    {
+        dots = delimiters.find(c) != std::string_view::npos ? 0 : dots;
+        dots += c == '.' ? 1 : 0;
+        line += c == '\n' ? 1 : 0;
+        if (dots > max_key_dots)
+        {
+            return line;
+        }
+    }
+    return 0;
+}
+
 struct line_bounds
 {
     std::size_t begin = 0;
@@ -135,6 +159,17 @@
     std::string remaining = replace_non_ascii(text);
     for (int i = 0; i < max_syntax_findings; ++i)
     {
+        if (const auto line = find_overlong_key(remaining))
+        {
+            found.add({line, 1}, "syntax error: a key with more than " +
+                                     std::to_string(max_key_dots) + " dots");
+            found.set_incomplete();
+            if (!blank_line(remaining, line))
+            {
+                break;
+            }
+            continue;
+        }
         toml::parse_result parsed = toml::parse(std::string_view(remaining));
         if (parsed)
         {
--- a/tests/operators/json_test.cpp
+++ b/tests/operators/json_test.cpp
@@ -209,6 +209,29 @@
     EXPECT_EQ(status("other", "/v1/config"), 405);
 }
 
+// Failure: a body that is nested deeply or very long, or is no UTF-8, ends the
+// daemon.
+TEST(operator_json, deep_and_long_bodies_are_refused)
+{
+    const std::string deep = std::string(100'000, '[');
+    for (const auto& body :
+         {deep, R"({"id":)" + deep,
+          R"({"id":)" + std::string(33, '[') + std::string(33, ']') + "}",
+          R"({"id":")" + std::string(1'000'000, 'x') + R"("})",
+          std::string("{\"id\":\"\xff\xfe\"}"),
+          std::string(R"({"id":"a","id":5,"tasks":1e308})"),
+          std::string("{\"id\":\"\0\"}", 10)})
+    {
+        for (const auto* const path : {"/v1/jobs", "/v1/config"})
+        {
+            const auto read = read_request("POST", path, "", body);
+            const auto* const refusal = std::get_if<request_refusal>(&read);
+            ASSERT_NE(refusal, nullptr) << body.substr(0, 60);
+            EXPECT_EQ(refusal->status, 400);
+        }
+    }
+}
+
 // Failure: a malformed response crashes the reader, or an error response is
 // taken for an accepted change.
 RC_GTEST_PROP(operator_json, arbitrary_responses_do_not_crash_the_reader,
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -1,6 +1,7 @@
 // Validation of settings and declarations: each error is reported with its
 // position, and one error does not hide another.
 #include <algorithm>
+#include <chrono>
 #include <fstream>
 #include <iterator>
 #include <map>
@@ -281,3 +282,38 @@
             *found, [](const finding& f) { return f.place.line > 0; }));
     }
 }
+
+// Failure: a document that is nested deeply, very long or full of errors ends
+// the process, or takes it down for seconds.
+TEST(settings, deep_and_long_documents_give_findings_soon)
+{
+    const auto repeated = [](const std::string& text, std::size_t count) {
+        std::string out;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            out += text;
+        }
+        return out;
+    };
+    const std::vector<std::string> documents = {
+        "a = " + repeated("[", 31) + repeated("]", 31),
+        "a = " + repeated("[", 100'000) + repeated("]", 100'000),
+        "a = " + repeated("{b=", 100'000),
+        repeated("a.", 100'000) + "b = 1",
+        "[" + repeated("a.", 100'000) + "b]",
+        "a = \"" + std::string(1'000'000, 'x') + "\"",
+        std::string("a = \"\0\xff\"", 9),
+        "a = 99999999999999999999999\n",
+        "a = 1e400\n",
+        repeated("a = = 1\n", 10'000)};
+    const auto begin = std::chrono::steady_clock::now();
+    for (const auto& document : documents)
+    {
+        EXPECT_TRUE(std::holds_alternative<findings>(
+            parse_settings(document, "s.toml")));
+        EXPECT_TRUE(std::holds_alternative<findings>(
+            parse_declaration(document, "d.toml")));
+    }
+    EXPECT_LT(std::chrono::steady_clock::now() - begin,
+              std::chrono::seconds(5));
+}
