Keep a worker listed that was refused at its earlier address

Found by reading, shown by a test: a worker that has moved to another address was never used again by this leader.

Cause: a start that is answered by another worker (421) takes the worker off the list until its entry changes. If the new entry arrives while a start to the earlier address is on its way, the answer comes after it, and the entry does not change again while the worker is well.

Change: the answer counts only if the list has shown no entry since the start was ordered. A worker whose entry stands and whose address another one has is out of use as before (refusal_at_the_listed_address_unlists_a_worker, which holds on the code before too).

Ruled out by reading: the id that comes back at the same address has a new start time, so that its entry changes and lists it again. Polls with such an answer only fail. An entry with another worker's address and an id of its own is never seen, so that nothing starts by it.

Test: refusal_at_an_earlier_address_does_not_unlist_a_worker had no start in 2 s on the code before.

--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -143,6 +143,8 @@
     worker_entry entry;
     // When this leader learnt of the worker.
     time_point joined_at{};
+    // When the membership list last showed an entry of the worker.
+    time_point listed_at{};
     // The worker is no longer in the membership list.
     bool is_unlisted = false;
     // A later worker process on the same VM has responded, which shows that
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -430,6 +430,7 @@
     }
     worker.responded_at = now;
     const bool was_current = is_current_run(worker, key, run);
+    const auto ordered_at = record->ordered_at;
     worker.erase_run(key);
     if (response == start_answer::no_room)
     {
@@ -451,7 +452,9 @@
     {
         state_.is_superseded = true;
     }
-    if (response == start_answer::other_worker)
+    // An entry that arrived after the order may show another address, and may
+    // not change again.
+    if (response == start_answer::other_worker && worker.listed_at < ordered_at)
     {
         worker.is_unlisted = true;
     }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -91,6 +91,7 @@
         state_.fleet.try_emplace(entry.id, fleet_worker(entry));
     auto& worker = found->second;
     worker.is_unlisted = false;
+    worker.listed_at = now;
     if (is_new)
     {
         worker.joined_at = now;
--- a/tests/jobs/scheduler_lease_test.cpp
+++ b/tests/jobs/scheduler_lease_test.cpp
@@ -119,6 +119,43 @@
             .empty());
 }
 
+// Failure: a worker that has moved to another address is never used again,
+// because an order to the earlier address was refused after its new entry
+// arrived.
+TEST_F(scheduler_test, refusal_at_an_earlier_address_does_not_unlist_a_worker)
+{
+    add_worker("a");
+    leader.begin(now);
+    simulate();
+    unresponsive.insert(worker_id("a"));
+    leader.add_job(make_job("j", short_step(1)));
+    const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
+    ASSERT_EQ(starts.size(), 1U);
+    auto moved = entry("a");
+    moved.address = "10.0.0.2:80";
+    leader.set_worker(moved, now);
+    leader.on_start_answer(worker_id("a"), starts[0].task, starts[0].run,
+                           start_answer::other_worker, now);
+    unresponsive.clear();
+    EXPECT_EQ(orders_of<start_order>(simulate(seconds(2))).size(), 1U);
+}
+
+// Failure: a worker is used on although another one has its address.
+TEST_F(scheduler_test, refusal_at_the_listed_address_unlists_a_worker)
+{
+    add_worker("a");
+    leader.begin(now);
+    simulate();
+    unresponsive.insert(worker_id("a"));
+    leader.add_job(make_job("j", short_step(1)));
+    const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
+    ASSERT_EQ(starts.size(), 1U);
+    leader.on_start_answer(worker_id("a"), starts[0].task, starts[0].run,
+                           start_answer::other_worker, now);
+    unresponsive.clear();
+    EXPECT_TRUE(orders_of<start_order>(simulate(seconds(2))).empty());
+}
+
 // Failure: a restarted worker is told to forget ended runs by a number of its
 // previous incarnation, so that a finished task runs again (soak seed 3).
 TEST_F(scheduler_test, ends_are_acknowledged_once)
