End a recovery once beside other rows in the table of learnt figures

Seen in a test: with rows of other programs behind the learnt interference the leader ended its recovery twice, and read a row of another key as the interference.

Cause: the row was read as a page of one row from its key on, whatever key that row had, and each further page ended the recovery once more.

Change: the row is found by its key, and the recovery ends after the last page.

Test: other_rows_beside_the_learnt_ones_change_nothing saw two readings of the list of workers instead of one.

--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -187,14 +187,18 @@
 template <row_store Store, worker_port Workers, worker_list List>
 void leader_role<Store, Workers, List>::recover_learnt()
 {
-    read_table(row_pages({learnt_table, lead_part, interference_key, {}, 1}),
+    read_table(row_pages({learnt_table, lead_part, interference_key, {}, 500}),
                epoch_, [this](const read_rows& read) {
-                   if (!read.rows.empty())
+                   const auto stored = std::ranges::find(
+                       read.rows, interference_key, &stored_row::key);
+                   if (stored != read.rows.end())
                    {
-                       scheduler_->recover_interference(
-                           read.rows.front().value);
+                       scheduler_->recover_interference(stored->value);
+                   }
+                   if (!read.has_more)
+                   {
+                       finish_recovery();
                    }
-                   finish_recovery();
                });
 }
 
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -74,6 +74,7 @@
     // The feed's history is lost before the next changes.
     bool loses_history = false;
     bool entry_is_odd = false;
+    std::size_t snapshots = 0;
     jobs::task_size capacity{16000, 64000, 0};
 
     static jobs::worker_entry entry()
@@ -92,9 +93,9 @@
         out.capacity = capacity;
         return out;
     }
-    void
-    read_all(const std::function<void(worker_list_outcome)>& callback) const
+    void read_all(const std::function<void(worker_list_outcome)>& callback)
     {
+        ++snapshots;
         worker_changes changes;
         changes.newest = row_version(1);
         changes.is_snapshot = true;
@@ -338,6 +339,22 @@
     EXPECT_FALSE(a.state_of(excessive));
 }
 
+// Failure: a row of another program beside the learnt interference is read in
+// its place, and the recovery ends twice.
+TEST_F(leader_role_test, other_rows_beside_the_learnt_ones_change_nothing)
+{
+    for (const std::string key : {"a", "interference2", "z"})
+    {
+        store.transact(
+            {lead_part, {}, {{learnt_table, key, R"({"17":{"t":4.5}})"}}, {}},
+            {}, [](const transaction_outcome&) {});
+    }
+    auto a = make_leader("a");
+    run_for(a, milliseconds(300));
+    EXPECT_TRUE(a.leads());
+    EXPECT_EQ(list.snapshots, 1U);
+}
+
 // Failure: a job whose key goes on with a space or control character is skipped
 // where a page ends, and is lost with the takeover.
 TEST_F(leader_role_test, no_job_is_skipped_between_two_pages)
