Log odd rows of the operators' declarations once, with their place

Found by reading: a route without a name, host, prefix or service was left out of a configuration without a word, a route or service that stands twice was not noticed, and a service row without a name became a service with an empty name.

Change: decode_configuration returns findings beside what holds, and the feed logs them through odd_rows. The others hold as before, the first of two equal routes and the last of two equal services count as before; a service row without a name is left out.

Test: odd_rows_of_a_configuration_are_found; by its new interface it was not run on the code before. The other tests only follow the interface.

--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -73,16 +73,16 @@
         {"name":"without host"}],
         "services":[{"name":"s","enforces_capacity":true}]})");
     ASSERT_TRUE(read);
-    EXPECT_EQ(read->version, configuration_version(7));
-    ASSERT_EQ(read->routes.size(), 1U);
-    const auto& route = read->routes.front();
+    EXPECT_EQ(read->content.version, configuration_version(7));
+    ASSERT_EQ(read->content.routes.size(), 1U);
+    const auto& route = read->content.routes.front();
     EXPECT_EQ(route.path_prefix, "/p/");
     EXPECT_EQ(route.policy.priority, 2);
     EXPECT_EQ(route.policy.max_attempts, 3U);
     EXPECT_EQ(route.policy.slack, milliseconds(300));
     EXPECT_TRUE(route.policy.needs_advice);
     EXPECT_EQ(route.policy.regions.size(), 1U);
-    EXPECT_TRUE(read->services.at(service_id("s")).enforces_capacity);
+    EXPECT_TRUE(read->content.services.at(service_id("s")).enforces_capacity);
     EXPECT_FALSE(decode_configuration("{}"));
     EXPECT_FALSE(decode_configuration("null"));
     EXPECT_FALSE(decode_configuration(R"({"version":"7"})"));
@@ -101,8 +101,8 @@
          "timeout_ms":-1e308,"slo_ms":-5,"priority":-9,
          "max_attempts":-4294967296,"stretch":-1}]})");
     ASSERT_TRUE(read);
-    ASSERT_EQ(read->routes.size(), 2U);
-    const auto& high = read->routes.front();
+    ASSERT_EQ(read->content.routes.size(), 2U);
+    const auto& high = read->content.routes.front();
     EXPECT_GT(high.timeout, std::chrono::hours(1));
     EXPECT_GT(high.policy.slack, std::chrono::hours(1));
     EXPECT_GT(high.policy.priority, 0);
@@ -112,7 +112,7 @@
         static_cast<double>(duration(std::chrono::years(250)).count());
     EXPECT_LT(high.policy.stretch * longest,
               static_cast<double>(duration::max().count()));
-    const auto& low = read->routes.back();
+    const auto& low = read->content.routes.back();
     EXPECT_EQ(low.timeout, duration{});
     EXPECT_EQ(low.policy.slack, duration{});
     EXPECT_EQ(low.policy.priority, 0);
@@ -120,6 +120,33 @@
     EXPECT_GE(low.policy.stretch, 0.0);
 }
 
+// Failure: an odd or repeated row hides the others, is left out without a word,
+// or becomes a service without a name.
+TEST(declaration_codec, odd_rows_of_a_configuration_are_found)
+{
+    const auto read = decode_configuration(R"({"version":7,"routes":[
+        5, {"name":"r","host":"h","path_prefix":"/p/","service":"s"},
+        {"name":"q","host":5,"path_prefix":"/q/","service":"s"},
+        {"name":"t","host":"h","path_prefix":"/p/","service":"s"}],
+        "services":[{"name":"s"},{},{"name":7},null,{"name":"s"}]})");
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->content.routes.size(), 2U);
+    EXPECT_EQ(read->content.services.size(), 1U);
+    std::string all;
+    for (const auto& f : read->odd)
+    {
+        all += to_text(f) + '\n';
+    }
+    EXPECT_EQ(
+        all, "op/config: routes[0] lacks a name, host, path_prefix or service\n"
+             "op/config: routes[2] lacks a name, host, path_prefix or service\n"
+             "op/config: routes[3] repeats an earlier route\n"
+             "op/config: services[1] lacks a name\n"
+             "op/config: services[2] lacks a name\n"
+             "op/config: services[3] lacks a name\n"
+             "op/config: services[4] repeats an earlier service\n");
+}
+
 // Failure: a time or size beyond the range that can be calculated with becomes
 // negative, and a worker is used or left for it.
 TEST(declaration_codec, worker_numbers_out_of_range_are_rejected)
