Log each malformed entry of the membership list once

What operators saw: nothing; an entry that is not used left no trace in the log.

Change: malformed_member_log names each entry with place, id and fault when it appears, when its fault changes and when it has gone. The place of an entry with an id may change without a line.

--- a/src/hemlockdeald/platform_thread.cpp
+++ b/src/hemlockdeald/platform_thread.cpp
@@ -115,12 +115,34 @@
     membership_received_at_ = now;
     auto merged = merge_.apply(std::move(received));
     malformed_members_ = merged.malformed.size();
+    log_malformed(merged.malformed);
     const auto shared =
         std::make_shared<const membership_list>(std::move(merged.list));
     batch_replies_.post(shared);
     proxy_replies_.post(shared);
 }
 
+void platform_thread::log_malformed(
+    const std::vector<malformed_member>& malformed)
+{
+    for (const auto& notice : malformed_member_log_.on_list(malformed))
+    {
+        const auto& entry = notice.entry;
+        const auto id = valid_utf8(entry.id);
+        const auto index = std::to_string(entry.index);
+        if (notice.has_gone)
+        {
+            log(log_level::info,
+                "entry of the membership list is no longer malformed",
+                {{"index", index}, {"id", id}});
+            continue;
+        }
+        log(log_level::warning,
+            "malformed entry of the membership list is not used",
+            {{"index", index}, {"id", id}, {"fault", entry.fault}});
+    }
+}
+
 void platform_thread::log_membership_age()
 {
     const auto now = lease_clock_now();
--- a/src/hemlockdeald/platform_thread.hpp
+++ b/src/hemlockdeald/platform_thread.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <QTimer>
 
@@ -67,6 +68,7 @@
     void execute(platform_request&& request, reply_sender& to);
     void fetch_membership();
     void publish_membership(received_membership&& received);
+    void log_malformed(const std::vector<malformed_member>& malformed);
     void log_membership_age();
     void schedule_retry();
 
@@ -81,6 +83,7 @@
     std::optional<clients> clients_;
     bool is_fetching_ = false;
     membership_merge merge_;
+    malformed_member_log malformed_member_log_;
     membership_age membership_age_;
     std::string membership_error_; // of the last call, empty if it succeeded
     std::atomic<time_point> membership_received_at_;
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -5,6 +5,7 @@
 
 #include "platform/concepts.hpp"
 #include "platform/http_caller.hpp"
+#include "platform/malformed_member_log.hpp"
 #include "platform/membership_age.hpp"
 #include "platform/membership_client.hpp"
 #include "platform/table_client.hpp"
--- a/tests/processes/malformed_members_test.py
+++ b/tests/processes/malformed_members_test.py
@@ -1,6 +1,7 @@
 """Failure: malformed entries of the membership list take down the rest of the
-list, a VM whose entry turns malformed gets new work or loses what runs on it,
-or it is not used again when its entry is well-formed."""
+list or are not logged once each, a VM whose entry turns malformed gets new work
+or loses what runs on it, or it is not used again when its entry is
+well-formed."""
 
 import sys
 import threading
@@ -20,6 +21,11 @@
     return float(values[0]) if values else None
 
 
+def log_lines(daemon, text):
+    with open(daemon.log) as log:
+        return [line for line in log if text in line]
+
+
 class Callers:
     """Sends requests to all daemons until it is stopped."""
 
@@ -93,6 +99,10 @@
     expect(after == before, "an endpoint with a malformed entry got requests")
     expect(not {worker, hidden} & set(starts(bed, "more")),
            "a worker with a malformed entry got new tasks")
+    for daemon in bed.daemons:
+        lines = log_lines(daemon, "malformed entry of the membership list")
+        expect(len(lines) == len(raw),
+               f"{daemon.id} did not log each entry once: {lines}")
 
     bed.post("/membership", {"raw": [], "hide": []})
     wait_for_requests(bed, endpoint, 5)
