Check addresses, numbers and names of the membership list

What operators saw: nothing yet; found by reading. An entry with 2^32 + 8 slots counted as one with 8, negative and huge sizes went into the sums of all workers, an endpoint without slots got the floor of one, and VMs whose address cannot be reached as written (no port, port 0 or 70000, a name) were used: each call to them fails at once.

Cause: decode_member took texts and numbers as they came and cast to 32 bits.

Change: named bounds checked in the decoder. The largest list that is accepted (32 MB) has fewer than 400,000 entries; with at most 10,000 slots and 10^9 millicores and MB each, neither the 32-bit sum of slots in endpoint_directory nor the 64-bit sums in fleet can overflow. Workers need processors and memory, endpoints a service and slots; zone and region are not empty; texts have at most 200 bytes of UTF-8; addresses are IPv4 numbers with a port, for workers with an optional path, as docs/design.md has them.

Ruled out: checks in fleet and endpoint_directory, which get the numbers of all lists from this decoder.

Seen failing before, with the decoder of the commit before: numbers_out_of_range_are_reported, members_without_a_size_are_reported, unreachable_addresses_are_reported, unreadable_names_are_reported.

--- a/src/platform/membership_client.cpp
+++ b/src/platform/membership_client.cpp
@@ -2,9 +2,16 @@
 // protocol.
 #include "platform/membership_client.hpp"
 
+#include <charconv>
+#include <cstdint>
 #include <exception>
+#include <string_view>
 #include <utility>
 
+#include <arpa/inet.h>
+
+#include <QUtf8StringView>
+
 #include "platform/response.hpp"
 
 namespace hemlockdeal
@@ -15,8 +22,16 @@
 
 namespace json = boost::json;
 const std::string service_name = "membership";
-// Ids are keys of the platform's store, which are no longer.
-constexpr std::size_t max_id_bytes = 200;
+// Ids and names are texts of the platform's store, which are no longer.
+constexpr std::size_t max_text_bytes = 200;
+// Beyond what a VM has, and low enough that the sums over the largest list that
+// is accepted (32 MB, fewer than 400,000 entries) do not overflow: 32 bits for
+// slots, 64 bits for the others.
+constexpr std::int64_t most_slots = 10'000;
+constexpr std::int64_t most_connections = 10'000;
+constexpr std::int64_t most_processors_milli = 1'000'000'000;
+constexpr std::int64_t most_memory_mb = 1'000'000'000;
+constexpr std::int64_t most_accelerators = 1'000'000;
 
 // An entry of another writer may nest deeper than the parser's default of 32.
 // The parser and the destructor of its result recurse once a level; at this
@@ -32,6 +47,39 @@
     return options;
 }
 
+bool is_utf8(const std::string& text)
+{
+    return QUtf8StringView(text.data(), static_cast<qsizetype>(text.size()))
+        .isValidUtf8();
+}
+
+bool is_port(std::string_view text)
+{
+    std::uint16_t port = 0;
+    const auto* end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, port);
+    return read.ec == std::errc() && read.ptr == end && port != 0;
+}
+
+// Addresses are IP numbers, so that nothing is looked up. The address of a
+// worker may end with a path.
+bool is_reachable_address(std::string_view address, member_kind kind)
+{
+    if (kind == member_kind::worker)
+    {
+        address = address.substr(0, address.find('/'));
+    }
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos || !is_port(address.substr(colon + 1)))
+    {
+        return false;
+    }
+    const std::string host(address.substr(0, colon));
+    in_addr parsed{};
+    return inet_pton(AF_INET, host.c_str(), &parsed) == 1 &&
+           parsed.s_addr != INADDR_ANY;
+}
+
 member_kind kind_of(const std::string& text)
 {
     if (text == "entry")
@@ -58,24 +106,73 @@
     return text == "live" ? member_state::live : member_state::leaving;
 }
 
+std::string required_text(const json::object& vm, std::string_view name)
+{
+    auto text = json_fields::text(vm, name);
+    if (text.empty() || text.size() > max_text_bytes || !is_utf8(text))
+    {
+        json_fields::fail(name, "a text of 1 to 200 bytes");
+    }
+    return text;
+}
+
+std::string optional_text(const json::object& vm, std::string_view name)
+{
+    const auto text = json_fields::text_or_empty(vm, name);
+    return text.empty() ? text : required_text(vm, name);
+}
+
+std::int64_t amount(const json::object& vm, std::string_view name,
+                    std::int64_t most)
+{
+    const auto number = json_fields::integer_or(vm, name, 0);
+    if (number < 0 || number > most)
+    {
+        json_fields::fail(name, "between 0 and " + std::to_string(most));
+    }
+    return number;
+}
+
+// What a VM of the kind cannot be used without.
+void require_positive(const json::object& vm, std::string_view name)
+{
+    if (json_fields::integer(vm, name) <= 0)
+    {
+        json_fields::fail(name, "a positive number");
+    }
+}
+
 member decode_member(const json::object& vm)
 {
     member out;
-    out.id = json_fields::text(vm, "id");
+    out.id = required_text(vm, "id");
     out.kind = kind_of(json_fields::text(vm, "kind"));
     out.state = state_of(json_fields::text(vm, "state"));
-    out.zone = availability_zone_id(json_fields::text(vm, "zone"));
-    out.region = region_id(json_fields::text(vm, "region"));
-    out.rack = rack_id(json_fields::text_or_empty(vm, "rack"));
-    out.address = json_fields::text(vm, "address");
-    out.service = service_id(json_fields::text_or_empty(vm, "service"));
-    out.slots =
-        static_cast<std::uint32_t>(json_fields::count_or(vm, "slots", 0));
+    out.zone = availability_zone_id(required_text(vm, "zone"));
+    out.region = region_id(required_text(vm, "region"));
+    out.rack = rack_id(optional_text(vm, "rack"));
+    out.address = required_text(vm, "address");
+    if (!is_reachable_address(out.address, out.kind))
+    {
+        json_fields::fail("address", "an IP address and a port");
+    }
+    out.service = service_id(optional_text(vm, "service"));
+    out.slots = static_cast<std::uint32_t>(amount(vm, "slots", most_slots));
     out.connections =
-        static_cast<std::uint32_t>(json_fields::count_or(vm, "connections", 0));
-    out.size = {{json_fields::integer_or(vm, "processors_milli", 0)},
-                {json_fields::integer_or(vm, "memory_mb", 0)},
-                {json_fields::integer_or(vm, "accelerators", 0)}};
+        static_cast<std::uint32_t>(amount(vm, "connections", most_connections));
+    out.size = {{amount(vm, "processors_milli", most_processors_milli)},
+                {amount(vm, "memory_mb", most_memory_mb)},
+                {amount(vm, "accelerators", most_accelerators)}};
+    if (out.kind == member_kind::worker)
+    {
+        require_positive(vm, "processors_milli");
+        require_positive(vm, "memory_mb");
+    }
+    if (out.kind == member_kind::endpoint)
+    {
+        required_text(vm, "service");
+        require_positive(vm, "slots");
+    }
     return out;
 }
 
@@ -85,11 +182,12 @@
     const auto* object = entry.if_object();
     const auto* id = object == nullptr ? nullptr : object->if_contains("id");
     if (id == nullptr || !id->is_string() ||
-        id->get_string().size() > max_id_bytes)
+        id->get_string().size() > max_text_bytes)
     {
         return {};
     }
-    return {id->get_string().data(), id->get_string().size()};
+    std::string text(id->get_string().data(), id->get_string().size());
+    return is_utf8(text) ? text : std::string();
 }
 
 void decode_entry(const json::value& entry, std::size_t index,
--- a/tests/platform/membership_test.cpp
+++ b/tests/platform/membership_test.cpp
@@ -1,5 +1,7 @@
 // Guards against a membership list that is decoded wrongly or in part: VMs that
 // are missing in it count as removed, so malformed entries must be reported.
+#include <limits>
+
 #include <gmock/gmock.h>
 
 #include "fixture.hpp"
@@ -159,6 +161,76 @@
     expect_reported(changed("rack", 1.5), "odd-1", "rack");
 }
 
+// Failure: a number beyond all bounds is cut to its lower bits (2^32 + 8 slots
+// counted as 8) or overflows the sums over all VMs.
+TEST_F(membership_test, numbers_out_of_range_are_reported)
+{
+    for (const auto* name : {"slots", "connections", "processors_milli",
+                             "memory_mb", "accelerators"})
+    {
+        for (const json::value& number :
+             {json::value(-1), json::value((std::int64_t{1} << 32U) + 8),
+              json::value(std::int64_t{1} << 53U),
+              json::value(std::numeric_limits<std::int64_t>::max()),
+              json::value(std::numeric_limits<std::uint64_t>::max()),
+              json::value(1e300), json::value(1.5), json::value("8")})
+        {
+            expect_reported(changed(name, number), "odd-1", name);
+        }
+    }
+}
+
+// Failure: a worker without a size or an endpoint without slots is used as one
+// with the least size.
+TEST_F(membership_test, members_without_a_size_are_reported)
+{
+    for (const auto* name : {"processors_milli", "memory_mb"})
+    {
+        expect_reported(changed(name, nullptr), "odd-1", name);
+        expect_reported(changed(name, 0), "odd-1", name);
+    }
+    for (const auto* name : {"service", "slots"})
+    {
+        auto endpoint = changed(name, nullptr);
+        endpoint["kind"] = "endpoint";
+        expect_reported(endpoint, "odd-1", name);
+    }
+}
+
+// Failure: a VM whose address cannot be reached as written is used: each call
+// to it fails at once, and its capacity counts in the sums.
+TEST_F(membership_test, unreachable_addresses_are_reported)
+{
+    for (const auto* address :
+         {"", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:-1",
+          "10.0.0.1:80x", "10.0.0.1:", ":80", "somewhere:80", "10.0.0:80",
+          "0.0.0.0:80", "10.0.0.1:80:80", " 10.0.0.1:80"})
+    {
+        expect_reported(changed("address", address), "odd-1", "address");
+    }
+    auto endpoint = changed("address", "10.0.0.1:80/path");
+    endpoint["kind"] = "endpoint";
+    expect_reported(endpoint, "odd-1", "address");
+    const auto worker =
+        fetch_body(list_around(changed("address", "10.0.0.1:80/worker/odd-1")));
+    EXPECT_EQ(value_of(worker).members.size(), 3U);
+}
+
+// Failure: names that are empty, endless or not UTF-8 reach rows and logs.
+TEST_F(membership_test, unreadable_names_are_reported)
+{
+    for (const auto* name : {"zone", "region"})
+    {
+        expect_reported(changed(name, ""), "odd-1", name);
+    }
+    for (const auto* name : {"zone", "region", "rack", "service"})
+    {
+        expect_reported(changed(name, json::string(201, 'n')), "odd-1", name);
+        expect_reported(changed(name, "\xff"), "odd-1", name);
+    }
+    expect_reported(changed("id", "\xff"), "", "id");
+}
+
 // Failure: an entry that does not say which VM it names counts as one of no VM,
 // or takes down the rest of the list.
 TEST_F(membership_test, entries_without_a_readable_id_are_reported)
