--- a/tests/batch/malformed_entries_test.cpp
+++ b/tests/batch/malformed_entries_test.cpp
@@ -91,6 +91,26 @@
                          testing::Values(entry_fault::malformed,
                                          entry_fault::without_id));
 
+// Failure: a job is refused as one that can never run, because the only worker
+// that is large enough has a malformed entry.
+TEST(malformed_entry, job_waits_for_a_worker_with_a_malformed_entry)
+{
+    cluster_options options = two_workers();
+    options.workers_per_zone = 1;
+    cluster c(options);
+    c.run_for(5s);
+    c.set_entry_fault(0, entry_fault::malformed);
+    c.run_for(2s);
+    const auto number = c.submit(0, "job", 2, 2s, 1000);
+    EXPECT_TRUE(c.run_until([&] { return c.answers.contains(number); }, 20s));
+    EXPECT_TRUE(std::holds_alternative<submission_accepted>(c.answers[number]));
+    c.run_for(20s);
+    EXPECT_EQ(c.starts("job"), 0U);
+    c.set_entry_fault(0, entry_fault::none);
+    EXPECT_TRUE(c.run_until([&] { return c.all_over(); }, 60s));
+    EXPECT_EQ(c.finishes("job"), 2U);
+}
+
 // Failure: the checks above cannot notice a worker that counts as removed.
 TEST(malformed_entry, dropped_running_worker_is_detected)
 {
