Give up a task after four start-up crashes, also in mass failures

Cause: the first crash came within 20 ms of the start and the loss of the leader, which took its evidence along. Of the five crashes that were counted, each had another possible cause, so that the limit was five: the six starts left no margin. Trials had other suspects because a suspect that has waited for 1 s is also started on a worker where runs are starting up.

The history now also counts the crashes that came, or may have come, during the start-up in a mass failure, and four of these end the job in any case. Crashes of longer runs keep the limit of four, or five if the last may have another cause. The count is stored as a member "e" of its own, so that earlier releases can read the row. The log line of a counted crash states these counts and whether the crash is reliable evidence.

--- a/src/emulation/crash_kinds.cpp
+++ b/src/emulation/crash_kinds.cpp
@@ -73,6 +73,12 @@
                       o.zone_losses = 1;
                   }),
         make_kind("mixed", [](options& o) { add_sound_faults(o); }),
+        // So many workers crash at once that each crash has other suspects.
+        make_kind("crash_wave",
+                  [](options& o) {
+                      add_sound_faults(o);
+                      o.crashing_jobs = 20;
+                  }),
     };
 }
 
--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -18,7 +18,9 @@
 // many workers failed together, or workers without suspects crashed lately.
 constexpr std::uint32_t max_unreliable_start_up_crashes = 3;
 // Crashes of any kind after which a suspect is given up; one more if the last
-// one may have another cause.
+// one may have another cause and fewer came during the start-up. A leader that
+// is lost just after a start takes the evidence of the crash along, and the
+// sixth start of a task that crashes its workers is one too many.
 constexpr std::size_t max_crashes = 4;
 // A VM counts as unreliable for this long after a crash of its worker, and all
 // of them after a crash without suspects.
@@ -168,11 +170,10 @@
         }
         // Several such tasks may crash their workers at the same time, so that
         // a mass failure is weak evidence instead of none.
-        auto counted = run;
-        counted.in_start_up =
-            run.in_start_up &&
-            (!is_mass_failure || is_common_suspect(worker, run.task.job));
-        count_crash(life, counted, suspects == 1, is_reliable, now);
+        const bool is_explained_otherwise =
+            is_mass_failure && !is_common_suspect(worker, run.task.job);
+        count_crash(life, run,
+                    {suspects == 1, is_reliable, is_explained_otherwise}, now);
     }
 }
 
@@ -219,18 +220,19 @@
         const auto ran_for = is_late ? start_up_time : duration{};
         // Whether the crash was part of a mass failure is not recorded.
         count_crash(record.worker, {key, ran_for, !is_late, true},
-                    record.suspects.size() == 1, false, now);
+                    {record.suspects.size() == 1, false, false}, now);
     }
 }
 
 void crash_attribution::count_crash(const worker_id& life,
                                     const interrupted_run& run,
-                                    bool is_only_suspect, bool is_reliable,
+                                    const crash_circumstances& circumstances,
                                     time_point now)
 {
     auto* const task = find_task(run.task);
     if (task == nullptr || task->phase == task_phase::done ||
-        !task->crashes.add(life, run.in_start_up, run.ran_for))
+        !task->crashes.add(life, run.in_start_up, run.ran_for,
+                           circumstances.is_explained_otherwise))
     {
         return;
     }
@@ -241,24 +243,40 @@
     {
         return;
     }
-    const auto crashes = task->crashes.workers.size();
     state_.log_event(
         "task may have crashed its worker",
         {{"task", to_text(run.task)},
          {"worker", life.value()},
          {"ran_ms", std::to_string(run.ran_for.count() / 1000)},
-         {"crashes", std::to_string(crashes)},
-         {"only_suspect", std::to_string(static_cast<int>(is_only_suspect))}});
-    const auto limit =
-        is_reliable ? max_start_up_crashes : max_unreliable_start_up_crashes;
-    const bool crashes_at_start =
-        is_only_suspect && task->crashes.in_start_up >= limit;
-    if (crashes_at_start || crashes >= max_crashes + (is_reliable ? 0 : 1))
+         {"crashes", std::to_string(task->crashes.workers.size())},
+         {"in_start_up", std::to_string(task->crashes.in_start_up)},
+         {"possibly_in_start_up",
+          std::to_string(task->crashes.possibly_in_start_up)},
+         {"only_suspect",
+          std::to_string(static_cast<int>(circumstances.is_only_suspect))},
+         {"reliable",
+          std::to_string(static_cast<int>(circumstances.is_reliable))}});
+    if (is_convicted(task->crashes, circumstances))
     {
         state_.fail_job(*state_.registry.find(run.task.job), run.task, now);
     }
 }
 
+bool crash_attribution::is_convicted(const crash_history& crashes,
+                                     const crash_circumstances& circumstances)
+{
+    const auto limit = circumstances.is_reliable
+                           ? max_start_up_crashes
+                           : max_unreliable_start_up_crashes;
+    if (circumstances.is_only_suspect && crashes.in_start_up >= limit)
+    {
+        return true;
+    }
+    return crashes.possibly_in_start_up >= max_crashes ||
+           crashes.workers.size() >=
+               max_crashes + (circumstances.is_reliable ? 0 : 1);
+}
+
 void crash_attribution::on_run_reported(fleet_worker& worker,
                                         const task_key& key, run_record& run,
                                         time_point now)
--- a/src/jobs/crash_attribution.hpp
+++ b/src/jobs/crash_attribution.hpp
@@ -58,6 +58,15 @@
         time_point since{};
     };
 
+    struct crash_circumstances
+    {
+        bool is_only_suspect = false;
+        // Nothing else is known that could have crashed the worker.
+        bool is_reliable = false;
+        // A mass failure in which the job has no large part.
+        bool is_explained_otherwise = false;
+    };
+
     // The workers that fell silent together with this one, which included.
     std::vector<const silence*> simultaneous(const fleet_worker& worker) const;
     // True if the job had suspects on a large part of the workers that fell
@@ -72,7 +81,9 @@
     bool fails_with_most_of(const fleet_worker& worker,
                             IsInDomain is_in_domain) const;
     void count_crash(const worker_id& life, const interrupted_run& run,
-                     bool is_only_suspect, bool is_reliable, time_point now);
+                     const crash_circumstances& circumstances, time_point now);
+    static bool is_convicted(const crash_history& crashes,
+                             const crash_circumstances& circumstances);
     void clear_suspicion(const worker_id& worker,
                          const std::vector<interrupted_run>& runs) const;
     void forget_evidence(const task_key& key);
--- a/src/jobs/crash_history.hpp
+++ b/src/jobs/crash_history.hpp
@@ -20,8 +20,11 @@
 {
     // Workers that crashed under the task.
     std::vector<worker_id> workers;
-    // Number of them that crashed during the start-up of the task.
+    // Number of them that crashed during the start-up of the task, without
+    // those of mass failures that other tasks or causes may explain.
     std::uint32_t in_start_up = 0;
+    // The same with those of mass failures.
+    std::uint32_t possibly_in_start_up = 0;
     // Longest time for which the task had been running before a crash.
     duration longest_run{};
     // Worker on which the task is being tried as a suspect; empty if none. It
@@ -31,14 +34,16 @@
     bool empty() const { return workers.empty() && tried_on.empty(); }
 
     // False if this crash was counted before.
-    bool add(const worker_id& worker, bool was_in_start_up, duration ran_for)
+    bool add(const worker_id& worker, bool was_in_start_up, duration ran_for,
+             bool is_explained_otherwise = false)
     {
         if (std::ranges::find(workers, worker) != workers.end())
         {
             return false;
         }
         workers.push_back(worker);
-        in_start_up += was_in_start_up ? 1 : 0;
+        in_start_up += was_in_start_up && !is_explained_otherwise ? 1 : 0;
+        possibly_in_start_up += was_in_start_up ? 1 : 0;
         longest_run = std::max(longest_run, std::min(ran_for, max_run));
         return true;
     }
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -190,6 +190,46 @@
     return out;
 }
 
+// A member of its own, so that earlier releases can read the crashes.
+json::array possible_start_up_crashes(const json::array& stored_crashes,
+                                      const job_progress& progress)
+{
+    json::array out;
+    for (const auto& entry : stored_crashes)
+    {
+        const auto position = to_position(entry.get_array()).value();
+        const auto& crashes = progress.histories.at(position).crashes;
+        if (crashes.possibly_in_start_up != crashes.in_start_up)
+        {
+            auto count = to_json(position);
+            count.emplace_back(crashes.possibly_in_start_up);
+            out.push_back(std::move(count));
+        }
+    }
+    return out;
+}
+
+bool read_possible_start_up_crashes(const json::array& in,
+                                    job_progress& progress)
+{
+    const auto position = to_position(in);
+    if (!position || in.size() != 4)
+    {
+        return false;
+    }
+    const auto history = progress.histories.find(*position);
+    if (history == progress.histories.end())
+    {
+        return false;
+    }
+    auto& crashes = history->second.crashes;
+    crashes.possibly_in_start_up =
+        static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+            integer_of(in[3]), crashes.in_start_up,
+            static_cast<std::int64_t>(crashes.workers.size())));
+    return true;
+}
+
 bool read_crashes(const json::array& in, job_progress& progress)
 {
     const auto position = to_position(in);
@@ -210,6 +250,7 @@
     crashes.in_start_up = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
         integer_of(in[4]), 0,
         static_cast<std::int64_t>(crashes.workers.size())));
+    crashes.possibly_in_start_up = crashes.in_start_up;
     crashes.longest_run =
         std::clamp<duration>(std::chrono::milliseconds(integer_of(in[5])),
                              duration{}, crash_history::max_run);
@@ -283,10 +324,15 @@
     {
         constexpr std::size_t max_crashes_share = 4;
         auto crashes = crashes_within(progress, max_bytes / max_crashes_share);
+        auto counts = possible_start_up_crashes(crashes, progress);
         if (!crashes.empty())
         {
             out["c"] = std::move(crashes);
         }
+        if (!counts.empty())
+        {
+            out["e"] = std::move(counts);
+        }
         // Member name, brackets and closing brace.
         constexpr std::size_t member_overhead = 16;
         const auto used = json::serialize(out).size() + member_overhead;
@@ -329,6 +375,14 @@
             return std::nullopt;
         }
     }
+    for (const auto& entry : list_in(*in, "e"))
+    {
+        if (!entry.is_array() ||
+            !read_possible_start_up_crashes(entry.get_array(), progress))
+        {
+            return std::nullopt;
+        }
+    }
     for (const auto& entry : list_in(*in, "h"))
     {
         if (!entry.is_array() || !read_history(entry.get_array(), progress))
--- a/tests/jobs/crash_evidence_test.cpp
+++ b/tests/jobs/crash_evidence_test.cpp
@@ -94,6 +94,26 @@
     EXPECT_EQ(read->histories.at({0, 1, 2}).failed_runs.size(), 2U);
     EXPECT_EQ(read->histories.at({0, 1, 3}).crashes, crashes);
     EXPECT_FALSE(decode_progress(R"({"s":"running","c":[[0,0,0,1,0,0,""]]})"));
+    EXPECT_FALSE(decode_progress(R"({"s":"running","e":[[0,0,0,1]]})"));
     EXPECT_FALSE(
         decode_progress(R"({"s":"running","c":[[0,0,0,[1],0,0,""]]})"));
 }
+
+// Failure: the next leader does not know of crashes in mass failures, so that
+// the task crashes more workers.
+TEST(crash_history_codec, crashes_in_mass_failures_are_read_back)
+{
+    job_progress progress;
+    progress.state = job_state::running;
+    crash_history crashes;
+    crashes.add(worker_id("w1"), true, milliseconds(10), true);
+    crashes.add(worker_id("w2"), true, milliseconds(10), true);
+    crashes.add(worker_id("w3"), false, seconds(30), true);
+    progress.histories[{0, 1, 2}].crashes = crashes;
+    const auto read = decode_progress(encode_progress(progress));
+    ASSERT_TRUE(read);
+    const auto& found = read->histories.at({0, 1, 2}).crashes;
+    EXPECT_EQ(found.in_start_up, 0U);
+    EXPECT_EQ(found.possibly_in_start_up, 2U);
+    EXPECT_EQ(found, crashes);
+}
