Take no odd entry for the end of its worker

An odd entry counts as a worker that is not listed, so that a worker that is silent, has restarted under its id and whose entry is odd could execute the late start beside the new run.

Change: the worker remembers that its entry is there and odd; such a worker is waited for (13 s), as a listed one is.

Test: unanswered_start_beside_an_odd_entry_is_waited_for.

--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -147,6 +147,9 @@
     time_point listed_at{};
     // The worker is no longer in the membership list.
     bool is_unlisted = false;
+    // Its entry is there, but cannot be used, which shows nothing of the
+    // worker.
+    bool has_odd_entry = false;
     // A later worker process on the same VM has responded, which shows that
     // this one has ended.
     bool has_ended = false;
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -373,7 +373,7 @@
     }
     // A list of another type is not an empty list: tasks that are done would
     // run again.
-    for (const std::string_view member : {"d", "o", "c", "h"})
+    for (const std::string_view member : {"d", "o", "c", "e", "h"})
     {
         const auto* const found = in->if_contains(member);
         if (found != nullptr && !found->is_array())
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -91,6 +91,7 @@
         state_.fleet.try_emplace(entry.id, fleet_worker(entry));
     auto& worker = found->second;
     worker.is_unlisted = false;
+    worker.has_odd_entry = false;
     worker.listed_at = now;
     if (is_new)
     {
@@ -143,8 +144,13 @@
                               entry_loss reason)
 {
     auto* const worker = state_.find_worker(id);
+    if (worker == nullptr)
+    {
+        return;
+    }
+    worker->has_odd_entry = reason == entry_loss::odd;
     // An odd entry may be rewritten each second.
-    if (worker == nullptr || worker->is_unlisted)
+    if (worker->is_unlisted)
     {
         return;
     }
--- a/tests/jobs/scheduler_lease_test.cpp
+++ b/tests/jobs/scheduler_lease_test.cpp
@@ -131,6 +131,27 @@
     EXPECT_EQ(orders_of<start_order>(simulate(seconds(2))).size(), 1U);
 }
 
+// Failure: an odd entry is taken for the end of its worker, which may still
+// execute the start after a restart under its id.
+TEST_F(scheduler_test, unanswered_start_beside_an_odd_entry_is_waited_for)
+{
+    add_worker("a");
+    leader.begin(now);
+    simulate();
+    unresponsive.insert(worker_id("a"));
+    auto s = short_step(1);
+    s.is_long_running = true;
+    leader.add_job(make_job("j", s));
+    const auto start = orders_of<start_order>(simulate(milliseconds(60))).at(0);
+    leader.on_start_answer(start.worker, start.task, start.run,
+                           start_answer::unknown, now);
+    simulate(seconds(4));
+    leader.remove_worker(worker_id("a"), now, entry_loss::odd);
+    add_worker("b");
+    EXPECT_TRUE(orders_of<start_order>(simulate(seconds(8))).empty());
+    EXPECT_EQ(orders_of<start_order>(simulate(seconds(2))).size(), 1U);
+}
+
 // Failure: a leader that may have been superseded starts tasks.
 TEST_F(scheduler_test, nothing_starts_while_the_lead_is_in_doubt)
 {
