Fuzz worker entries for what is used, not only for exceptions

The test of mutated worker entries asserted only that nothing is thrown. It now asserts that a decoded worker has an address that can be called and amounts that can be added up, and that any other entry gives at least one finding.

The test of configurations follows the decoder's new result; its assertions are the same.

--- a/tests/adapter/decoder_fuzz_test.cpp
+++ b/tests/adapter/decoder_fuzz_test.cpp
@@ -15,6 +15,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "declaration_codec.hpp"
+#include "http/http.hpp"
 #include "job_codec.hpp"
 #include "jobs/jobs.hpp"
 #include "store_codec.hpp"
@@ -483,24 +484,41 @@
     const auto read = decode(list.with_odd);
     const auto others = decode(list.without_odd);
     RC_ASSERT(read && others);
-    RC_ASSERT(others->routes.size() == 3U);
-    RC_ASSERT(others_hold(read->routes, others->routes, list.odd_index,
-                          [](const jobs::queue_route& route) {
+    RC_ASSERT(others->content.routes.size() == 3U);
+    RC_ASSERT(others_hold(read->content.routes, others->content.routes,
+                          list.odd_index, [](const jobs::queue_route& route) {
                               return std::tuple(route.host, route.path_prefix,
                                                 route.timeout);
                           }));
-    RC_ASSERT(read->services.contains(service_id("s")));
+    RC_ASSERT(read->content.services.contains(service_id("s")));
 }
 
-// Failure: a malformed entry of the worker list ends the process.
-RC_GTEST_PROP(decoders, malformed_worker_entries_do_not_throw, ())
+// Failure: a malformed entry of the worker list ends the process, or is used as
+// a worker that cannot be reached or whose capacity cannot be added up.
+RC_GTEST_PROP(decoders,
+              malformed_worker_entries_give_usable_workers_or_findings, ())
 {
-    decode_worker(
+    const auto decoded = decode_worker(
         worker_id("i-1"),
         mutate(R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
                R"("state":"ready","capacity":{"cpu":16000,"mem_mb":64000},)"
                R"("labels":["a","r1-3"],"born":1700000000000,"seq":4})"),
         {});
+    if (const auto* const found = std::get_if<findings>(&decoded))
+    {
+        RC_ASSERT(!found->empty());
+        return;
+    }
+    constexpr std::int64_t max_amount = 1'000'000'000;
+    const auto& worker = std::get<jobs::worker_entry>(decoded);
+    const auto& room = worker.capacity;
+    RC_ASSERT(parse_socket_address(worker.address).has_value());
+    for (const auto amount :
+         {room.processor_millis, room.memory_mb, room.accelerators})
+    {
+        RC_ASSERT(amount >= 0 && amount <= max_amount);
+    }
+    RC_ASSERT(worker.remaining.count() >= 0 && worker.incarnation >= 0);
 }
 
 // Failure: the lease is read back as another one, and two VMs lead.
