Count the parts of a key as the parser sees them

A declaration whose key has quoted parts that hold a delimiter, such as "=". repeated 100,000 times, still ended the process by a stack overflow (status 139), and a sound document with 300 dots in a comment or a string was refused. By reading, the operators' API and the peers reach the same parser.

Change: key_scanner skips comments, strings and multi-line strings and counts the dots between delimiters outside them.

Ruled out: a limit on the length of a line, which a long array exceeds.

Tests: deep_and_long_documents_give_findings_soon with five more documents ended with status 139 on the code before; dots_outside_keys_are_not_counted failed for comments and strings.

--- a/src/settings/finding_list.cpp
+++ b/src/settings/finding_list.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 #include <utility>
 
+#include "settings/key_scanner.hpp"
 #include "settings/table_reader.hpp"
 
 namespace hemlockdeal
@@ -21,26 +22,6 @@
 // which overflows the stack beyond some ten thousand parts.
 constexpr std::size_t max_key_dots = 256;
 
-// Line of the first text between two delimiters that may be a key with too many
-// parts; 0 if there is none.
-std::uint32_t find_overlong_key(std::string_view text)
-{
-    constexpr std::string_view delimiters = "=,[]{}#\n";
-    std::uint32_t line = 1;
-    std::size_t dots = 0;
-    for (const char c : text)
-    {
-        dots = delimiters.find(c) != std::string_view::npos ? 0 : dots;
-        dots += c == '.' ? 1 : 0;
-        line += c == '\n' ? 1 : 0;
-        if (dots > max_key_dots)
-        {
-            return line;
-        }
-    }
-    return 0;
-}
-
 struct line_bounds
 {
     std::size_t begin = 0;
@@ -159,7 +140,8 @@
     std::string remaining = replace_non_ascii(text);
     for (int i = 0; i < max_syntax_findings; ++i)
     {
-        if (const auto line = find_overlong_key(remaining))
+        if (const auto line =
+                key_scanner(remaining).find_overlong_key(max_key_dots))
         {
             found.add({line, 1}, "syntax error: a key with more than " +
                                      std::to_string(max_key_dots) + " dots");
--- /dev/null
+++ b/src/settings/key_scanner.cpp
@@ -0,0 +1,101 @@
+// Scans TOML for keys without building a document.
+#include "settings/key_scanner.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace hemlockdeal
+{
+
+std::uint32_t key_scanner::find_overlong_key(std::size_t max_dots)
+{
+    constexpr std::string_view delimiters = "=,[]{}\n";
+    std::size_t dots = 0;
+    while (!is_at_end())
+    {
+        if (skip_comment() || skip_string())
+        {
+            continue;
+        }
+        const char c = text_[position_];
+        dots = delimiters.find(c) != std::string_view::npos ? 0 : dots;
+        dots += c == '.' ? 1 : 0;
+        if (dots > max_dots)
+        {
+            return line_;
+        }
+        advance();
+    }
+    return 0;
+}
+
+bool key_scanner::skip_comment()
+{
+    if (!is_at("#"))
+    {
+        return false;
+    }
+    position_ = std::min(text_.find('\n', position_), text_.size());
+    return true;
+}
+
+bool key_scanner::skip_string()
+{
+    for (const char quote : {'"', '\''})
+    {
+        if (is_at(std::string(3, quote)))
+        {
+            skip_multi_line_string(quote);
+            return true;
+        }
+        if (is_at(std::string(1, quote)))
+        {
+            skip_line_string(quote);
+            return true;
+        }
+    }
+    return false;
+}
+
+void key_scanner::skip_line_string(char quote)
+{
+    advance();
+    // A string without an end is a syntax error in its line.
+    while (!is_at_end() && text_[position_] != '\n')
+    {
+        const char c = text_[position_];
+        advance();
+        if (c == quote)
+        {
+            return;
+        }
+        if (c == '\\' && quote == '"' && !is_at("\n") && !is_at_end())
+        {
+            advance();
+        }
+    }
+}
+
+void key_scanner::skip_multi_line_string(char quote)
+{
+    const std::string delimiter(3, quote);
+    position_ += delimiter.size();
+    while (!is_at_end() && !is_at(delimiter))
+    {
+        const bool is_escape = quote == '"' && is_at("\\");
+        advance();
+        if (is_escape && !is_at_end())
+        {
+            advance();
+        }
+    }
+    position_ = std::min(position_ + delimiter.size(), text_.size());
+}
+
+void key_scanner::advance()
+{
+    line_ += text_[position_] == '\n' ? 1 : 0;
+    ++position_;
+}
+
+} // namespace hemlockdeal
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -301,6 +301,11 @@
         "a = " + repeated("{b=", 100'000),
         repeated("a.", 100'000) + "b = 1",
         "[" + repeated("a.", 100'000) + "b]",
+        repeated("\"=\".", 100'000) + "b = 1",
+        "[" + repeated("'a]#'.", 100'000) + "b]",
+        repeated("a . ", 100'000) + "b = 1",
+        "a = \"\\\"\"\n" + repeated("a.", 100'000) + "b = 1",
+        "a = \"\"\"\n.\n\"\"\"\n" + repeated("a.", 100'000) + "b = 1",
         "a = \"" + std::string(1'000'000, 'x') + "\"",
         std::string("a = \"\0\xff\"", 9),
         "a = 99999999999999999999999\n",
@@ -317,3 +322,29 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin,
               std::chrono::seconds(5));
 }
+
+// Failure: dots that belong to no key make a sound document an error.
+TEST(settings, dots_outside_keys_are_not_counted)
+{
+    const std::string dots(1000, '.');
+    std::string numbers;
+    for (int i = 0; i < 300; ++i)
+    {
+        numbers += "1.5, ";
+    }
+    for (const auto& line :
+         {"# " + dots, "a = 1 # " + dots, "a = \"" + dots + "\"",
+          "a = '" + dots + "'", "a = \"\\\"" + dots + "\"",
+          "a = \"\"\"\n" + dots + "\n\"\"\"", "a = '''\n" + dots + "\n'''",
+          "a = [" + numbers + "]", "\"" + dots + "\" = 1"})
+    {
+        const auto parsed = parse_settings(line, "s.toml");
+        const auto* const found = std::get_if<findings>(&parsed);
+        ASSERT_NE(found, nullptr);
+        for (const auto& finding : *found)
+        {
+            EXPECT_EQ(finding.message.find("syntax error"), std::string::npos)
+                << line.substr(0, 40) << ": " << finding.message;
+        }
+    }
+}
