--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -27,7 +27,8 @@
 
 scheduler::scheduler(scheduler_options options, std::uint64_t epoch)
     : crashes_(state_), recovery_(state_, crashes_), intake_(state_, crashes_),
-      placer_(state_), polls_(state_), suspender_(state_), speeds_(state_)
+      placer_(state_), polls_(state_), suspender_(state_), speeds_(state_),
+      long_waits_(state_)
 {
     state_.options = options;
     state_.interference.set_policy(options.policy);
@@ -63,6 +64,7 @@
         live->set_long_running_waiting_since(now - max_long_running_wait);
     }
     recovery_.begin(now, earlier_leader_is_dead);
+    long_waits_.begin(now);
 }
 
 void scheduler::set_services(std::map<service_id, service_policy> services)
@@ -361,6 +363,9 @@
         placer_.move_slowed(now);
     }
     polls_.plan(now, poll_permission_for(now, permission));
+    long_waits_.check({now, unix_now, permission.may_start,
+                       permission.lead_is_valid,
+                       recovery_.unseen_workers().size()});
     log_load(now);
     return std::exchange(state_.orders, {});
 }
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -13,6 +13,7 @@
 #include "jobs/crash_attribution.hpp"
 #include "jobs/fill_suspender.hpp"
 #include "jobs/fleet_record.hpp"
+#include "jobs/long_wait_log.hpp"
 #include "jobs/poll_planner.hpp"
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
@@ -166,6 +167,7 @@
     poll_planner polls_;
     fill_suspender suspender_;
     speed_monitor speeds_;
+    long_wait_log long_waits_;
     std::optional<time_point> lead_invalid_since_;
     // Number of workers that had not ended at that time, and the processes of
     // those among them that a later leader finds in the store. Only these count
