Compare entries without a readable id by content

One entry without a readable id that stood kept every VM that later disappeared, so the tasks of a worker that died waited for ever and memory grew. An entry that already stood, with the same content, in the list that last named a VM is not that VM's entry. Only VMs that vanish beside a newer or changed entry are kept. Identical entries are counted; when a missing VM returns and no entry has gone, the ones that stay may name other VMs.

An entry that changes with each list still gives no proof.

--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -53,15 +53,23 @@
     std::vector<member> members;
     // VMs that were never known and whose entries cannot be used.
     std::vector<std::string> unknown_ids{};
-    // Some entry has no readable id, so it may name any VM.
+    // Some entry has no readable id, so it may name any VM that is not in
+    // `gone_ids`.
     bool may_name_any_vm = false;
+    // VMs that vanished beside entries without a readable id that are not
+    // theirs; the latest ones, as far as they are remembered.
+    std::vector<std::string> gone_ids{};
 
     // Whether the absence of `id` from `members` means that the list does not
     // name it.
     bool proves_absence_of(std::string_view id) const
     {
-        return !may_name_any_vm &&
-               std::ranges::find(unknown_ids, id) == unknown_ids.end();
+        if (std::ranges::find(unknown_ids, id) != unknown_ids.end())
+        {
+            return false;
+        }
+        return !may_name_any_vm ||
+               std::ranges::find(gone_ids, id) != gone_ids.end();
     }
 };
 
@@ -71,6 +79,8 @@
     std::size_t index = 0; // place in the list, counted from 0
     std::string id;        // empty when it cannot be read
     std::string fault;     // field and what was expected, bounded
+    // Hash of the entry as received, when its id cannot be read.
+    std::uint64_t content = 0;
 };
 
 struct received_member
--- a/src/core/membership_merge.cpp
+++ b/src/core/membership_merge.cpp
@@ -2,6 +2,8 @@
 #include "core/membership_merge.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace hemlockdeal
@@ -50,43 +52,120 @@
 
 } // namespace
 
+membership_merge::vms
+membership_merge::named_vms(const received_membership& received) const
+{
+    vms named;
+    for (const received_member& m : received.members)
+    {
+        named.emplace(m.vm.id, known_vm{m.vm, list_});
+    }
+    for (const malformed_member& m : received.malformed)
+    {
+        if (m.id.empty())
+        {
+            continue;
+        }
+        const auto known = known_.find(m.id);
+        named.emplace(m.id,
+                      known_vm{known == known_.end() ? std::nullopt
+                                                     : known->second.last_good,
+                               list_});
+    }
+    return named;
+}
+
+// For each VM that was missing and is named again, the last list before that
+// named it.
+std::vector<std::uint64_t>
+membership_merge::returned_vms(const vms& named) const
+{
+    std::vector<std::uint64_t> returned;
+    for (const auto& [id, vm] : known_)
+    {
+        if (vm.last_named + 1 < list_ && named.contains(id))
+        {
+            returned.push_back(vm.last_named);
+        }
+    }
+    return returned;
+}
+
+// Those that are missing longest have precedence, because a platform that
+// changes an odd entry with each list would push them out otherwise.
+void membership_merge::add_missing(vms& next)
+{
+    std::vector<std::pair<std::string, known_vm>> missing;
+    std::ranges::copy_if(
+        known_, std::back_inserter(missing),
+        [&](const auto& vm) { return !next.contains(vm.first); });
+    std::ranges::stable_sort(
+        missing, {}, [](const auto& vm) { return vm.second.last_named; });
+    std::size_t kept = 0;
+    for (const auto& [id, vm] : missing)
+    {
+        if (!has_left_out_ && !unnamed_.may_name(vm.last_named))
+        {
+            gone_.push_back({id, vm.last_named});
+            continue;
+        }
+        if (kept == max_missing_vms)
+        {
+            has_left_out_ = true;
+            continue;
+        }
+        ++kept;
+        next.emplace(id, vm);
+    }
+}
+
+void membership_merge::forget_gone(const vms& named)
+{
+    std::erase_if(gone_, [&](const gone_vm& vm) {
+        return named.contains(vm.id) || unnamed_.may_name(vm.last_named);
+    });
+    if (gone_.size() > max_gone_vms)
+    {
+        const auto extra = gone_.size() - max_gone_vms;
+        gone_.erase(gone_.begin(),
+                    gone_.begin() + static_cast<std::ptrdiff_t>(extra));
+    }
+}
+
 merged_membership membership_merge::apply(received_membership received)
 {
+    ++list_;
     report_duplicates(received);
+    auto next = named_vms(received);
+    unnamed_.on_list(received.malformed, list_, returned_vms(next));
+    has_left_out_ = has_left_out_ && !unnamed_.is_empty();
+    add_missing(next);
+    forget_gone(next);
     merged_membership merged;
     membership_list& list = merged.list;
     list.version = received.version;
-    std::map<std::string, member> next;
-    const auto keep = [&](const std::string& id, const member& last_good) {
-        if (next.emplace(id, last_good).second)
-        {
-            list.members.push_back(not_usable(last_good));
-        }
-    };
+    list.may_name_any_vm = !unnamed_.is_empty();
+    std::set<std::string> sound;
     for (received_member& m : received.members)
     {
-        next.emplace(m.vm.id, m.vm);
+        sound.insert(m.vm.id);
         list.members.push_back(std::move(m.vm));
     }
-    for (const malformed_member& m : received.malformed)
+    for (const auto& [id, vm] : next)
     {
-        const auto found = known_.find(m.id);
-        if (found != known_.end())
+        if (!vm.last_good)
         {
-            keep(m.id, found->second);
+            list.unknown_ids.push_back(id);
         }
-        else if (!m.id.empty())
+        else if (!sound.contains(id))
         {
-            list.unknown_ids.push_back(m.id);
+            list.members.push_back(not_usable(*vm.last_good));
         }
-        list.may_name_any_vm = list.may_name_any_vm || m.id.empty();
     }
     if (list.may_name_any_vm)
     {
-        for (const auto& [id, last_good] : known_)
-        {
-            keep(id, last_good);
-        }
+        std::ranges::transform(gone_, std::back_inserter(list.gone_ids),
+                               &gone_vm::id);
     }
     known_ = std::move(next);
     merged.malformed = std::move(received.malformed);
--- a/src/core/membership_merge.hpp
+++ b/src/core/membership_merge.hpp
@@ -3,11 +3,15 @@
 // whatever ran on a removed VM is started again elsewhere.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "core/membership.hpp"
+#include "core/unnamed_entries.hpp"
 
 namespace hemlockdeal
 {
@@ -22,15 +26,45 @@
 class membership_merge
 {
 public:
+    // Missing VMs that are kept beside entries without a readable id. Beyond
+    // it they leave the members, but their absence is not proved.
+    static constexpr std::size_t max_missing_vms = 10'000;
+    // VMs whose proved absence is remembered for a list that proves no other.
+    static constexpr std::size_t max_gone_vms = 10'000;
+
     // Passes well-formed entries on. A known VM is kept by its last good entry
-    // and is not used while its entry is malformed, or while it is missing from
-    // a list with an entry without a readable id. An id that is named more than
-    // once counts as malformed, since nothing tells which entry is right.
+    // and is not used while its entry is malformed, or while it is missing
+    // beside an entry without a readable id that did not stand, with the same
+    // content, when the VM was last named. An id that is named more than once
+    // counts as malformed, since nothing tells which entry is right.
     merged_membership apply(received_membership received);
 
 private:
-    // Last good entries of the VMs in the last result, by id.
-    std::map<std::string, member> known_;
+    struct known_vm
+    {
+        std::optional<member> last_good;
+        std::uint64_t last_named = 0; // number of the list
+    };
+    struct gone_vm
+    {
+        std::string id;
+        std::uint64_t last_named = 0; // number of the list
+    };
+    using vms = std::map<std::string, known_vm>;
+
+    vms named_vms(const received_membership& received) const;
+    std::vector<std::uint64_t> returned_vms(const vms& named) const;
+    void add_missing(vms& next);
+    void forget_gone(const vms& named);
+
+    // The VMs that the last list named, or may have named, by id.
+    vms known_;
+    unnamed_entries unnamed_;
+    std::uint64_t list_ = 0; // number of the last list
+    // Some missing VM is not in known_ any more. Until no entry without a
+    // readable id stands, no absence is proved then.
+    bool has_left_out_ = false;
+    std::vector<gone_vm> gone_; // the latest ones last
 };
 
 } // namespace hemlockdeal
--- a/src/platform/membership_client.cpp
+++ b/src/platform/membership_client.cpp
@@ -12,6 +12,7 @@
 
 #include <QUtf8StringView>
 
+#include "core/ids.hpp"
 #include "platform/response.hpp"
 
 namespace hemlockdeal
@@ -205,7 +206,9 @@
     }
     catch (const std::exception& fault)
     {
-        list.malformed.push_back({index, id, fault.what()});
+        const auto content =
+            id.empty() ? stable_hash(json::serialize(entry)) : 0;
+        list.malformed.push_back({index, id, fault.what(), content});
     }
 }
 
--- a/tests/platform/membership_test.cpp
+++ b/tests/platform/membership_test.cpp
@@ -1,6 +1,7 @@
 // Guards against a membership list that is decoded wrongly or in part: VMs that
 // are missing in it count as removed, so malformed entries must be reported.
 #include <limits>
+#include <set>
 
 #include <gmock/gmock.h>
 
@@ -250,6 +251,25 @@
     }
 }
 
+// Failure: an entry without a readable id that stands looks like a new one, or
+// a new one like the one that stood.
+TEST_F(membership_test, entries_without_a_readable_id_are_told_apart)
+{
+    const auto content = [&](const json::value& odd) {
+        const auto list = fetch_body(list_around(odd));
+        return value_of(list).malformed.at(0).content;
+    };
+    const json::array odds{nullptr, 5, json::array{}, json::object(),
+                           changed("id", nullptr)};
+    std::set<std::uint64_t> contents;
+    for (const json::value& odd : odds)
+    {
+        EXPECT_EQ(content(odd), content(odd)) << odd;
+        contents.insert(content(odd));
+    }
+    EXPECT_EQ(contents.size(), odds.size());
+}
+
 namespace
 {
 
