Use a sound entry beside others with its id

A sound entry went out of use when a malformed entry or a copy of it had its id, although the others hold beside a malformed one. Now only sound entries of one id that differ are malformed. Copies are still reported.

An entry VM whose own entry is malformed still coordinates no slots. If it went on by itself, the others, to whom it is unusable or (after a restart) unknown, would choose another one, and both would lend the same pool. Counting it as live everywhere fails at the daemons that never knew it.

--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -45,6 +45,8 @@
     service_id service;  // endpoints only
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
+
+    bool operator==(const member&) const = default;
 };
 
 struct membership_list
--- a/src/core/membership_merge.cpp
+++ b/src/core/membership_merge.cpp
@@ -12,31 +12,61 @@
 namespace
 {
 
-// Moves the well-formed entries whose ids are named more than once to the
-// malformed ones.
-void report_duplicates(received_membership& received)
+using first_entries = std::map<std::string, received_member>;
+
+first_entries first_by_id(const received_membership& received)
 {
-    std::map<std::string, std::size_t> counts;
+    first_entries first;
     for (const received_member& m : received.members)
     {
-        ++counts[m.vm.id];
+        first.emplace(m.vm.id, m);
     }
-    for (const malformed_member& m : received.malformed)
+    return first;
+}
+
+// Ids of VMs that well-formed entries name in different ways.
+std::set<std::string> ambiguous_ids(const received_membership& received,
+                                    const first_entries& first)
+{
+    std::set<std::string> ambiguous;
+    for (const received_member& m : received.members)
     {
-        ++counts[m.id];
+        if (m.vm != first.at(m.vm.id).vm)
+        {
+            ambiguous.insert(m.vm.id);
+        }
     }
-    const auto is_duplicate = [&](const received_member& m) {
-        return counts[m.vm.id] > 1;
+    return ambiguous;
+}
+
+// Moves the well-formed entries that contradict each other, and copies of
+// others, to the malformed ones.
+void report_duplicates(received_membership& received)
+{
+    const auto first = first_by_id(received);
+    const auto ambiguous = ambiguous_ids(received, first);
+    const auto is_ambiguous = [&](const received_member& m) {
+        return ambiguous.contains(m.vm.id);
+    };
+    const auto is_copy = [&](const received_member& m) {
+        return first.at(m.vm.id).index != m.index;
     };
     for (const received_member& m : received.members)
     {
-        if (is_duplicate(m))
+        if (is_ambiguous(m))
         {
             received.malformed.push_back(
-                {m.index, m.vm.id, "the id is named more than once"});
+                {m.index, m.vm.id, "another entry with the id differs"});
+        }
+        else if (is_copy(m))
+        {
+            received.malformed.push_back(
+                {m.index, m.vm.id, "a copy of another entry"});
         }
     }
-    std::erase_if(received.members, is_duplicate);
+    std::erase_if(received.members, [&](const received_member& m) {
+        return is_ambiguous(m) || is_copy(m);
+    });
     std::ranges::sort(received.malformed, {}, &malformed_member::index);
 }
 
--- a/src/core/membership_merge.hpp
+++ b/src/core/membership_merge.hpp
@@ -19,7 +19,8 @@
 struct merged_membership
 {
     membership_list list;
-    // Includes entries that are well-formed and repeat an id.
+    // Includes well-formed entries that are not used because another one has
+    // the id.
     std::vector<malformed_member> malformed;
 };
 
@@ -35,8 +36,9 @@
     // Passes well-formed entries on. A known VM is kept by its last good entry
     // and is not used while its entry is malformed, or while it is missing
     // beside an entry without a readable id that did not stand, with the same
-    // content, when the VM was last named. An id that is named more than once
-    // counts as malformed, since nothing tells which entry is right.
+    // content, when the VM was last named. Entries of one id that are
+    // well-formed and differ count as malformed, since nothing tells which is
+    // right; a single one, or identical ones, hold.
     merged_membership apply(received_membership received);
 
 private:
