Bound the log lines of malformed entries of the membership list

20,000 entries of one id with two alternating faults gave one line of 749,998 bytes, and an entry without a readable id whose place changed was logged again and again. Each fault is now named once, in an order that does not depend on the places, and the text ends at 500 bytes between two characters. Entries without a readable id are named by content.

Seen failing before: entry_without_an_id_may_move, line_of_many_faults_is_bounded and cut_falls_between_characters.

--- a/src/platform/malformed_member_log.cpp
+++ b/src/platform/malformed_member_log.cpp
@@ -2,23 +2,69 @@
 #include "platform/malformed_member_log.hpp"
 
 #include <algorithm>
+#include <cstdint>
+#include <set>
 
 namespace hemlockdeal
 {
 
+namespace
+{
+
+std::string name_of(const malformed_member& m)
+{
+    return m.id.empty() ? "content " + std::to_string(m.content) : "id " + m.id;
+}
+
+// Cut between two characters of UTF-8.
+void cut(std::string& text, std::size_t max_bytes)
+{
+    if (text.size() <= max_bytes)
+    {
+        return;
+    }
+    const auto is_continuation = [](char c) {
+        return (static_cast<std::uint8_t>(c) & 0xc0U) == 0x80;
+    };
+    while (max_bytes > 0 && is_continuation(text[max_bytes]))
+    {
+        --max_bytes;
+    }
+    text.resize(max_bytes);
+}
+
+// In an order that does not depend on the places of the entries.
+std::string join(const std::set<std::string>& faults)
+{
+    std::string text;
+    for (const std::string& fault : faults)
+    {
+        text += text.empty() ? fault : "; " + fault;
+        if (text.size() > malformed_member_log::max_fault_bytes)
+        {
+            break;
+        }
+    }
+    cut(text, malformed_member_log::max_fault_bytes);
+    return text;
+}
+
+} // namespace
+
 malformed_member_log::entries
 malformed_member_log::by_name(const std::vector<malformed_member>& malformed)
 {
     entries named;
+    std::map<std::string, std::set<std::string>> faults;
     for (const malformed_member& m : malformed)
     {
-        const auto name =
-            m.id.empty() ? "place " + std::to_string(m.index) : "id " + m.id;
-        const auto [found, added] = named.try_emplace(name, m);
-        if (!added && m.fault != found->second.fault)
-        {
-            found->second.fault += "; " + m.fault;
-        }
+        const auto name = name_of(m);
+        named.try_emplace(name, m);
+        faults[name].insert(m.fault);
+    }
+    for (auto& [name, entry] : named)
+    {
+        entry.fault = join(faults[name]);
     }
     return named;
 }
--- a/src/platform/malformed_member_log.hpp
+++ b/src/platform/malformed_member_log.hpp
@@ -25,12 +25,14 @@
     // whose entries change each second does not fill the log. What is left out
     // follows with later lists.
     static constexpr std::size_t burst_lines = 20;
+    // The faults of all entries of one id share a line of at most this length.
+    static constexpr std::size_t max_fault_bytes = 500;
 
     std::vector<malformed_member_notice>
     on_list(const std::vector<malformed_member>& malformed);
 
 private:
-    // By id, or by place for entries without a readable id.
+    // By id, or by content for entries without a readable id.
     using entries = std::map<std::string, malformed_member>;
 
     static entries by_name(const std::vector<malformed_member>& malformed);
--- a/tests/platform/malformed_member_log_test.cpp
+++ b/tests/platform/malformed_member_log_test.cpp
@@ -5,6 +5,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <QUtf8StringView>
+
 #include "platform/platform.hpp"
 
 using namespace hemlockdeal;
@@ -16,6 +18,12 @@
 
 using malformed_members = std::vector<malformed_member>;
 
+bool is_utf8(const std::string& text)
+{
+    return QUtf8StringView(text.data(), static_cast<qsizetype>(text.size()))
+        .isValidUtf8();
+}
+
 malformed_members many(std::size_t count, const std::string& fault)
 {
     malformed_members list;
@@ -65,6 +73,70 @@
     EXPECT_THAT(log.on_list(twice), IsEmpty());
 }
 
+// Failure: an entry without a readable id is logged again whenever its place in
+// the list changes, or another one is taken for it.
+TEST(malformed_member_log, entry_without_an_id_may_move)
+{
+    malformed_member_log log;
+    std::size_t lines = 0;
+    for (std::size_t place = 0; place < 600; ++place)
+    {
+        lines += log.on_list({{place, "", "no object", 7}}).size();
+    }
+    EXPECT_EQ(lines, 1U);
+    EXPECT_THAT(log.on_list({{3, "", "no object", 8}}), SizeIs(2));
+}
+
+// Failure: many entries of one id make a line without bound, or another line
+// with each list because their order changes.
+TEST(malformed_member_log, line_of_many_faults_is_bounded)
+{
+    malformed_member_log log;
+    malformed_members alternating;
+    malformed_members different;
+    for (std::size_t i = 0; i < 20'000; ++i)
+    {
+        alternating.push_back({i, "a", i % 2 == 0 ? "kind" : "state"});
+        // Two bytes a character, so that a cut may fall inside of one.
+        different.push_back({i, "b", "\u00e4\u00f6" + std::to_string(i)});
+    }
+    const auto two_faults = log.on_list(alternating);
+    ASSERT_THAT(two_faults, SizeIs(1));
+    EXPECT_EQ(two_faults[0].entry.fault, "kind; state");
+    std::ranges::reverse(alternating);
+    EXPECT_THAT(log.on_list(alternating), IsEmpty());
+
+    malformed_member_log other_log;
+    const auto many_faults = other_log.on_list(different);
+    ASSERT_THAT(many_faults, SizeIs(1));
+    const auto& text = many_faults[0].entry.fault;
+    EXPECT_LE(text.size(), malformed_member_log::max_fault_bytes);
+    EXPECT_GE(text.size() + 4, malformed_member_log::max_fault_bytes);
+    EXPECT_TRUE(is_utf8(text));
+}
+
+// Failure: the cut falls inside a character for some length of the text.
+TEST(malformed_member_log, cut_falls_between_characters)
+{
+    for (const std::string character : {"\u00e4", "\u20ac", "\U0001f600"})
+    {
+        for (std::size_t shift = 0; shift < 4; ++shift)
+        {
+            std::string fault(shift, 'x');
+            while (fault.size() < 2 * malformed_member_log::max_fault_bytes)
+            {
+                fault += character;
+            }
+            malformed_member_log log;
+            const auto text = log.on_list({{0, "a", fault}}).at(0).entry.fault;
+            EXPECT_LE(text.size(), malformed_member_log::max_fault_bytes);
+            EXPECT_GT(text.size() + character.size(),
+                      malformed_member_log::max_fault_bytes);
+            EXPECT_TRUE(is_utf8(text));
+        }
+    }
+}
+
 // Failure: a list whose entries are all malformed, and different each second,
 // fills the log.
 TEST(malformed_member_log, changing_entries_are_bounded)
