Assert that tasks run on the worker with a malformed entry

The long tasks lasted 15 s, and the waits may take more on a slow machine, so that nothing need have run there. They last 45 s now, and the test asserts, when all daemons have read the malformed entries and again before they are corrected, that all long tasks of the worker still run.

--- a/tests/processes/malformed_members_test.py
+++ b/tests/processes/malformed_members_test.py
@@ -11,6 +11,9 @@
                     finishes, http, submit)
 
 LONG_TASKS = 12
+# More than the waits before the entries are corrected take on a slow machine;
+# expect_running fails if it is not enough.
+LONG_TASK_SECONDS = 45
 MALFORMED = "hemlockdeal_membership_malformed_entries"
 
 
@@ -68,12 +71,24 @@
     return sum(finishes(bed.record(), job).values()) >= tasks
 
 
+def expect_running(bed, job, worker, count):
+    """`count` tasks of the job run on the worker now."""
+    record = bed.record()
+    tasks = {s["task"] for s in record["starts"]
+             if s["worker"] == worker and s["task"].startswith(job + "/")}
+    running = [t for t in tasks if record["tasks"][t]["running"] == 1]
+    print(f"tasks that run on {worker}: {len(running)}")
+    expect(len(running) == count,
+           f"{len(running)} tasks instead of {count} run on {worker}")
+
+
 def check(bed, vms):
-    submit(bed, "long", LONG_TASKS, 15)
+    submit(bed, "long", LONG_TASKS, LONG_TASK_SECONDS)
     bed.wait_for(lambda: len(starts(bed, "long")) == LONG_TASKS, 20,
                  "start of all long tasks")
     workers = starts(bed, "long")
     worker = max(set(workers), key=workers.count)
+    kept = workers.count(worker)
     hidden = next(f"zone-a-worker-{i}" for i in range(1, 5)
                   if f"zone-a-worker-{i}" != worker)
     endpoint = "zone-a-orders-1"
@@ -87,6 +102,7 @@
     for daemon in bed.daemons:
         bed.wait_for(lambda d=daemon: metric(d, MALFORMED) == len(raw), 10,
                      f"{len(raw)} malformed entries at {daemon.id}")
+    expect_running(bed, "long", worker, kept)
     wait_for_requests(bed, "new-endpoint", 20)
     before = runs(bed, endpoint)
     submit(bed, "more", 40, 1)
@@ -104,6 +120,7 @@
         expect(len(lines) == len(raw),
                f"{daemon.id} did not log each entry once: {lines}")
 
+    expect_running(bed, "long", worker, kept)
     bed.post("/membership", {"raw": [], "hide": []})
     wait_for_requests(bed, endpoint, 5)
     for daemon in bed.daemons:
@@ -113,7 +130,7 @@
     bed.wait_for(lambda: {worker, hidden} <= set(starts(bed, "after")), 20,
                  "starts on the workers with sound entries")
     bed.wait_for(lambda: all_finished(bed, "long", LONG_TASKS) and
-                 all_finished(bed, "after", 100), 30, "end of all tasks")
+                 all_finished(bed, "after", 100), 90, "end of all tasks")
 
 
 def main():
