Take ends without a number after a takeover too

An end without a usable number counted only if the ledger held its run; the ledger of a new leader is empty. A task that was done ran again, and failed runs did not count. Ends done and failed now count unless the task is done or the run has been counted; the ledger decides for the other kinds.

Tests new_leader_takes_a_done_end_without_a_number and new_leader_counts_each_failure_without_a_number_once, both seen failing before.

--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -76,24 +76,41 @@
 {
     for (const auto& end : report.ended)
     {
-        if (end.number == 0)
+        if (is_new_end(worker, end))
         {
-            // The ledger shows whether an end without a number is new.
-            const auto* const run = worker.find_run(end.task);
-            if (run != nullptr && run->run == end.run)
-            {
-                handle_end(worker, end, now);
-            }
-            continue;
-        }
-        if (end.number > worker.taken_ends)
-        {
-            worker.taken_ends = end.number;
+            worker.taken_ends = std::max(worker.taken_ends, end.number);
             handle_end(worker, end, now);
         }
     }
 }
 
+bool report_intake::is_new_end(fleet_worker& worker, const ended_run& end)
+{
+    if (end.number > 0)
+    {
+        return end.number > worker.taken_ends;
+    }
+    const auto* const run = worker.find_run(end.task);
+    if (run != nullptr && run->run == end.run)
+    {
+        return true;
+    }
+    // The ledger of a new leader holds no run that ended before.
+    auto* const owner = state_.registry.find(end.task.job);
+    if (owner == nullptr || !owner->has(end.task))
+    {
+        return false;
+    }
+    if (end.how == run_end::failed)
+    {
+        const auto& counted = owner->task(end.task).failed_runs;
+        return std::ranges::find(counted, end.run) == counted.end();
+    }
+    return end.how == run_end::done &&
+           !owner->step_of(end.task).is_long_running &&
+           owner->task(end.task).phase != task_phase::done;
+}
+
 void report_intake::note_unreadable_rows(fleet_worker& worker,
                                          const worker_report& report)
 {
--- a/src/jobs/report_intake.hpp
+++ b/src/jobs/report_intake.hpp
@@ -50,6 +50,8 @@
                         time_point sent_at, time_point now);
     void handle_ends(fleet_worker& worker, const worker_report& report,
                      time_point now);
+    // An end without a number is new if its effect has not been recorded.
+    bool is_new_end(fleet_worker& worker, const ended_run& end);
     // Logs the number of rows that cannot be decoded when it changes.
     void note_unreadable_rows(fleet_worker& worker,
                               const worker_report& report);
--- a/tests/jobs/malformed_report_test.cpp
+++ b/tests/jobs/malformed_report_test.cpp
@@ -119,6 +119,40 @@
               2);
 }
 
+// Failure: a new leader, whose ledger is empty, ignores an end without a number
+// and starts a task that is done again.
+TEST_F(malformed_report, new_leader_takes_a_done_end_without_a_number)
+{
+    leader.add_job(make_job("j", short_step(1)));
+    ended[worker_id("a")] = {
+        {0, {job_id("j"), 0, 0, 0}, 1, run_end::done, ""}};
+    EXPECT_TRUE(orders_of<start_order>(simulate(seconds(5))).empty());
+    EXPECT_EQ(leader.registry().over().at(job_id("j")), job_state::completed);
+}
+
+// Failure: a new leader starts a task beyond its attempts, because it ignores
+// failures without a number, or counts one of them with each report.
+TEST_F(malformed_report, new_leader_counts_each_failure_without_a_number_once)
+{
+    const task_key one{job_id("one"), 0, 0, 0};
+    const task_key two{job_id("two"), 0, 0, 0};
+    leader.add_job(make_job("one", short_step(1)));
+    leader.add_job(make_job("two", short_step(1)));
+    ended[worker_id("a")] = {{0, one, 1, run_end::failed, ""},
+                             {0, two, 1, run_end::failed, ""},
+                             {0, two, 2, run_end::failed, ""}};
+    leader.take_events();
+    const auto starts = orders_of<start_order>(simulate(seconds(5)));
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts.front().task, one);
+    EXPECT_GT(starts.front().run, 1U);
+    EXPECT_EQ(leader.registry().over().at(job_id("two")), job_state::failed);
+    EXPECT_FALSE(leader.registry().over().contains(job_id("one")));
+    const auto events = leader.take_events();
+    EXPECT_EQ(std::ranges::count(events, "run ended", &decision_event::message),
+              3);
+}
+
 // Failure: a run that ended in a way that is not known is never started again,
 // or ends its job as failed.
 TEST_F(malformed_report, task_with_an_unrecognized_end_runs_again)
