Poll at intervals while an end is listed that is never acknowledged

A worker that lists an end which cannot be decoded, or has no number, answers each poll at once, and was polled every 40 ms while it had runs: 250 polls in 10 s in the test, now at most 26. Polls to it do not wait, and go out at the interval for ends that wait to be stored. Ends without a number count as ends that cannot be decoded in the log.

Test ends_without_acknowledgement_bound_the_poll_rate, seen failing before.

--- a/src/jobs/poll_planner.cpp
+++ b/src/jobs/poll_planner.cpp
@@ -66,6 +66,7 @@
     }
     const bool may_wait = !permission.must_poll_all && worker.knows_clock() &&
                           !worker.has_unstored_ends() &&
+                          worker.unreadable_ends == 0 &&
                           worker.failed_polls == 0 && !worker.runs().empty();
     if (may_wait)
     {
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -114,9 +114,13 @@
 void report_intake::note_unreadable_rows(fleet_worker& worker,
                                          const worker_report& report)
 {
+    // An end without a number may never be acknowledged either.
+    const auto unreadable_ends =
+        report.unreadable_ended + static_cast<std::size_t>(std::ranges::count(
+                                      report.ended, 0U, &ended_run::number));
     const bool is_changed =
         worker.unreadable_runs != report.unreadable_running ||
-        worker.unreadable_ends != report.unreadable_ended;
+        worker.unreadable_ends != unreadable_ends;
     if (!is_changed)
     {
         return;
@@ -126,11 +130,11 @@
         worker.note_gained_room();
     }
     worker.unreadable_runs = report.unreadable_running;
-    worker.unreadable_ends = report.unreadable_ended;
+    worker.unreadable_ends = unreadable_ends;
     state_.log_event("rows of a worker report cannot be decoded",
                      {{"worker", worker.entry.id.value()},
                       {"running", std::to_string(report.unreadable_running)},
-                      {"ended", std::to_string(report.unreadable_ended)},
+                      {"ended", std::to_string(unreadable_ends)},
                       {"first", report.first_unreadable}});
 }
 
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -233,9 +233,13 @@
     suspender_.adjust(*worker, now);
     speeds_.observe(*worker, now);
     speeds_.offload(*worker, now);
-    worker->next_poll = now + (worker->has_unstored_ends()
-                                   ? state_.options.unstored_poll_interval
-                                   : state_.options.min_poll_interval);
+    // A worker answers at once while it lists an end that is not acknowledged,
+    // and one that cannot be decoded may never be.
+    const bool must_not_wait =
+        worker->has_unstored_ends() || worker->unreadable_ends > 0;
+    worker->next_poll =
+        now + (must_not_wait ? state_.options.unstored_poll_interval
+                             : state_.options.min_poll_interval);
     recovery_.on_worker_seen(*worker);
     recovery_.check(now);
 }
--- a/tests/jobs/malformed_report_test.cpp
+++ b/tests/jobs/malformed_report_test.cpp
@@ -124,8 +124,7 @@
 TEST_F(malformed_report, new_leader_takes_a_done_end_without_a_number)
 {
     leader.add_job(make_job("j", short_step(1)));
-    ended[worker_id("a")] = {
-        {0, {job_id("j"), 0, 0, 0}, 1, run_end::done, ""}};
+    ended[worker_id("a")] = {{0, {job_id("j"), 0, 0, 0}, 1, run_end::done, ""}};
     EXPECT_TRUE(orders_of<start_order>(simulate(seconds(5))).empty());
     EXPECT_EQ(leader.registry().over().at(job_id("j")), job_state::completed);
 }
@@ -153,6 +152,35 @@
               3);
 }
 
+// Failure: an end that is never acknowledged makes the worker answer each poll
+// at once, and it is polled without pause.
+TEST_F(malformed_report, ends_without_acknowledgement_bound_the_poll_rate)
+{
+    const auto start = start_one("j");
+    const auto count_polls = [this] {
+        const auto polls = orders_of<poll_order>(simulate(seconds(10)));
+        EXPECT_TRUE(std::ranges::all_of(polls, [](const poll_order& poll) {
+            return poll.wait.count() == 0;
+        }));
+        return polls.size();
+    };
+    // Ten seconds have 25 intervals of 400 ms.
+    constexpr std::size_t max_polls = 26;
+    unreadable_ended[worker_id("a")] = 1;
+    simulate();
+    EXPECT_LE(count_polls(), max_polls);
+    unreadable_ended.clear();
+    ended[worker_id("a")] = {{0, start.task, 999, run_end::stopped, ""}};
+    simulate(seconds(1));
+    EXPECT_LE(count_polls(), max_polls);
+    // The end of a poll that may wait is seen at once again.
+    ended.clear();
+    simulate(seconds(1));
+    EXPECT_TRUE(std::ranges::all_of(
+        orders_of<poll_order>(simulate()),
+        [](const poll_order& poll) { return poll.wait.count() > 0; }));
+}
+
 // Failure: a run that ended in a way that is not known is never started again,
 // or ends its job as failed.
 TEST_F(malformed_report, task_with_an_unrecognized_end_runs_again)
