Count no crash for a recorded worker whose entry is odd

At the end of a recovery a recorded worker that is not listed counts as crashed, and its suspects get a crash. An odd entry shows nothing of the worker, but it counted too, whether the new leader knew the worker or not, so that a sound job could end as failed. The leader now keeps the ids of recorded workers that it does not know and whose entry is odd.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -146,6 +146,7 @@
     auto* const worker = state_.find_worker(id);
     if (worker == nullptr)
     {
+        recovery_.on_entry_lost(id, reason == entry_loss::odd);
         return;
     }
     worker->has_odd_entry = reason == entry_loss::odd;
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "jobs/crash_attribution.hpp"
@@ -31,6 +32,10 @@
     // A worker has responded that runs on its VM after all recorded ones.
     void on_vm_replaced(const fleet_worker& later, time_point now);
 
+    // The list shows no usable entry of a worker that this leader does not
+    // know. An odd one shows nothing of the worker.
+    void on_entry_lost(const worker_id& id, bool is_odd);
+
     // True if no run of an earlier leader is uncertain any more.
     bool is_complete() const
     {
@@ -54,11 +59,15 @@
     // Marks only those tasks uncertain that may run on workers that have not
     // been seen.
     void update_uncertain_tasks();
+    // True if the list would show the worker if it still ran.
+    bool has_left_list(const worker_id& id) const;
     void end(time_point now);
 
     scheduler_state& state_;
     crash_attribution& crashes_;
     std::map<worker_id, fleet_record> unseen_workers_;
+    // Those whose entry is odd, without those in the fleet.
+    std::set<worker_id> unseen_with_odd_entry_;
     // A worker was seen since the uncertain tasks were updated.
     bool unseen_workers_changed_ = true;
     time_point leases_expire_at_{};
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -102,6 +102,13 @@
         leader.on_report(poll->worker, report, now, now);
     }
 
+    std::ptrdiff_t count_suspected_tasks()
+    {
+        const auto events = leader.take_events();
+        return std::ranges::count(events, "task may have crashed its worker",
+                                  &decision_event::message);
+    }
+
     // A report of a worker on which nothing runs.
     jobs::worker_report make_report() const
     {
@@ -403,6 +410,43 @@
     }));
 }
 
+// Failure: a worker whose entry is odd at the end of the recovery counts as
+// crashed, and a sound job may end as failed.
+TEST_F(takeover_test, odd_entry_is_no_evidence_of_a_crash)
+{
+    leader.recover_fleet(
+        {{worker_id("here"), std::nullopt},
+         {worker_id("unknown"), std::vector{key(0)}, vm_id("vm-2"), {key(0)}},
+         {worker_id("listed"), std::vector{key(1)}, vm_id("vm-3"), {key(1)}}});
+    leader.set_worker(entry("here"), now);
+    leader.set_worker(entry("listed"), now);
+    leader.remove_worker(worker_id("unknown"), now, entry_loss::odd);
+    leader.begin(now);
+    leader.remove_worker(worker_id("listed"), now, entry_loss::odd);
+    EXPECT_THAT(simulate(seconds(18)), testing::ElementsAre(0U, 1U));
+    EXPECT_EQ(count_suspected_tasks(), 0);
+}
+
+// Failure: a worker that has left the list counts for nothing because its entry
+// was odd before.
+TEST_F(takeover_test, removal_of_an_odd_entry_is_evidence_of_a_crash)
+{
+    leader.recover_fleet(
+        {{worker_id("here"), std::nullopt},
+         {worker_id("unknown"), std::vector{key(0)}, vm_id("vm-2"), {key(0)}},
+         {worker_id("listed"), std::vector{key(1)}, vm_id("vm-3"), {key(1)}}});
+    leader.set_worker(entry("here"), now);
+    leader.set_worker(entry("listed"), now);
+    leader.begin(now);
+    for (const auto* const name : {"unknown", "listed"})
+    {
+        leader.remove_worker(worker_id(name), now, entry_loss::odd);
+        leader.remove_worker(worker_id(name), now);
+    }
+    EXPECT_THAT(simulate(seconds(18)), testing::ElementsAre(0U, 1U));
+    EXPECT_EQ(count_suspected_tasks(), 2);
+}
+
 // Failure: the new leader waits for lease extensions by a leader that is known
 // to be dead.
 TEST_F(takeover_test, a_dead_leader_extends_no_leases)
