--- a/tests/adapter/report_codec_test.cpp
+++ b/tests/adapter/report_codec_test.cpp
@@ -30,7 +30,8 @@
     for (const std::string odd :
          {R"(["another task",1,"",5])", R"(["5c0e.0.1.3"])", "[]", "{}", "5",
           "null", R"([7,7,7,7])", R"(["5c0e.0.1.3",-1,"",5])",
-          R"(["5c0e.0.1.3",4294967298,"",5])", R"(["5c0e.0.1.3","2","",5])"})
+          R"(["5c0e.0.1.3",4294967298,"",5])", R"(["5c0e.0.1.3","2","",5])",
+          R"(["5c0e.0.1.3",2.7,"",5])"})
     {
         const auto report =
             decode_report(report_with(odd + "," + good_running, good_ended));
@@ -44,7 +45,8 @@
     }
     for (const std::string odd : {R"([57,"another task",1,"done",""])", "[57]",
                                   "7", "{}", R"([57,"5c0e.0.1.3",0,"done",""])",
-                                  R"([57,"5c0e.0.1.3",1e300,"done",""])"})
+                                  R"([57,"5c0e.0.1.3",1e300,"done",""])",
+                                  R"([57,"5c0e.0.1.3",1.5,"done",""])"})
     {
         const auto report =
             decode_report(report_with(good_running, odd + "," + good_ended));
@@ -61,7 +63,7 @@
 TEST(report_codec, ends_with_odd_numbers_or_kinds_are_kept)
 {
     for (const std::string number :
-         {"null", "-1", "0", "1e15", R"("58")", "18446744073709551615"})
+         {"null", "-1", "0", "58.5", "1e15", R"("58")", "18446744073709551615"})
     {
         const auto report = decode_report(report_with(
             "", "[" + number + R"(,"5c0e.0.1.9",1,"done","")" + "]"));
