--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -76,30 +76,51 @@
 {
     for (const auto& end : report.ended)
     {
-        if (end.number == 0)
+        if (is_new_end(worker, end))
         {
-            // The ledger shows whether an end without a number is new.
-            const auto* const run = worker.find_run(end.task);
-            if (run != nullptr && run->run == end.run)
-            {
-                handle_end(worker, end, now);
-            }
-            continue;
-        }
-        if (end.number > worker.taken_ends)
-        {
-            worker.taken_ends = end.number;
+            worker.taken_ends = std::max(worker.taken_ends, end.number);
             handle_end(worker, end, now);
         }
     }
 }
 
+bool report_intake::is_new_end(fleet_worker& worker, const ended_run& end)
+{
+    if (end.number > 0)
+    {
+        return end.number > worker.taken_ends;
+    }
+    const auto* const run = worker.find_run(end.task);
+    if (run != nullptr && run->run == end.run)
+    {
+        return true;
+    }
+    // The ledger of a new leader holds no run that ended before.
+    auto* const owner = state_.registry.find(end.task.job);
+    if (owner == nullptr || !owner->has(end.task))
+    {
+        return false;
+    }
+    if (end.how == run_end::failed)
+    {
+        const auto& counted = owner->task(end.task).failed_runs;
+        return std::ranges::find(counted, end.run) == counted.end();
+    }
+    return end.how == run_end::done &&
+           !owner->step_of(end.task).is_long_running &&
+           owner->task(end.task).phase != task_phase::done;
+}
+
 void report_intake::note_unreadable_rows(fleet_worker& worker,
                                          const worker_report& report)
 {
+    // An end without a number may never be acknowledged either.
+    const auto unreadable_ends =
+        report.unreadable_ended + static_cast<std::size_t>(std::ranges::count(
+                                      report.ended, 0U, &ended_run::number));
     const bool is_changed =
         worker.unreadable_runs != report.unreadable_running ||
-        worker.unreadable_ends != report.unreadable_ended;
+        worker.unreadable_ends != unreadable_ends;
     if (!is_changed)
     {
         return;
@@ -109,11 +130,11 @@
         worker.note_gained_room();
     }
     worker.unreadable_runs = report.unreadable_running;
-    worker.unreadable_ends = report.unreadable_ended;
+    worker.unreadable_ends = unreadable_ends;
     state_.log_event("rows of a worker report cannot be decoded",
                      {{"worker", worker.entry.id.value()},
                       {"running", std::to_string(report.unreadable_running)},
-                      {"ended", std::to_string(report.unreadable_ended)},
+                      {"ended", std::to_string(unreadable_ends)},
                       {"first", report.first_unreadable}});
 }
 
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -22,6 +22,9 @@
 // A worker that has left the list and is silent for this long counts as
 // crashed.
 constexpr duration crash_evidence_time = std::chrono::seconds(15);
+// A worker is known for this long after its last valid entry while its entry is
+// odd: another writer may alternate with the worker's own heartbeat.
+constexpr duration odd_entry_time = std::chrono::seconds(10);
 
 } // namespace
 
@@ -148,6 +151,7 @@
     auto* const worker = state_.find_worker(id);
     if (worker == nullptr)
     {
+        recovery_.on_entry_lost(id, reason == entry_loss::odd);
         return;
     }
     worker->has_odd_entry = reason == entry_loss::odd;
@@ -235,9 +239,13 @@
     suspender_.adjust(*worker, now);
     speeds_.observe(*worker, now);
     speeds_.offload(*worker, now);
-    worker->next_poll = now + (worker->has_unstored_ends()
-                                   ? state_.options.unstored_poll_interval
-                                   : state_.options.min_poll_interval);
+    // A worker answers at once while it lists an end that is not acknowledged,
+    // and one that cannot be decoded may never be.
+    const bool must_not_wait =
+        worker->has_unstored_ends() || worker->unreadable_ends > 0;
+    worker->next_poll =
+        now + (must_not_wait ? state_.options.unstored_poll_interval
+                             : state_.options.min_poll_interval);
     recovery_.on_worker_seen(*worker);
     recovery_.check(now);
 }
@@ -308,8 +316,11 @@
         const bool may_have_crashed =
             !worker.interrupted_runs.empty() && worker.silent_since &&
             now - *worker.silent_since < crash_evidence_time;
+        const bool may_be_listed_again =
+            worker.has_odd_entry && now - worker.listed_at < odd_entry_time;
         const bool is_gone = worker.is_unlisted && worker.runs().empty() &&
-                             !may_have_crashed && !worker.poll_sent_at &&
+                             !may_have_crashed && !may_be_listed_again &&
+                             !worker.poll_sent_at &&
                              !recovery_.unseen_workers().contains(w->first);
         if (!is_gone)
         {
