--- a/tests/adapter/report_codec_test.cpp
+++ b/tests/adapter/report_codec_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "observe/utf8.hpp"
 #include "worker_codec.hpp"
 
 using namespace hemlockdeal;
@@ -82,6 +83,24 @@
     }
 }
 
+// Failure: the text for the log is cut inside a character, and a reader rejects
+// the whole line.
+TEST(report_codec, first_unreadable_row_is_cut_to_valid_text)
+{
+    for (const std::size_t shift : {0U, 1U})
+    {
+        std::string row = "\"" + std::string(shift, 'x');
+        for (int i = 0; i < 100; ++i)
+        {
+            row += "\u00e9";
+        }
+        const auto report = decode_report(report_with(row + "\"", ""));
+        ASSERT_TRUE(report);
+        EXPECT_EQ(report->first_unreadable,
+                  valid_utf8(report->first_unreadable));
+    }
+}
+
 // Failure: a report whose incarnation cannot be decoded is taken for one of a
 // restarted worker, and a crash is held against its tasks.
 TEST(report_codec, incarnations_that_cannot_be_decoded_are_errors)
