Call an entry that cannot be used malformed everywhere

"odd" in the entry program and "malformed" in the daemon named one thing. Comments and help texts that repeated the wording of the platform's pages say what is done with such entries.

No change of behaviour; the tests are the same but for names.

--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -191,8 +191,8 @@
     return b"[" * levels + b"]" * levels
 
 
-def odd_entries(good):
-    """Entries of another writer in the worker list, each odd in one part. None
+def malformed_entries(good):
+    """Entries of another writer in the worker list, each malformed in one part. None
     of them names a worker to use. `good` is a valid entry."""
     def with_value(name, value):
         return json.dumps({**good, name: value}).encode()
@@ -261,18 +261,18 @@
         self.is_up = True
         self.late_fraction = 0.0
         # Written in place of the entry while it is set.
-        self.odd_entry = None
+        self.malformed_entry = None
         # From then on, no task may be started on the worker.
         self.closed_at = None
         self.restart()
 
     def write_entry(self):
         self.store.put("servers", "", self.name,
-                       self.entry() if self.odd_entry is None else self.odd_entry)
+                       self.entry() if self.malformed_entry is None else self.malformed_entry)
 
-    def set_odd_entry(self, entry):
+    def set_malformed_entry(self, entry):
         """Replaces the entry by one that names no worker; None ends this."""
-        self.odd_entry = entry
+        self.malformed_entry = entry
         self.closed_at = (None if entry is None
                           else time.monotonic() + ENTRY_NOTICE_S)
         self.write_entry()
@@ -336,7 +336,7 @@
                 and time.monotonic() > self.closed_at:
             self.record.record_violation(
                 f"{call['task']} is started on {self.name}, whose entry is "
-                f"{self.odd_entry[:200]}")
+                f"{self.malformed_entry[:200]}")
         if target == "/run-start" and self.rng.random() < self.late_fraction:
             incarnation = self.incarnation
             await asyncio.sleep(self.rng.uniform(2, 6))
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -16,14 +16,14 @@
 import tempfile
 import time
 
-from platform_standin import Record, Store, Worker, odd_entries
+from platform_standin import Record, Store, Worker, malformed_entries
 
 HOST, PREFIX, SERVICE = "q.example", "/q/", "s"
 COMPLETION_TIMEOUT_S = 25
 ZONES = ["z1", "z2"]
-# Keys of odd entries among those of the workers, some of which go on with a
+# Keys of malformed entries among those of the workers, some of which go on with a
 # byte that sorts before all that keys of the platform consist of.
-ODD_KEYS = ["", "a", "w0 odd", "w1\x01", "w1!", "w2-", "w3\u00e9", "x" * 5000]
+MALFORMED_KEYS = ["", "a", "w0 malformed", "w1\x01", "w1!", "w2-", "w3\u00e9", "x" * 5000]
 CONFIGURATION = {
     "version": 1,
     "routes": [{"name": "r", "host": HOST, "path_prefix": PREFIX,
@@ -104,7 +104,7 @@
         self.workers = [Worker(f"w{i}", base + 100 + i, ZONES[i % 2],
                                self.store, self.record, self.rng)
                         for i in range(4)]
-        # Odd entries with a usable address lead here.
+        # Malformed entries with a usable address lead here.
         self.decoy = Worker("decoy", base + 110, ZONES[0], self.store,
                             self.record, self.rng)
         self.store.page_limit = self.rng.choice([2, 5, 500])
@@ -121,27 +121,27 @@
             asyncio.ensure_future(worker.run_tasks())
             asyncio.ensure_future(worker.send_heartbeats())
         await self.decoy.server.listen(self.decoy.port)
-        self.decoy.odd_entry = b"each of the odd ones"
+        self.decoy.malformed_entry = b"each of the malformed ones"
         self.decoy.closed_at = time.monotonic()
-        for key in ODD_KEYS:
-            self.write_odd_entry(key)
+        for key in MALFORMED_KEYS:
+            self.write_malformed_entry(key)
         for daemon in self.daemons:
             await daemon.start()
 
-    def odd_entry(self, worker):
-        return self.rng.choice(odd_entries(json.loads(worker.entry())))
+    def malformed_entry(self, worker):
+        return self.rng.choice(malformed_entries(json.loads(worker.entry())))
 
-    def write_odd_entry(self, key):
-        self.store.put("servers", "", key, self.odd_entry(self.decoy))
+    def write_malformed_entry(self, key):
+        self.store.put("servers", "", key, self.malformed_entry(self.decoy))
 
-    async def rewrite_odd_entries(self):
+    async def rewrite_malformed_entries(self):
         while True:
             await asyncio.sleep(self.rng.uniform(0.1, 1.0))
-            key = self.rng.choice(ODD_KEYS)
+            key = self.rng.choice(MALFORMED_KEYS)
             if self.rng.random() < 0.2:
                 self.store.remove("servers", "", key)
             else:
-                self.write_odd_entry(key)
+                self.write_malformed_entry(key)
 
     async def submit(self, number):
         job = f"{self.rng.getrandbits(64):016x}"
@@ -174,7 +174,7 @@
         daemon, worker = self.rng.choice(self.daemons), self.rng.choice(self.workers)
         duration = self.rng.uniform(0.3, 6.0)
         kind = self.rng.choice(["kill", "pause", "stop", "store", "cut", "reset",
-                                "crash", "dark", "late", "history", "odd"])
+                                "crash", "dark", "late", "history", "malformed"])
         if kind == "kill":
             await daemon.kill()
             await asyncio.sleep(duration / 3)
@@ -210,10 +210,10 @@
             worker.late_fraction = 0.5
             await asyncio.sleep(duration)
             worker.late_fraction = 0.0
-        elif kind == "odd":
-            worker.set_odd_entry(self.odd_entry(worker))
+        elif kind == "malformed":
+            worker.set_malformed_entry(self.malformed_entry(worker))
             await asyncio.sleep(2 * duration)
-            worker.set_odd_entry(None)
+            worker.set_malformed_entry(None)
         else:
             self.store.oldest = self.store.version
 
@@ -261,7 +261,7 @@
 
     async def run(self):
         await self.start()
-        asyncio.ensure_future(self.rewrite_odd_entries())
+        asyncio.ensure_future(self.rewrite_malformed_entries())
         await asyncio.sleep(2.5)
         await asyncio.gather(self.load(self.options.seconds),
                              self.inject_faults(self.options.seconds))
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -75,7 +75,7 @@
     }
 };
 
-// An entry that names no VM to use.
+// An entry that cannot be used.
 struct malformed_member
 {
     std::size_t index = 0; // place in the list, counted from 0
--- a/src/core/membership_merge.cpp
+++ b/src/core/membership_merge.cpp
@@ -122,7 +122,7 @@
 }
 
 // Those that are missing longest have precedence, because a platform that
-// changes an odd entry with each list would push them out otherwise.
+// changes a malformed entry with each list would push them out otherwise.
 void membership_merge::add_missing(vms& next)
 {
     std::vector<std::pair<std::string, known_vm>> missing;
--- a/src/hemlockdeald/daemon.cpp
+++ b/src/hemlockdeald/daemon.cpp
@@ -253,7 +253,7 @@
              1e6);
     registry
         .gauge("hemlockdeal_membership_malformed_entries",
-               "Entries of the membership list that name no VM to use")
+               "Malformed entries of the membership list, which are not used")
         .set(static_cast<double>(platform_.malformed_members()));
     const auto traffic = peers_->traffic();
     registry.gauge("hemlockdeal_peer_bytes_sent", "Bytes sent to other daemons")
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -149,7 +149,7 @@
     bool is_unlisted = false;
     // Its entry is there, but cannot be used, which shows nothing of the
     // worker.
-    bool has_odd_entry = false;
+    bool has_malformed_entry = false;
     // A later worker process on the same VM has responded, which shows that
     // this one has ended.
     bool has_ended = false;
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -558,7 +558,7 @@
     // A long-running task must run again within seconds. A worker that has
     // left the list and is silent is taken for gone: it would be listed again
     // after a restart.
-    const bool is_gone = worker.is_unlisted && !worker.has_odd_entry;
+    const bool is_gone = worker.is_unlisted && !worker.has_malformed_entry;
     const bool is_urgent = run.is_long_running && is_gone;
     return !is_urgent && now - run.ordered_at < state_.options.max_order_delay;
 }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -23,8 +23,8 @@
 // crashed.
 constexpr duration crash_evidence_time = std::chrono::seconds(15);
 // A worker is known for this long after its last valid entry while its entry is
-// odd: another writer may alternate with the worker's own heartbeat.
-constexpr duration odd_entry_time = std::chrono::seconds(10);
+// malformed: another writer may alternate with the worker's own heartbeat.
+constexpr duration malformed_entry_time = std::chrono::seconds(10);
 
 } // namespace
 
@@ -96,7 +96,7 @@
         state_.fleet.try_emplace(entry.id, fleet_worker(entry));
     auto& worker = found->second;
     worker.is_unlisted = false;
-    worker.has_odd_entry = false;
+    worker.has_malformed_entry = false;
     worker.listed_at = now;
     if (is_new)
     {
@@ -151,17 +151,17 @@
     auto* const worker = state_.find_worker(id);
     if (worker == nullptr)
     {
-        recovery_.on_entry_lost(id, reason == entry_loss::odd);
+        recovery_.on_entry_lost(id, reason == entry_loss::malformed);
         return;
     }
-    worker->has_odd_entry = reason == entry_loss::odd;
-    // An odd entry may be rewritten each second.
+    worker->has_malformed_entry = reason == entry_loss::malformed;
+    // A malformed entry may be rewritten each second.
     if (worker->is_unlisted)
     {
         return;
     }
-    state_.log_event(reason == entry_loss::odd
-                         ? "worker is not used while its entry is odd"
+    state_.log_event(reason == entry_loss::malformed
+                         ? "worker is not used while its entry is malformed"
                          : "worker removed from the membership list",
                      {{"worker", id.value()}});
     worker->is_unlisted = true;
@@ -317,7 +317,8 @@
             !worker.interrupted_runs.empty() && worker.silent_since &&
             now - *worker.silent_since < crash_evidence_time;
         const bool may_be_listed_again =
-            worker.has_odd_entry && now - worker.listed_at < odd_entry_time;
+            worker.has_malformed_entry &&
+            now - worker.listed_at < malformed_entry_time;
         const bool is_gone = worker.is_unlisted && worker.runs().empty() &&
                              !may_have_crashed && !may_be_listed_again &&
                              !worker.poll_sent_at &&
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -47,12 +47,12 @@
     bool lead_is_valid = true;
 };
 
-// Why the membership list names a worker no longer.
+// Why the membership list shows no usable entry of a worker.
 enum class entry_loss
 {
     removed,
     // The entry is there, but cannot be used.
-    odd
+    malformed
 };
 
 class scheduler
--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -125,14 +125,14 @@
     }
 }
 
-void takeover_recovery::on_entry_lost(const worker_id& id, bool is_odd)
+void takeover_recovery::on_entry_lost(const worker_id& id, bool is_malformed)
 {
-    if (is_odd && unseen_workers_.contains(id))
+    if (is_malformed && unseen_workers_.contains(id))
     {
-        unseen_with_odd_entry_.insert(id);
+        unseen_with_malformed_entry_.insert(id);
         return;
     }
-    unseen_with_odd_entry_.erase(id);
+    unseen_with_malformed_entry_.erase(id);
 }
 
 bool takeover_recovery::has_left_list(const worker_id& id) const
@@ -140,9 +140,9 @@
     const auto* const worker = state_.find_worker(id);
     if (worker == nullptr)
     {
-        return !unseen_with_odd_entry_.contains(id);
+        return !unseen_with_malformed_entry_.contains(id);
     }
-    return worker->is_unlisted && !worker->has_odd_entry;
+    return worker->is_unlisted && !worker->has_malformed_entry;
 }
 
 void takeover_recovery::end(time_point now)
@@ -151,7 +151,7 @@
                      {{"not_seen", std::to_string(unseen_workers_.size())}});
     // A worker that is not listed counts as crashed, because its VM may never
     // run another one. If it was only cut off, a run that lasts clears its
-    // tasks. An odd entry shows nothing.
+    // tasks. A malformed entry shows nothing.
     for (const auto& [id, record] : unseen_workers_)
     {
         if (has_left_list(id))
@@ -166,7 +166,7 @@
         state_.mark_fleet_changed(id);
     }
     unseen_workers_.clear();
-    unseen_with_odd_entry_.clear();
+    unseen_with_malformed_entry_.clear();
     leases_expire_at_ = {};
     update_uncertain_tasks();
 }
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -33,8 +33,8 @@
     void on_vm_replaced(const fleet_worker& later, time_point now);
 
     // The list shows no usable entry of a worker that this leader does not
-    // know. An odd one shows nothing of the worker.
-    void on_entry_lost(const worker_id& id, bool is_odd);
+    // know. A malformed one shows nothing of the worker.
+    void on_entry_lost(const worker_id& id, bool is_malformed);
 
     // True if no run of an earlier leader is uncertain any more.
     bool is_complete() const
@@ -66,8 +66,8 @@
     scheduler_state& state_;
     crash_attribution& crashes_;
     std::map<worker_id, fleet_record> unseen_workers_;
-    // Those whose entry is odd, without those in the fleet.
-    std::set<worker_id> unseen_with_odd_entry_;
+    // Those whose entry is malformed, without those in the fleet.
+    std::set<worker_id> unseen_with_malformed_entry_;
     // A worker was seen since the uncertain tasks were updated.
     bool unseen_workers_changed_ = true;
     time_point leases_expire_at_{};
--- a/src/node/concepts.hpp
+++ b/src/node/concepts.hpp
@@ -59,10 +59,10 @@
 struct worker_change
 {
     worker_id id;
-    // Empty if the entry was removed or is odd.
+    // Empty if the entry was removed or is malformed.
     std::optional<jobs::worker_entry> entry;
-    // The entry is there, but names no worker to use.
-    bool is_odd = false;
+    // The entry is there, but cannot be used.
+    bool is_malformed = false;
 };
 
 struct worker_changes
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -356,8 +356,8 @@
         if (!change.entry)
         {
             scheduler_->remove_worker(change.id, now,
-                                      change.is_odd
-                                          ? jobs::entry_loss::odd
+                                      change.is_malformed
+                                          ? jobs::entry_loss::malformed
                                           : jobs::entry_loss::removed);
             continue;
         }
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -22,7 +22,7 @@
 namespace
 {
 
-// Empty if the entry is odd.
+// Empty if the entry is malformed.
 std::optional<jobs::worker_entry>
 worker_in(const std::string& body, const worker_id& id = worker_id("i-1"))
 {
@@ -120,9 +120,9 @@
     EXPECT_GE(low.policy.stretch, 0.0);
 }
 
-// Failure: an odd or repeated row hides the others, is left out without a word,
-// or becomes a service without a name.
-TEST(declaration_codec, odd_rows_of_a_configuration_are_found)
+// Failure: a malformed or repeated row hides the others, is left out without a
+// word, or becomes a service without a name.
+TEST(declaration_codec, malformed_rows_of_a_configuration_are_found)
 {
     const auto read = decode_configuration(R"({"version":7,"routes":[
         5, {"name":"r","host":"h","path_prefix":"/p/","service":"s"},
@@ -133,7 +133,7 @@
     EXPECT_EQ(read->content.routes.size(), 2U);
     EXPECT_EQ(read->content.services.size(), 1U);
     std::string all;
-    for (const auto& f : read->odd)
+    for (const auto& f : read->malformed)
     {
         all += to_text(f) + '\n';
     }
@@ -173,7 +173,7 @@
     EXPECT_FALSE(read->is_leaving);
     for (const auto& [from, to] :
          std::vector<std::pair<std::string, std::string>>{
-             {"\"ready\"", "\"odd\""},
+             {"\"ready\"", "\"malformed\""},
              {"\"ready\"", "5"},
              {"16000", "\"many\""},
              {"\"service\"", "\"other\""},
@@ -206,7 +206,7 @@
 // needed are checked, or a worker without optional fields is not used.
 TEST(declaration_codec, optional_fields_are_missing_or_of_their_type)
 {
-    for (const auto& [field, missing, odd] :
+    for (const auto& [field, missing, malformed] :
          std::vector<std::tuple<std::string, std::string, std::string>>{
              {R"(,"gpu":1)", "", R"(,"gpu":"1")"},
              {R"(,"gpu":1)", "", R"(,"gpu":-1)"},
@@ -223,7 +223,7 @@
              {R"(,"seq":4)", "", R"(,"seq":true)"}})
     {
         EXPECT_TRUE(worker_in(with(field, missing))) << field;
-        EXPECT_FALSE(worker_in(with(field, odd))) << odd;
+        EXPECT_FALSE(worker_in(with(field, malformed))) << malformed;
     }
 }
 
@@ -250,8 +250,8 @@
     EXPECT_FALSE(worker_in(good_entry, worker_id(std::string(201, 'i'))));
 }
 
-// Failure: a finding doesn't say where the entry is odd, or repeats the entry
-// at full length.
+// Failure: a finding doesn't say where the entry is malformed, or repeats the
+// entry at full length.
 TEST(declaration_codec, findings_name_the_fields_and_stay_short)
 {
     EXPECT_EQ(found_in(with("10.0.0.1:80", "somewhere")),
@@ -320,16 +320,16 @@
     EXPECT_EQ(read->ended[0].number, 58U);
     EXPECT_EQ(read->ended[0].how, jobs::run_end::lapsed);
     EXPECT_FALSE(decode_report("{}"));
-    const auto odd_task =
+    const auto malformed_task =
         decode_report(R"({"clock_ms":1,"ended":[[1,"x",1,"done",""]]})");
-    ASSERT_TRUE(odd_task);
-    EXPECT_TRUE(odd_task->ended.empty());
-    EXPECT_EQ(odd_task->unreadable_ended, 1U);
-    const auto odd_kind =
-        decode_report(R"({"clock_ms":1,"ended":[[1,"a.0.0.0",1,"odd",""]]})");
-    ASSERT_TRUE(odd_kind);
-    ASSERT_EQ(odd_kind->ended.size(), 1U);
-    EXPECT_EQ(odd_kind->ended[0].how, jobs::run_end::unrecognized);
+    ASSERT_TRUE(malformed_task);
+    EXPECT_TRUE(malformed_task->ended.empty());
+    EXPECT_EQ(malformed_task->unreadable_ended, 1U);
+    const auto malformed_kind = decode_report(
+        R"({"clock_ms":1,"ended":[[1,"a.0.0.0",1,"malformed",""]]})");
+    ASSERT_TRUE(malformed_kind);
+    ASSERT_EQ(malformed_kind->ended.size(), 1U);
+    EXPECT_EQ(malformed_kind->ended[0].how, jobs::run_end::unrecognized);
 }
 
 // Failure: the reason of a refusal is mistaken for another one.
--- a/tests/adapter/decoder_fuzz_test.cpp
+++ b/tests/adapter/decoder_fuzz_test.cpp
@@ -59,7 +59,7 @@
      R"({"hold_max_ms":6000,"grace_s":6,"far_factor":3}})")};
 
 // Replacements for a value.
-const std::vector<std::string> odd_values = {
+const std::vector<std::string> malformed_values = {
     "-1",   "0",    "1e308",       "-1e308",     "9223372036854775807",
     "null", "true", "\"\"",        "[]",         "{}",
     "0.5",  "[[]]", "\"\\u0000\"", "4294967296", "18446744073709551615"};
@@ -145,7 +145,8 @@
                 text, at, nested(*rc::gen::element<std::size_t>(31, 33, 900)));
             break;
         case 5:
-            text = duplicate_member(text, at, *rc::gen::elementOf(odd_values));
+            text = duplicate_member(text, at,
+                                    *rc::gen::elementOf(malformed_values));
             break;
         case 6:
             text = replace_value(
@@ -153,7 +154,8 @@
                 '"' + std::string(*rc::gen::inRange(0, 70'000), 'x') + '"');
             break;
         default:
-            text = replace_value(text, at, *rc::gen::elementOf(odd_values));
+            text =
+                replace_value(text, at, *rc::gen::elementOf(malformed_values));
             break;
         }
     }
@@ -324,7 +326,7 @@
 namespace
 {
 
-std::string odd_part(const std::string& entry, const std::string& value)
+std::string malformed_part(const std::string& entry, const std::string& value)
 {
     const auto at = *rc::gen::inRange<std::size_t>(0, entry.size());
     switch (*rc::gen::inRange(0, 3))
@@ -339,50 +341,52 @@
 }
 
 // An entry of a list with a part replaced; it is still JSON.
-std::string odd_entry(const std::string& entry)
+std::string malformed_entry(const std::string& entry)
 {
-    const auto value = *rc::gen::elementOf(odd_values);
-    const auto text = odd_part(entry, value);
+    const auto value = *rc::gen::elementOf(malformed_values);
+    const auto text = malformed_part(entry, value);
     boost::json::error_code error;
     boost::json::parse(text, error);
     return error ? value : text;
 }
 
-// Four entries, one of which may be odd.
+// Four entries, one of which may be malformed.
 struct entry_list
 {
-    std::size_t odd_index = 0;
-    std::string with_odd;
-    std::string without_odd;
+    std::size_t malformed_index = 0;
+    std::string with_malformed;
+    std::string without_malformed;
 };
 
 entry_list any_list(const std::function<std::string(int)>& entry)
 {
     constexpr std::size_t count = 4;
     entry_list out;
-    out.odd_index = *rc::gen::inRange<std::size_t>(0, count);
+    out.malformed_index = *rc::gen::inRange<std::size_t>(0, count);
     for (std::size_t i = 0; i < count; ++i)
     {
         const auto good = entry(static_cast<int>(i));
-        const bool is_odd = i == out.odd_index;
-        out.with_odd += (i == 0 ? "" : ",") + (is_odd ? odd_entry(good) : good);
-        if (!is_odd)
+        const bool is_malformed = i == out.malformed_index;
+        out.with_malformed +=
+            (i == 0 ? "" : ",") + (is_malformed ? malformed_entry(good) : good);
+        if (!is_malformed)
         {
-            out.without_odd += (out.without_odd.empty() ? "" : ",") + good;
+            out.without_malformed +=
+                (out.without_malformed.empty() ? "" : ",") + good;
         }
     }
     return out;
 }
 
-// True if `read` holds what was read without the odd entry, and at most one
-// more at its place.
+// True if `read` holds what was read without the malformed entry, and at most
+// one more at its place.
 template <typename T, typename Name>
 bool others_hold(std::vector<T> read, const std::vector<T>& others,
-                 std::size_t odd_index, Name name)
+                 std::size_t malformed_index, Name name)
 {
     if (read.size() == others.size() + 1)
     {
-        read.erase(read.begin() + static_cast<std::ptrdiff_t>(odd_index));
+        read.erase(read.begin() + static_cast<std::ptrdiff_t>(malformed_index));
     }
     return std::ranges::equal(read, others, {}, name, name);
 }
@@ -405,13 +409,14 @@
         return std::tuple(row.table, row.part, row.key, row.value,
                           row.version.value(), row.is_removed);
     };
-    const auto read = decode_rows(R"({"rows":[)" + list.with_odd +
+    const auto read = decode_rows(R"({"rows":[)" + list.with_malformed +
                                   R"(],"ver":9,"more_pages":true})");
     const auto others =
-        decode_rows(R"({"rows":[)" + list.without_odd + R"(],"ver":9})");
+        decode_rows(R"({"rows":[)" + list.without_malformed + R"(],"ver":9})");
     RC_ASSERT(read && others);
     RC_ASSERT(others->rows.size() == 3U);
-    RC_ASSERT(others_hold(read->rows, others->rows, list.odd_index, name));
+    RC_ASSERT(
+        others_hold(read->rows, others->rows, list.malformed_index, name));
     RC_ASSERT(read->has_more);
     check_bounds(read->rows);
 }
@@ -430,19 +435,20 @@
         return decode_report(R"({"clock_ms":5,"born":17,"running":[)" + runs +
                              R"(],"ended":[)" + ends + "]}");
     };
-    const auto read = decode(running.with_odd, ended.with_odd);
-    const auto others = decode(running.without_odd, ended.without_odd);
+    const auto read = decode(running.with_malformed, ended.with_malformed);
+    const auto others =
+        decode(running.without_malformed, ended.without_malformed);
     RC_ASSERT(read && others);
     RC_ASSERT(others->running.size() == 3U && others->ended.size() == 3U);
     RC_ASSERT(read->running.size() + read->unreadable_running == 4U);
     RC_ASSERT(read->ended.size() + read->unreadable_ended == 4U);
-    RC_ASSERT(others_hold(read->running, others->running, running.odd_index,
-                          [](const jobs::running_task& run) {
-                              return std::tuple(run.task, run.run,
-                                                run.checkpoint, run.percent,
-                                                run.measurement);
-                          }));
-    RC_ASSERT(others_hold(read->ended, others->ended, ended.odd_index,
+    RC_ASSERT(
+        others_hold(read->running, others->running, running.malformed_index,
+                    [](const jobs::running_task& run) {
+                        return std::tuple(run.task, run.run, run.checkpoint,
+                                          run.percent, run.measurement);
+                    }));
+    RC_ASSERT(others_hold(read->ended, others->ended, ended.malformed_index,
                           [](const jobs::ended_run& end) {
                               return std::tuple(end.number, end.task, end.run,
                                                 end.how, end.checkpoint);
@@ -459,12 +465,12 @@
     const auto decode = [](const std::string& rows) {
         return decode_advice(R"({"valid_ms":500,"good":[)" + rows + "]}");
     };
-    const auto read = decode(list.with_odd);
-    const auto others = decode(list.without_odd);
+    const auto read = decode(list.with_malformed);
+    const auto others = decode(list.without_malformed);
     RC_ASSERT(read && others);
     RC_ASSERT(others->good.size() == 3U);
-    RC_ASSERT(
-        others_hold(read->good, others->good, list.odd_index, std::identity{}));
+    RC_ASSERT(others_hold(read->good, others->good, list.malformed_index,
+                          std::identity{}));
     check_bounds(*read);
 }
 
@@ -481,15 +487,15 @@
                                     R"("enforces_capacity":true}],"routes":[)" +
                                     routes + "]}");
     };
-    const auto read = decode(list.with_odd);
-    const auto others = decode(list.without_odd);
+    const auto read = decode(list.with_malformed);
+    const auto others = decode(list.without_malformed);
     RC_ASSERT(read && others);
     RC_ASSERT(others->content.routes.size() == 3U);
-    RC_ASSERT(others_hold(read->content.routes, others->content.routes,
-                          list.odd_index, [](const jobs::queue_route& route) {
-                              return std::tuple(route.host, route.path_prefix,
-                                                route.timeout);
-                          }));
+    RC_ASSERT(others_hold(
+        read->content.routes, others->content.routes, list.malformed_index,
+        [](const jobs::queue_route& route) {
+            return std::tuple(route.host, route.path_prefix, route.timeout);
+        }));
     RC_ASSERT(read->content.services.contains(service_id("s")));
 }
 
--- a/tests/adapter/report_codec_test.cpp
+++ b/tests/adapter/report_codec_test.cpp
@@ -40,32 +40,33 @@
 // worker counts as silent and its runs lapse.
 TEST(report_codec, malformed_rows_do_not_hide_the_other_rows)
 {
-    for (const std::string odd :
+    for (const std::string malformed :
          {R"(["another task",1,"",5])", R"(["5c0e.0.1.3"])", "[]", "{}", "5",
           "null", R"([7,7,7,7])", R"(["5c0e.0.1.3",-1,"",5])",
           R"(["5c0e.0.1.3",4294967298,"",5])", R"(["5c0e.0.1.3","2","",5])",
           R"(["5c0e.0.1.3",2.7,"",5])"})
     {
         const auto report = decode_report(
-            report_with(rows_of({odd, good_running}), good_ended));
-        ASSERT_TRUE(report) << odd;
-        ASSERT_EQ(report->running.size(), 1U) << odd;
+            report_with(rows_of({malformed, good_running}), good_ended));
+        ASSERT_TRUE(report) << malformed;
+        ASSERT_EQ(report->running.size(), 1U) << malformed;
         EXPECT_EQ(report->running.front().run, 2U);
         EXPECT_EQ(report->ended.size(), 1U);
         EXPECT_EQ(report->unreadable_running, 1U);
         EXPECT_EQ(report->unreadable_ended, 0U);
         EXPECT_TRUE(report->first_unreadable.starts_with("running[0] "));
     }
-    for (const std::string odd : {R"([57,"another task",1,"done",""])", "[57]",
-                                  "7", "{}", R"([57,"5c0e.0.1.3",0,"done",""])",
-                                  R"([57,"5c0e.0.1.3",1e300,"done",""])",
-                                  R"([57,"5c0e.0.1.3",1.5,"done",""])"})
+    for (const std::string malformed :
+         {R"([57,"another task",1,"done",""])", "[57]", "7", "{}",
+          R"([57,"5c0e.0.1.3",0,"done",""])",
+          R"([57,"5c0e.0.1.3",1e300,"done",""])",
+          R"([57,"5c0e.0.1.3",1.5,"done",""])"})
     {
         const auto report = decode_report(
-            report_with(good_running, rows_of({odd, good_ended})));
-        ASSERT_TRUE(report) << odd;
+            report_with(good_running, rows_of({malformed, good_ended})));
+        ASSERT_TRUE(report) << malformed;
         EXPECT_EQ(report->running.size(), 1U);
-        ASSERT_EQ(report->ended.size(), 1U) << odd;
+        ASSERT_EQ(report->ended.size(), 1U) << malformed;
         EXPECT_EQ(report->ended.front().number, 58U);
         EXPECT_EQ(report->unreadable_ended, 1U);
     }
@@ -73,7 +74,7 @@
 
 // Failure: an end is lost because a part of its row that is not needed to
 // attribute it cannot be decoded.
-TEST(report_codec, ends_with_odd_numbers_or_kinds_are_kept)
+TEST(report_codec, ends_with_malformed_numbers_or_kinds_are_kept)
 {
     for (const std::string number :
          {"null", "-1", "0", "58.5", "1e15", R"("58")", "18446744073709551615"})
--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -26,17 +26,18 @@
 // one that does not exist.
 TEST(store_codec_rows, rows_that_name_no_row_are_skipped)
 {
-    for (const std::string odd :
+    for (const std::string malformed :
          {"5", "null", "[]", "{}", R"({"key":"x"})", R"({"ver":5})",
           R"({"key":"","ver":5})", R"({"key":7,"ver":5})",
           R"({"key":"x","ver":-1})", R"({"key":"x","ver":"5"})",
           R"({"key":"x","ver":1.5})", R"({"key":"x","ver":1e300})"})
     {
-        const auto read = decode_rows(page_with(odd));
-        ASSERT_TRUE(read) << odd;
-        ASSERT_EQ(read->rows.size(), 1U) << odd;
+        const auto read = decode_rows(page_with(malformed));
+        ASSERT_TRUE(read) << malformed;
+        ASSERT_EQ(read->rows.size(), 1U) << malformed;
         EXPECT_EQ(read->rows.front().key, "k");
-        EXPECT_EQ(decode_conflict(page_with(odd)).size(), 1U) << odd;
+        EXPECT_EQ(decode_conflict(page_with(malformed)).size(), 1U)
+            << malformed;
     }
 }
 
--- a/tests/adapter/worker_feed_test.cpp
+++ b/tests/adapter/worker_feed_test.cpp
@@ -1,5 +1,5 @@
 // Guards against a list of workers that loses entries or floods the log with
-// odd ones.
+// malformed ones.
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,7 +16,7 @@
 #include <gtest/gtest.h>
 
 #include "declaration_feeds.hpp"
-#include "odd_rows.hpp"
+#include "malformed_rows.hpp"
 
 using namespace hemlockdeal;
 using namespace hemlockdeal::adapter;
@@ -28,7 +28,7 @@
 const std::string valid_entry =
     R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)"
     R"("capacity":{"cpu":16000,"mem_mb":64000}})";
-const std::string odd_entry =
+const std::string malformed_entry =
     R"({"service":"s","address":"10.0.0.1:0","zone":"z","state":"ready",)"
     R"("capacity":{"cpu":16000,"mem_mb":64000}})";
 
@@ -64,7 +64,7 @@
     }
 };
 
-const std::string is_odd = "worker entry is odd";
+const std::string is_malformed = "worker entry is malformed";
 const std::string is_valid = "worker entry is valid again";
 const std::string held_back = "worker entry lines are held back";
 
@@ -172,15 +172,15 @@
     EXPECT_EQ(read.changes.back().id, worker_id("i-14990"));
 }
 
-// Failure: an odd entry hides others, is counted for ever, or is logged with
-// each reading of the list.
-TEST_F(worker_feed_test, odd_entries_are_counted_and_the_others_hold)
+// Failure: a malformed entry hides others, is counted for ever, or is logged
+// with each reading of the list.
+TEST_F(worker_feed_test, malformed_entries_are_counted_and_the_others_hold)
 {
     rows = {{"i-1", valid_entry},
-            {"i-2", odd_entry},
+            {"i-2", malformed_entry},
             {"i-3", "\x01"},
             {"i-4", valid_entry},
-            {"i-5", odd_entry}};
+            {"i-5", malformed_entry}};
     log_capture capture;
     for (int i = 0; i < 3; ++i)
     {
@@ -188,25 +188,25 @@
         ASSERT_EQ(read.changes.size(), 5U);
         EXPECT_TRUE(read.changes[0].entry);
         EXPECT_FALSE(read.changes[1].entry);
-        EXPECT_TRUE(read.changes[1].is_odd);
+        EXPECT_TRUE(read.changes[1].is_malformed);
         EXPECT_TRUE(read.changes[3].entry);
-        EXPECT_EQ(feed->odd_entries(), 3U);
+        EXPECT_EQ(feed->malformed_entries(), 3U);
     }
     rows.erase("i-3");
     rows["i-2"] = valid_entry;
     read_all();
-    EXPECT_EQ(feed->odd_entries(), 1U);
-    const auto lines = capture.count({is_odd, is_valid});
-    EXPECT_EQ(lines.at(is_odd), 3U);
+    EXPECT_EQ(feed->malformed_entries(), 1U);
+    const auto lines = capture.count({is_malformed, is_valid});
+    EXPECT_EQ(lines.at(is_malformed), 3U);
     EXPECT_EQ(lines.at(is_valid), 1U);
 }
 
-// Failure: a row that stays odd is logged again and again, or its change is not
-// logged.
-TEST(odd_rows, each_change_is_logged_once)
+// Failure: a row that stays malformed is logged again and again, or its change
+// is not logged.
+TEST(malformed_rows, each_change_is_logged_once)
 {
     log_capture capture;
-    odd_rows rows("worker entry");
+    malformed_rows rows("worker entry");
     const time_point now{seconds(100)};
     const auto log_after = [&](const auto& change) {
         change();
@@ -214,45 +214,47 @@
         rows.log_changes(now);
     };
     log_after([&] { rows.set_valid("i-1"); });
-    log_after([&] { rows.set_odd("i-1", found("address")); });
-    log_after([&] { rows.set_odd("i-1", found("address")); });
-    log_after([&] { rows.set_odd("i-1", found("state")); });
+    log_after([&] { rows.set_malformed("i-1", found("address")); });
+    log_after([&] { rows.set_malformed("i-1", found("address")); });
+    log_after([&] { rows.set_malformed("i-1", found("state")); });
     EXPECT_EQ(rows.count(), 1U);
     log_after([&] { rows.set_valid("i-1"); });
     EXPECT_EQ(rows.count(), 0U);
     log_after([&] { rows.set_valid("i-1"); });
-    log_after([&] { rows.set_odd("i-2", found("state")); });
+    log_after([&] { rows.set_malformed("i-2", found("state")); });
     log_after([&] { rows.remove("i-2"); });
     EXPECT_EQ(rows.count(), 0U);
-    const auto lines = capture.count({is_odd, is_valid, "key=i-1", held_back});
-    EXPECT_EQ(lines.at(is_odd), 3U);
+    const auto lines =
+        capture.count({is_malformed, is_valid, "key=i-1", held_back});
+    EXPECT_EQ(lines.at(is_malformed), 3U);
     EXPECT_EQ(lines.at(is_valid), 1U);
     EXPECT_EQ(lines.at("key=i-1"), 3U);
     EXPECT_FALSE(lines.contains(held_back));
 }
 
-// Failure: a thousand odd rows that are rewritten each second fill the log, or
-// keep other rows from ever being logged.
-TEST(odd_rows, lines_are_limited_and_each_row_has_its_turn)
+// Failure: a thousand malformed rows that are rewritten each second fill the
+// log, or keep other rows from ever being logged.
+TEST(malformed_rows, lines_are_limited_and_each_row_has_its_turn)
 {
     log_capture capture;
-    odd_rows rows("worker entry");
+    malformed_rows rows("worker entry");
     constexpr int seconds_passed = 600;
     for (int s = 0; s < seconds_passed; ++s)
     {
         for (int i = 0; i < 1000; ++i)
         {
-            rows.set_odd("i-" + std::to_string(i),
-                         found("state " + std::to_string(s)));
+            rows.set_malformed("i-" + std::to_string(i),
+                               found("state " + std::to_string(s)));
         }
         if (s == 0)
         {
-            rows.set_odd("last", found(std::string(5000, 'x')));
+            rows.set_malformed("last", found(std::string(5000, 'x')));
         }
         rows.log_changes(time_point{seconds(100 + s)});
     }
-    const auto lines = capture.count({is_odd, held_back, "key=last", "xxxxx"});
-    EXPECT_LE(lines.at(is_odd), 20U * seconds_passed / 10);
+    const auto lines =
+        capture.count({is_malformed, held_back, "key=last", "xxxxx"});
+    EXPECT_LE(lines.at(is_malformed), 20U * seconds_passed / 10);
     EXPECT_LE(lines.at(held_back), 1U * seconds_passed / 10);
     EXPECT_EQ(lines.at("key=last"), 1U);
     EXPECT_LT(lines.at("xxxxx"), 300U);
--- a/tests/jobs/capacity_test.cpp
+++ b/tests/jobs/capacity_test.cpp
@@ -489,7 +489,7 @@
 {
     begin({"a"});
     run_job("lasting", serving_step(1, 4000));
-    leader->remove_worker(worker_id("a"), now, entry_loss::odd);
+    leader->remove_worker(worker_id("a"), now, entry_loss::malformed);
     add_job("j", step_of(1, 1000));
     leases_extended = 0;
     EXPECT_TRUE(simulate(seconds(8)).empty());
@@ -513,7 +513,7 @@
     EXPECT_EQ(simulate().size(), 1U);
 }
 
-// Failure: an odd entry that is rewritten each second fills the log.
+// Failure: a malformed entry that is rewritten each second fills the log.
 TEST_F(capacity_test, loss_of_an_entry_is_logged_once)
 {
     begin({"a"});
@@ -523,27 +523,29 @@
         const auto events = leader->take_events();
         return std::ranges::count(events, message, &decision_event::message);
     };
-    const std::string is_odd = "worker is not used while its entry is odd";
+    const std::string is_malformed =
+        "worker is not used while its entry is malformed";
     for (int i = 0; i < 30; ++i)
     {
-        leader->remove_worker(worker_id("a"), now, entry_loss::odd);
+        leader->remove_worker(worker_id("a"), now, entry_loss::malformed);
     }
-    EXPECT_EQ(count_lines(is_odd), 1);
+    EXPECT_EQ(count_lines(is_malformed), 1);
     publish("a", full_room);
-    leader->remove_worker(worker_id("a"), now, entry_loss::odd);
-    EXPECT_EQ(count_lines(is_odd), 1);
+    leader->remove_worker(worker_id("a"), now, entry_loss::malformed);
+    EXPECT_EQ(count_lines(is_malformed), 1);
 }
 
-// Failure: an idle worker whose entry alternates between valid and odd is
-// forgotten and joins again each time; or one with an entry that stays odd is
-// never forgotten.
-TEST_F(capacity_test, idle_worker_with_an_odd_entry_is_forgotten_after_a_while)
+// Failure: an idle worker whose entry alternates between valid and malformed is
+// forgotten and joins again each time; or one with an entry that stays
+// malformed is never forgotten.
+TEST_F(capacity_test,
+       idle_worker_with_an_malformed_entry_is_forgotten_after_a_while)
 {
     begin({"a"});
     leader->take_events();
     for (int i = 0; i < 30; ++i)
     {
-        leader->remove_worker(worker_id("a"), now, entry_loss::odd);
+        leader->remove_worker(worker_id("a"), now, entry_loss::malformed);
         simulate(seconds(1));
         publish("a", full_room);
         simulate(seconds(1));
@@ -552,7 +554,7 @@
     EXPECT_EQ(
         std::ranges::count(events, "worker joined", &decision_event::message),
         0);
-    leader->remove_worker(worker_id("a"), now, entry_loss::odd);
+    leader->remove_worker(worker_id("a"), now, entry_loss::malformed);
     simulate(seconds(8));
     EXPECT_TRUE(leader->fleet().contains(worker_id("a")));
     simulate(seconds(4));
--- a/tests/jobs/scheduler_lease_test.cpp
+++ b/tests/jobs/scheduler_lease_test.cpp
@@ -131,9 +131,9 @@
     EXPECT_EQ(orders_of<start_order>(simulate(seconds(2))).size(), 1U);
 }
 
-// Failure: an odd entry is taken for the end of its worker, which may still
-// execute the start after a restart under its id.
-TEST_F(scheduler_test, unanswered_start_beside_an_odd_entry_is_waited_for)
+// Failure: a malformed entry is taken for the end of its worker, which may
+// still execute the start after a restart under its id.
+TEST_F(scheduler_test, unanswered_start_beside_an_malformed_entry_is_waited_for)
 {
     add_worker("a");
     leader.begin(now);
@@ -146,7 +146,7 @@
     leader.on_start_answer(start.worker, start.task, start.run,
                            start_answer::unknown, now);
     simulate(seconds(4));
-    leader.remove_worker(worker_id("a"), now, entry_loss::odd);
+    leader.remove_worker(worker_id("a"), now, entry_loss::malformed);
     add_worker("b");
     EXPECT_TRUE(orders_of<start_order>(simulate(seconds(8))).empty());
     EXPECT_EQ(orders_of<start_order>(simulate(seconds(2))).size(), 1U);
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -243,39 +243,40 @@
     EXPECT_THAT(simulate(seconds(1)), testing::ElementsAre(0U, 1U));
 }
 
-// Failure: the tasks of a recorded worker whose entry is odd at the takeover
-// start a second time, or are never started again.
-TEST_F(takeover_test, tasks_wait_for_the_leases_of_a_worker_with_an_odd_entry)
+// Failure: the tasks of a recorded worker whose entry is malformed at the
+// takeover start a second time, or are never started again.
+TEST_F(takeover_test,
+       tasks_wait_for_the_leases_of_a_worker_with_an_malformed_entry)
 {
-    leader.recover_fleet(
-        {{worker_id("here"), std::nullopt}, {worker_id("odd"), std::nullopt}});
+    leader.recover_fleet({{worker_id("here"), std::nullopt},
+                          {worker_id("malformed"), std::nullopt}});
     leader.set_worker(entry("here"), now);
-    leader.remove_worker(worker_id("odd"), now, entry_loss::odd);
+    leader.remove_worker(worker_id("malformed"), now, entry_loss::malformed);
     leader.begin(now);
     EXPECT_THAT(simulate(seconds(12)), testing::IsEmpty());
     EXPECT_THAT(simulate(seconds(6)), testing::ElementsAre(0U, 1U));
     EXPECT_THAT(simulate(seconds(6)), testing::IsEmpty());
 }
 
-// Failure: runs on a worker whose entry was odd at the takeover are started
-// again after the entry has become valid.
-TEST_F(takeover_test, runs_are_adopted_once_an_odd_entry_is_valid)
+// Failure: runs on a worker whose entry was malformed at the takeover are
+// started again after the entry has become valid.
+TEST_F(takeover_test, runs_are_adopted_once_an_malformed_entry_is_valid)
 {
-    leader.recover_fleet(
-        {{worker_id("here"), std::nullopt}, {worker_id("odd"), std::nullopt}});
+    leader.recover_fleet({{worker_id("here"), std::nullopt},
+                          {worker_id("malformed"), std::nullopt}});
     leader.set_worker(entry("here"), now);
-    leader.remove_worker(worker_id("odd"), now, entry_loss::odd);
+    leader.remove_worker(worker_id("malformed"), now, entry_loss::malformed);
     leader.begin(now);
     ASSERT_THAT(simulate(seconds(3)), testing::IsEmpty());
     for (const auto index : {0U, 1U})
     {
         running.push_back({key(index), 1, "", 0, -1});
-        ran_on[key(index)] = worker_id("odd");
+        ran_on[key(index)] = worker_id("malformed");
     }
     all_respond = true;
-    leader.set_worker(entry("odd"), now);
+    leader.set_worker(entry("malformed"), now);
     EXPECT_THAT(simulate(seconds(20)), testing::IsEmpty());
-    EXPECT_EQ(leader.fleet().at(worker_id("odd")).runs().size(), 2U);
+    EXPECT_EQ(leader.fleet().at(worker_id("malformed")).runs().size(), 2U);
 }
 
 // Failure: a leader without the store that reaches few workers continues to
@@ -410,9 +411,9 @@
     }));
 }
 
-// Failure: a worker whose entry is odd at the end of the recovery counts as
-// crashed, and a sound job may end as failed.
-TEST_F(takeover_test, odd_entry_is_no_evidence_of_a_crash)
+// Failure: a worker whose entry is malformed at the end of the recovery counts
+// as crashed, and a sound job may end as failed.
+TEST_F(takeover_test, malformed_entry_is_no_evidence_of_a_crash)
 {
     leader.recover_fleet(
         {{worker_id("here"), std::nullopt},
@@ -420,16 +421,16 @@
          {worker_id("listed"), std::vector{key(1)}, vm_id("vm-3"), {key(1)}}});
     leader.set_worker(entry("here"), now);
     leader.set_worker(entry("listed"), now);
-    leader.remove_worker(worker_id("unknown"), now, entry_loss::odd);
+    leader.remove_worker(worker_id("unknown"), now, entry_loss::malformed);
     leader.begin(now);
-    leader.remove_worker(worker_id("listed"), now, entry_loss::odd);
+    leader.remove_worker(worker_id("listed"), now, entry_loss::malformed);
     EXPECT_THAT(simulate(seconds(18)), testing::ElementsAre(0U, 1U));
     EXPECT_EQ(count_suspected_tasks(), 0);
 }
 
 // Failure: a worker that has left the list counts for nothing because its entry
-// was odd before.
-TEST_F(takeover_test, removal_of_an_odd_entry_is_evidence_of_a_crash)
+// was malformed before.
+TEST_F(takeover_test, removal_of_an_malformed_entry_is_evidence_of_a_crash)
 {
     leader.recover_fleet(
         {{worker_id("here"), std::nullopt},
@@ -440,7 +441,7 @@
     leader.begin(now);
     for (const auto* const name : {"unknown", "listed"})
     {
-        leader.remove_worker(worker_id(name), now, entry_loss::odd);
+        leader.remove_worker(worker_id(name), now, entry_loss::malformed);
         leader.remove_worker(worker_id(name), now);
     }
     EXPECT_THAT(simulate(seconds(18)), testing::ElementsAre(0U, 1U));
@@ -579,34 +580,35 @@
 // is left out, so that its tasks are started a second time.
 TEST(fleet_codec, unreadable_records_become_unknown_workers)
 {
-    for (const std::string odd :
+    for (const std::string malformed :
          {"7", "null", "[]", R"(["a"])", R"("")", R"([7,"vm"])",
           R"({"w":"b","r":["x"]})", R"({"w":"b","r":7})", R"({"w":"b"})",
           R"({"w":"b","r":[],"s":7})"})
     {
-        const auto read =
-            decode_fleet(R"([["a","vm"],)" + odd + R"(,{"w":"c","r":[]}])");
-        ASSERT_TRUE(read) << odd;
-        ASSERT_EQ(read->size(), 3U) << odd;
+        const auto read = decode_fleet(R"([["a","vm"],)" + malformed +
+                                       R"(,{"w":"c","r":[]}])");
+        ASSERT_TRUE(read) << malformed;
+        ASSERT_EQ(read->size(), 3U) << malformed;
         EXPECT_EQ(read->front().worker, worker_id("a"));
         EXPECT_TRUE((*read)[1].worker.value().starts_with("unreadable "));
-        EXPECT_FALSE((*read)[1].runs) << odd;
+        EXPECT_FALSE((*read)[1].runs) << malformed;
         EXPECT_EQ(read->back().worker, worker_id("c"));
         EXPECT_TRUE(read->back().runs);
     }
 }
 
 // Failure: a list of another type counts as empty, and tasks that are done run
-// again; or an odd number names the first task.
+// again; or a malformed number names the first task.
 TEST(progress_codec, lists_of_another_type_are_errors)
 {
-    for (const std::string odd :
+    for (const std::string malformed :
          {R"("d":7)", R"("d":"")", R"("o":{})", R"("h":null)", R"("c":1)",
           R"("d":[["0",0,"1"]])", R"("d":[[0,-1,"1"]])",
           R"("d":[[0,4294967296,"1"]])", R"("h":[[0,0,-1,[1],""]])",
           R"("c":[[null,0,0,[],0,0,""]])"})
     {
-        EXPECT_FALSE(decode_progress(R"({"s":"running",)" + odd + "}")) << odd;
+        EXPECT_FALSE(decode_progress(R"({"s":"running",)" + malformed + "}"))
+            << malformed;
     }
 }
 
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -73,7 +73,7 @@
     std::optional<worker_change> next_change;
     // The feed's history is lost before the next changes.
     bool loses_history = false;
-    bool entry_is_odd = false;
+    bool entry_is_malformed = false;
     std::size_t snapshots = 0;
     jobs::task_size capacity{16000, 64000, 0};
 
@@ -101,8 +101,8 @@
         changes.is_snapshot = true;
         changes.changes.push_back(
             {entry().id,
-             entry_is_odd ? std::nullopt : std::optional(listed_entry()),
-             entry_is_odd});
+             entry_is_malformed ? std::nullopt : std::optional(listed_entry()),
+             entry_is_malformed});
         callback(changes);
     }
     void read_changes(row_version after,
@@ -388,32 +388,32 @@
     }
 }
 
-// Failure: a snapshot that holds an odd entry lets its worker be used on, or
-// keeps it unused once the entry is valid.
-TEST_F(leader_role_test, nothing_starts_by_an_odd_entry_in_a_snapshot)
+// Failure: a snapshot that holds a malformed entry lets its worker be used on,
+// or keeps it unused once the entry is valid.
+TEST_F(leader_role_test, nothing_starts_by_an_malformed_entry_in_a_snapshot)
 {
     // The tasks last until the end of the test.
     list.capacity = {2000, 64000, 0};
     auto a = make_leader("a");
     ASSERT_NO_FATAL_FAILURE(start_some_tasks(a));
     list.loses_history = true;
-    list.entry_is_odd = true;
+    list.entry_is_malformed = true;
     run_for(a, milliseconds(1100));
     const auto starts_before = workers.starts;
     run_for(a, seconds(2));
     EXPECT_EQ(workers.starts, starts_before);
     list.loses_history = true;
-    list.entry_is_odd = false;
+    list.entry_is_malformed = false;
     run_for(a, seconds(2));
     EXPECT_GT(workers.starts, starts_before);
 }
 
-// Failure: a leader that finds only an odd entry starts tasks by it, or none
-// once the entry is valid.
-TEST_F(leader_role_test, odd_entry_at_a_takeover_names_no_worker)
+// Failure: a leader that finds only a malformed entry starts tasks by it, or
+// none once the entry is valid.
+TEST_F(leader_role_test, malformed_entry_at_a_takeover_names_no_worker)
 {
     store_job();
-    list.entry_is_odd = true;
+    list.entry_is_malformed = true;
     auto a = make_leader("a");
     a.set_services({{service_id("s"), {}}});
     run_for(a, seconds(2));
