--- a/tests/jobs/capacity_test.cpp
+++ b/tests/jobs/capacity_test.cpp
@@ -539,7 +539,7 @@
 // forgotten and joins again each time; or one with an entry that stays
 // malformed is never forgotten.
 TEST_F(capacity_test,
-       idle_worker_with_an_malformed_entry_is_forgotten_after_a_while)
+       idle_worker_with_a_malformed_entry_is_forgotten_after_a_while)
 {
     begin({"a"});
     leader->take_events();
--- a/tests/jobs/scheduler_lease_test.cpp
+++ b/tests/jobs/scheduler_lease_test.cpp
@@ -90,20 +90,36 @@
     EXPECT_GT(restarts.front().run, start.run);
 }
 
+namespace
+{
+
+struct unanswered_start_test : scheduler_test
+{
+    // Starts a long-running task on worker "a", which does not respond.
+    void order_to_silent_worker()
+    {
+        add_worker("a");
+        leader.begin(now);
+        simulate();
+        unresponsive.insert(worker_id("a"));
+        auto s = short_step(1);
+        s.is_long_running = true;
+        leader.add_job(make_job("j", s));
+        const auto start =
+            orders_of<start_order>(simulate(milliseconds(60))).at(0);
+        leader.on_start_answer(start.worker, start.task, start.run,
+                               start_answer::unknown, now);
+    }
+};
+
+} // namespace
+
 // Failure: a lasting task stays away for 13 s after a start without a response
 // on a worker that has gone for good (LOST).
-TEST_F(scheduler_test, lasting_task_ordered_to_a_gone_worker_restarts_in_time)
+TEST_F(unanswered_start_test,
+       lasting_task_ordered_to_a_gone_worker_restarts_in_time)
 {
-    add_worker("a");
-    leader.begin(now);
-    simulate();
-    unresponsive.insert(worker_id("a"));
-    auto s = short_step(1);
-    s.is_long_running = true;
-    leader.add_job(make_job("j", s));
-    const auto start = orders_of<start_order>(simulate(milliseconds(60))).at(0);
-    leader.on_start_answer(start.worker, start.task, start.run,
-                           start_answer::unknown, now);
+    order_to_silent_worker();
     simulate(seconds(4));
     leader.remove_worker(worker_id("a"), now);
     add_worker("b");
@@ -114,18 +130,9 @@
 
 // Failure: a start without a response is given up while the worker, which is
 // only silent, may still execute it after a restart under its id.
-TEST_F(scheduler_test, unanswered_start_on_a_listed_worker_is_waited_for)
+TEST_F(unanswered_start_test, unanswered_start_on_a_listed_worker_is_waited_for)
 {
-    add_worker("a");
-    leader.begin(now);
-    simulate();
-    unresponsive.insert(worker_id("a"));
-    auto s = short_step(1);
-    s.is_long_running = true;
-    leader.add_job(make_job("j", s));
-    const auto start = orders_of<start_order>(simulate(milliseconds(60))).at(0);
-    leader.on_start_answer(start.worker, start.task, start.run,
-                           start_answer::unknown, now);
+    order_to_silent_worker();
     add_worker("b");
     EXPECT_TRUE(orders_of<start_order>(simulate(seconds(12))).empty());
     EXPECT_EQ(orders_of<start_order>(simulate(seconds(2))).size(), 1U);
@@ -133,18 +140,10 @@
 
 // Failure: a malformed entry is taken for the end of its worker, which may
 // still execute the start after a restart under its id.
-TEST_F(scheduler_test, unanswered_start_beside_an_malformed_entry_is_waited_for)
+TEST_F(unanswered_start_test,
+       unanswered_start_beside_a_malformed_entry_is_waited_for)
 {
-    add_worker("a");
-    leader.begin(now);
-    simulate();
-    unresponsive.insert(worker_id("a"));
-    auto s = short_step(1);
-    s.is_long_running = true;
-    leader.add_job(make_job("j", s));
-    const auto start = orders_of<start_order>(simulate(milliseconds(60))).at(0);
-    leader.on_start_answer(start.worker, start.task, start.run,
-                           start_answer::unknown, now);
+    order_to_silent_worker();
     simulate(seconds(4));
     leader.remove_worker(worker_id("a"), now, entry_loss::malformed);
     add_worker("b");
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -102,6 +102,23 @@
         leader.on_report(poll->worker, report, now, now);
     }
 
+    // Recovers "here" with unknown runs, and two workers with a suspect each;
+    // "unknown" is not in the membership list.
+    void recover_workers_with_suspects()
+    {
+        leader.recover_fleet({{worker_id("here"), std::nullopt},
+                              {worker_id("unknown"),
+                               std::vector{key(0)},
+                               vm_id("vm-2"),
+                               {key(0)}},
+                              {worker_id("listed"),
+                               std::vector{key(1)},
+                               vm_id("vm-3"),
+                               {key(1)}}});
+        leader.set_worker(entry("here"), now);
+        leader.set_worker(entry("listed"), now);
+    }
+
     std::ptrdiff_t count_suspected_tasks()
     {
         const auto events = leader.take_events();
@@ -246,7 +263,7 @@
 // Failure: the tasks of a recorded worker whose entry is malformed at the
 // takeover start a second time, or are never started again.
 TEST_F(takeover_test,
-       tasks_wait_for_the_leases_of_a_worker_with_an_malformed_entry)
+       tasks_wait_for_the_leases_of_a_worker_with_a_malformed_entry)
 {
     leader.recover_fleet({{worker_id("here"), std::nullopt},
                           {worker_id("malformed"), std::nullopt}});
@@ -260,7 +277,7 @@
 
 // Failure: runs on a worker whose entry was malformed at the takeover are
 // started again after the entry has become valid.
-TEST_F(takeover_test, runs_are_adopted_once_an_malformed_entry_is_valid)
+TEST_F(takeover_test, runs_are_adopted_once_a_malformed_entry_is_valid)
 {
     leader.recover_fleet({{worker_id("here"), std::nullopt},
                           {worker_id("malformed"), std::nullopt}});
@@ -415,12 +432,7 @@
 // as crashed, and a sound job may end as failed.
 TEST_F(takeover_test, malformed_entry_is_no_evidence_of_a_crash)
 {
-    leader.recover_fleet(
-        {{worker_id("here"), std::nullopt},
-         {worker_id("unknown"), std::vector{key(0)}, vm_id("vm-2"), {key(0)}},
-         {worker_id("listed"), std::vector{key(1)}, vm_id("vm-3"), {key(1)}}});
-    leader.set_worker(entry("here"), now);
-    leader.set_worker(entry("listed"), now);
+    recover_workers_with_suspects();
     leader.remove_worker(worker_id("unknown"), now, entry_loss::malformed);
     leader.begin(now);
     leader.remove_worker(worker_id("listed"), now, entry_loss::malformed);
@@ -430,14 +442,9 @@
 
 // Failure: a worker that has left the list counts for nothing because its entry
 // was malformed before.
-TEST_F(takeover_test, removal_of_an_malformed_entry_is_evidence_of_a_crash)
+TEST_F(takeover_test, removal_of_a_malformed_entry_is_evidence_of_a_crash)
 {
-    leader.recover_fleet(
-        {{worker_id("here"), std::nullopt},
-         {worker_id("unknown"), std::vector{key(0)}, vm_id("vm-2"), {key(0)}},
-         {worker_id("listed"), std::vector{key(1)}, vm_id("vm-3"), {key(1)}}});
-    leader.set_worker(entry("here"), now);
-    leader.set_worker(entry("listed"), now);
+    recover_workers_with_suspects();
     leader.begin(now);
     for (const auto* const name : {"unknown", "listed"})
     {
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -390,7 +390,7 @@
 
 // Failure: a snapshot that holds a malformed entry lets its worker be used on,
 // or keeps it unused once the entry is valid.
-TEST_F(leader_role_test, nothing_starts_by_an_malformed_entry_in_a_snapshot)
+TEST_F(leader_role_test, nothing_starts_by_a_malformed_entry_in_a_snapshot)
 {
     // The tasks last until the end of the test.
     list.capacity = {2000, 64000, 0};
