report_intake: one class for each concern

The code moves unchanged to run_end_handler (ended runs), reported_run_handler (running tasks, their adoption and progress), missing_run_check (runs that reports do not list), worker_end_handler (restarts, replaced workers, lease expiry) and order_response_handler (responses to starts and stops). report_intake keeps the order in which the parts of a report are processed. is_current_run() becomes a function, because four of them need it. note_tail is record_tail and note_unreadable_rows is count_unreadable_rows: they do more than note.

No behaviour changes.

--- /dev/null
+++ b/src/jobs/missing_run_check.hpp
@@ -0,0 +1,27 @@
+// Finds runs that are no longer on their worker because its reports do not list
+// them.
+#pragma once
+
+#include "jobs/scheduler_state.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+class missing_run_check
+{
+public:
+    explicit missing_run_check(scheduler_state& state) : state_(state) {}
+
+    // Requeues the tasks of missing runs, and stops runs that may be missing.
+    // The running tasks of the report must have been processed at `now`.
+    void on_report(fleet_worker& worker, const worker_report& report,
+                   time_point sent_at, time_point now);
+
+private:
+    bool is_run_over(const run_record& run, const worker_report& report,
+                     time_point sent_at) const;
+
+    scheduler_state& state_;
+};
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/order_response_handler.cpp
@@ -0,0 +1,99 @@
+// Effects of the responses to starts and stops on the worker's ledger.
+#include "jobs/order_response_handler.hpp"
+
+#include <algorithm>
+#include <string>
+
+#include "jobs/current_run.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+constexpr duration no_room_backoff = std::chrono::milliseconds(150);
+
+} // namespace
+
+void order_response_handler::on_start_answer(fleet_worker& worker,
+                                             const task_key& key,
+                                             std::uint32_t run,
+                                             start_answer response,
+                                             time_point now)
+{
+    auto* const record = worker.find_run(key);
+    if (record == nullptr || record->run != run || record->confirmed_at)
+    {
+        return;
+    }
+    if (response == start_answer::accepted)
+    {
+        record->confirmed_at = now;
+        record->progressed_at = now;
+        record->is_unresolved = false;
+        worker.responded_at = now;
+        avoidance_.on_accepted_start(worker, key.job);
+        return;
+    }
+    state_.log_event("start not accepted",
+                     {{"task", to_text(key)},
+                      {"run", std::to_string(run)},
+                      {"worker", worker.entry.id.value()},
+                      {"answer", std::string(to_text(response))}});
+    worker.next_poll = std::min(worker.next_poll, now);
+    if (response == start_answer::unknown)
+    {
+        record->is_unresolved = true;
+        return;
+    }
+    worker.responded_at = now;
+    const bool was_current = is_current_run(state_, worker, key, run);
+    const auto ordered_at = record->ordered_at;
+    worker.erase_run(key);
+    if (response == start_answer::no_room)
+    {
+        worker.full_until = now + no_room_backoff;
+    }
+    if (response == start_answer::unhealthy)
+    {
+        avoidance_.on_unhealthy_start(worker, now);
+    }
+    if (response == start_answer::malformed)
+    {
+        avoidance_.on_malformed_start(worker, key, now);
+    }
+    if (response == start_answer::no_ticket)
+    {
+        state_.advice.forget_worker(worker.entry.id);
+    }
+    if (response == start_answer::superseded)
+    {
+        state_.is_superseded = true;
+    }
+    // An entry that arrived after the order may show another address, and may
+    // not change again.
+    if (response == start_answer::other_worker && worker.listed_at < ordered_at)
+    {
+        worker.is_unlisted = true;
+    }
+    if (was_current)
+    {
+        state_.requeue(key, to_text(response));
+    }
+}
+
+void order_response_handler::on_stop_confirmed(fleet_worker& worker,
+                                               const task_key& key,
+                                               std::uint32_t run,
+                                               time_point now)
+{
+    auto* const record = worker.find_run(key);
+    if (record != nullptr && record->run == run && !record->stop_confirmed_at)
+    {
+        record->stop_confirmed_at = now;
+        worker.next_poll = std::min(worker.next_poll, now);
+    }
+}
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -29,9 +29,10 @@
 } // namespace
 
 scheduler::scheduler(scheduler_options options, std::uint64_t epoch)
-    : crashes_(state_), recovery_(state_, crashes_), intake_(state_, crashes_),
-      placer_(state_), polls_(state_), suspender_(state_), speeds_(state_),
-      long_waits_(state_)
+    : crashes_(state_), recovery_(state_, crashes_),
+      worker_ends_(state_, crashes_), intake_(state_, crashes_, worker_ends_),
+      order_responses_(state_), placer_(state_), polls_(state_),
+      suspender_(state_), speeds_(state_), long_waits_(state_)
 {
     state_.options = options;
     state_.interference.set_policy(options.policy);
@@ -276,7 +277,7 @@
 {
     if (auto* const worker = state_.find_worker(id))
     {
-        intake_.on_start_answer(*worker, key, run, response, now);
+        order_responses_.on_start_answer(*worker, key, run, response, now);
     }
 }
 
@@ -285,7 +286,7 @@
 {
     if (auto* const worker = state_.find_worker(id))
     {
-        intake_.on_stop_confirmed(*worker, key, run, now);
+        order_responses_.on_stop_confirmed(*worker, key, run, now);
     }
 }
 
@@ -302,7 +303,7 @@
         if (worker.entry.vm == vm && id != later.entry.id &&
             worker.joined_at < sent_at && !worker.has_ended)
         {
-            intake_.on_worker_ended(worker, later, now);
+            worker_ends_.on_replaced(worker, later, now);
         }
     }
     recovery_.on_vm_replaced(later, now);
@@ -364,7 +365,7 @@
         fleet_checked_at_ = now;
         for (auto& [id, worker] : state_.fleet)
         {
-            intake_.check_lease_expiry(worker, now);
+            worker_ends_.check_lease_expiry(worker, now);
         }
         forget_gone_workers(now);
         check_closed_workers();
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -14,12 +14,14 @@
 #include "jobs/fill_suspender.hpp"
 #include "jobs/fleet_record.hpp"
 #include "jobs/long_wait_log.hpp"
+#include "jobs/order_response_handler.hpp"
 #include "jobs/poll_planner.hpp"
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
 #include "jobs/speed_monitor.hpp"
 #include "jobs/takeover_recovery.hpp"
 #include "jobs/task_placer.hpp"
+#include "jobs/worker_end_handler.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -162,7 +164,9 @@
     scheduler_state state_;
     crash_attribution crashes_;
     takeover_recovery recovery_;
+    worker_end_handler worker_ends_;
     report_intake intake_;
+    order_response_handler order_responses_;
     task_placer placer_;
     poll_planner polls_;
     fill_suspender suspender_;
--- /dev/null
+++ b/src/jobs/worker_end_handler.cpp
@@ -0,0 +1,151 @@
+// Removal of the runs of workers that no longer run them. A run is removed from
+// its worker's ledger only when it can no longer be on the worker.
+#include "jobs/worker_end_handler.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/current_run.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+void worker_end_handler::on_restart(fleet_worker& worker,
+                                    worker_incarnation incarnation,
+                                    time_point sent_at, time_point now)
+{
+    const worker_id life(worker.entry.id.value() + ':' +
+                         std::to_string(worker.entry.incarnation));
+    crashes_.on_unnoticed_restart(worker, now);
+    // A start that was in transit may have reached the new process. It stays
+    // in the ledger until a stop and a poll have resolved it.
+    std::vector<std::pair<task_key, run_record>> open_starts;
+    for (const auto& [key, run] : worker.runs())
+    {
+        if (!run.confirmed_at || run.ordered_at >= sent_at)
+        {
+            open_starts.emplace_back(key, run);
+        }
+    }
+    std::ranges::for_each(
+        open_starts, [&](const auto& entry) { worker.erase_run(entry.first); });
+    drop_runs(worker, "worker restarted");
+    worker.restart(incarnation);
+    crashes_.on_end(worker, life, now);
+    worker.vm_crashed_at = now;
+    worker.silent_since.reset();
+    // The restarted worker has lost the epoch that it followed: a superseded
+    // leader must find out from the store before it starts tasks there.
+    worker.is_recorded = false;
+    state_.advice.forget_worker(worker.entry.id);
+    for (auto& [key, run] : open_starts)
+    {
+        run.is_unresolved = !run.confirmed_at;
+        worker.add_run(key, run);
+    }
+}
+
+void worker_end_handler::check_lease_expiry(fleet_worker& worker,
+                                            time_point now)
+{
+    const bool is_silent =
+        worker.failed_polls > 0 || worker.poll_sent_at.has_value();
+    if (worker.runs().empty() || !is_silent || !worker.knows_clock() ||
+        now <= worker.leases_expire_at(state_.options.clock_error))
+    {
+        return;
+    }
+    // The worker may have restarted since it was last seen. Its clock then
+    // began anew, and the deadline of a start in transit does not bound it.
+    std::vector<std::pair<task_key, run_record>> pending_starts;
+    for (const auto& [key, run] : worker.runs())
+    {
+        if (run.confirmed_at)
+        {
+            continue;
+        }
+        if (may_execute_after_restart(worker, run, now))
+        {
+            pending_starts.emplace_back(key, run);
+            continue;
+        }
+        worker.given_up.emplace_back(key, run.run);
+    }
+    std::ranges::for_each(pending_starts, [&](const auto& entry) {
+        worker.erase_run(entry.first);
+    });
+    crashes_.on_requeue(worker, now);
+    drop_runs(worker, "leases on the worker expired");
+    for (const auto& [key, run] : pending_starts)
+    {
+        worker.add_run(key, run);
+    }
+}
+
+bool worker_end_handler::may_execute_after_restart(const fleet_worker& worker,
+                                                   const run_record& run,
+                                                   time_point now) const
+{
+    // A long-running task must run again within seconds. A worker that has
+    // left the list and is silent is taken for gone: it would be listed again
+    // after a restart.
+    const bool is_gone = worker.is_unlisted && !worker.has_malformed_entry;
+    const bool is_urgent = run.is_long_running && is_gone;
+    return !is_urgent && now - run.ordered_at < state_.options.max_order_delay;
+}
+
+void worker_end_handler::on_replaced(fleet_worker& worker, fleet_worker& later,
+                                     time_point now)
+{
+    crashes_.on_unnoticed_restart(worker, now);
+    worker.has_ended = true;
+    state_.log_event("worker has ended",
+                     {{"worker", worker.entry.id.value()},
+                      {"vm", worker.entry.vm.value()},
+                      {"later_worker", later.entry.id.value()}});
+    drop_runs(worker, "a later worker runs on its VM");
+    if (worker.has_been_seen())
+    {
+        crashes_.on_end(worker, worker.entry.id, now);
+    }
+    if (!worker.entry.is_leaving)
+    {
+        later.vm_crashed_at = now;
+    }
+}
+
+void worker_end_handler::drop_runs(fleet_worker& worker,
+                                   std::string_view reason)
+{
+    while (!worker.runs().empty())
+    {
+        const auto key = worker.runs().begin()->first;
+        const auto run = worker.runs().begin()->second.run;
+        const auto checkpoint = worker.runs().begin()->second.checkpoint;
+        const bool was_current = is_current_run(state_, worker, key, run);
+        worker.erase_run(key);
+        if (!was_current)
+        {
+            continue;
+        }
+        auto* const owner = state_.registry.find(key.job);
+        if (owner != nullptr)
+        {
+            auto& task = owner->task(key);
+            if (!checkpoint.empty())
+            {
+                task.checkpoint = checkpoint;
+                state_.registry.mark_changed(key.job);
+            }
+        }
+        state_.requeue(key, reason);
+        if (owner != nullptr && worker.silent_since)
+        {
+            owner->note_lost_run(key, *worker.silent_since);
+        }
+    }
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/worker_end_handler.hpp
@@ -0,0 +1,42 @@
+// Requeues the tasks of worker processes that have ended, and of workers whose
+// leases have expired.
+#pragma once
+
+#include <string_view>
+
+#include "jobs/crash_attribution.hpp"
+#include "jobs/scheduler_state.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+class worker_end_handler
+{
+public:
+    worker_end_handler(scheduler_state& state, crash_attribution& crashes)
+        : state_(state), crashes_(crashes)
+    {}
+
+    // A report requested at `sent_at` shows a new process of the worker.
+    void on_restart(fleet_worker& worker, worker_incarnation incarnation,
+                    time_point sent_at, time_point now);
+    // Handles the end of a worker process that `later` has replaced on its VM.
+    void on_replaced(fleet_worker& worker, fleet_worker& later, time_point now);
+    // Requeues the tasks of an unresponsive worker once every lease on it has
+    // expired.
+    void check_lease_expiry(fleet_worker& worker, time_point now);
+
+private:
+    // True if a start without a response may still take effect on a silent
+    // worker whose leases have expired, because the worker may have restarted.
+    bool may_execute_after_restart(const fleet_worker& worker,
+                                   const run_record& run, time_point now) const;
+    // Removes all runs of a worker that certainly runs nothing, and requeues
+    // their tasks.
+    void drop_runs(fleet_worker& worker, std::string_view reason);
+
+    scheduler_state& state_;
+    crash_attribution& crashes_;
+};
+
+} // namespace hemlockdeal::jobs
