scheduler: the membership list in a class of its own

membership_tracker applies the entries of the membership list to the fleet and forgets workers that are gone; the condition for that is now a function, is_gone(). No behaviour changes.

--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -14,6 +14,7 @@
 #include "jobs/fill_suspender.hpp"
 #include "jobs/fleet_record.hpp"
 #include "jobs/long_wait_log.hpp"
+#include "jobs/membership_tracker.hpp"
 #include "jobs/order_response_handler.hpp"
 #include "jobs/poll_planner.hpp"
 #include "jobs/report_intake.hpp"
@@ -49,14 +50,6 @@
     bool lead_is_valid = true;
 };
 
-// Why the membership list shows no usable entry of a worker.
-enum class entry_loss
-{
-    removed,
-    // The entry is there, but cannot be used.
-    malformed
-};
-
 class scheduler
 {
 public:
@@ -141,8 +134,6 @@
     bool is_recovery_complete() const { return recovery_.is_complete(); }
 
 private:
-    void log_capacity_change(const fleet_worker& worker,
-                             const task_size& capacity);
     // Concludes from the first response of `later` that the workers that ran
     // on its VM when the poll was sent have ended.
     void end_earlier_workers(fleet_worker& later, time_point sent_at,
@@ -156,14 +147,13 @@
     void check_closed_workers();
     std::vector<fleet_part> record_fleet();
     fleet_record record_of(const worker_id& id, fleet_worker& worker);
-    void offload_leaving_worker(fleet_worker& worker, time_point now);
-    void forget_gone_workers(time_point now);
     // Logs a summary of the load every few seconds.
     void log_load(time_point now);
 
     scheduler_state state_;
     crash_attribution crashes_;
     takeover_recovery recovery_;
+    membership_tracker membership_;
     worker_end_handler worker_ends_;
     report_intake intake_;
     order_response_handler order_responses_;
