scheduler: the stored list of workers in a class of its own

fleet_recorder decides which parts of the stored list of workers are out of date, encodes them and notes when they have been stored. The code moves unchanged. No behaviour changes.

--- /dev/null
+++ b/src/jobs/fleet_recorder.hpp
@@ -0,0 +1,38 @@
+// The stored list of workers, from which the next leader learns where tasks may
+// run.
+#pragma once
+
+#include <vector>
+
+#include "jobs/fleet_record.hpp"
+#include "jobs/scheduler_state.hpp"
+#include "jobs/takeover_recovery.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+class fleet_recorder
+{
+public:
+    fleet_recorder(scheduler_state& state, const takeover_recovery& recovery)
+        : state_(state), recovery_(recovery)
+    {}
+
+    // Marks the parts of the list in which a worker is recorded otherwise than
+    // it is.
+    void mark_outdated_parts();
+    // Returns the parts to be stored.
+    std::vector<fleet_part> take_changed_parts();
+    // The most recently taken parts have been stored.
+    void on_stored();
+
+private:
+    fleet_record record_of(const worker_id& id, fleet_worker& worker);
+
+    scheduler_state& state_;
+    const takeover_recovery& recovery_;
+    // Workers named in the list that is being stored.
+    std::vector<worker_id> workers_being_recorded_;
+};
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -26,8 +26,8 @@
     : crashes_(state_), recovery_(state_, crashes_),
       membership_(state_, crashes_, recovery_), worker_ends_(state_, crashes_),
       intake_(state_, crashes_, worker_ends_), order_responses_(state_),
-      placer_(state_), polls_(state_), suspender_(state_), speeds_(state_),
-      long_waits_(state_)
+      recorder_(state_, recovery_), placer_(state_), polls_(state_),
+      suspender_(state_), speeds_(state_), long_waits_(state_)
 {
     state_.options = options;
     state_.interference.set_policy(options.policy);
@@ -221,21 +221,6 @@
     recovery_.on_vm_replaced(later, now);
 }
 
-void scheduler::check_closed_workers()
-{
-    for (const auto& [id, worker] : state_.fleet)
-    {
-        const bool must_be_recorded = worker.has_been_seen() &&
-                                      !worker.is_recorded &&
-                                      !worker.is_being_recorded;
-        if (worker.is_closed() != worker.is_closed_in_store ||
-            (must_be_recorded && !worker.is_closed()))
-        {
-            state_.mark_fleet_changed(id);
-        }
-    }
-}
-
 std::vector<order> scheduler::decide(time_point now,
                                      std::chrono::milliseconds unix_now,
                                      leader_permission permission)
@@ -249,7 +234,7 @@
             worker_ends_.check_lease_expiry(worker, now);
         }
         membership_.forget_gone_workers(now);
-        check_closed_workers();
+        recorder_.mark_outdated_parts();
     }
     if (permission.may_start && permission.lead_is_valid)
     {
@@ -343,7 +328,7 @@
     limits.row = state_.options.row_limit;
     changes.jobs = state_.registry.take_changes(limits, ++state_.taken_set);
     changes.is_partial = state_.registry.has_changes();
-    changes.fleet = record_fleet();
+    changes.fleet = recorder_.take_changed_parts();
     // Ended runs are covered only if no changed job was left out.
     if (!changes.is_partial)
     {
@@ -355,99 +340,10 @@
     return changes;
 }
 
-std::vector<fleet_part> scheduler::record_fleet()
-{
-    workers_being_recorded_.clear();
-    std::map<std::uint32_t, fleet_part> parts;
-    for (const auto number : std::exchange(state_.changed_fleet_parts, {}))
-    {
-        parts[number].number = number;
-    }
-    if (parts.empty())
-    {
-        return {};
-    }
-    // The record of an earlier leader stays valid until the worker has been
-    // seen.
-    for (const auto& [id, record] : recovery_.unseen_workers())
-    {
-        if (const auto to = parts.find(fleet_part_of(id)); to != parts.end())
-        {
-            to->second.workers.push_back(record);
-        }
-    }
-    for (auto& [id, worker] : state_.fleet)
-    {
-        const auto to = parts.find(fleet_part_of(id));
-        if (to == parts.end())
-        {
-            continue;
-        }
-        auto record = record_of(id, worker);
-        if (!recovery_.unseen_workers().contains(id))
-        {
-            to->second.workers.push_back(std::move(record));
-        }
-    }
-    std::vector<fleet_part> out;
-    out.reserve(parts.size());
-    for (auto& [number, part] : parts)
-    {
-        out.push_back(std::move(part));
-    }
-    return out;
-}
-
-fleet_record scheduler::record_of(const worker_id& id, fleet_worker& worker)
-{
-    worker.is_closed_in_store = worker.is_closed();
-    const auto& unseen_workers = recovery_.unseen_workers();
-    const auto unseen = unseen_workers.find(id);
-    const bool is_kept_closed =
-        unseen != unseen_workers.end() && unseen->second.runs.has_value();
-    if (is_kept_closed)
-    {
-        return {id, std::nullopt, worker.entry.vm};
-    }
-    if (!worker.is_closed_in_store)
-    {
-        workers_being_recorded_.push_back(id);
-        worker.is_being_recorded = true;
-        return {id, std::nullopt, worker.entry.vm};
-    }
-    // No task may be started here before the store records the worker as open
-    // again.
-    worker.is_recorded = false;
-    std::vector<task_key> runs;
-    std::ranges::transform(worker.runs(), std::back_inserter(runs),
-                           [](const auto& run) { return run.first; });
-    fleet_record record{id, std::move(runs), worker.entry.vm};
-    for (const auto& run : worker.interrupted_runs)
-    {
-        if (run.is_suspect)
-        {
-            record.suspects.push_back(run.task);
-        }
-        if (run.is_suspect && !run.in_start_up)
-        {
-            record.late_suspects.push_back(run.task);
-        }
-    }
-    return record;
-}
-
 void scheduler::on_changes_stored(time_point now)
 {
     state_.stored_set = state_.taken_set;
-    for (const auto& id : std::exchange(workers_being_recorded_, {}))
-    {
-        if (auto* const worker = state_.find_worker(id))
-        {
-            worker->is_recorded = true;
-            worker->is_being_recorded = false;
-            worker->note_gained_room();
-        }
-    }
+    recorder_.on_stored();
     for (auto& [id, worker] : state_.fleet)
     {
         if (worker.sent_to_store > worker.stored_ends)
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -13,6 +13,7 @@
 #include "jobs/crash_attribution.hpp"
 #include "jobs/fill_suspender.hpp"
 #include "jobs/fleet_record.hpp"
+#include "jobs/fleet_recorder.hpp"
 #include "jobs/long_wait_log.hpp"
 #include "jobs/membership_tracker.hpp"
 #include "jobs/order_response_handler.hpp"
@@ -144,9 +145,6 @@
     // True if followers have responded lately that are more than half of the
     // workers.
     bool reaches_majority(time_point now) const;
-    void check_closed_workers();
-    std::vector<fleet_part> record_fleet();
-    fleet_record record_of(const worker_id& id, fleet_worker& worker);
     // Logs a summary of the load every few seconds.
     void log_load(time_point now);
 
@@ -157,6 +155,7 @@
     worker_end_handler worker_ends_;
     report_intake intake_;
     order_response_handler order_responses_;
+    fleet_recorder recorder_;
     task_placer placer_;
     poll_planner polls_;
     fill_suspender suspender_;
@@ -171,8 +170,6 @@
     std::map<worker_id, worker_incarnation> followers_;
     time_point load_logged_at_{};
     time_point fleet_checked_at_{};
-    // Workers named in the list that is being stored.
-    std::vector<worker_id> workers_being_recorded_;
 };
 
 } // namespace hemlockdeal::jobs
