scheduler: lease extension without a valid lead in a class of its own

lease_extension holds the followers at the loss of the lead and decides for how long polls extend leases. No behaviour changes.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -26,8 +26,8 @@
     : crashes_(state_), recovery_(state_, crashes_),
       membership_(state_, crashes_, recovery_), worker_ends_(state_, crashes_),
       intake_(state_, crashes_, worker_ends_), order_responses_(state_),
-      recorder_(state_, recovery_), placer_(state_), polls_(state_),
-      suspender_(state_), speeds_(state_), long_waits_(state_)
+      recorder_(state_, recovery_), placer_(state_), lease_extension_(state_),
+      polls_(state_), suspender_(state_), speeds_(state_), long_waits_(state_)
 {
     state_.options = options;
     state_.interference.set_policy(options.policy);
@@ -241,7 +241,7 @@
         placer_.place(now, unix_now);
         placer_.move_slowed(now);
     }
-    polls_.plan(now, poll_permission_for(now, permission));
+    polls_.plan(now, lease_extension_.permission_for(now, permission));
     long_waits_.check({now, unix_now, permission.may_start,
                        permission.lead_is_valid,
                        recovery_.unseen_workers().size()});
@@ -249,59 +249,6 @@
     return std::exchange(state_.orders, {});
 }
 
-poll_permission scheduler::poll_permission_for(time_point now,
-                                               leader_permission permission)
-{
-    if (permission.lead_is_valid)
-    {
-        lead_invalid_since_.reset();
-        return {permission.may_extend_leases, permission.may_extend_leases,
-                false};
-    }
-    if (!lead_invalid_since_)
-    {
-        lead_invalid_since_ = now;
-        note_followers();
-    }
-    const bool may_extend =
-        now - *lead_invalid_since_ < state_.options.lease_extension_contact ||
-        reaches_majority(now);
-    return {permission.may_extend_leases,
-            permission.may_extend_leases && may_extend, true};
-}
-
-void scheduler::note_followers()
-{
-    workers_at_loss_ = 0;
-    followers_.clear();
-    for (const auto& [id, worker] : state_.fleet)
-    {
-        if (worker.has_ended)
-        {
-            continue;
-        }
-        ++workers_at_loss_;
-        if (worker.is_recorded)
-        {
-            followers_.emplace(id, worker.entry.incarnation);
-        }
-    }
-}
-
-bool scheduler::reaches_majority(time_point now) const
-{
-    const auto reached =
-        std::ranges::count_if(followers_, [&](const auto& follower) {
-            const auto found = state_.fleet.find(follower.first);
-            return found != state_.fleet.end() &&
-                   found->second.entry.incarnation == follower.second &&
-                   found->second.contact_at &&
-                   now - *found->second.contact_at <
-                       state_.options.lease_extension_contact;
-        });
-    return 2 * static_cast<std::size_t>(reached) > workers_at_loss_;
-}
-
 void scheduler::log_load(time_point now)
 {
     if (now - load_logged_at_ >= load_interval)
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -14,6 +14,7 @@
 #include "jobs/fill_suspender.hpp"
 #include "jobs/fleet_record.hpp"
 #include "jobs/fleet_recorder.hpp"
+#include "jobs/lease_extension.hpp"
 #include "jobs/long_wait_log.hpp"
 #include "jobs/membership_tracker.hpp"
 #include "jobs/order_response_handler.hpp"
@@ -41,16 +42,6 @@
     bool empty() const { return jobs.empty() && fleet.empty(); }
 };
 
-// What the current state of the leadership permits.
-struct leader_permission
-{
-    bool may_start = true;
-    // False when the leases of running tasks must expire.
-    bool may_extend_leases = true;
-    // False once another VM may have become leader.
-    bool lead_is_valid = true;
-};
-
 class scheduler
 {
 public:
@@ -139,12 +130,6 @@
     // on its VM when the poll was sent have ended.
     void end_earlier_workers(fleet_worker& later, time_point sent_at,
                              time_point now);
-    poll_permission poll_permission_for(time_point now,
-                                        leader_permission permission);
-    void note_followers();
-    // True if followers have responded lately that are more than half of the
-    // workers.
-    bool reaches_majority(time_point now) const;
     // Logs a summary of the load every few seconds.
     void log_load(time_point now);
 
@@ -157,17 +142,11 @@
     order_response_handler order_responses_;
     fleet_recorder recorder_;
     task_placer placer_;
+    lease_extension lease_extension_;
     poll_planner polls_;
     fill_suspender suspender_;
     speed_monitor speeds_;
     long_wait_log long_waits_;
-    std::optional<time_point> lead_invalid_since_;
-    // Number of workers that had not ended at that time, and the processes of
-    // those among them that a later leader finds in the store. Only these count
-    // as reached: a later leader does not know of others, and a process that
-    // starts later may follow two leaders in turn.
-    std::size_t workers_at_loss_ = 0;
-    std::map<worker_id, worker_incarnation> followers_;
     time_point load_logged_at_{};
     time_point fleet_checked_at_{};
 };
