long_wait_log: names that say what the functions do

note_*() add episodes, is_in_touch() tells whether a worker responds, and "away" stood for a task that does not run. Log texts stay as they are.

--- a/src/jobs/long_wait_log.cpp
+++ b/src/jobs/long_wait_log.cpp
@@ -37,9 +37,9 @@
     }
     lines_ = 0;
     end_episodes(now);
-    note_waiting_tasks(circumstances);
-    note_silent_runs(now);
-    examine_long_ones(circumstances);
+    add_waiting_tasks(circumstances);
+    add_silent_runs(now);
+    examine_long_episodes(circumstances);
     log_left_out_lines();
     checked_at_ = now;
 }
@@ -78,7 +78,7 @@
     }
     const auto seen_at =
         std::max(*run->second.confirmed_at, run->second.last_reported_at);
-    if (!is_in_touch(worker->second, now))
+    if (!responds(worker->second, now))
     {
         return seen_at > since ? std::optional(seen_at) : std::nullopt;
     }
@@ -87,7 +87,7 @@
                                              : std::max(seen_at, since);
 }
 
-void long_wait_log::note_waiting_tasks(const wait_circumstances& circumstances)
+void long_wait_log::add_waiting_tasks(const wait_circumstances& circumstances)
 {
     for (const auto& [id, owner] : state_.registry.live())
     {
@@ -104,16 +104,16 @@
                 if (definition.steps[s].is_long_running &&
                     occurrences[k].steps[s].waiting > 0)
                 {
-                    note_waiting_tasks(*owner, k, s, circumstances.now);
+                    add_waiting_tasks(*owner, k, s, circumstances.now);
                 }
             }
         }
     }
 }
 
-void long_wait_log::note_waiting_tasks(const live_job& owner,
-                                       std::uint32_t occurrence,
-                                       std::uint32_t step, time_point now)
+void long_wait_log::add_waiting_tasks(const live_job& owner,
+                                      std::uint32_t occurrence,
+                                      std::uint32_t step, time_point now)
 {
     const auto& record = owner.occurrences()[occurrence].steps[step];
     // The step's time covers tasks that have waited for longer; a task that is
@@ -124,16 +124,16 @@
     {
         if (record.tasks[i].phase == task_phase::waiting)
         {
-            note({owner.definition().id, occurrence, step, i}, since);
+            begin_episode({owner.definition().id, occurrence, step, i}, since);
         }
     }
 }
 
-void long_wait_log::note_silent_runs(time_point now)
+void long_wait_log::add_silent_runs(time_point now)
 {
     for (const auto& [id, worker] : state_.fleet)
     {
-        if (worker.runs().empty() || is_in_touch(worker, now))
+        if (worker.runs().empty() || responds(worker, now))
         {
             continue;
         }
@@ -146,33 +146,35 @@
             if (task != nullptr && task->phase == task_phase::placed &&
                 task->worker == id)
             {
-                note(key, std::max(silent_since, run.ordered_at));
+                begin_episode(key, std::max(silent_since, run.ordered_at));
             }
         }
     }
 }
 
-void long_wait_log::note(const task_key& key, time_point since)
+void long_wait_log::begin_episode(const task_key& key, time_point since)
 {
     episodes_.try_emplace(key, episode{since, {}, std::nullopt, 0});
 }
 
-void long_wait_log::examine_long_ones(const wait_circumstances& circumstances)
+void long_wait_log::examine_long_episodes(
+    const wait_circumstances& circumstances)
 {
     using entry = std::pair<const task_key, episode>;
-    std::vector<entry*> long_ones;
+    std::vector<entry*> long_episodes;
     for (auto& e : episodes_)
     {
         if (circumstances.now - e.second.since > min_logged_wait)
         {
-            long_ones.push_back(&e);
+            long_episodes.push_back(&e);
         }
     }
-    // Those that were not examined in the last check go first.
-    std::ranges::stable_sort(
-        long_ones, {}, [](const entry* e) { return e->second.examined_at; });
+    // Those that the last check did not examine go first.
+    std::ranges::stable_sort(long_episodes, {}, [](const entry* e) {
+        return e->second.examined_at;
+    });
     diagnosis_.begin_check();
-    for (auto* const e : long_ones)
+    for (auto* const e : long_episodes)
     {
         examine(e->first, e->second, circumstances);
     }
@@ -258,8 +260,7 @@
          {"tasks", std::to_string(episodes_.size())}});
 }
 
-bool long_wait_log::is_in_touch(const fleet_worker& worker,
-                                time_point now) const
+bool long_wait_log::responds(const fleet_worker& worker, time_point now) const
 {
     return !worker.has_ended &&
            worker.is_reachable(now, state_.options.contact_limit);
--- a/src/jobs/long_wait_log.hpp
+++ b/src/jobs/long_wait_log.hpp
@@ -16,9 +16,10 @@
 namespace hemlockdeal::jobs
 {
 
-// Logs each long-running task that is away for longer than a limit: once when
-// the limit is exceeded, a few times when the reason changes, and once when the
-// task runs again. It only reads the state, so that no decision depends on it.
+// Logs each long-running task that has not run for longer than a limit: once
+// when the limit is exceeded, a few times when the reason changes, and once
+// when the task runs again. It only reads the state, so that no decision
+// depends on it.
 class long_wait_log
 {
 public:
@@ -26,14 +27,14 @@
         : state_(state), diagnosis_(state)
     {}
 
-    // The leadership begins: no task was away before as far as this leader
-    // knows.
+    // The leadership begins. What ran before is not known, so that no episode
+    // begins earlier.
     void begin(time_point now) { checked_at_ = now; }
     // Does nothing more often than once a second.
     void check(const wait_circumstances& circumstances);
 
 private:
-    // A time for which a task has not run on a worker in touch.
+    // A time for which a task has not run on a worker that responds.
     struct episode
     {
         time_point since{};
@@ -47,13 +48,13 @@
     // Ends the episodes of tasks that run, and of tasks that are gone.
     void end_episodes(time_point now);
     // Adds the tasks of steps that wait for a worker.
-    void note_waiting_tasks(const wait_circumstances& circumstances);
-    void note_waiting_tasks(const live_job& owner, std::uint32_t occurrence,
-                            std::uint32_t step, time_point now);
+    void add_waiting_tasks(const wait_circumstances& circumstances);
+    void add_waiting_tasks(const live_job& owner, std::uint32_t occurrence,
+                           std::uint32_t step, time_point now);
     // Adds the runs on workers that do not respond.
-    void note_silent_runs(time_point now);
-    void note(const task_key& key, time_point since);
-    void examine_long_ones(const wait_circumstances& circumstances);
+    void add_silent_runs(time_point now);
+    void begin_episode(const task_key& key, time_point since);
+    void examine_long_episodes(const wait_circumstances& circumstances);
     void examine(const task_key& key, episode& e,
                  const wait_circumstances& circumstances);
     void log_end(const task_key& key, const episode& e, time_point ended_at);
@@ -67,7 +68,7 @@
     std::optional<time_point> ran_at(const task_key& key,
                                      const task_record& task, time_point since,
                                      time_point now) const;
-    bool is_in_touch(const fleet_worker& worker, time_point now) const;
+    bool responds(const fleet_worker& worker, time_point now) const;
     const task_record* find_task(const task_key& key) const;
 
     scheduler_state& state_;
