--- a/src/jobs/wait_diagnosis.cpp
+++ b/src/jobs/wait_diagnosis.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-// Workers weighed in one check for all tasks, and for one step. The figures
+// Workers evaluated in one check for all tasks, and for one step. The figures
 // bound the time that a check takes, whatever the size of the fleet.
 constexpr std::size_t max_evaluations_per_check = 8000;
 constexpr std::size_t max_evaluations_per_step = 2000;
@@ -32,7 +32,7 @@
 
 void wait_diagnosis::begin_check()
 {
-    weighed_.clear();
+    findings_.clear();
     evaluations_left_ = max_evaluations_per_check;
 }
 
@@ -65,7 +65,7 @@
     {
         return {wait_reason::after_rejection, {}, {}};
     }
-    auto found = weigh_workers(owner, key, task, circumstances.now);
+    auto found = evaluate_workers(owner, key, task, circumstances.now);
     if (found.reason != wait_reason::worker_found)
     {
         return found;
@@ -105,14 +105,14 @@
             {}};
 }
 
-const wait_finding& wait_diagnosis::weigh_workers(const live_job& owner,
-                                                  const task_key& key,
-                                                  const task_record& task,
-                                                  time_point now)
+const wait_finding& wait_diagnosis::evaluate_workers(const live_job& owner,
+                                                     const task_key& key,
+                                                     const task_record& task,
+                                                     time_point now)
 {
     const task_key step{key.job, key.occurrence, key.step, 0};
     const auto [entry, is_new] =
-        weighed_.try_emplace({step, task.needs_trial()});
+        findings_.try_emplace({step, task.needs_trial()});
     auto& finding = entry->second;
     if (!is_new || evaluations_left_ == 0)
     {
--- a/src/jobs/wait_diagnosis.hpp
+++ b/src/jobs/wait_diagnosis.hpp
@@ -30,7 +30,7 @@
     wait_reason reason = wait_reason::not_examined;
     // The worker that holds the run, if there is one.
     worker_id worker;
-    // Number of workers by obstacle, if workers were weighed.
+    // Number of workers by obstacle, if workers were evaluated.
     std::string obstacles;
 };
 
@@ -41,8 +41,8 @@
         : state_(state), eligibility_(state)
     {}
 
-    // Forgets the results of the last check; each check weighs a bounded number
-    // of workers.
+    // Forgets the results of the last check; each check evaluates a bounded
+    // number of workers.
     void begin_check();
     wait_finding find(const live_job& owner, const task_key& key,
                       const wait_circumstances& circumstances);
@@ -50,11 +50,12 @@
 private:
     wait_finding find_for_placed(const task_key& key, const task_record& task,
                                  time_point now) const;
-    // Weighs workers for the task; the result holds for all tasks of the step
-    // that are suspects, or for all that are not.
-    const wait_finding& weigh_workers(const live_job& owner,
-                                      const task_key& key,
-                                      const task_record& task, time_point now);
+    // Evaluates workers for the task; the result holds for all tasks of the
+    // step that are suspects, or for all that are not.
+    const wait_finding& evaluate_workers(const live_job& owner,
+                                         const task_key& key,
+                                         const task_record& task,
+                                         time_point now);
     wait_reason obstacle_on(const fleet_worker& worker, const live_job& owner,
                             const task_key& key, const task_record& task,
                             time_point now) const;
@@ -64,8 +65,8 @@
 
     const scheduler_state& state_;
     worker_eligibility eligibility_;
-    // By the step's first task that was weighed and whether it is a suspect.
-    std::map<std::pair<task_key, bool>, wait_finding> weighed_;
+    // By the step's first task, and whether the finding is for suspects.
+    std::map<std::pair<task_key, bool>, wait_finding> findings_;
     std::size_t evaluations_left_ = 0;
     // The worker at which the next search starts.
     worker_id next_worker_;
