--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -8,6 +8,8 @@
 #include <limits>
 #include <utility>
 
+#include "jobs/suspect_trial.hpp"
+
 namespace hemlockdeal::jobs
 {
 
@@ -30,9 +32,6 @@
 // that has failed tasks or is slow, or on which a suspect is tried: the worker
 // may be sound, and the task has no limit of attempts.
 constexpr duration max_wait_for_sound_worker = std::chrono::seconds(1);
-// A suspect that has waited for this long is tried beside runs that are
-// starting up: on a busy fleet no worker may ever be without one.
-constexpr duration max_wait_for_trial = std::chrono::seconds(1);
 // Number of workers with room that are compared for one task, counted from the
 // first suitable one; the next search starts after them. Comparing more
 // improves the placement little, and the cost of the search grows with the
--- a/src/jobs/wait_diagnosis.cpp
+++ b/src/jobs/wait_diagnosis.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "jobs/suspect_trial.hpp"
+
 namespace hemlockdeal::jobs
 {
 
@@ -13,9 +15,6 @@
 // bound the time that a check takes, whatever the size of the fleet.
 constexpr std::size_t max_evaluations_per_check = 8000;
 constexpr std::size_t max_evaluations_per_step = 2000;
-// As in the task placer: a suspect that has waited for this long is tried
-// beside runs that are starting up.
-constexpr duration max_wait_for_trial = std::chrono::seconds(1);
 
 std::string describe(const std::map<wait_reason, std::size_t>& workers)
 {
