takeover_test: one file for each concern

639 lines are divided into waits for unseen workers, extension of leases, replaced workers, workers that the list does not show, and codecs (which join codec_test). The fixture is a header. Names and bodies of the tests stay as they are.

--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -1,5 +1,9 @@
-// Guards against stored jobs and progress that a later leader decodes wrongly.
+// Guards against stored jobs, progress and lists of workers that a later leader
+// decodes wrongly.
+#include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -172,3 +176,56 @@
         EXPECT_FALSE(parse_task_key(wrong)) << wrong;
     }
 }
+
+// Failure: the next leader cannot decode the list.
+TEST(fleet_codec, records_survive_the_store)
+{
+    const std::vector<fleet_record> fleet = {
+        {worker_id("a \"1\""), std::nullopt},
+        {worker_id("d"), std::nullopt, vm_id("vm-1")},
+        {worker_id("e"), std::vector<task_key>{}, vm_id("vm-2")},
+        {worker_id("f"),
+         std::vector<task_key>{},
+         vm_id("vm-3"),
+         {{job_id("0f"), 1, 2, 3}}},
+        {worker_id("b"), std::vector<task_key>{{job_id("0f"), 1, 2, 3}}},
+        {worker_id("c"), std::vector<task_key>{}}};
+    EXPECT_EQ(decode_fleet(encode_fleet(fleet)), fleet);
+    EXPECT_FALSE(decode_fleet("{}"));
+}
+
+// Failure: one record that cannot be decoded hides the others of its part, or
+// is left out, so that its tasks are started a second time.
+TEST(fleet_codec, unreadable_records_become_unknown_workers)
+{
+    for (const std::string malformed :
+         {"7", "null", "[]", R"(["a"])", R"("")", R"([7,"vm"])",
+          R"({"w":"b","r":["x"]})", R"({"w":"b","r":7})", R"({"w":"b"})",
+          R"({"w":"b","r":[],"s":7})"})
+    {
+        const auto read = decode_fleet(R"([["a","vm"],)" + malformed +
+                                       R"(,{"w":"c","r":[]}])");
+        ASSERT_TRUE(read) << malformed;
+        ASSERT_EQ(read->size(), 3U) << malformed;
+        EXPECT_EQ(read->front().worker, worker_id("a"));
+        EXPECT_TRUE((*read)[1].worker.value().starts_with("unreadable "));
+        EXPECT_FALSE((*read)[1].runs) << malformed;
+        EXPECT_EQ(read->back().worker, worker_id("c"));
+        EXPECT_TRUE(read->back().runs);
+    }
+}
+
+// Failure: a list of another type counts as empty, and tasks that are done run
+// again; or a malformed number names the first task.
+TEST(progress_codec, lists_of_another_type_are_errors)
+{
+    for (const std::string malformed :
+         {R"("d":7)", R"("d":"")", R"("o":{})", R"("h":null)", R"("c":1)",
+          R"("d":[["0",0,"1"]])", R"("d":[[0,-1,"1"]])",
+          R"("d":[[0,4294967296,"1"]])", R"("h":[[0,0,-1,[1],""]])",
+          R"("c":[[null,0,0,[],0,0,""]])"})
+    {
+        EXPECT_FALSE(decode_progress(R"({"s":"running",)" + malformed + "}"))
+            << malformed;
+    }
+}
