tests/jobs: share repeated set-ups

Two tests of a lead in doubt, two of refused starts and two of a malformed entry at the takeover repeated their set-up line by line. What they check stays as it is: the size of the list of starts is checked in the shared function, and at() ends the test if there is none.

--- a/tests/jobs/long_wait_log_test.cpp
+++ b/tests/jobs/long_wait_log_test.cpp
@@ -86,6 +86,15 @@
         }
     }
 
+    // Adds a job for which worker "a" has room, and waits for its line.
+    void simulate_waiting_job(leader_permission permission)
+    {
+        add_worker("a");
+        leader.begin(now);
+        add_long_running_job();
+        simulate_with(time_to_line_without_search, permission);
+    }
+
     // The events with this message since the start of the test.
     std::vector<decision_event> lines(std::string_view message)
     {
@@ -312,12 +321,7 @@
 // Failure: a lead in doubt looks like a lack of room.
 TEST_F(long_wait_log_test, a_lead_that_is_not_valid_is_the_reason)
 {
-    add_worker("a");
-    leader.begin(now);
-    add_long_running_job();
-    leader_permission permission;
-    permission.lead_is_valid = false;
-    simulate_with(time_to_line_without_search, permission);
+    simulate_waiting_job({.lead_is_valid = false});
     EXPECT_EQ(reason(), "lead not valid");
 }
 
@@ -325,12 +329,7 @@
 // over.
 TEST_F(long_wait_log_test, a_missing_permission_is_the_reason)
 {
-    add_worker("a");
-    leader.begin(now);
-    add_long_running_job();
-    leader_permission permission;
-    permission.may_start = false;
-    simulate_with(time_to_line_without_search, permission);
+    simulate_waiting_job({.may_start = false});
     EXPECT_EQ(reason(), "starts not permitted");
 }
 
--- a/tests/jobs/scheduler_fixture.hpp
+++ b/tests/jobs/scheduler_fixture.hpp
@@ -119,6 +119,20 @@
         return r;
     }
 
+    // Orders a task to worker "a", which has stopped responding.
+    start_order order_to_unresponsive_worker()
+    {
+        add_worker("a");
+        leader.begin(now);
+        simulate();
+        unresponsive.insert(worker_id("a"));
+        leader.add_job(make_job("j", short_step(1)));
+        const auto starts =
+            orders_of<start_order>(simulate(std::chrono::milliseconds(100)));
+        EXPECT_EQ(starts.size(), 1U);
+        return starts.at(0);
+    }
+
     // Starts tasks of two jobs and lets their workers report that they failed.
     void fail_tasks_of_two_jobs()
     {
--- a/tests/jobs/scheduler_lease_test.cpp
+++ b/tests/jobs/scheduler_lease_test.cpp
@@ -185,17 +185,11 @@
 // arrived.
 TEST_F(scheduler_test, refusal_at_an_earlier_address_does_not_unlist_a_worker)
 {
-    add_worker("a");
-    leader.begin(now);
-    simulate();
-    unresponsive.insert(worker_id("a"));
-    leader.add_job(make_job("j", short_step(1)));
-    const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
-    ASSERT_EQ(starts.size(), 1U);
+    const auto start = order_to_unresponsive_worker();
     auto moved = entry("a");
     moved.address = "10.0.0.2:80";
     leader.set_worker(moved, now);
-    leader.on_start_answer(worker_id("a"), starts[0].task, starts[0].run,
+    leader.on_start_answer(worker_id("a"), start.task, start.run,
                            start_answer::other_worker, now);
     unresponsive.clear();
     EXPECT_EQ(orders_of<start_order>(simulate(seconds(2))).size(), 1U);
@@ -204,14 +198,8 @@
 // Failure: a worker is used on although another one has its address.
 TEST_F(scheduler_test, refusal_at_the_listed_address_unlists_a_worker)
 {
-    add_worker("a");
-    leader.begin(now);
-    simulate();
-    unresponsive.insert(worker_id("a"));
-    leader.add_job(make_job("j", short_step(1)));
-    const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
-    ASSERT_EQ(starts.size(), 1U);
-    leader.on_start_answer(worker_id("a"), starts[0].task, starts[0].run,
+    const auto start = order_to_unresponsive_worker();
+    leader.on_start_answer(worker_id("a"), start.task, start.run,
                            start_answer::other_worker, now);
     unresponsive.clear();
     EXPECT_TRUE(orders_of<start_order>(simulate(seconds(2))).empty());
--- a/tests/jobs/takeover_fixture.hpp
+++ b/tests/jobs/takeover_fixture.hpp
@@ -120,6 +120,18 @@
         leader.set_worker(entry("listed"), now);
     }
 
+    // Recovers "here" and "malformed" with unknown runs. The entry of
+    // "malformed" is malformed.
+    void begin_with_malformed_entry()
+    {
+        leader.recover_fleet({{worker_id("here"), std::nullopt},
+                              {worker_id("malformed"), std::nullopt}});
+        leader.set_worker(entry("here"), now);
+        leader.remove_worker(worker_id("malformed"), now,
+                             entry_loss::malformed);
+        leader.begin(now);
+    }
+
     std::ptrdiff_t count_suspected_tasks()
     {
         const auto events = leader.take_events();
--- a/tests/jobs/takeover_lost_worker_test.cpp
+++ b/tests/jobs/takeover_lost_worker_test.cpp
@@ -18,11 +18,7 @@
 TEST_F(takeover_test,
        tasks_wait_for_the_leases_of_a_worker_with_a_malformed_entry)
 {
-    leader.recover_fleet({{worker_id("here"), std::nullopt},
-                          {worker_id("malformed"), std::nullopt}});
-    leader.set_worker(entry("here"), now);
-    leader.remove_worker(worker_id("malformed"), now, entry_loss::malformed);
-    leader.begin(now);
+    begin_with_malformed_entry();
     EXPECT_THAT(simulate(seconds(12)), testing::IsEmpty());
     EXPECT_THAT(simulate(seconds(6)), testing::ElementsAre(0U, 1U));
     EXPECT_THAT(simulate(seconds(6)), testing::IsEmpty());
@@ -32,11 +28,7 @@
 // started again after the entry has become valid.
 TEST_F(takeover_test, runs_are_adopted_once_a_malformed_entry_is_valid)
 {
-    leader.recover_fleet({{worker_id("here"), std::nullopt},
-                          {worker_id("malformed"), std::nullopt}});
-    leader.set_worker(entry("here"), now);
-    leader.remove_worker(worker_id("malformed"), now, entry_loss::malformed);
-    leader.begin(now);
+    begin_with_malformed_entry();
     ASSERT_THAT(simulate(seconds(3)), testing::IsEmpty());
     for (const auto index : {0U, 1U})
     {
