--- a/src/jobs/missing_run_check.cpp
+++ b/src/jobs/missing_run_check.cpp
@@ -38,7 +38,7 @@
         {
             ++run.missing;
         }
-        if (is_run_over(run, report, sent_at))
+        if (has_certainly_ended(run, report, sent_at))
         {
             const bool was_current =
                 is_current_run(state_, worker, key, run.run);
@@ -64,9 +64,9 @@
     }
 }
 
-bool missing_run_check::is_run_over(const run_record& run,
-                                    const worker_report& report,
-                                    time_point sent_at) const
+bool missing_run_check::has_certainly_ended(const run_record& run,
+                                            const worker_report& report,
+                                            time_point sent_at) const
 {
     if (report.unreadable_running > 0)
     {
--- a/src/jobs/missing_run_check.hpp
+++ b/src/jobs/missing_run_check.hpp
@@ -18,8 +18,9 @@
                    time_point sent_at, time_point now);
 
 private:
-    bool is_run_over(const run_record& run, const worker_report& report,
-                     time_point sent_at) const;
+    // True if the run can neither be on the worker nor start there any more.
+    bool has_certainly_ended(const run_record& run, const worker_report& report,
+                             time_point sent_at) const;
 
     scheduler_state& state_;
 };
