--- a/src/core/membership_merge.cpp
+++ b/src/core/membership_merge.cpp
@@ -70,7 +70,7 @@
     std::ranges::sort(received.malformed, {}, &malformed_member::index);
 }
 
-// A planned stop that was announced before goes on.
+// A VM that is leaving stays so: its planned stop goes on.
 member not_usable(member vm)
 {
     if (vm.state == member_state::live)
@@ -175,10 +175,10 @@
     membership_list& list = merged.list;
     list.version = received.version;
     list.may_name_any_vm = !unnamed_.is_empty();
-    std::set<std::string> sound;
+    std::set<std::string> well_formed;
     for (received_member& m : received.members)
     {
-        sound.insert(m.vm.id);
+        well_formed.insert(m.vm.id);
         list.members.push_back(std::move(m.vm));
     }
     for (const auto& [id, vm] : next)
@@ -187,7 +187,7 @@
         {
             list.unknown_ids.push_back(id);
         }
-        else if (!sound.contains(id))
+        else if (!well_formed.contains(id))
         {
             list.members.push_back(not_usable(*vm.last_good));
         }
--- a/src/core/membership_merge.hpp
+++ b/src/core/membership_merge.hpp
@@ -35,10 +35,10 @@
 
     // Passes well-formed entries on. A known VM is kept by its last good entry
     // and is not used while its entry is malformed, or while it is missing
-    // beside an entry without a readable id that did not stand, with the same
+    // beside an entry without a readable id that was not listed, with the same
     // content, when the VM was last named. Entries of one id that are
     // well-formed and differ count as malformed, since nothing tells which is
-    // right; a single one, or identical ones, hold.
+    // right; a single one, or identical ones, are valid.
     merged_membership apply(received_membership received);
 
 private:
@@ -63,8 +63,8 @@
     vms known_;
     unnamed_entries unnamed_;
     std::uint64_t list_ = 0; // number of the last list
-    // Some missing VM is not in known_ any more. Until no entry without a
-    // readable id stands, no absence is proved then.
+    // Some missing VM is not in known_ any more. No absence is proved then
+    // while an entry without a readable id is listed.
     bool has_left_out_ = false;
     std::vector<gone_vm> gone_; // the latest ones last
 };
--- a/src/core/unnamed_entries.cpp
+++ b/src/core/unnamed_entries.cpp
@@ -26,7 +26,7 @@
     return counts;
 }
 
-// Entries that stand since a list after `first` and before `end`.
+// Entries that appeared in a list after `first` and before `end`.
 std::size_t
 count_between(const std::map<std::uint64_t, list_numbers>& since_by_content,
               std::uint64_t first, std::uint64_t end)
@@ -40,8 +40,8 @@
     return count;
 }
 
-// Which of several identical entries has gone cannot be seen, so the latest
-// stay: they may name the most VMs.
+// Which of several identical entries has gone is not known, so the latest are
+// kept: they may name the most VMs.
 list_numbers resized(const list_numbers& since, std::size_t count,
                      std::uint64_t list)
 {
