--- a/tests/jobs/capacity_fill_test.cpp
+++ b/tests/jobs/capacity_fill_test.cpp
@@ -47,7 +47,7 @@
 
 // Failure: a fill task without processors counts as a fault of its worker,
 // which is then avoided for seconds after its capacity has grown back (LOST of
-// a lasting task whose only room is there).
+// a long-running task whose only room is there).
 TEST_F(capacity_test, worker_without_room_for_its_fills_is_not_avoided)
 {
     begin({"a"});
--- a/tests/jobs/long_wait_log_test.cpp
+++ b/tests/jobs/long_wait_log_test.cpp
@@ -168,7 +168,7 @@
 }
 
 // Failure: a start without an answer, which is waited for twice as long, is
-// taken for the wait for leases.
+// logged as the wait for leases.
 TEST_F(long_wait_log_test, a_start_without_an_answer_is_the_reason)
 {
     add_worker("a");
@@ -187,8 +187,8 @@
     EXPECT_EQ(lines(runs_again).size(), 1U);
 }
 
-// Failure: the wait of a task that an earlier leader may have started is not
-// told from others, or counts the time before this leadership.
+// Failure: the wait of a task that an earlier leader may have started cannot be
+// distinguished from others, or counts the time before this leadership.
 TEST_F(long_wait_log_test, doubt_after_a_takeover_is_the_reason)
 {
     job_progress progress;
--- a/tests/jobs/malformed_report_test.cpp
+++ b/tests/jobs/malformed_report_test.cpp
@@ -200,7 +200,7 @@
 }
 
 // Failure: a report without an incarnation is taken for one of a restarted
-// worker, and a crash is held against its tasks.
+// worker, and a crash is attributed to its tasks.
 TEST_F(malformed_report, report_without_an_incarnation_is_no_restart)
 {
     start_one("j");
--- a/tests/jobs/scheduler_lease_test.cpp
+++ b/tests/jobs/scheduler_lease_test.cpp
@@ -114,8 +114,8 @@
 
 } // namespace
 
-// Failure: a lasting task stays away for 13 s after a start without a response
-// on a worker that has gone for good (LOST).
+// Failure: a long-running task does not run for 13 s after a start without a
+// response on a worker that has gone for good (LOST).
 TEST_F(unanswered_start_test,
        lasting_task_ordered_to_a_gone_worker_restarts_in_time)
 {
@@ -195,7 +195,7 @@
     EXPECT_EQ(orders_of<start_order>(simulate(seconds(2))).size(), 1U);
 }
 
-// Failure: a worker is used on although another one has its address.
+// Failure: a worker is still used although another one has its address.
 TEST_F(scheduler_test, refusal_at_the_listed_address_unlists_a_worker)
 {
     const auto start = order_to_unresponsive_worker();
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -27,8 +27,8 @@
     EXPECT_THAT(simulate(seconds(16)), testing::ElementsAre(1U));
 }
 
-// Failure: with each takeover, lasting tasks wait for 4 s more before they go
-// before urgent ones.
+// Failure: with each takeover, long-running tasks wait for 4 s more before they
+// are placed before urgent ones.
 TEST_F(takeover_test, waiting_lasting_tasks_go_before_urgent_ones)
 {
     job lasting = definition;
