--- a/src/jobs/membership_tracker.cpp
+++ b/src/jobs/membership_tracker.cpp
@@ -2,7 +2,6 @@
 #include "jobs/membership_tracker.hpp"
 
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace hemlockdeal::jobs
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -2,6 +2,7 @@
 #include "jobs/report_intake.hpp"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace hemlockdeal::jobs
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -2,7 +2,6 @@
 #include "jobs/scheduler.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "jobs/load_summary.hpp"
