--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -2,7 +2,6 @@
 #include "jobs/scheduler.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "jobs/load_summary.hpp"
@@ -19,19 +18,15 @@
 // be checked on every call.
 constexpr duration fleet_check_interval = std::chrono::milliseconds(40);
 constexpr duration load_interval = std::chrono::seconds(2);
-// A worker that has left the list and is silent for this long counts as
-// crashed.
-constexpr duration crash_evidence_time = std::chrono::seconds(15);
-// A worker is known for this long after its last valid entry while its entry is
-// malformed: another writer may alternate with the worker's own heartbeat.
-constexpr duration malformed_entry_time = std::chrono::seconds(10);
 
 } // namespace
 
 scheduler::scheduler(scheduler_options options, std::uint64_t epoch)
-    : crashes_(state_), recovery_(state_, crashes_), intake_(state_, crashes_),
-      placer_(state_), polls_(state_), suspender_(state_), speeds_(state_),
-      long_waits_(state_)
+    : crashes_(state_), recovery_(state_, crashes_),
+      membership_(state_, crashes_, recovery_), worker_ends_(state_, crashes_),
+      intake_(state_, crashes_, worker_ends_), order_responses_(state_),
+      recorder_(state_, recovery_), placer_(state_), lease_extension_(state_),
+      polls_(state_), suspender_(state_), speeds_(state_), long_waits_(state_)
 {
     state_.options = options;
     state_.interference.set_policy(options.policy);
@@ -92,96 +87,13 @@
 
 void scheduler::set_worker(const worker_entry& entry, time_point now)
 {
-    const auto [found, is_new] =
-        state_.fleet.try_emplace(entry.id, fleet_worker(entry));
-    auto& worker = found->second;
-    worker.is_unlisted = false;
-    worker.has_malformed_entry = false;
-    worker.listed_at = now;
-    if (is_new)
-    {
-        worker.joined_at = now;
-        state_.log_event("worker joined", {{"worker", entry.id.value()},
-                                           {"vm", entry.vm.value()},
-                                           {"zone", entry.zone.value()}});
-        state_.mark_fleet_changed(entry.id);
-        return;
-    }
-    if (entry.incarnation > worker.entry.incarnation)
-    {
-        // Only a report shows which runs the new process has.
-        worker.has_restarted = true;
-        worker.next_poll = now;
-    }
-    const bool starts_to_leave = entry.is_leaving && !worker.entry.is_leaving;
-    if (entry.capacity != worker.entry.capacity)
-    {
-        log_capacity_change(worker, entry.capacity);
-        worker.on_capacity_changed(now);
-    }
-    const auto incarnation = worker.entry.incarnation;
-    worker.entry = entry;
-    // A stale list must not restore an earlier incarnation.
-    worker.entry.incarnation = incarnation;
-    worker.note_gained_room();
-    if (starts_to_leave)
-    {
-        state_.log_event("worker is leaving", {{"worker", entry.id.value()}});
-        offload_leaving_worker(worker, now);
-    }
-}
-
-void scheduler::log_capacity_change(const fleet_worker& worker,
-                                    const task_size& capacity)
-{
-    const auto& used = worker.room_used();
-    state_.log_event(
-        "capacity of worker changed",
-        {{"worker", worker.entry.id.value()},
-         {"processors", std::to_string(capacity.processor_millis)},
-         {"memory_mb", std::to_string(capacity.memory_mb)},
-         {"accelerators", std::to_string(capacity.accelerators)},
-         {"processors_reserved", std::to_string(used.processor_millis)},
-         {"memory_reserved", std::to_string(used.memory_mb)}});
+    membership_.set_worker(entry, now);
 }
 
 void scheduler::remove_worker(const worker_id& id, time_point /*now*/,
                               entry_loss reason)
 {
-    auto* const worker = state_.find_worker(id);
-    if (worker == nullptr)
-    {
-        recovery_.on_entry_lost(id, reason == entry_loss::malformed);
-        return;
-    }
-    worker->has_malformed_entry = reason == entry_loss::malformed;
-    // A malformed entry may be rewritten each second.
-    if (worker->is_unlisted)
-    {
-        return;
-    }
-    state_.log_event(reason == entry_loss::malformed
-                         ? "worker is not used while its entry is malformed"
-                         : "worker removed from the membership list",
-                     {{"worker", id.value()}});
-    worker->is_unlisted = true;
-}
-
-void scheduler::offload_leaving_worker(fleet_worker& worker, time_point now)
-{
-    std::vector<task_key> moved;
-    for (const auto& [key, run] : worker.runs())
-    {
-        // Tasks that cannot resume elsewhere are left to finish.
-        if (run.is_long_running || run.saves_progress)
-        {
-            moved.push_back(key);
-        }
-    }
-    for (const auto& key : moved)
-    {
-        state_.order_stop(worker, key, now, "worker is leaving");
-    }
+    membership_.remove_worker(id, reason);
 }
 
 void scheduler::add_job(job definition)
@@ -276,7 +188,7 @@
 {
     if (auto* const worker = state_.find_worker(id))
     {
-        intake_.on_start_answer(*worker, key, run, response, now);
+        order_responses_.on_start_answer(*worker, key, run, response, now);
     }
 }
 
@@ -285,7 +197,7 @@
 {
     if (auto* const worker = state_.find_worker(id))
     {
-        intake_.on_stop_confirmed(*worker, key, run, now);
+        order_responses_.on_stop_confirmed(*worker, key, run, now);
     }
 }
 
@@ -302,58 +214,12 @@
         if (worker.entry.vm == vm && id != later.entry.id &&
             worker.joined_at < sent_at && !worker.has_ended)
         {
-            intake_.on_worker_ended(worker, later, now);
+            worker_ends_.on_replaced(worker, later, now);
         }
     }
     recovery_.on_vm_replaced(later, now);
 }
 
-void scheduler::forget_gone_workers(time_point now)
-{
-    for (auto w = state_.fleet.begin(); w != state_.fleet.end();)
-    {
-        const auto& worker = w->second;
-        const bool may_have_crashed =
-            !worker.interrupted_runs.empty() && worker.silent_since &&
-            now - *worker.silent_since < crash_evidence_time;
-        const bool may_be_listed_again =
-            worker.has_malformed_entry &&
-            now - worker.listed_at < malformed_entry_time;
-        const bool is_gone = worker.is_unlisted && worker.runs().empty() &&
-                             !may_have_crashed && !may_be_listed_again &&
-                             !worker.poll_sent_at &&
-                             !recovery_.unseen_workers().contains(w->first);
-        if (!is_gone)
-        {
-            ++w;
-            continue;
-        }
-        if (!worker.interrupted_runs.empty())
-        {
-            // Its VM may never run a worker again; if the worker was only cut
-            // off, a run that lasts will clear its tasks.
-            crashes_.on_end(w->second, w->first, now);
-        }
-        state_.mark_fleet_changed(w->first);
-        w = state_.fleet.erase(w);
-    }
-}
-
-void scheduler::check_closed_workers()
-{
-    for (const auto& [id, worker] : state_.fleet)
-    {
-        const bool must_be_recorded = worker.has_been_seen() &&
-                                      !worker.is_recorded &&
-                                      !worker.is_being_recorded;
-        if (worker.is_closed() != worker.is_closed_in_store ||
-            (must_be_recorded && !worker.is_closed()))
-        {
-            state_.mark_fleet_changed(id);
-        }
-    }
-}
-
 std::vector<order> scheduler::decide(time_point now,
                                      std::chrono::milliseconds unix_now,
                                      leader_permission permission)
@@ -364,17 +230,17 @@
         fleet_checked_at_ = now;
         for (auto& [id, worker] : state_.fleet)
         {
-            intake_.check_lease_expiry(worker, now);
+            worker_ends_.check_lease_expiry(worker, now);
         }
-        forget_gone_workers(now);
-        check_closed_workers();
+        membership_.forget_gone_workers(now);
+        recorder_.mark_outdated_parts();
     }
     if (permission.may_start && permission.lead_is_valid)
     {
         placer_.place(now, unix_now);
         placer_.move_slowed(now);
     }
-    polls_.plan(now, poll_permission_for(now, permission));
+    polls_.plan(now, lease_extension_.permission_for(now, permission));
     long_waits_.check({now, unix_now, permission.may_start,
                        permission.lead_is_valid,
                        recovery_.unseen_workers().size()});
@@ -382,59 +248,6 @@
     return std::exchange(state_.orders, {});
 }
 
-poll_permission scheduler::poll_permission_for(time_point now,
-                                               leader_permission permission)
-{
-    if (permission.lead_is_valid)
-    {
-        lead_invalid_since_.reset();
-        return {permission.may_extend_leases, permission.may_extend_leases,
-                false};
-    }
-    if (!lead_invalid_since_)
-    {
-        lead_invalid_since_ = now;
-        note_followers();
-    }
-    const bool may_extend =
-        now - *lead_invalid_since_ < state_.options.lease_extension_contact ||
-        reaches_majority(now);
-    return {permission.may_extend_leases,
-            permission.may_extend_leases && may_extend, true};
-}
-
-void scheduler::note_followers()
-{
-    workers_at_loss_ = 0;
-    followers_.clear();
-    for (const auto& [id, worker] : state_.fleet)
-    {
-        if (worker.has_ended)
-        {
-            continue;
-        }
-        ++workers_at_loss_;
-        if (worker.is_recorded)
-        {
-            followers_.emplace(id, worker.entry.incarnation);
-        }
-    }
-}
-
-bool scheduler::reaches_majority(time_point now) const
-{
-    const auto reached =
-        std::ranges::count_if(followers_, [&](const auto& follower) {
-            const auto found = state_.fleet.find(follower.first);
-            return found != state_.fleet.end() &&
-                   found->second.entry.incarnation == follower.second &&
-                   found->second.contact_at &&
-                   now - *found->second.contact_at <
-                       state_.options.lease_extension_contact;
-        });
-    return 2 * static_cast<std::size_t>(reached) > workers_at_loss_;
-}
-
 void scheduler::log_load(time_point now)
 {
     if (now - load_logged_at_ >= load_interval)
@@ -461,7 +274,7 @@
     limits.row = state_.options.row_limit;
     changes.jobs = state_.registry.take_changes(limits, ++state_.taken_set);
     changes.is_partial = state_.registry.has_changes();
-    changes.fleet = record_fleet();
+    changes.fleet = recorder_.take_changed_parts();
     // Ended runs are covered only if no changed job was left out.
     if (!changes.is_partial)
     {
@@ -473,99 +286,10 @@
     return changes;
 }
 
-std::vector<fleet_part> scheduler::record_fleet()
-{
-    workers_being_recorded_.clear();
-    std::map<std::uint32_t, fleet_part> parts;
-    for (const auto number : std::exchange(state_.changed_fleet_parts, {}))
-    {
-        parts[number].number = number;
-    }
-    if (parts.empty())
-    {
-        return {};
-    }
-    // The record of an earlier leader stays valid until the worker has been
-    // seen.
-    for (const auto& [id, record] : recovery_.unseen_workers())
-    {
-        if (const auto to = parts.find(fleet_part_of(id)); to != parts.end())
-        {
-            to->second.workers.push_back(record);
-        }
-    }
-    for (auto& [id, worker] : state_.fleet)
-    {
-        const auto to = parts.find(fleet_part_of(id));
-        if (to == parts.end())
-        {
-            continue;
-        }
-        auto record = record_of(id, worker);
-        if (!recovery_.unseen_workers().contains(id))
-        {
-            to->second.workers.push_back(std::move(record));
-        }
-    }
-    std::vector<fleet_part> out;
-    out.reserve(parts.size());
-    for (auto& [number, part] : parts)
-    {
-        out.push_back(std::move(part));
-    }
-    return out;
-}
-
-fleet_record scheduler::record_of(const worker_id& id, fleet_worker& worker)
-{
-    worker.is_closed_in_store = worker.is_closed();
-    const auto& unseen_workers = recovery_.unseen_workers();
-    const auto unseen = unseen_workers.find(id);
-    const bool is_kept_closed =
-        unseen != unseen_workers.end() && unseen->second.runs.has_value();
-    if (is_kept_closed)
-    {
-        return {id, std::nullopt, worker.entry.vm};
-    }
-    if (!worker.is_closed_in_store)
-    {
-        workers_being_recorded_.push_back(id);
-        worker.is_being_recorded = true;
-        return {id, std::nullopt, worker.entry.vm};
-    }
-    // No task may be started here before the store records the worker as open
-    // again.
-    worker.is_recorded = false;
-    std::vector<task_key> runs;
-    std::ranges::transform(worker.runs(), std::back_inserter(runs),
-                           [](const auto& run) { return run.first; });
-    fleet_record record{id, std::move(runs), worker.entry.vm};
-    for (const auto& run : worker.interrupted_runs)
-    {
-        if (run.is_suspect)
-        {
-            record.suspects.push_back(run.task);
-        }
-        if (run.is_suspect && !run.in_start_up)
-        {
-            record.late_suspects.push_back(run.task);
-        }
-    }
-    return record;
-}
-
 void scheduler::on_changes_stored(time_point now)
 {
     state_.stored_set = state_.taken_set;
-    for (const auto& id : std::exchange(workers_being_recorded_, {}))
-    {
-        if (auto* const worker = state_.find_worker(id))
-        {
-            worker->is_recorded = true;
-            worker->is_being_recorded = false;
-            worker->note_gained_room();
-        }
-    }
+    recorder_.on_stored();
     for (auto& [id, worker] : state_.fleet)
     {
         if (worker.sent_to_store > worker.stored_ends)
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -13,13 +13,18 @@
 #include "jobs/crash_attribution.hpp"
 #include "jobs/fill_suspender.hpp"
 #include "jobs/fleet_record.hpp"
+#include "jobs/fleet_recorder.hpp"
+#include "jobs/lease_extension.hpp"
 #include "jobs/long_wait_log.hpp"
+#include "jobs/membership_tracker.hpp"
+#include "jobs/order_response_handler.hpp"
 #include "jobs/poll_planner.hpp"
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
 #include "jobs/speed_monitor.hpp"
 #include "jobs/takeover_recovery.hpp"
 #include "jobs/task_placer.hpp"
+#include "jobs/worker_end_handler.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -37,24 +42,6 @@
     bool empty() const { return jobs.empty() && fleet.empty(); }
 };
 
-// What the current state of the leadership permits.
-struct leader_permission
-{
-    bool may_start = true;
-    // False when the leases of running tasks must expire.
-    bool may_extend_leases = true;
-    // False once another VM may have become leader.
-    bool lead_is_valid = true;
-};
-
-// Why the membership list shows no usable entry of a worker.
-enum class entry_loss
-{
-    removed,
-    // The entry is there, but cannot be used.
-    malformed
-};
-
 class scheduler
 {
 public:
@@ -139,46 +126,29 @@
     bool is_recovery_complete() const { return recovery_.is_complete(); }
 
 private:
-    void log_capacity_change(const fleet_worker& worker,
-                             const task_size& capacity);
     // Concludes from the first response of `later` that the workers that ran
     // on its VM when the poll was sent have ended.
     void end_earlier_workers(fleet_worker& later, time_point sent_at,
                              time_point now);
-    poll_permission poll_permission_for(time_point now,
-                                        leader_permission permission);
-    void note_followers();
-    // True if followers have responded lately that are more than half of the
-    // workers.
-    bool reaches_majority(time_point now) const;
-    void check_closed_workers();
-    std::vector<fleet_part> record_fleet();
-    fleet_record record_of(const worker_id& id, fleet_worker& worker);
-    void offload_leaving_worker(fleet_worker& worker, time_point now);
-    void forget_gone_workers(time_point now);
     // Logs a summary of the load every few seconds.
     void log_load(time_point now);
 
     scheduler_state state_;
     crash_attribution crashes_;
     takeover_recovery recovery_;
+    membership_tracker membership_;
+    worker_end_handler worker_ends_;
     report_intake intake_;
+    order_response_handler order_responses_;
+    fleet_recorder recorder_;
     task_placer placer_;
+    lease_extension lease_extension_;
     poll_planner polls_;
     fill_suspender suspender_;
     speed_monitor speeds_;
     long_wait_log long_waits_;
-    std::optional<time_point> lead_invalid_since_;
-    // Number of workers that had not ended at that time, and the processes of
-    // those among them that a later leader finds in the store. Only these count
-    // as reached: a later leader does not know of others, and a process that
-    // starts later may follow two leaders in turn.
-    std::size_t workers_at_loss_ = 0;
-    std::map<worker_id, worker_incarnation> followers_;
     time_point load_logged_at_{};
     time_point fleet_checked_at_{};
-    // Workers named in the list that is being stored.
-    std::vector<worker_id> workers_being_recorded_;
 };
 
 } // namespace hemlockdeal::jobs
