Crash simulation: crashing tasks work until their crash

Change: a crashing task works beyond its crash. A new check, "completed early", compares each completed job with the ends of its tasks, which the ledger did not look at before.

--- a/src/emulation/crash_ledger.cpp
+++ b/src/emulation/crash_ledger.cpp
@@ -2,6 +2,7 @@
 #include "emulation/crash_ledger.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <cstdio>
 #include <iterator>
 #include <utility>
@@ -24,6 +25,19 @@
     return text;
 }
 
+std::set<task_key> tasks_of(const jobs::job& definition)
+{
+    std::set<task_key> out;
+    for (std::uint32_t number = 0; number < definition.steps.size(); ++number)
+    {
+        for (std::uint32_t i = 0; i < definition.steps[number].task_count; ++i)
+        {
+            out.insert({definition.id, 0, number, i});
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 std::string_view to_text(crash_check check)
@@ -36,6 +50,8 @@
         return "late to give up";
     case crash_check::wrong_give_up:
         return "wrongly given up";
+    case crash_check::completed_early:
+        return "completed early";
     case crash_check::unfinished_job:
         return "unfinished job";
     case crash_check::lasting_task_away:
@@ -54,6 +70,7 @@
     made.is_lasting =
         std::ranges::any_of(definition.steps, &jobs::step::is_long_running);
     made.crashing = std::move(crashing);
+    made.not_done = tasks_of(definition);
     result_.crashing_jobs += made.crashing.empty() ? 0 : 1;
     result_.sound_jobs += made.crashing.empty() && !made.is_lasting ? 1 : 0;
     jobs_.emplace(definition.id, std::move(made));
@@ -121,7 +138,9 @@
     if (how != run_end::done)
     {
         note_lost_run(task, now);
+        return;
     }
+    jobs_.at(task.job).not_done.erase(task);
 }
 
 void crash_ledger::on_worker_lost(const worker_id& worker,
@@ -207,12 +226,25 @@
         check_failed(id, owner, now);
         return;
     }
+    check_completed(id, owner, now);
+}
+
+void crash_ledger::check_completed(const job_id& id, const recorded_job& owner,
+                                   time_point now)
+{
     const bool is_sound = owner.crashing.empty();
     result_.sound_jobs_completed += is_sound && !owner.is_lasting ? 1 : 0;
     if (!is_sound || owner.is_lasting)
     {
         record(crash_check::wrong_give_up,
-               id.value() + " is shown as " + std::string(to_text(state)), now);
+               id.value() + " is shown as completed", now);
+    }
+    if (!owner.not_done.empty())
+    {
+        record(crash_check::completed_early,
+               id.value() + " is shown as completed while " +
+                   to_text(*owner.not_done.begin()) + " has not ended as done",
+               now);
     }
 }
 
--- a/src/emulation/crash_ledger.hpp
+++ b/src/emulation/crash_ledger.hpp
@@ -25,6 +25,8 @@
     late_give_up,
     // A job without a crashing task is given up.
     wrong_give_up,
+    // A job is shown as completed while a task has not ended as done.
+    completed_early,
     // A sound job is not completed in time.
     unfinished_job,
     // A lasting task does not run although there is room.
@@ -120,6 +122,8 @@
         time_point submitted_at{};
         bool is_lasting = false;
         std::set<jobs::task_key> crashing;
+        // Tasks that have not ended as done.
+        std::set<jobs::task_key> not_done;
         std::optional<time_point> first_start_at;
         std::optional<time_point> second_crash_at;
         bool is_over = false;
@@ -144,6 +148,8 @@
     // Time that the recovery after a takeover may still take.
     duration recovery_left(time_point now) const;
     void note_lost_run(const jobs::task_key& task, time_point now);
+    void check_completed(const job_id& id, const recorded_job& owner,
+                         time_point now);
     void check_failed(const job_id& id, const recorded_job& owner,
                       time_point now);
     void check_give_up_time(const job_id& id, recorded_job& owner,
--- a/src/emulation/crash_simulation.hpp
+++ b/src/emulation/crash_simulation.hpp
@@ -104,6 +104,9 @@
     void execute(const jobs::advice_request&) {}
     void receive_start(const jobs::start_order& order, std::uint64_t epoch,
                        const std::weak_ptr<jobs::scheduler>& sender);
+    // Time that a run of the task works unless it crashes its worker.
+    duration work_of(const jobs::task_key& task,
+                     const jobs::step& task_step) const;
     void plan_crash(const jobs::start_order& order);
     void kill_leader_after(const jobs::start_order& order);
     // True once the poll needs no more attention.
--- a/src/emulation/crash_simulation_orders.cpp
+++ b/src/emulation/crash_simulation_orders.cpp
@@ -1,5 +1,6 @@
 // Delivery of the leader's orders and of the workers' responses in the crash
 // simulation.
+#include <algorithm>
 #include <utility>
 
 #include "emulation/crash_simulation.hpp"
@@ -8,6 +9,7 @@
 {
 
 using jobs::start_answer;
+using jobs::task_key;
 using std::chrono::milliseconds;
 
 namespace
@@ -18,6 +20,8 @@
 constexpr duration call_timeout = milliseconds(400);
 // The kill of a leader that has just ordered a start comes within this time.
 constexpr int max_kill_delay_ms = 30;
+// A crashing task has at least this much work left when it crashes its worker.
+constexpr duration min_work_after_crash = milliseconds(100);
 
 } // namespace
 
@@ -64,9 +68,8 @@
     }
     const auto& task_step =
         jobs_.at(order.task.job).definition.steps[order.task.step];
-    const auto result =
-        worker.start(order, epoch, task_step,
-                     workload_.work_of(order.task, task_step), now_);
+    const auto result = worker.start(order, epoch, task_step,
+                                     work_of(order.task, task_step), now_);
     if (result.has_begun)
     {
         ledger_.on_started(order.task, order.worker, now_);
@@ -76,6 +79,17 @@
     answer(result.response, one_way_time);
 }
 
+duration crash_simulation::work_of(const task_key& task,
+                                   const jobs::step& task_step) const
+{
+    const auto work = crash_workload::work_of(task, task_step);
+    // A crashing task must not end before its crash: its job would rightly be
+    // completed.
+    return jobs_.at(task.job).crashing.contains(task)
+               ? std::max(work, options_.crash_delay + min_work_after_crash)
+               : work;
+}
+
 void crash_simulation::plan_crash(const jobs::start_order& order)
 {
     if (!jobs_.at(order.task.job).crashing.contains(order.task))
--- a/tests/emulation/crash_ledger_test.cpp
+++ b/tests/emulation/crash_ledger_test.cpp
@@ -76,6 +76,27 @@
     EXPECT_EQ(ledger.result().given_up_wrongly, 1U);
 }
 
+// Failure: a job that is shown as completed before its last task has ended as
+// done passes.
+TEST_F(crash_ledger_test, job_completed_before_its_tasks_is_a_violation)
+{
+    const auto task = submit(false, false);
+    ledger.on_started(task, worker_id("w"), now);
+    ledger.on_run_ended(task, worker_id("w"), jobs::run_end::failed, now);
+    ledger.on_shown_state(task.job, jobs::job_state::completed, now);
+    EXPECT_TRUE(has_violation(crash_check::completed_early));
+}
+
+// Failure: the same is reported of a job whose tasks have ended as done.
+TEST_F(crash_ledger_test, job_completed_after_its_tasks_is_no_violation)
+{
+    const auto task = submit(false, false);
+    ledger.on_started(task, worker_id("w"), now);
+    ledger.on_run_ended(task, worker_id("w"), jobs::run_end::done, now);
+    ledger.on_shown_state(task.job, jobs::job_state::completed, now);
+    EXPECT_TRUE(ledger.result().violations.empty());
+}
+
 // Failure: a crashing job that is never given up passes.
 TEST_F(crash_ledger_test, crashing_job_that_is_not_given_up_is_a_violation)
 {
--- a/tests/emulation/crash_loop_test.cpp
+++ b/tests/emulation/crash_loop_test.cpp
@@ -186,6 +186,13 @@
     EXPECT_EQ(sum_of(played, &crash_result::given_up_wrongly), 0U);
 }
 
+// Failure: a job is shown as completed while one of its tasks has not ended as
+// done.
+TEST_P(crash_kind_test, completed_jobs_have_no_unfinished_task)
+{
+    expect_none(play_kind(GetParam()), crash_check::completed_early);
+}
+
 // Failure: sound jobs are stuck behind crashing tasks or as suspects.
 TEST_P(crash_kind_test, sound_jobs_are_completed)
 {
@@ -210,12 +217,29 @@
 {
     const auto& played = play_coincidences(GetParam());
     expect_none(played, crash_check::wrong_give_up);
+    expect_none(played, crash_check::completed_early);
     expect_none(played, crash_check::unfinished_job);
     expect_none(played, crash_check::lasting_task_away);
     expect_none(played, crash_check::second_run);
     EXPECT_EQ(sum_of(played, &crash_result::crashes_by_tasks), 0U);
 }
 
+// Failure: the simulation lets a crashing task end before its crash, so that
+// its job is rightly completed. All tasks of these seeds' urgent steps end
+// within 0.4 s.
+TEST(crash_check_test, crashing_tasks_do_not_end_before_their_crash)
+{
+    auto options = find_kind("delay_400_ms").options;
+    for (const std::uint32_t seed : {7, 14, 16, 18})
+    {
+        options.seed = seed;
+        const auto result = crash_simulation(options).simulate();
+        EXPECT_TRUE(result.violations.empty()) << "seed " << seed;
+        EXPECT_EQ(result.given_up_rightly, result.crashing_jobs)
+            << "seed " << seed;
+    }
+}
+
 // Failure: the checks pass although each new leader has lost the evidence of
 // earlier crashes.
 TEST(crash_check_test, lost_evidence_breaks_the_limit_of_starts)
