Crash attribution: an unconfirmed start is weak evidence

Change: the crash of a worker that never confirmed the run counts as one that may have come during the start-up. Four of these still end the job, so that a task that crashes workers before it is confirmed is started at most five times (new test).

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -97,8 +97,9 @@
     {
         const bool in_start_up = alive_at - run.ordered_at < start_up_time;
         const bool is_suspect = in_start_up || run.is_trial;
-        worker.interrupted_runs.push_back(
-            {key, now - run.ordered_at, in_start_up, is_suspect});
+        worker.interrupted_runs.push_back({key, now - run.ordered_at,
+                                           in_start_up, is_suspect,
+                                           run.confirmed_at.has_value()});
         if (auto* const task = is_suspect ? find_task(key) : nullptr)
         {
             task->suspected_on.insert(worker.entry.id);
@@ -170,8 +171,10 @@
         }
         // Several such tasks may crash their workers at the same time, so that
         // a mass failure is weak evidence instead of none.
+        // So is the crash of a worker that never confirmed the run.
         const bool is_explained_otherwise =
-            is_mass_failure && !is_common_suspect(worker, run.task.job);
+            !run.is_confirmed ||
+            (is_mass_failure && !is_common_suspect(worker, run.task.job));
         count_crash(life, run,
                     {suspects == 1, is_reliable, is_explained_otherwise}, now);
     }
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -44,6 +44,9 @@
     bool in_start_up = false;
     // The run may have crashed the worker.
     bool is_suspect = false;
+    // The worker confirmed the run. Otherwise it may have ended before the
+    // start order arrived.
+    bool is_confirmed = true;
 };
 
 // A run that is, or may be, on a worker. It counts against the worker's
--- a/tests/jobs/crash_fixture.hpp
+++ b/tests/jobs/crash_fixture.hpp
@@ -220,6 +220,14 @@
                 return;
             }
             ++starts[start->task.job];
+            if (auto& left = unconfirmed_crashes[start->task.job]; left > 0)
+            {
+                --left;
+                crash(start->worker);
+                leader->on_start_answer(start->worker, start->task, start->run,
+                                        start_answer::unknown, now);
+                return;
+            }
             running[start->worker].push_back(
                 {start->task, start->run, "", 50, -1});
             started_at[{start->task, start->run}] = now;
@@ -287,6 +295,8 @@
     std::map<job_id, int> starts;
     // Jobs whose tasks crash their worker, and how long after the start.
     std::map<job_id, duration> crashing;
+    // Jobs whose next starts crash their workers before they are confirmed.
+    std::map<job_id, int> unconfirmed_crashes;
     std::map<job_id, std::string> progress_rows;
     std::map<std::uint32_t, std::vector<fleet_record>> fleet_rows;
 };
