Keep the last configuration when routes or services are not a list

Cause: routes or services of another type than a list counted as empty, so that `{"version":8,"routes":"x"}` was adopted without routes and all callers got 404 until the next configuration.

Change: such a configuration is not used. It is logged once with the section and what it holds, and the last good one stays in force. A configuration that lacks `routes` is treated the same: the row holds the configuration in full, and one that took every queue away by omission would answer all callers with 404, while a refusal costs only that the last queue is removed one version later. `"routes":[]` is adopted. Missing services count as an empty list: no decision depends on a service's row, and refusing would hold back new routes.

The server of worker_feed_test moved into store_fixture.hpp for both feeds.

--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -22,6 +22,14 @@
 namespace
 {
 
+// Empty if nothing of the configuration can be used.
+std::optional<decoded_configuration> configuration_in(const std::string& body)
+{
+    auto decoded = decode_configuration(body);
+    auto* const read = std::get_if<decoded_configuration>(&decoded);
+    return read == nullptr ? std::nullopt : std::optional(std::move(*read));
+}
+
 // Empty if the entry is malformed.
 std::optional<jobs::worker_entry>
 worker_in(const std::string& body, const worker_id& id = worker_id("i-1"))
@@ -65,7 +73,7 @@
 // accepted.
 TEST(declaration_codec, configuration_is_decoded)
 {
-    const auto read = decode_configuration(R"({"version":7,"routes":[
+    const auto read = configuration_in(R"({"version":7,"routes":[
         {"name":"r","host":"h.example","path_prefix":"/p/","timeout_ms":3000,
          "slo_ms":300,"priority":2,"service":"s","max_attempts":3,
          "stretch":1.5,"allowed_regions":["parana"],
@@ -83,9 +91,9 @@
     EXPECT_TRUE(route.policy.needs_advice);
     EXPECT_EQ(route.policy.regions.size(), 1U);
     EXPECT_TRUE(read->content.services.at(service_id("s")).enforces_capacity);
-    EXPECT_FALSE(decode_configuration("{}"));
-    EXPECT_FALSE(decode_configuration("null"));
-    EXPECT_FALSE(decode_configuration(R"({"version":"7"})"));
+    EXPECT_FALSE(configuration_in("{}"));
+    EXPECT_FALSE(configuration_in("null"));
+    EXPECT_FALSE(configuration_in(R"({"version":"7"})"));
 }
 
 // Failure: a limit that does not fit its type becomes 0 attempts, and a
@@ -93,7 +101,7 @@
 // the queue's jobs.
 TEST(declaration_codec, numbers_of_routes_are_bounded)
 {
-    const auto read = decode_configuration(R"({"version":7,"routes":[
+    const auto read = configuration_in(R"({"version":7,"routes":[
         {"name":"r","host":"h","path_prefix":"/p/","service":"s",
          "timeout_ms":1e308,"slo_ms":1e308,"priority":4294967296,
          "max_attempts":4294967296,"stretch":1e308},
@@ -124,7 +132,7 @@
 // word, or becomes a service without a name.
 TEST(declaration_codec, malformed_rows_of_a_configuration_are_found)
 {
-    const auto read = decode_configuration(R"({"version":7,"routes":[
+    const auto read = configuration_in(R"({"version":7,"routes":[
         5, {"name":"r","host":"h","path_prefix":"/p/","service":"s"},
         {"name":"q","host":5,"path_prefix":"/q/","service":"s"},
         {"name":"t","host":"h","path_prefix":"/p/","service":"s"}],
--- a/tests/adapter/decoder_fuzz_test.cpp
+++ b/tests/adapter/decoder_fuzz_test.cpp
@@ -487,9 +487,13 @@
                                     R"("enforces_capacity":true}],"routes":[)" +
                                     routes + "]}");
     };
-    const auto read = decode(list.with_malformed);
-    const auto others = decode(list.without_malformed);
-    RC_ASSERT(read && others);
+    const auto with_malformed = decode(list.with_malformed);
+    const auto without_malformed = decode(list.without_malformed);
+    const auto* const read =
+        std::get_if<decoded_configuration>(&with_malformed);
+    const auto* const others =
+        std::get_if<decoded_configuration>(&without_malformed);
+    RC_ASSERT(read != nullptr && others != nullptr);
     RC_ASSERT(others->content.routes.size() == 3U);
     RC_ASSERT(others_hold(
         read->content.routes, others->content.routes, list.malformed_index,
--- a/tests/adapter/worker_feed_test.cpp
+++ b/tests/adapter/worker_feed_test.cpp
@@ -1,25 +1,18 @@
 // Guards against a list of workers that loses entries or floods the log with
 // malformed ones.
-#include <functional>
-#include <map>
-#include <memory>
 #include <optional>
-#include <stdexcept>
 #include <string>
 
-#include <QByteArray>
-#include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QUrl>
-#include <QUrlQuery>
-#include <boost/json.hpp>
 #include <gtest/gtest.h>
 
 #include "declaration_feeds.hpp"
+#include "log_capture.hpp"
 #include "malformed_rows.hpp"
+#include "store_fixture.hpp"
 
 using namespace hemlockdeal;
 using namespace hemlockdeal::adapter;
+using namespace hemlockdeal::adapter::test;
 using std::chrono::seconds;
 
 namespace
@@ -37,118 +30,25 @@
     return {{{"servers/i-1", 0, 0}, message}};
 }
 
-// Counts the lines that contain a text in what was logged.
-class log_capture
-{
-public:
-    log_capture()
-    {
-        set_up_buffered_logging(log_level::debug);
-        testing::internal::CaptureStdout();
-    }
-    std::map<std::string, std::size_t>
-    count(const std::vector<std::string>& texts)
-    {
-        flush_log();
-        const auto output = testing::internal::GetCapturedStdout();
-        std::map<std::string, std::size_t> out;
-        for (const auto& text : texts)
-        {
-            for (auto at = output.find(text); at != std::string::npos;
-                 at = output.find(text, at + 1))
-            {
-                ++out[text];
-            }
-        }
-        return out;
-    }
-};
-
 const std::string is_malformed = "worker entry is malformed";
 const std::string is_valid = "worker entry is valid again";
 const std::string held_back = "worker entry lines are held back";
 
-class worker_feed_test : public testing::Test
+class worker_feed_test : public store_fixture
 {
 protected:
-    worker_feed_test() : application(argc, nullptr)
-    {
-        while (!server)
-        {
-            try
-            {
-                server = std::make_unique<http_server>(
-                    address, http_server_limits{},
-                    [this](const http_request& request,
-                           const http_responder& responder) {
-                        ++calls;
-                        responder({200, {}, page_of(request.target)});
-                    });
-            }
-            catch (const std::runtime_error&)
-            {
-                ++address.port;
-            }
-        }
-        store = std::make_unique<store_port>(address);
-        feed = std::make_unique<worker_feed>(
-            *store, std::map<availability_zone_id, region_id>{});
-    }
-
-    std::string page_of(const std::string& target) const
-    {
-        const QUrlQuery query(QUrl(QString::fromStdString(target)));
-        const auto item = [&](const char* name) {
-            return query.queryItemValue(name, QUrl::FullyDecoded).toStdString();
-        };
-        boost::json::array page;
-        bool has_more = false;
-        for (auto row = rows.lower_bound(item("from")); row != rows.end();
-             ++row)
-        {
-            has_more = page.size() == std::stoul(item("limit"));
-            if (has_more)
-            {
-                break;
-            }
-            page.push_back(boost::json::object{
-                {"table", "servers"},
-                {"part", ""},
-                {"key", row->first},
-                {"ver", 5},
-                {"value", QByteArray::fromStdString(row->second)
-                              .toBase64()
-                              .toStdString()}});
-        }
-        return boost::json::serialize(boost::json::object{
-            {"rows", page}, {"ver", 5}, {"more_pages", has_more}});
-    }
-
     node::worker_changes read_all()
     {
         std::optional<node::worker_list_outcome> outcome;
-        feed->read_all(
-            [&](const node::worker_list_outcome& o) { outcome = o; });
-        QElapsedTimer passed;
-        passed.start();
-        while (!outcome && passed.elapsed() < 5000)
-        {
-            QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
-        }
+        feed.read_all([&](const node::worker_list_outcome& o) { outcome = o; });
+        run_until([&] { return outcome.has_value(); });
         const auto* const changes =
             outcome ? std::get_if<node::worker_changes>(&*outcome) : nullptr;
         EXPECT_NE(changes, nullptr);
         return changes == nullptr ? node::worker_changes{} : *changes;
     }
 
-    int argc = 0;
-    QCoreApplication application;
-    socket_address address{"127.0.0.1", 43100};
-    std::unique_ptr<http_server> server;
-    std::unique_ptr<store_port> store;
-    std::unique_ptr<worker_feed> feed;
-    std::map<std::string, std::string> rows;
-    std::size_t calls = 0;
+    worker_feed feed{store, {}};
 };
 
 } // namespace
@@ -190,12 +90,12 @@
         EXPECT_FALSE(read.changes[1].entry);
         EXPECT_TRUE(read.changes[1].is_malformed);
         EXPECT_TRUE(read.changes[3].entry);
-        EXPECT_EQ(feed->malformed_entries(), 3U);
+        EXPECT_EQ(feed.malformed_entries(), 3U);
     }
     rows.erase("i-3");
     rows["i-2"] = valid_entry;
     read_all();
-    EXPECT_EQ(feed->malformed_entries(), 1U);
+    EXPECT_EQ(feed.malformed_entries(), 1U);
     const auto lines = capture.count({is_malformed, is_valid});
     EXPECT_EQ(lines.at(is_malformed), 3U);
     EXPECT_EQ(lines.at(is_valid), 1U);
