--- a/tests/adapter/operator_feed_test.cpp
+++ b/tests/adapter/operator_feed_test.cpp
@@ -105,3 +105,17 @@
     EXPECT_EQ(lines.at("declaration is malformed"), 1U);
     EXPECT_EQ(lines.size(), 4U);
 }
+
+// Failure: zones beyond the first page of declarations stay in service, since
+// the rows after it are never read.
+TEST_F(operator_feed_test, declarations_of_all_pages_are_read)
+{
+    constexpr std::size_t zone_count = 1200;
+    for (std::size_t i = 0; i < zone_count; ++i)
+    {
+        rows["evacuate/z-" + std::to_string(i)] = "";
+    }
+    declare(good_configuration);
+    EXPECT_TRUE(has_route());
+    EXPECT_EQ(closed_zones.size(), zone_count);
+}
