Page on after rows that cannot be decoded

Cause: the next page began with the last row that could be decoded. A page without any such row counted as the last one, so that the workers, jobs and progress behind it were taken for absent.

Change: a page carries the last key that the store named, and paging goes on after it. A page with more rows behind it that names no later key is an error, and the read is repeated.

--- a/src/node/store_message.hpp
+++ b/src/node/store_message.hpp
@@ -93,6 +93,9 @@
 {
     std::vector<stored_row> rows;
     bool has_more = false;
+    // The last key that the page names, also if its row cannot be decoded. The
+    // next page follows it.
+    std::string last_key;
     // The newest version in the store at the time of the read.
     row_version newest;
 };
--- a/tests/adapter/worker_feed_test.cpp
+++ b/tests/adapter/worker_feed_test.cpp
@@ -48,6 +48,14 @@
         return changes == nullptr ? node::worker_changes{} : *changes;
     }
 
+    bool fails_to_read_all()
+    {
+        std::optional<node::worker_list_outcome> outcome;
+        feed.read_all([&](const node::worker_list_outcome& o) { outcome = o; });
+        run_until([&] { return outcome.has_value(); });
+        return outcome && std::holds_alternative<node::not_done>(*outcome);
+    }
+
     worker_feed feed{store, {}};
 };
 
@@ -101,6 +109,48 @@
     EXPECT_EQ(lines.at(is_valid), 1U);
 }
 
+// Failure: a page of rows none of which can be decoded counts as the last one,
+// and the workers after it are not used.
+TEST_F(worker_feed_test, page_of_undecodable_rows_does_not_end_the_list)
+{
+    for (int i = 1000; i < 2200; ++i)
+    {
+        const auto key = "i-" + std::to_string(i);
+        rows[key] = valid_entry;
+        raw_entries[key] = R"({"key":")" + key + R"(","ver":-1})";
+    }
+    rows["i-3000"] = valid_entry;
+    const auto read = read_all();
+    ASSERT_EQ(read.changes.size(), 1U);
+    EXPECT_EQ(read.changes.front().id, worker_id("i-3000"));
+}
+
+// Failure: a page without any key that can be read counts as the last one, and
+// the workers after it are taken for removed.
+TEST_F(worker_feed_test, page_without_keys_is_an_error)
+{
+    for (int i = 1000; i < 1600; ++i)
+    {
+        const auto key = "i-" + std::to_string(i);
+        rows[key] = valid_entry;
+        raw_entries[key] = "{}";
+    }
+    EXPECT_TRUE(fails_to_read_all());
+    raw_entries.clear();
+    EXPECT_EQ(read_all().changes.size(), 600U);
+    // The second page repeats the last key and names no later one.
+    for (int i = 1500; i < 1600; ++i)
+    {
+        raw_entries["i-" + std::to_string(i)] = "{}";
+    }
+    for (int i = 1600; i < 2200; ++i)
+    {
+        rows["i-" + std::to_string(i)] = valid_entry;
+        raw_entries["i-" + std::to_string(i)] = "{}";
+    }
+    EXPECT_TRUE(fails_to_read_all());
+}
+
 // Failure: a row that stays malformed is logged again and again, or its change
 // is not logged.
 TEST(malformed_rows, each_change_is_logged_once)
--- a/tests/node/fake_store.hpp
+++ b/tests/node/fake_store.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -28,6 +29,10 @@
 public:
     store_mode mode = store_mode::responds;
     std::size_t calls = 0;
+    // Keys of rows that reads name, but that cannot be decoded.
+    std::set<std::string> undecodable;
+    // Number of next reads with rows that name no key of them.
+    std::size_t reads_without_keys = 0;
 
     void transact(const transaction& t, duration /*timeout*/,
                   const std::function<void(transaction_outcome)>& callback)
@@ -74,8 +79,18 @@
             if (matches && out.rows.size() < range.limit)
             {
                 out.rows.push_back(row);
+                out.last_key = row.key;
             }
         }
+        if (reads_without_keys > 0 && !out.rows.empty())
+        {
+            --reads_without_keys;
+            out.rows.clear();
+            out.last_key.clear();
+        }
+        std::erase_if(out.rows, [this](const stored_row& row) {
+            return undecodable.contains(row.key);
+        });
         callback(std::move(out));
     }
 
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -151,7 +151,7 @@
     void store_job()
     {
         jobs::job j;
-        j.id = job_id("5c0e7a21d94b36f8");
+        j.id = stored_job;
         j.policy.service = service_id("s");
         jobs::step s;
         s.task_count = 500;
@@ -164,6 +164,24 @@
                        {}, [](const transaction_outcome&) {});
     }
 
+    void put(const std::string& table, const std::string& part,
+             const std::string& key, const std::string& value)
+    {
+        store.transact({part, {}, {{table, key, value}}, {}}, {},
+                       [](const transaction_outcome&) {});
+    }
+
+    // Stores a job behind a page of other rows.
+    void store_job_after_other_rows()
+    {
+        store_job();
+        for (int i = 1000; i < 1600; ++i)
+        {
+            put(inbox_table, inbox_part(stored_job), '0' + std::to_string(i),
+                "{}");
+        }
+    }
+
     void run_for(leader_type& d, duration time)
     {
         for (duration passed{}; passed < time; passed += step_time)
@@ -184,6 +202,7 @@
         ASSERT_LT(workers.starts, 400U);
     }
 
+    const job_id stored_job{"5c0e7a21d94b36f8"};
     test_clock clock;
     fake_store store;
     busy_workers workers;
@@ -284,11 +303,6 @@
     j.id = broken;
     j.policy.service = service_id("s");
     j.steps = {jobs::step{}};
-    const auto put = [&](const std::string& table, const std::string& part,
-                         const std::string& key, const std::string& value) {
-        store.transact({part, {}, {{table, key, value}}, {}}, {},
-                       [](const transaction_outcome&) {});
-    };
     put(inbox_table, inbox_part(broken), broken.value(), jobs::encode_job(j));
     put(progress_table, lead_part, broken.value(), R"({"s":"later state"})");
     const job_id malformed("00000000000000fe");
@@ -444,3 +458,36 @@
     run_for(a, milliseconds(500));
     EXPECT_GT(workers.starts, starts_before);
 }
+
+// Failure: a page of rows none of which can be decoded counts as the last one,
+// and the jobs after it are never run.
+TEST_F(leader_role_test, page_of_undecodable_rows_hides_no_job)
+{
+    store_job_after_other_rows();
+    for (const auto& [name, row] : store.rows())
+    {
+        if (row.key != stored_job.value())
+        {
+            store.undecodable.insert(row.key);
+        }
+    }
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, seconds(1));
+    EXPECT_TRUE(a.leads());
+    EXPECT_GT(workers.starts, 0U);
+}
+
+// Failure: a page without any key that can be read ends the recovery as if
+// there were no more rows, or stops it for good.
+TEST_F(leader_role_test, page_without_keys_is_read_again)
+{
+    store_job_after_other_rows();
+    store.reads_without_keys = 3;
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, seconds(2));
+    EXPECT_EQ(store.reads_without_keys, 0U);
+    EXPECT_TRUE(a.leads());
+    EXPECT_GT(workers.starts, 0U);
+}
