Refuse jobs with a field of another type

Cause: a field of another type counted as 0, empty or false. A task whose size was a string reserved nothing, and a step whose `after` was a number ran before its time.

Fields may be missing, as before. Times and estimates may be fractions: only sizes and counts have to be whole numbers. An estimate above the bound is clamped also if it is too large for an integer; it counted as 0 before.

--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -428,6 +428,90 @@
     }
 }
 
+namespace
+{
+
+// Puts a member between two parts of a body.
+std::string with_member(std::string body, const std::string& name,
+                        const std::string& value, const std::string& rest)
+{
+    body += '"';
+    body.append(name).append("\":").append(value).append(rest);
+    return body;
+}
+
+} // namespace
+
+// Failure: a size, estimate, list or flag of another type counts as 0, empty or
+// false, and the job's tasks reserve nothing or run before their time.
+TEST(job_codec, fields_of_another_type_are_refused)
+{
+    const job_id id("5c0e7a21d94b36f8");
+    const auto refusal_of = [&](const std::string& body) {
+        const auto read = decode_submission(id, body);
+        const auto* const why = std::get_if<std::string>(&read);
+        return why == nullptr ? std::string() : *why;
+    };
+    const std::vector<std::pair<std::string, std::vector<std::string>>> fields =
+        {{"count", {"\"4\"", "null", "[4]", "1.5", "true"}},
+         {"cpu", {"\"500\"", "null", "{}", "0.5", "true", "1e300"}},
+         {"mem_mb", {"\"256\"", "null", "0.5"}},
+         {"gpu", {"\"1\"", "true", "0.5"}},
+         {"estimate_ms", {"\"900\"", "null", "[]", "true"}},
+         {"after", {"0", "\"0\"", "null", "{}", "true"}},
+         {"checkpointing", {"1", "\"true\"", "null"}},
+         {"gang", {"1", "\"true\"", "null"}},
+         {"same_rack", {"1", "\"true\"", "[]"}},
+         {"speculative", {"1", "\"true\"", "{}"}},
+         {"long_running", {"1", "\"true\"", "null"}},
+         {"fills", {"1", "\"true\"", "null"}},
+         {"requirements", {"5", "null", "[\"a\"]"}},
+         {"affinity", {"5", "null", "true"}},
+         {"image", {"5", "null", "{}"}},
+         {"anti_affinity", {"\"1\"", "null", "0.5"}},
+         {"target_ms", {"\"20\"", "null", "[20]"}},
+         {"may_miss", {"\"1\"", "null", "0.5"}}};
+    for (const auto& [name, values] : fields)
+    {
+        for (const auto& value : values)
+        {
+            const auto* const start =
+                name == "count" ? R"({"steps":[{"count":1},{)"
+                                : R"({"steps":[{"count":1},{"count":1,)";
+            const auto why = refusal_of(with_member(start, name, value, "}]}"));
+            EXPECT_NE(why.find("step 1: \"" + name + '"'), std::string::npos)
+                << name << " is " << value << ": " << why;
+        }
+    }
+    for (const std::string name :
+         {"spec", "repeat_count", "first_run_ms", "interval_ms"})
+    {
+        for (const std::string value : {"null", "[]", "true"})
+        {
+            const auto why = refusal_of(
+                with_member(R"({"steps":[{"count":1}],)", name, value, "}"));
+            EXPECT_NE(why.find('"' + name + '"'), std::string::npos)
+                << name << " is " << value << ": " << why;
+        }
+    }
+}
+
+// Failure: a job is refused because it omits fields that are 0, false or empty,
+// or for a time that is no whole number.
+TEST(job_codec, absent_fields_and_fractions_of_times_are_accepted)
+{
+    const auto read = decode_submission(
+        job_id("5c0e7a21d94b36f8"),
+        R"({"steps":[{"count":1},{"count":1.0,"estimate_ms":900.5,)"
+        R"("target_ms":20.5,"gang":false,"after":[]},)"
+        R"({"count":1,"estimate_ms":1e300}]})");
+    const auto* const job = std::get_if<jobs::job>(&read);
+    ASSERT_NE(job, nullptr);
+    EXPECT_EQ(job->steps[0].size, jobs::task_size{});
+    EXPECT_EQ(job->steps[1].estimate, milliseconds(900));
+    EXPECT_GT(job->steps[2].estimate, std::chrono::hours(1));
+}
+
 // Failure: a process that cannot give orders in the required way starts, takes
 // jobs and never runs them.
 TEST(vm_settings, unsupported_way_of_orders_is_an_error)
