Bound the log of undecodable rows in store responses

Cause: the line was written with each response that had such a row, so that one row in a table that is read every 400 ms filled the log.

Change: the store's client keeps what it found by table, part and first key in malformed_rows. It logs `store response is malformed` once for each change, at most 20 lines in 10 s. A read without malformed rows logs that the response is valid again; a feed's response holds only changes and shows nothing of that.

Two existing tests name the rows of a decoded conflict by a member now; what they check is unchanged.

--- a/tests/adapter/decoder_fuzz_test.cpp
+++ b/tests/adapter/decoder_fuzz_test.cpp
@@ -268,7 +268,7 @@
     {
         check_bounds(read->rows);
     }
-    check_bounds(decode_conflict(text));
+    check_bounds(decode_conflict(text).rows);
     decode_committed(text);
     const auto settings = parse_vm_settings(text, "settings");
     if (const auto* const read = std::get_if<vm_settings>(&settings))
--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -36,7 +36,7 @@
         ASSERT_TRUE(read) << malformed;
         ASSERT_EQ(read->rows.size(), 1U) << malformed;
         EXPECT_EQ(read->rows.front().key, "k");
-        EXPECT_EQ(decode_conflict(page_with(malformed)).size(), 1U)
+        EXPECT_EQ(decode_conflict(page_with(malformed)).rows.size(), 1U)
             << malformed;
     }
 }
--- a/tests/adapter/worker_feed_test.cpp
+++ b/tests/adapter/worker_feed_test.cpp
@@ -151,6 +151,48 @@
     EXPECT_TRUE(fails_to_read_all());
 }
 
+// Failure: the log grows with each response that has the same undecodable row,
+// or a change of what was found is not logged.
+TEST_F(worker_feed_test, undecodable_rows_are_logged_when_they_change)
+{
+    rows = {{"i-1", valid_entry}, {"i-2", valid_entry}};
+    raw_entries["i-2"] = R"({"key":"i-2","ver":-1})";
+    log_capture capture;
+    for (int i = 0; i < 5; ++i)
+    {
+        read_all();
+    }
+    raw_entries["i-2"] = R"({"key":"i-2","ver":-2})";
+    read_all();
+    read_all();
+    raw_entries.clear();
+    read_all();
+    raw_entries["i-2"] = "{}";
+    read_all();
+    const auto lines = capture.count({"store response is malformed",
+                                      "row in a store response cannot",
+                                      "store response is valid again"});
+    EXPECT_EQ(lines, (std::map<std::string, std::size_t>{
+                         {"store response is malformed", 3U},
+                         {"store response is valid again", 1U}}));
+}
+
+// Failure: rows that change with each response fill the log.
+TEST_F(worker_feed_test, lines_on_undecodable_rows_are_limited)
+{
+    rows = {{"i-1", valid_entry}};
+    log_capture capture;
+    for (int i = 0; i < 100; ++i)
+    {
+        raw_entries["i-1"] =
+            R"({"key":"i-1","ver":-)" + std::to_string(i + 1) + "}";
+        read_all();
+    }
+    const auto lines = capture.count({"i-1"});
+    EXPECT_GE(lines.at("i-1"), 1U);
+    EXPECT_LE(lines.at("i-1"), 20U);
+}
+
 // Failure: a row that stays malformed is logged again and again, or its change
 // is not logged.
 TEST(malformed_rows, each_change_is_logged_once)
