Follow the highest epoch when the lease row cannot be decoded

Cause: the epoch started at 1 again, and workers, which keep the highest fencing token, refused all orders from then on. A row with an absurd epoch was believed.

Change: each takeover also stores the epoch in the row `epoch` beside the lease, in the same transaction. If the lease row cannot be decoded or names an epoch above its version, the next epoch follows this record, and the lease is taken after the usual silence, since its holder is unknown.

The version of the malformed row alone does not do: it bounds all earlier epochs, because each of them needed a transaction of the store, but the first run number of an epoch is (epoch - 1) * 1000 + 1 in 32 bits, so that an epoch above 4,294,967 wraps round to run numbers that were given before. The counter covers all of the store's transactions and passes that. It is used only up to 2,147,483 where the record is missing, as an earlier release leaves it; above it nobody takes the lead, and an error is logged.

Tests: epoch_rises_beyond_an_undecodable_lease_row, epoch_rises_without_its_record and leader_with_an_undecodable_lease_row_steps_back failed before the change and pass with it.

--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -17,6 +17,7 @@
 #include "jobs/jobs.hpp"
 #include "node/concepts.hpp"
 #include "node/leader_stats.hpp"
+#include "node/lease_record.hpp"
 #include "node/response_time.hpp"
 #include "node/row_barrier.hpp"
 #include "node/row_pages.hpp"
@@ -133,6 +134,11 @@
     };
 
     void poll_lease();
+    void handle_lease_read(const read_outcome& outcome, time_point sent_at);
+    // Reads the record of the epoch in place of the malformed lease row.
+    void read_epoch_record(row_version lease_version, time_point sent_at);
+    void handle_malformed_lease(const read_rows& record,
+                                row_version lease_version, time_point sent_at);
     void try_takeover(time_point now);
     void send(leader_transaction tx);
     void on_outcome(const leader_transaction& tx,
@@ -202,6 +208,8 @@
     response_time response_time_;
     bool is_polling_lease_ = false;
     time_point next_lease_poll_{};
+    // Version of the malformed lease row that was last logged.
+    row_version logged_lease_version_;
     bool has_transaction_in_flight_ = false;
     std::optional<leader_transaction> transaction_to_retry_;
     time_point retry_at_{};
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -57,26 +57,88 @@
     is_polling_lease_ = true;
     next_lease_poll_ = now + options_.lease_poll_interval;
     row_range range{lease_table, lead_part, lease_key, {}, 1};
-    store_.read(
-        range, options_.read_timeout, [this, now](read_outcome outcome) {
-            is_polling_lease_ = false;
-            if (const auto* const failed = std::get_if<not_done>(&outcome))
-            {
-                health_.on_failure(failed->reason);
-                lead_.on_read_failed();
-                return;
-            }
-            health_.on_response(clock_.now());
-            const auto& rows = std::get<read_rows>(outcome).rows;
-            if (rows.empty())
-            {
-                lead_.on_read(std::nullopt, row_version(0), clock_.now());
-                return;
-            }
-            lead_.on_read(jobs::decode_lease(rows.front().value),
-                          rows.front().version, clock_.now(),
-                          clock_.now() - now);
-        });
+    store_.read(range, options_.read_timeout,
+                [this, now](const read_outcome& outcome) {
+                    is_polling_lease_ = false;
+                    handle_lease_read(outcome, now);
+                });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::handle_lease_read(
+    const read_outcome& outcome, time_point sent_at)
+{
+    if (const auto* const failed = std::get_if<not_done>(&outcome))
+    {
+        health_.on_failure(failed->reason);
+        lead_.on_read_failed();
+        return;
+    }
+    health_.on_response(clock_.now());
+    const auto& rows = std::get<read_rows>(outcome).rows;
+    if (rows.empty())
+    {
+        lead_.on_read(std::nullopt, row_version(0), clock_.now());
+        return;
+    }
+    const auto& row = rows.front();
+    const auto lease = decode_lease_row(row);
+    if (!lease)
+    {
+        read_epoch_record(row.version, sent_at);
+        return;
+    }
+    lead_.on_read(lease, row.version, clock_.now(), clock_.now() - sent_at);
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::read_epoch_record(
+    row_version lease_version, time_point sent_at)
+{
+    is_polling_lease_ = true;
+    row_range range{lease_table, lead_part, epoch_key, lease_key, 1};
+    store_.read(range, options_.read_timeout,
+                [this, lease_version, sent_at](const read_outcome& outcome) {
+                    is_polling_lease_ = false;
+                    if (const auto* const failed =
+                            std::get_if<not_done>(&outcome))
+                    {
+                        health_.on_failure(failed->reason);
+                        lead_.on_read_failed();
+                        return;
+                    }
+                    health_.on_response(clock_.now());
+                    handle_malformed_lease(std::get<read_rows>(outcome),
+                                           lease_version, sent_at);
+                });
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::handle_malformed_lease(
+    const read_rows& record, row_version lease_version, time_point sent_at)
+{
+    const auto found =
+        std::ranges::find(record.rows, epoch_key, &stored_row::key);
+    const auto recorded =
+        found == record.rows.end() ? std::nullopt : decode_epoch(*found);
+    const auto epoch = recorded ? recorded : epoch_bound(lease_version);
+    if (std::exchange(logged_lease_version_, lease_version) != lease_version)
+    {
+        log(log_level::error, "lease row cannot be decoded",
+            {{"version", std::to_string(lease_version.value())},
+             {"earlier_epoch", epoch ? std::to_string(*epoch) : "unknown"},
+             {"source", recorded ? "record" : "version"}});
+    }
+    if (!epoch)
+    {
+        // Workers could refuse all orders of a lower epoch.
+        lead_.on_read_failed();
+        return;
+    }
+    // The holder is unknown: the lease is taken only after its silence.
+    jobs::lease_row lease;
+    lease.epoch = *epoch;
+    lead_.on_read(lease, lease_version, clock_.now(), clock_.now() - sent_at);
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
@@ -99,7 +161,9 @@
     tx.lease = *write;
     tx.t.part = lead_part;
     tx.t.conditions = {{lease_table, lease_key, write->expected}};
-    tx.t.writes = {{lease_table, lease_key, jobs::encode_lease(write->row)}};
+    tx.t.writes = {
+        {lease_table, lease_key, jobs::encode_lease(write->row)},
+        {lease_table, epoch_key, std::to_string(write->row.epoch)}};
     send(std::move(tx));
 }
 
@@ -177,7 +241,7 @@
         const auto& rows = std::get<read_rows>(outcome).rows;
         const bool exists = !rows.empty();
         const auto row =
-            exists ? jobs::decode_lease(rows.front().value) : std::nullopt;
+            exists ? decode_lease_row(rows.front()) : std::nullopt;
         const auto version = exists ? rows.front().version : row_version(0);
         const bool was_leader = lead_.leads();
         if (lead_.on_conflict(tx.lease, row, version, tx.sent_at))
--- a/src/node/store_tables.hpp
+++ b/src/node/store_tables.hpp
@@ -31,6 +31,8 @@
 inline const std::string lead_part = "lead";
 inline const std::string lease_table = "lease";
 inline const std::string lease_key = "leader";
+// The epoch alone, written with each takeover.
+inline const std::string epoch_key = "epoch";
 inline const std::string progress_table = "progress";
 inline const std::string fleet_table = "fleet";
 inline std::string fleet_key(std::uint32_t part)
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -491,3 +491,69 @@
     EXPECT_TRUE(a.leads());
     EXPECT_GT(workers.starts, 0U);
 }
+
+// Failure: a lease row that cannot be decoded lets the epoch start at 1 again.
+// Workers keep the highest epoch, so that they refuse all orders.
+TEST_F(leader_role_test, epoch_rises_beyond_an_undecodable_lease_row)
+{
+    const std::vector<std::string> malformed = {
+        "",
+        "\x01",
+        "5",
+        "[]",
+        "{}",
+        R"({"e":"7"})",
+        R"({"e":0})",
+        R"({"e":-1})",
+        R"({"e":1e300})",
+        R"({"e":9007199254740991,"c":1,"h":"x","p":1})"};
+    std::uint64_t earlier = 0;
+    for (std::size_t i = 0; i < malformed.size(); ++i)
+    {
+        auto a = make_leader("a" + std::to_string(i));
+        run_for(a, seconds(5));
+        ASSERT_TRUE(a.leads());
+        EXPECT_GT(a.stats().epoch, earlier) << i;
+        put(lease_table, lead_part, node::lease_key, malformed[i]);
+        auto b = make_leader("b" + std::to_string(i));
+        run_for(b, seconds(5));
+        ASSERT_TRUE(b.leads());
+        EXPECT_EQ(b.stats().epoch, a.stats().epoch + 1) << malformed[i];
+        earlier = b.stats().epoch;
+    }
+}
+
+// Failure: without a record of the epoch, as an earlier release leaves it, the
+// epoch starts at 1 again.
+TEST_F(leader_role_test, epoch_rises_without_its_record)
+{
+    auto a = make_leader("a");
+    run_for(a, seconds(2));
+    const auto earlier = a.stats().epoch;
+    put(lease_table, lead_part, node::lease_key, "\x01");
+    put(lease_table, lead_part, "epoch", "\x01");
+    auto b = make_leader("b");
+    run_for(b, seconds(5));
+    ASSERT_TRUE(b.leads());
+    EXPECT_GT(b.stats().epoch, earlier);
+    auto c = make_leader("c");
+    run_for(c, seconds(5));
+    ASSERT_TRUE(c.leads());
+    EXPECT_EQ(c.stats().epoch, b.stats().epoch + 1);
+}
+
+// Failure: the leader whose lease row is overwritten goes on beside its
+// successor, or a row that another VM may hold is taken at once.
+TEST_F(leader_role_test, leader_with_an_undecodable_lease_row_steps_back)
+{
+    auto a = make_leader("a");
+    run_for(a, seconds(1));
+    ASSERT_TRUE(a.leads());
+    const auto earlier = a.stats().epoch;
+    put(lease_table, lead_part, node::lease_key, "\x01");
+    run_for(a, seconds(1));
+    EXPECT_FALSE(a.leads());
+    run_for(a, seconds(15));
+    EXPECT_TRUE(a.leads());
+    EXPECT_GT(a.stats().epoch, earlier);
+}
