--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -22,6 +22,14 @@
 namespace
 {
 
+// Empty if nothing of the configuration can be used.
+std::optional<decoded_configuration> configuration_in(const std::string& body)
+{
+    auto decoded = decode_configuration(body);
+    auto* const read = std::get_if<decoded_configuration>(&decoded);
+    return read == nullptr ? std::nullopt : std::optional(std::move(*read));
+}
+
 // Empty if the entry is malformed.
 std::optional<jobs::worker_entry>
 worker_in(const std::string& body, const worker_id& id = worker_id("i-1"))
@@ -65,7 +73,7 @@
 // accepted.
 TEST(declaration_codec, configuration_is_decoded)
 {
-    const auto read = decode_configuration(R"({"version":7,"routes":[
+    const auto read = configuration_in(R"({"version":7,"routes":[
         {"name":"r","host":"h.example","path_prefix":"/p/","timeout_ms":3000,
          "slo_ms":300,"priority":2,"service":"s","max_attempts":3,
          "stretch":1.5,"allowed_regions":["parana"],
@@ -83,9 +91,9 @@
     EXPECT_TRUE(route.policy.needs_advice);
     EXPECT_EQ(route.policy.regions.size(), 1U);
     EXPECT_TRUE(read->content.services.at(service_id("s")).enforces_capacity);
-    EXPECT_FALSE(decode_configuration("{}"));
-    EXPECT_FALSE(decode_configuration("null"));
-    EXPECT_FALSE(decode_configuration(R"({"version":"7"})"));
+    EXPECT_FALSE(configuration_in("{}"));
+    EXPECT_FALSE(configuration_in("null"));
+    EXPECT_FALSE(configuration_in(R"({"version":"7"})"));
 }
 
 // Failure: a limit that does not fit its type becomes 0 attempts, and a
@@ -93,7 +101,7 @@
 // the queue's jobs.
 TEST(declaration_codec, numbers_of_routes_are_bounded)
 {
-    const auto read = decode_configuration(R"({"version":7,"routes":[
+    const auto read = configuration_in(R"({"version":7,"routes":[
         {"name":"r","host":"h","path_prefix":"/p/","service":"s",
          "timeout_ms":1e308,"slo_ms":1e308,"priority":4294967296,
          "max_attempts":4294967296,"stretch":1e308},
@@ -124,7 +132,7 @@
 // word, or becomes a service without a name.
 TEST(declaration_codec, malformed_rows_of_a_configuration_are_found)
 {
-    const auto read = decode_configuration(R"({"version":7,"routes":[
+    const auto read = configuration_in(R"({"version":7,"routes":[
         5, {"name":"r","host":"h","path_prefix":"/p/","service":"s"},
         {"name":"q","host":5,"path_prefix":"/q/","service":"s"},
         {"name":"t","host":"h","path_prefix":"/p/","service":"s"}],
@@ -420,6 +428,90 @@
     }
 }
 
+namespace
+{
+
+// Puts a member between two parts of a body.
+std::string with_member(std::string body, const std::string& name,
+                        const std::string& value, const std::string& rest)
+{
+    body += '"';
+    body.append(name).append("\":").append(value).append(rest);
+    return body;
+}
+
+} // namespace
+
+// Failure: a size, estimate, list or flag of another type counts as 0, empty or
+// false, and the job's tasks reserve nothing or run before their time.
+TEST(job_codec, fields_of_another_type_are_refused)
+{
+    const job_id id("5c0e7a21d94b36f8");
+    const auto refusal_of = [&](const std::string& body) {
+        const auto read = decode_submission(id, body);
+        const auto* const why = std::get_if<std::string>(&read);
+        return why == nullptr ? std::string() : *why;
+    };
+    const std::vector<std::pair<std::string, std::vector<std::string>>> fields =
+        {{"count", {"\"4\"", "null", "[4]", "1.5", "true"}},
+         {"cpu", {"\"500\"", "null", "{}", "0.5", "true", "1e300"}},
+         {"mem_mb", {"\"256\"", "null", "0.5"}},
+         {"gpu", {"\"1\"", "true", "0.5"}},
+         {"estimate_ms", {"\"900\"", "null", "[]", "true"}},
+         {"after", {"0", "\"0\"", "null", "{}", "true"}},
+         {"checkpointing", {"1", "\"true\"", "null"}},
+         {"gang", {"1", "\"true\"", "null"}},
+         {"same_rack", {"1", "\"true\"", "[]"}},
+         {"speculative", {"1", "\"true\"", "{}"}},
+         {"long_running", {"1", "\"true\"", "null"}},
+         {"fills", {"1", "\"true\"", "null"}},
+         {"requirements", {"5", "null", "[\"a\"]"}},
+         {"affinity", {"5", "null", "true"}},
+         {"image", {"5", "null", "{}"}},
+         {"anti_affinity", {"\"1\"", "null", "0.5"}},
+         {"target_ms", {"\"20\"", "null", "[20]"}},
+         {"may_miss", {"\"1\"", "null", "0.5"}}};
+    for (const auto& [name, values] : fields)
+    {
+        for (const auto& value : values)
+        {
+            const auto* const start =
+                name == "count" ? R"({"steps":[{"count":1},{)"
+                                : R"({"steps":[{"count":1},{"count":1,)";
+            const auto why = refusal_of(with_member(start, name, value, "}]}"));
+            EXPECT_NE(why.find("step 1: \"" + name + '"'), std::string::npos)
+                << name << " is " << value << ": " << why;
+        }
+    }
+    for (const std::string name :
+         {"spec", "repeat_count", "first_run_ms", "interval_ms"})
+    {
+        for (const std::string value : {"null", "[]", "true"})
+        {
+            const auto why = refusal_of(
+                with_member(R"({"steps":[{"count":1}],)", name, value, "}"));
+            EXPECT_NE(why.find('"' + name + '"'), std::string::npos)
+                << name << " is " << value << ": " << why;
+        }
+    }
+}
+
+// Failure: a job is refused because it omits fields that are 0, false or empty,
+// or for a time that is no whole number.
+TEST(job_codec, absent_fields_and_fractions_of_times_are_accepted)
+{
+    const auto read = decode_submission(
+        job_id("5c0e7a21d94b36f8"),
+        R"({"steps":[{"count":1},{"count":1.0,"estimate_ms":900.5,)"
+        R"("target_ms":20.5,"gang":false,"after":[]},)"
+        R"({"count":1,"estimate_ms":1e300}]})");
+    const auto* const job = std::get_if<jobs::job>(&read);
+    ASSERT_NE(job, nullptr);
+    EXPECT_EQ(job->steps[0].size, jobs::task_size{});
+    EXPECT_EQ(job->steps[1].estimate, milliseconds(900));
+    EXPECT_GT(job->steps[2].estimate, std::chrono::hours(1));
+}
+
 // Failure: a process that cannot give orders in the required way starts, takes
 // jobs and never runs them.
 TEST(vm_settings, unsupported_way_of_orders_is_an_error)
--- a/tests/adapter/worker_feed_test.cpp
+++ b/tests/adapter/worker_feed_test.cpp
@@ -1,25 +1,18 @@
 // Guards against a list of workers that loses entries or floods the log with
 // malformed ones.
-#include <functional>
-#include <map>
-#include <memory>
 #include <optional>
-#include <stdexcept>
 #include <string>
 
-#include <QByteArray>
-#include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QUrl>
-#include <QUrlQuery>
-#include <boost/json.hpp>
 #include <gtest/gtest.h>
 
 #include "declaration_feeds.hpp"
+#include "log_capture.hpp"
 #include "malformed_rows.hpp"
+#include "store_fixture.hpp"
 
 using namespace hemlockdeal;
 using namespace hemlockdeal::adapter;
+using namespace hemlockdeal::adapter::test;
 using std::chrono::seconds;
 
 namespace
@@ -37,118 +30,33 @@
     return {{{"servers/i-1", 0, 0}, message}};
 }
 
-// Counts the lines that contain a text in what was logged.
-class log_capture
-{
-public:
-    log_capture()
-    {
-        set_up_buffered_logging(log_level::debug);
-        testing::internal::CaptureStdout();
-    }
-    std::map<std::string, std::size_t>
-    count(const std::vector<std::string>& texts)
-    {
-        flush_log();
-        const auto output = testing::internal::GetCapturedStdout();
-        std::map<std::string, std::size_t> out;
-        for (const auto& text : texts)
-        {
-            for (auto at = output.find(text); at != std::string::npos;
-                 at = output.find(text, at + 1))
-            {
-                ++out[text];
-            }
-        }
-        return out;
-    }
-};
-
 const std::string is_malformed = "worker entry is malformed";
 const std::string is_valid = "worker entry is valid again";
 const std::string held_back = "worker entry lines are held back";
 
-class worker_feed_test : public testing::Test
+class worker_feed_test : public store_fixture
 {
 protected:
-    worker_feed_test() : application(argc, nullptr)
-    {
-        while (!server)
-        {
-            try
-            {
-                server = std::make_unique<http_server>(
-                    address, http_server_limits{},
-                    [this](const http_request& request,
-                           const http_responder& responder) {
-                        ++calls;
-                        responder({200, {}, page_of(request.target)});
-                    });
-            }
-            catch (const std::runtime_error&)
-            {
-                ++address.port;
-            }
-        }
-        store = std::make_unique<store_port>(address);
-        feed = std::make_unique<worker_feed>(
-            *store, std::map<availability_zone_id, region_id>{});
-    }
-
-    std::string page_of(const std::string& target) const
-    {
-        const QUrlQuery query(QUrl(QString::fromStdString(target)));
-        const auto item = [&](const char* name) {
-            return query.queryItemValue(name, QUrl::FullyDecoded).toStdString();
-        };
-        boost::json::array page;
-        bool has_more = false;
-        for (auto row = rows.lower_bound(item("from")); row != rows.end();
-             ++row)
-        {
-            has_more = page.size() == std::stoul(item("limit"));
-            if (has_more)
-            {
-                break;
-            }
-            page.push_back(boost::json::object{
-                {"table", "servers"},
-                {"part", ""},
-                {"key", row->first},
-                {"ver", 5},
-                {"value", QByteArray::fromStdString(row->second)
-                              .toBase64()
-                              .toStdString()}});
-        }
-        return boost::json::serialize(boost::json::object{
-            {"rows", page}, {"ver", 5}, {"more_pages", has_more}});
-    }
-
     node::worker_changes read_all()
     {
         std::optional<node::worker_list_outcome> outcome;
-        feed->read_all(
-            [&](const node::worker_list_outcome& o) { outcome = o; });
-        QElapsedTimer passed;
-        passed.start();
-        while (!outcome && passed.elapsed() < 5000)
-        {
-            QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
-        }
+        feed.read_all([&](const node::worker_list_outcome& o) { outcome = o; });
+        run_until([&] { return outcome.has_value(); });
         const auto* const changes =
             outcome ? std::get_if<node::worker_changes>(&*outcome) : nullptr;
         EXPECT_NE(changes, nullptr);
         return changes == nullptr ? node::worker_changes{} : *changes;
     }
 
-    int argc = 0;
-    QCoreApplication application;
-    socket_address address{"127.0.0.1", 43100};
-    std::unique_ptr<http_server> server;
-    std::unique_ptr<store_port> store;
-    std::unique_ptr<worker_feed> feed;
-    std::map<std::string, std::string> rows;
-    std::size_t calls = 0;
+    bool fails_to_read_all()
+    {
+        std::optional<node::worker_list_outcome> outcome;
+        feed.read_all([&](const node::worker_list_outcome& o) { outcome = o; });
+        run_until([&] { return outcome.has_value(); });
+        return outcome && std::holds_alternative<node::not_done>(*outcome);
+    }
+
+    worker_feed feed{store, {}};
 };
 
 } // namespace
@@ -190,17 +98,101 @@
         EXPECT_FALSE(read.changes[1].entry);
         EXPECT_TRUE(read.changes[1].is_malformed);
         EXPECT_TRUE(read.changes[3].entry);
-        EXPECT_EQ(feed->malformed_entries(), 3U);
+        EXPECT_EQ(feed.malformed_entries(), 3U);
     }
     rows.erase("i-3");
     rows["i-2"] = valid_entry;
     read_all();
-    EXPECT_EQ(feed->malformed_entries(), 1U);
+    EXPECT_EQ(feed.malformed_entries(), 1U);
     const auto lines = capture.count({is_malformed, is_valid});
     EXPECT_EQ(lines.at(is_malformed), 3U);
     EXPECT_EQ(lines.at(is_valid), 1U);
 }
 
+// Failure: a page of rows none of which can be decoded counts as the last one,
+// and the workers after it are not used.
+TEST_F(worker_feed_test, page_of_undecodable_rows_does_not_end_the_list)
+{
+    for (int i = 1000; i < 2200; ++i)
+    {
+        const auto key = "i-" + std::to_string(i);
+        rows[key] = valid_entry;
+        raw_entries[key] = R"({"key":")" + key + R"(","ver":-1})";
+    }
+    rows["i-3000"] = valid_entry;
+    const auto read = read_all();
+    ASSERT_EQ(read.changes.size(), 1U);
+    EXPECT_EQ(read.changes.front().id, worker_id("i-3000"));
+}
+
+// Failure: a page without any key that can be read counts as the last one, and
+// the workers after it are taken for removed.
+TEST_F(worker_feed_test, page_without_keys_is_an_error)
+{
+    for (int i = 1000; i < 1600; ++i)
+    {
+        const auto key = "i-" + std::to_string(i);
+        rows[key] = valid_entry;
+        raw_entries[key] = "{}";
+    }
+    EXPECT_TRUE(fails_to_read_all());
+    raw_entries.clear();
+    EXPECT_EQ(read_all().changes.size(), 600U);
+    // The second page repeats the last key and names no later one.
+    for (int i = 1500; i < 1600; ++i)
+    {
+        raw_entries["i-" + std::to_string(i)] = "{}";
+    }
+    for (int i = 1600; i < 2200; ++i)
+    {
+        rows["i-" + std::to_string(i)] = valid_entry;
+        raw_entries["i-" + std::to_string(i)] = "{}";
+    }
+    EXPECT_TRUE(fails_to_read_all());
+}
+
+// Failure: the log grows with each response that has the same undecodable row,
+// or a change of what was found is not logged.
+TEST_F(worker_feed_test, undecodable_rows_are_logged_when_they_change)
+{
+    rows = {{"i-1", valid_entry}, {"i-2", valid_entry}};
+    raw_entries["i-2"] = R"({"key":"i-2","ver":-1})";
+    log_capture capture;
+    for (int i = 0; i < 5; ++i)
+    {
+        read_all();
+    }
+    raw_entries["i-2"] = R"({"key":"i-2","ver":-2})";
+    read_all();
+    read_all();
+    raw_entries.clear();
+    read_all();
+    raw_entries["i-2"] = "{}";
+    read_all();
+    const auto lines = capture.count({"store response is malformed",
+                                      "row in a store response cannot",
+                                      "store response is valid again"});
+    EXPECT_EQ(lines, (std::map<std::string, std::size_t>{
+                         {"store response is malformed", 3U},
+                         {"store response is valid again", 1U}}));
+}
+
+// Failure: rows that change with each response fill the log.
+TEST_F(worker_feed_test, lines_on_undecodable_rows_are_limited)
+{
+    rows = {{"i-1", valid_entry}};
+    log_capture capture;
+    for (int i = 0; i < 100; ++i)
+    {
+        raw_entries["i-1"] =
+            R"({"key":"i-1","ver":-)" + std::to_string(i + 1) + "}";
+        read_all();
+    }
+    const auto lines = capture.count({"i-1"});
+    EXPECT_GE(lines.at("i-1"), 1U);
+    EXPECT_LE(lines.at("i-1"), 20U);
+}
+
 // Failure: a row that stays malformed is logged again and again, or its change
 // is not logged.
 TEST(malformed_rows, each_change_is_logged_once)
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -151,7 +151,7 @@
     void store_job()
     {
         jobs::job j;
-        j.id = job_id("5c0e7a21d94b36f8");
+        j.id = stored_job;
         j.policy.service = service_id("s");
         jobs::step s;
         s.task_count = 500;
@@ -164,6 +164,24 @@
                        {}, [](const transaction_outcome&) {});
     }
 
+    void put(const std::string& table, const std::string& part,
+             const std::string& key, const std::string& value)
+    {
+        store.transact({part, {}, {{table, key, value}}, {}}, {},
+                       [](const transaction_outcome&) {});
+    }
+
+    // Stores a job behind a page of other rows.
+    void store_job_after_other_rows()
+    {
+        store_job();
+        for (int i = 1000; i < 1600; ++i)
+        {
+            put(inbox_table, inbox_part(stored_job), '0' + std::to_string(i),
+                "{}");
+        }
+    }
+
     void run_for(leader_type& d, duration time)
     {
         for (duration passed{}; passed < time; passed += step_time)
@@ -184,6 +202,7 @@
         ASSERT_LT(workers.starts, 400U);
     }
 
+    const job_id stored_job{"5c0e7a21d94b36f8"};
     test_clock clock;
     fake_store store;
     busy_workers workers;
@@ -284,11 +303,6 @@
     j.id = broken;
     j.policy.service = service_id("s");
     j.steps = {jobs::step{}};
-    const auto put = [&](const std::string& table, const std::string& part,
-                         const std::string& key, const std::string& value) {
-        store.transact({part, {}, {{table, key, value}}, {}}, {},
-                       [](const transaction_outcome&) {});
-    };
     put(inbox_table, inbox_part(broken), broken.value(), jobs::encode_job(j));
     put(progress_table, lead_part, broken.value(), R"({"s":"later state"})");
     const job_id malformed("00000000000000fe");
@@ -444,3 +458,102 @@
     run_for(a, milliseconds(500));
     EXPECT_GT(workers.starts, starts_before);
 }
+
+// Failure: a page of rows none of which can be decoded counts as the last one,
+// and the jobs after it are never run.
+TEST_F(leader_role_test, page_of_undecodable_rows_hides_no_job)
+{
+    store_job_after_other_rows();
+    for (const auto& [name, row] : store.rows())
+    {
+        if (row.key != stored_job.value())
+        {
+            store.undecodable.insert(row.key);
+        }
+    }
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, seconds(1));
+    EXPECT_TRUE(a.leads());
+    EXPECT_GT(workers.starts, 0U);
+}
+
+// Failure: a page without any key that can be read ends the recovery as if
+// there were no more rows, or stops it for good.
+TEST_F(leader_role_test, page_without_keys_is_read_again)
+{
+    store_job_after_other_rows();
+    store.reads_without_keys = 3;
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, seconds(2));
+    EXPECT_EQ(store.reads_without_keys, 0U);
+    EXPECT_TRUE(a.leads());
+    EXPECT_GT(workers.starts, 0U);
+}
+
+// Failure: a lease row that cannot be decoded lets the epoch start at 1 again.
+// Workers keep the highest epoch, so that they refuse all orders.
+TEST_F(leader_role_test, epoch_rises_beyond_an_undecodable_lease_row)
+{
+    const std::vector<std::string> malformed = {
+        "",
+        "\x01",
+        "5",
+        "[]",
+        "{}",
+        R"({"e":"7"})",
+        R"({"e":0})",
+        R"({"e":-1})",
+        R"({"e":1e300})",
+        R"({"e":9007199254740991,"c":1,"h":"x","p":1})"};
+    std::uint64_t earlier = 0;
+    for (std::size_t i = 0; i < malformed.size(); ++i)
+    {
+        auto a = make_leader("a" + std::to_string(i));
+        run_for(a, seconds(5));
+        ASSERT_TRUE(a.leads());
+        EXPECT_GT(a.stats().epoch, earlier) << i;
+        put(lease_table, lead_part, node::lease_key, malformed[i]);
+        auto b = make_leader("b" + std::to_string(i));
+        run_for(b, seconds(5));
+        ASSERT_TRUE(b.leads());
+        EXPECT_EQ(b.stats().epoch, a.stats().epoch + 1) << malformed[i];
+        earlier = b.stats().epoch;
+    }
+}
+
+// Failure: without a record of the epoch, as an earlier release leaves it, the
+// epoch starts at 1 again.
+TEST_F(leader_role_test, epoch_rises_without_its_record)
+{
+    auto a = make_leader("a");
+    run_for(a, seconds(2));
+    const auto earlier = a.stats().epoch;
+    put(lease_table, lead_part, node::lease_key, "\x01");
+    put(lease_table, lead_part, "epoch", "\x01");
+    auto b = make_leader("b");
+    run_for(b, seconds(5));
+    ASSERT_TRUE(b.leads());
+    EXPECT_GT(b.stats().epoch, earlier);
+    auto c = make_leader("c");
+    run_for(c, seconds(5));
+    ASSERT_TRUE(c.leads());
+    EXPECT_EQ(c.stats().epoch, b.stats().epoch + 1);
+}
+
+// Failure: the leader whose lease row is overwritten goes on beside its
+// successor, or a row that another VM may hold is taken at once.
+TEST_F(leader_role_test, leader_with_an_undecodable_lease_row_steps_back)
+{
+    auto a = make_leader("a");
+    run_for(a, seconds(1));
+    ASSERT_TRUE(a.leads());
+    const auto earlier = a.stats().epoch;
+    put(lease_table, lead_part, node::lease_key, "\x01");
+    run_for(a, seconds(1));
+    EXPECT_FALSE(a.leads());
+    run_for(a, seconds(15));
+    EXPECT_TRUE(a.leads());
+    EXPECT_GT(a.stats().epoch, earlier);
+}
