Find overlong keys behind a string that ends with quotes

Cause: a multi-line TOML string may end with up to two quotes of its own before its delimiter. key_scanner took the first three quotes as the delimiter and the next one as the start of a line string, and skipped the rest of the line. A key of 100,000 parts there reached the parser, whose stack overflowed. Dots in a string behind such a string were counted as dots of a key, so that a sound document was refused.

Change: up to two more quotes of the same kind belong to the string, as in the parser.

Nested inline tables are another fault.

Tests: long_key_after_quotes_before_a_delimiter_is_found (after the test of, for both kinds of quotes, one and two of them, empty strings and CRLF) ended with status 139 before; the new lines of dots_outside_keys_are_not_counted failed before. test_settings passes (17 tests).

--- a/src/settings/key_scanner.cpp
+++ b/src/settings/key_scanner.cpp
@@ -90,6 +90,12 @@
         }
     }
     position_ = std::min(position_ + delimiter.size(), text_.size());
+    // The string may end with up to two quotes of its own, which precede the
+    // delimiter: all but the last three of five quotes belong to the string.
+    for (int i = 0; i < 2 && is_at(std::string_view(&quote, 1)); ++i)
+    {
+        advance();
+    }
 }
 
 void key_scanner::advance()
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -323,6 +323,36 @@
               std::chrono::seconds(5));
 }
 
+// Failure: a multi-line string that ends with quotes of its own hides the key
+// behind it from the check, and the parser overflows the stack.
+TEST(settings, long_key_after_quotes_before_a_delimiter_is_found)
+{
+    std::string key;
+    for (int i = 0; i < 100'000; ++i)
+    {
+        key += "a.";
+    }
+    for (const char quote : {'"', '\''})
+    {
+        const std::string delimiter(3, quote);
+        for (const std::size_t own_quotes : {1U, 2U})
+        {
+            for (const std::string content : {"x", "", "x\r\n"})
+            {
+                std::string document = "a = [" + delimiter;
+                document += content;
+                document.append(own_quotes, quote);
+                document += delimiter;
+                document += ", {" + key + "b = 1}]\n";
+                EXPECT_TRUE(std::holds_alternative<findings>(
+                    parse_settings(document, "s.toml")));
+                EXPECT_TRUE(std::holds_alternative<findings>(
+                    parse_declaration(document, "d.toml")));
+            }
+        }
+    }
+}
+
 // Failure: dots that belong to no key make a sound document an error.
 TEST(settings, dots_outside_keys_are_not_counted)
 {
@@ -336,7 +366,12 @@
          {"# " + dots, "a = 1 # " + dots, "a = \"" + dots + "\"",
           "a = '" + dots + "'", "a = \"\\\"" + dots + "\"",
           "a = \"\"\"\n" + dots + "\n\"\"\"", "a = '''\n" + dots + "\n'''",
-          "a = [" + numbers + "]", "\"" + dots + "\" = 1"})
+          "a = [" + numbers + "]", "\"" + dots + "\" = 1",
+          "a = [\"\"\"x\"\"\"\", \"" + dots + "\"]",
+          "a = [\"\"\"x\"\"\"\"\", \"" + dots + "\"]",
+          "a = [\"\"\"\"\"\"\", \"" + dots + "\"]",
+          "a = ['''x'''', '" + dots + "']", "a = ['''x''''', '" + dots + "']",
+          "a = [''''''', '" + dots + "']"})
     {
         const auto parsed = parse_settings(line, "s.toml");
         const auto* const found = std::get_if<findings>(&parsed);
