Bound the parts of the keys around a nested value together

Cause: the scanner counted the dots of each key alone. The parser recurses through the parts of all keys around a value: 200 nested inline tables with keys of 251 parts pass with the default stack and overflow one of 1 MB.

Change: the dots of the keys of open arrays and inline tables are added; their sum has the limit of one key, 256. With the parser's own limit of 256 nested values, a header and a key, the depth has a bound that does not multiply.

Ruled out by reading: the parser accepts no bracket or brace outside strings, comments and dates that opens or closes no value, so that the sum does not fall early. A document with an unclosed bracket, which is a syntax error, may get one more finding.

Test: dots_of_nested_keys_are_counted_together failed before, and ended with status 139 at ulimit -s 1024.

--- a/src/settings/finding_list.cpp
+++ b/src/settings/finding_list.cpp
@@ -143,8 +143,10 @@
         if (const auto line =
                 key_scanner(remaining).find_overlong_key(max_key_dots))
         {
-            found.add({line, 1}, "syntax error: a key with more than " +
-                                     std::to_string(max_key_dots) + " dots");
+            found.add({line, 1},
+                      "syntax error: a key with more than " +
+                          std::to_string(max_key_dots) +
+                          " dots, including those of the keys around it");
             found.set_incomplete();
             if (!blank_line(remaining, line))
             {
--- a/src/settings/key_scanner.cpp
+++ b/src/settings/key_scanner.cpp
@@ -9,18 +9,14 @@
 
 std::uint32_t key_scanner::find_overlong_key(std::size_t max_dots)
 {
-    constexpr std::string_view delimiters = "=,[]{}\n";
-    std::size_t dots = 0;
     while (!is_at_end())
     {
         if (skip_comment() || skip_string())
         {
             continue;
         }
-        const char c = text_[position_];
-        dots = delimiters.find(c) != std::string_view::npos ? 0 : dots;
-        dots += c == '.' ? 1 : 0;
-        if (dots > max_dots)
+        count(text_[position_]);
+        if (dots_ + open_dots_ > max_dots)
         {
             return line_;
         }
@@ -29,6 +25,32 @@
     return 0;
 }
 
+void key_scanner::count(char c)
+{
+    constexpr std::string_view delimiters = "=,[]{}\n";
+    if (c == '.')
+    {
+        ++dots_;
+        return;
+    }
+    if (delimiters.find(c) == std::string_view::npos)
+    {
+        return;
+    }
+    if (c == '[' || c == '{')
+    {
+        open_values_.push_back(key_dots_);
+        open_dots_ += key_dots_;
+    }
+    if ((c == ']' || c == '}') && !open_values_.empty())
+    {
+        open_dots_ -= open_values_.back();
+        open_values_.pop_back();
+    }
+    key_dots_ = c == '=' ? dots_ : 0;
+    dots_ = 0;
+}
+
 bool key_scanner::skip_comment()
 {
     if (!is_at("#"))
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -353,6 +353,47 @@
     }
 }
 
+// Failure: nested inline tables with long keys pass the check one by one, and
+// the parser, which nests a table for each part, overflows a small stack.
+TEST(settings, dots_of_nested_keys_are_counted_together)
+{
+    const auto nested = [](std::size_t depth, std::size_t dots,
+                           const std::string& open, const std::string& close) {
+        std::string key;
+        for (std::size_t i = 0; i < dots; ++i)
+        {
+            key += "a.";
+        }
+        std::string out = "1";
+        for (std::size_t i = 0; i < depth; ++i)
+        {
+            out.insert(0, open + key + "b = ");
+            out += close;
+        }
+        return "a = " + out + "\n";
+    };
+    const auto is_refused = [](const std::string& document) {
+        const auto parsed = parse_settings(document, "s.toml");
+        const auto* const found = std::get_if<findings>(&parsed);
+        return found != nullptr &&
+               std::ranges::any_of(*found, [](const finding& f) {
+                   return f.message.find("syntax error") != std::string::npos;
+               });
+    };
+    EXPECT_TRUE(is_refused(nested(200, 250, "{", "}")));
+    EXPECT_TRUE(is_refused(nested(30, 9, "{", "}")));
+    EXPECT_TRUE(is_refused(nested(30, 9, "[1.5, {", "}]")));
+    EXPECT_FALSE(is_refused(nested(20, 9, "{", "}")));
+    EXPECT_FALSE(is_refused(nested(20, 9, "[1.5, {", "}]")));
+    // Keys that are not nested in each other.
+    std::string siblings = "a = [";
+    for (int i = 0; i < 100; ++i)
+    {
+        siblings += "{a.a.a.b = [1.5]}, ";
+    }
+    EXPECT_FALSE(is_refused(siblings + "]\n"));
+}
+
 // Failure: dots that belong to no key make a sound document an error.
 TEST(settings, dots_outside_keys_are_not_counted)
 {
