Report no reason from a part of the workers that all refuse

Cause: the workers that are left in the budget of a check were taken for all workers. With 1,900 workers the fifth step of a check is evaluated on 400 of them; if none suits, the log said "constraints not satisfied", although another worker satisfies them.

Change: the reason is `not_examined` if the budget does not cover the fleet and no evaluated worker satisfies the constraints. The log examines such tasks first at the next check. Better reasons of an evaluated part stay.

Ruled out: a step is not left out as a whole when the budget does not cover the fleet, because a better reason of the part is one that holds for that worker. In a fleet above 2,000 workers, the limit of one step, a step that no worker suits is now never given a reason and is examined first at each check; the fleet to design for has 1,900.

--- a/src/jobs/wait_diagnosis.cpp
+++ b/src/jobs/wait_diagnosis.cpp
@@ -133,6 +133,12 @@
         finding.reason = std::max(finding.reason, obstacle);
         ++worker;
     }
+    if (count < fleet.size() &&
+        finding.reason == wait_reason::no_suitable_worker)
+    {
+        // Another worker may satisfy the constraints.
+        finding.reason = wait_reason::not_examined;
+    }
     next_worker_ = worker == fleet.end() ? worker_id() : worker->first;
     finding.obstacles = describe(workers);
     return finding;
--- a/src/jobs/wait_reason.hpp
+++ b/src/jobs/wait_reason.hpp
@@ -51,7 +51,7 @@
     not_stored,
     // Some tasks of the gang have room, but not all, or not all of them wait.
     gang_incomplete,
-    // Too many tasks wait for each one to be examined.
+    // Too many tasks wait for each one to be examined on all workers.
     not_examined
 };
 
--- a/tests/jobs/wait_diagnosis_test.cpp
+++ b/tests/jobs/wait_diagnosis_test.cpp
@@ -181,3 +181,39 @@
         wait_reason::not_examined, wait_reason::not_examined};
     EXPECT_EQ(reasons, expected);
 }
+
+// Failure: the workers that are left in the budget of a check are taken for
+// all workers, so that a step counts as one that no worker suits.
+TEST_F(wait_diagnosis_test, reason_of_each_step_regards_all_workers)
+{
+    state.fleet.clear();
+    for (int i = 0; i < 1900; ++i)
+    {
+        add_worker("w" + std::to_string(10'000 + i));
+    }
+    auto& suitable = *state.find_worker(worker_id("w11000"));
+    suitable.entry.labels = {"x"};
+    suitable.full_until = now + seconds(1);
+    wait_circumstances circumstances;
+    circumstances.now = now;
+    diagnosis.begin_check();
+    for (int i = 0; i < 5; ++i)
+    {
+        job j;
+        j.id = job_id("j" + std::to_string(i));
+        j.policy.service = service_id("s");
+        step s;
+        s.task_count = 1;
+        s.size = {1000, 1000, 0};
+        s.is_long_running = true;
+        s.required_label = "x";
+        j.steps = {s};
+        state.registry.add(j, std::nullopt);
+        const auto found = diagnosis.find(*state.registry.find(j.id),
+                                          {j.id, 0, 0, 0}, circumstances);
+        EXPECT_TRUE(found.reason == wait_reason::room_refused ||
+                    found.reason == wait_reason::not_examined)
+            << j.id.value() << ": " << to_text(found.reason) << " ("
+            << found.obstacles << ')';
+    }
+}
