--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -42,37 +42,37 @@
     const row_pages& pages, std::uint64_t epoch,
     std::function<void(read_rows)> callback)
 {
-    store_.read(
-        pages.range(), options_.read_timeout,
-        [this, pages, epoch, callback](read_outcome outcome) {
-            if (!is_current(epoch))
-            {
-                return;
-            }
-            auto next = pages;
-            if (auto* const page = std::get_if<read_rows>(&outcome))
-            {
-                outcome = next.take(std::move(*page));
-            }
-            if (const auto* const failed = std::get_if<not_done>(&outcome))
-            {
-                health_.on_failure(failed->reason);
-                clock_.later(options_.retry_delay, [=, this] {
-                    if (is_current(epoch))
+    store_.read(pages.range(), options_.read_timeout,
+                [this, pages, epoch, callback](read_outcome outcome) {
+                    if (!is_current(epoch))
+                    {
+                        return;
+                    }
+                    auto next = pages;
+                    if (auto* const page = std::get_if<read_rows>(&outcome))
                     {
-                        read_table(pages, epoch, callback);
+                        outcome = next.take(std::move(*page));
+                    }
+                    if (const auto* const failed =
+                            std::get_if<not_done>(&outcome))
+                    {
+                        health_.on_failure(failed->reason);
+                        clock_.later(options_.retry_delay, [=, this] {
+                            if (is_current(epoch))
+                            {
+                                read_table(pages, epoch, callback);
+                            }
+                        });
+                        return;
+                    }
+                    health_.on_response(clock_.now());
+                    const auto& read = std::get<read_rows>(outcome);
+                    callback(read);
+                    if (read.has_more)
+                    {
+                        read_table(next, epoch, callback);
                     }
                 });
-                return;
-            }
-            health_.on_response(clock_.now());
-            const auto& read = std::get<read_rows>(outcome);
-            callback(read);
-            if (read.has_more)
-            {
-                read_table(next, epoch, callback);
-            }
-        });
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
