--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -354,9 +354,14 @@
 {
     const auto now = clock_.now();
     workers_position_ = std::max(workers_position_, changes.newest);
+    // Workers with an entry, which may be malformed.
     std::set<worker_id> listed;
     for (const auto& change : changes.changes)
     {
+        if (change.entry || change.is_malformed)
+        {
+            listed.insert(change.id);
+        }
         if (!change.entry)
         {
             scheduler_->remove_worker(change.id, now,
@@ -365,7 +370,6 @@
                                           : jobs::entry_loss::removed);
             continue;
         }
-        listed.insert(change.id);
         scheduler_->set_worker(*change.entry, now);
     }
     if (changes.is_snapshot)
@@ -373,7 +377,9 @@
         std::vector<worker_id> removed;
         for (const auto& [id, worker] : scheduler_->fleet())
         {
-            if (!listed.contains(id) && !worker.is_unlisted)
+            // An unlisted worker may have had a malformed entry.
+            if (!listed.contains(id) &&
+                (!worker.is_unlisted || worker.has_malformed_entry))
             {
                 removed.push_back(id);
             }
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -74,6 +74,7 @@
     // The feed's history is lost before the next changes.
     bool loses_history = false;
     bool entry_is_malformed = false;
+    bool is_listed = true;
     std::size_t snapshots = 0;
     jobs::task_size capacity{16000, 64000, 0};
 
@@ -99,10 +100,14 @@
         worker_changes changes;
         changes.newest = row_version(1);
         changes.is_snapshot = true;
-        changes.changes.push_back(
-            {entry().id,
-             entry_is_malformed ? std::nullopt : std::optional(listed_entry()),
-             entry_is_malformed});
+        if (is_listed)
+        {
+            changes.changes.push_back({entry().id,
+                                       entry_is_malformed
+                                           ? std::nullopt
+                                           : std::optional(listed_entry()),
+                                       entry_is_malformed});
+        }
         callback(changes);
     }
     void read_changes(row_version after,
@@ -422,6 +427,29 @@
     EXPECT_GT(workers.starts, starts_before);
 }
 
+// Failure: a malformed entry that is removed while the history is lost counts
+// as malformed for ever, and tasks that may be on its worker wait longer.
+TEST_F(leader_role_test, snapshot_without_a_malformed_entry_removes_its_worker)
+{
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, milliseconds(300));
+    ASSERT_EQ(a.stats().workers, 1U);
+    list.next_change = {worker_id("w"), std::nullopt, true};
+    run_for(a, seconds(1));
+    list.loses_history = true;
+    list.entry_is_malformed = true;
+    run_for(a, seconds(2));
+    // A worker with a malformed entry is kept for a while.
+    EXPECT_EQ(list.snapshots, 2U);
+    EXPECT_EQ(a.stats().workers, 1U);
+    list.loses_history = true;
+    list.is_listed = false;
+    run_for(a, seconds(2));
+    EXPECT_EQ(list.snapshots, 3U);
+    EXPECT_EQ(a.stats().workers, 0U);
+}
+
 // Failure: a leader that finds only a malformed entry starts tasks by it, or
 // none once the entry is valid.
 TEST_F(leader_role_test, malformed_entry_at_a_takeover_names_no_worker)
