Repeat the stops of given-up starts until they are confirmed

Cause: the stop that tells a worker to refuse a start that was given up was sent once, with the first report, and forgotten. If it was lost, a worker that had restarted could still carry out the late start beside the run elsewhere.

Change: it is sent again every 0.7 s (stop_retry) until the worker confirms it or max_order_delay has passed since the order. A start given up after that time is still withdrawn once. Starts go only to workers that respond, so that the list of one silence holds at most the starts that were on their way; entries that were sent are dropped after max_order_delay.

Ruled out: repeating with reports only, because a worker without runs is not polled; stopping a later run of the task, because a stop ends runs up to its number. Not covered: a worker that confirms and restarts once more, and one that leaves the list again after its response and is forgotten with its list.

--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -109,6 +109,16 @@
     bool is_serving() const { return tail_target > duration{}; }
 };
 
+// A start without a response whose task may have been started elsewhere.
+struct given_up_start
+{
+    task_key task;
+    std::uint32_t run = 0;
+    time_point ordered_at{};
+    // When the worker was last told to refuse it.
+    std::optional<time_point> stop_ordered_at;
+};
+
 // Returns the record of a run of this step that is ordered at `now`.
 run_record make_run(const step& s, std::uint32_t run, time_point now);
 
@@ -186,8 +196,9 @@
 
     // Starts without a response that were abandoned after all leases had ended.
     // A worker that has restarted in the meantime knows neither the deadline
-    // nor the stop, so it is told to refuse them as soon as it responds.
-    std::vector<std::pair<task_key, std::uint32_t>> given_up;
+    // nor the stop, so it is told to refuse them as soon as it responds, and
+    // until it confirms that or none can take effect any more.
+    std::vector<given_up_start> given_up;
     // The membership list shows another incarnation than the one that responded
     // last.
     bool has_restarted = false;
--- a/src/jobs/order_response_handler.cpp
+++ b/src/jobs/order_response_handler.cpp
@@ -88,6 +88,9 @@
                                                std::uint32_t run,
                                                time_point now)
 {
+    std::erase_if(worker.given_up, [&](const given_up_start& start) {
+        return start.task == key && start.run == run && start.stop_ordered_at;
+    });
     auto* const record = worker.find_run(key);
     if (record != nullptr && record->run == run && !record->stop_confirmed_at)
     {
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <string>
-#include <utility>
 
 namespace hemlockdeal::jobs
 {
@@ -27,10 +26,7 @@
     worker.failed_polls = 0;
     worker.has_restarted = false;
     worker.has_ended = false;
-    for (const auto& [key, run] : std::exchange(worker.given_up, {}))
-    {
-        state_.orders.emplace_back(stop_order{worker.entry.id, key, run});
-    }
+    worker_ends_.withdraw_given_up_starts(worker, now);
     count_unreadable_rows(worker, report);
     run_ends_.on_report(worker, report, now);
     reported_runs_.on_report(worker, report, now);
--- a/src/jobs/worker_end_handler.cpp
+++ b/src/jobs/worker_end_handler.cpp
@@ -47,9 +47,51 @@
     }
 }
 
+void worker_end_handler::withdraw_given_up_starts(fleet_worker& worker,
+                                                  time_point now)
+{
+    for (auto& start : worker.given_up)
+    {
+        if (!start.stop_ordered_at)
+        {
+            order_refusal(worker, start, now);
+        }
+    }
+}
+
+void worker_end_handler::repeat_withdrawals(fleet_worker& worker,
+                                            time_point now)
+{
+    std::erase_if(worker.given_up, [&](const given_up_start& start) {
+        return start.stop_ordered_at &&
+               now - start.ordered_at >= state_.options.max_order_delay;
+    });
+    if (worker.failed_polls > 0 || worker.has_ended)
+    {
+        return;
+    }
+    for (auto& start : worker.given_up)
+    {
+        if (start.stop_ordered_at &&
+            now - *start.stop_ordered_at >= state_.options.stop_retry)
+        {
+            order_refusal(worker, start, now);
+        }
+    }
+}
+
+void worker_end_handler::order_refusal(const fleet_worker& worker,
+                                       given_up_start& start, time_point now)
+{
+    start.stop_ordered_at = now;
+    state_.orders.emplace_back(
+        stop_order{worker.entry.id, start.task, start.run});
+}
+
 void worker_end_handler::check_lease_expiry(fleet_worker& worker,
                                             time_point now)
 {
+    repeat_withdrawals(worker, now);
     const bool is_silent =
         worker.failed_polls > 0 || worker.poll_sent_at.has_value();
     if (worker.runs().empty() || !is_silent || !worker.knows_clock() ||
@@ -71,7 +113,7 @@
             pending_starts.emplace_back(key, run);
             continue;
         }
-        worker.given_up.emplace_back(key, run.run);
+        worker.given_up.push_back({key, run.run, run.ordered_at, {}});
     }
     std::ranges::for_each(pending_starts, [&](const auto& entry) {
         worker.erase_run(entry.first);
--- a/src/jobs/worker_end_handler.hpp
+++ b/src/jobs/worker_end_handler.hpp
@@ -22,8 +22,11 @@
                     time_point sent_at, time_point now);
     // Handles the end of a worker process that `later` has replaced on its VM.
     void on_replaced(fleet_worker& worker, fleet_worker& later, time_point now);
+    // The worker has responded: orders it to refuse the starts that were given
+    // up before.
+    void withdraw_given_up_starts(fleet_worker& worker, time_point now);
     // Requeues the tasks of an unresponsive worker once every lease on it has
-    // expired.
+    // expired. Repeats unconfirmed orders to refuse given-up starts.
     void check_lease_expiry(fleet_worker& worker, time_point now);
 
 private:
@@ -31,6 +34,9 @@
     // worker whose leases have expired, because the worker may have restarted.
     bool may_execute_after_restart(const fleet_worker& worker,
                                    const run_record& run, time_point now) const;
+    void repeat_withdrawals(fleet_worker& worker, time_point now);
+    void order_refusal(const fleet_worker& worker, given_up_start& start,
+                       time_point now);
     // Removes all runs of a worker that certainly runs nothing, and requeues
     // their tasks.
     void drop_runs(fleet_worker& worker, std::string_view reason);
--- a/tests/jobs/scheduler_lease_test.cpp
+++ b/tests/jobs/scheduler_lease_test.cpp
@@ -110,6 +110,15 @@
         leader.on_start_answer(start.worker, start.task, start.run,
                                start_answer::unknown, now);
     }
+
+    static std::vector<stop_order> stops_on_a(const std::vector<order>& orders)
+    {
+        auto stops = orders_of<stop_order>(orders);
+        std::erase_if(stops, [](const stop_order& stop) {
+            return stop.worker != worker_id("a");
+        });
+        return stops;
+    }
 };
 
 } // namespace
@@ -151,6 +160,52 @@
     EXPECT_EQ(orders_of<start_order>(simulate(seconds(2))).size(), 1U);
 }
 
+// Failure: the stop that tells a worker to refuse a start that was given up is
+// lost, and the worker executes the start beside the run on another worker
+// (TWICE).
+TEST_F(unanswered_start_test,
+       start_that_was_given_up_is_stopped_until_confirmed)
+{
+    order_to_silent_worker();
+    const auto ordered_at = now;
+    simulate(seconds(4));
+    leader.remove_worker(worker_id("a"), now);
+    add_worker("b");
+    const auto restarts = orders_of<start_order>(simulate(milliseconds(2400)));
+    ASSERT_EQ(restarts.size(), 1U);
+    const auto given_up_run = restarts.front().run - 1;
+    unresponsive.clear();
+    add_worker("a");
+    const auto stops = stops_on_a(simulate(milliseconds(2000)));
+    // At once, and again at intervals of 0.7 s.
+    ASSERT_EQ(stops.size(), 3U);
+    EXPECT_TRUE(std::ranges::all_of(stops, [&](const stop_order& stop) {
+        return stop.run == given_up_run;
+    }));
+    leader.on_stop_confirmed(worker_id("a"), stops.front().task, given_up_run,
+                             now);
+    EXPECT_TRUE(stops_on_a(simulate(seconds(2))).empty());
+    EXPECT_LT(now - ordered_at, scheduler_options().max_order_delay);
+}
+
+// Failure: a stop that is never confirmed is sent for ever.
+TEST_F(unanswered_start_test,
+       start_that_was_given_up_is_stopped_while_it_counts)
+{
+    order_to_silent_worker();
+    const auto ordered_at = now;
+    simulate(seconds(4));
+    leader.remove_worker(worker_id("a"), now);
+    add_worker("b");
+    simulate(milliseconds(2400));
+    unresponsive.clear();
+    add_worker("a");
+    const auto latest = ordered_at + scheduler_options().max_order_delay;
+    EXPECT_GE(stops_on_a(simulate(latest - now)).size(), 8U);
+    EXPECT_TRUE(stops_on_a(simulate(seconds(3))).empty());
+    EXPECT_TRUE(leader.fleet().at(worker_id("a")).given_up.empty());
+}
+
 // Failure: a leader that may have been superseded starts tasks.
 TEST_F(scheduler_test, nothing_starts_while_the_lead_is_in_doubt)
 {
