--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -42,37 +42,37 @@
     const row_pages& pages, std::uint64_t epoch,
     std::function<void(read_rows)> callback)
 {
-    store_.read(
-        pages.range(), options_.read_timeout,
-        [this, pages, epoch, callback](read_outcome outcome) {
-            if (!is_current(epoch))
-            {
-                return;
-            }
-            auto next = pages;
-            if (auto* const page = std::get_if<read_rows>(&outcome))
-            {
-                outcome = next.take(std::move(*page));
-            }
-            if (const auto* const failed = std::get_if<not_done>(&outcome))
-            {
-                health_.on_failure(failed->reason);
-                clock_.later(options_.retry_delay, [=, this] {
-                    if (is_current(epoch))
+    store_.read(pages.range(), options_.read_timeout,
+                [this, pages, epoch, callback](read_outcome outcome) {
+                    if (!is_current(epoch))
+                    {
+                        return;
+                    }
+                    auto next = pages;
+                    if (auto* const page = std::get_if<read_rows>(&outcome))
+                    {
+                        outcome = next.take(std::move(*page));
+                    }
+                    if (const auto* const failed =
+                            std::get_if<not_done>(&outcome))
+                    {
+                        health_.on_failure(failed->reason);
+                        clock_.later(options_.retry_delay, [=, this] {
+                            if (is_current(epoch))
+                            {
+                                read_table(pages, epoch, callback);
+                            }
+                        });
+                        return;
+                    }
+                    health_.on_response(clock_.now());
+                    const auto& read = std::get<read_rows>(outcome);
+                    callback(read);
+                    if (read.has_more)
                     {
-                        read_table(pages, epoch, callback);
+                        read_table(next, epoch, callback);
                     }
                 });
-                return;
-            }
-            health_.on_response(clock_.now());
-            const auto& read = std::get<read_rows>(outcome);
-            callback(read);
-            if (read.has_more)
-            {
-                read_table(next, epoch, callback);
-            }
-        });
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
@@ -354,9 +354,14 @@
 {
     const auto now = clock_.now();
     workers_position_ = std::max(workers_position_, changes.newest);
+    // Workers with an entry, which may be malformed.
     std::set<worker_id> listed;
     for (const auto& change : changes.changes)
     {
+        if (change.entry || change.is_malformed)
+        {
+            listed.insert(change.id);
+        }
         if (!change.entry)
         {
             scheduler_->remove_worker(change.id, now,
@@ -365,7 +370,6 @@
                                           : jobs::entry_loss::removed);
             continue;
         }
-        listed.insert(change.id);
         scheduler_->set_worker(*change.entry, now);
     }
     if (changes.is_snapshot)
@@ -373,7 +377,9 @@
         std::vector<worker_id> removed;
         for (const auto& [id, worker] : scheduler_->fleet())
         {
-            if (!listed.contains(id) && !worker.is_unlisted)
+            // An unlisted worker may have had a malformed entry.
+            if (!listed.contains(id) &&
+                (!worker.is_unlisted || worker.has_malformed_entry))
             {
                 removed.push_back(id);
             }
