Hand over when the leases on silent workers expire (LOST)

Cause: a leader that released its lead passed on which tasks may run on a silent worker, but not until when. The next one expected the longest lease that anybody could have granted, 9.2 s from its own start, although the worker had been silent for seconds, and each further hand-over began this wait anew.

Change: a leader that releases its lead extends no lease any more, and stores in the same transaction, for each silent worker, the time until its leases have expired and, for starts without a response, the time for which it would have waited itself; in the lease row, the time until the leases of leaders before it have expired. The next leader waits for just that. A bound counts only with the epoch of the leader that released the lease row last; without a bound, and after any other loss of a leader, the wait is as before. After a release the longest wait is one lease (6.2 s), also for a worker that was lost unnoticed.

Why it is safe: who holds the lease row alone grants leases, the bound is taken after the last deadline was ordered, and it is rounded up and counted from a later moment. With bounds that are too short it finds tasks that run twice (leases_that_outlast_their_stored_bound_are_detected).

Not changed: takeovers without a release still wait for 9.2 or 15.2 s.

Tests: tests/jobs/hand_over_test.cpp and guarantees_hold_across_hand_overs. Existing tests are changed only where begin() and release() take other arguments. leader_role.ipp is formatted as well.

--- a/src/jobs/fleet_record.cpp
+++ b/src/jobs/fleet_record.cpp
@@ -36,6 +36,16 @@
     return out;
 }
 
+json::array to_json(const std::vector<unanswered_start>& starts)
+{
+    json::array out;
+    std::ranges::transform(
+        starts, std::back_inserter(out), [](const unanswered_start& start) {
+            return json::array{to_text(start.task), start.wait.count()};
+        });
+    return out;
+}
+
 json::value to_value_with_runs(const fleet_record& record)
 {
     json::object out{{"w", record.worker.value()},
@@ -52,6 +62,15 @@
     {
         out["v"] = record.vm.value();
     }
+    if (record.leases)
+    {
+        out["x"] =
+            json::array{record.leases->epoch, record.leases->left.count()};
+    }
+    if (!record.unanswered_starts.empty())
+    {
+        out["u"] = to_json(record.unanswered_starts);
+    }
     return out;
 }
 
@@ -83,6 +102,61 @@
     return true;
 }
 
+std::optional<std::chrono::milliseconds> to_milliseconds(const json::value& in)
+{
+    json::error_code error;
+    const auto count = in.to_number<std::uint32_t>(error);
+    return error ? std::nullopt
+                 : std::optional(std::chrono::milliseconds(count));
+}
+
+std::optional<unanswered_start> to_unanswered_start(const json::value& in)
+{
+    const auto* const pair = in.if_array();
+    if (pair == nullptr || pair->size() != 2)
+    {
+        return std::nullopt;
+    }
+    auto task = parse_task_key(to_string((*pair)[0]));
+    const auto wait = to_milliseconds((*pair)[1]);
+    if (!task || !wait)
+    {
+        return std::nullopt;
+    }
+    return unanswered_start{std::move(*task), *wait};
+}
+
+// Leaves the bound out if any part of it is malformed: the longest possible one
+// holds then.
+void read_leases(const json::object& in, fleet_record& record)
+{
+    const auto& pair = list_in(in, "x");
+    if (pair.size() != 2)
+    {
+        return;
+    }
+    json::error_code error;
+    const auto epoch = pair[0].to_number<std::uint64_t>(error);
+    const auto left = to_milliseconds(pair[1]);
+    const auto* const starts = in.if_contains("u");
+    if (error || !left || (starts != nullptr && !starts->is_array()))
+    {
+        return;
+    }
+    std::vector<unanswered_start> unanswered;
+    for (const auto& value : list_in(in, "u"))
+    {
+        auto start = to_unanswered_start(value);
+        if (!start)
+        {
+            return;
+        }
+        unanswered.push_back(std::move(*start));
+    }
+    record.leases = lease_bound{epoch, *left};
+    record.unanswered_starts = std::move(unanswered);
+}
+
 std::optional<fleet_record> to_record(const json::value& value)
 {
     fleet_record record;
@@ -111,6 +185,7 @@
     {
         return std::nullopt;
     }
+    read_leases(*in, record);
     return record;
 }
 
--- a/src/jobs/fleet_record.hpp
+++ b/src/jobs/fleet_record.hpp
@@ -1,6 +1,7 @@
 // The stored list of workers that may run tasks, for the next leader.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -8,12 +9,24 @@
 #include <vector>
 
 #include "core/core.hpp"
+#include "jobs/earlier_leases.hpp"
 #include "jobs/job.hpp"
 #include "jobs/row_limit.hpp"
 
 namespace hemlockdeal::jobs
 {
 
+// A start without a response that may still take effect after all leases have
+// expired, counted from a hand-over of the leadership.
+struct unanswered_start
+{
+    task_key task;
+    std::chrono::milliseconds wait{};
+
+    friend bool operator==(const unanswered_start&,
+                           const unanswered_start&) = default;
+};
+
 // Invariant: while `runs` is set, the leader starts nothing on the worker.
 struct fleet_record
 {
@@ -27,6 +40,10 @@
     std::vector<task_key> suspects{};
     // Those of them that had outlived their start-up.
     std::vector<task_key> late_suspects{};
+    // Only with `runs`, when a leader handed its leadership over.
+    std::optional<lease_bound> leases{};
+    // Only with `leases`.
+    std::vector<unanswered_start> unanswered_starts{};
 
     friend bool operator==(const fleet_record&, const fleet_record&) = default;
 };
--- a/src/jobs/fleet_recorder.cpp
+++ b/src/jobs/fleet_recorder.cpp
@@ -24,6 +24,22 @@
     }
 }
 
+void fleet_recorder::hand_over(time_point now)
+{
+    handed_over_at_ = now;
+    for (const auto& [id, worker] : state_.fleet)
+    {
+        if (worker.is_closed() && !worker.runs().empty())
+        {
+            state_.mark_fleet_changed(id);
+        }
+    }
+    for (const auto& [id, record] : recovery_.unseen_workers())
+    {
+        state_.mark_fleet_changed(id);
+    }
+}
+
 std::vector<fleet_part> fleet_recorder::take_changed_parts()
 {
     workers_being_recorded_.clear();
@@ -42,7 +58,9 @@
     {
         if (const auto to = parts.find(fleet_part_of(id)); to != parts.end())
         {
-            to->second.workers.push_back(record);
+            to->second.workers.push_back(
+                handed_over_at_ ? recovery_.hand_over(record, *handed_over_at_)
+                                : record);
         }
     }
     for (auto& [id, worker] : state_.fleet)
@@ -103,9 +121,32 @@
             record.late_suspects.push_back(run.task);
         }
     }
+    bound_leases(record, worker);
     return record;
 }
 
+void fleet_recorder::bound_leases(fleet_record& record,
+                                  const fleet_worker& worker) const
+{
+    if (!handed_over_at_ || !worker.knows_clock())
+    {
+        return;
+    }
+    const auto now = *handed_over_at_;
+    const auto& options = state_.options;
+    const auto expiry = worker.leases_expire_at(options.clock_error);
+    record.leases = lease_bound{state_.epoch, time_left(expiry, now)};
+    for (const auto& [key, run] : worker.runs())
+    {
+        const auto limit =
+            worker.late_start_limit(run, options.max_order_delay);
+        if (!run.confirmed_at && now < limit)
+        {
+            record.unanswered_starts.push_back({key, time_left(limit, now)});
+        }
+    }
+}
+
 void fleet_recorder::on_stored()
 {
     for (const auto& id : std::exchange(workers_being_recorded_, {}))
--- a/src/jobs/fleet_recorder.hpp
+++ b/src/jobs/fleet_recorder.hpp
@@ -2,6 +2,7 @@
 // run.
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "jobs/fleet_record.hpp"
@@ -21,6 +22,9 @@
     // Marks the parts of the list in which a worker is recorded otherwise than
     // it is.
     void mark_outdated_parts();
+    // Records from now on when the leases on workers that do not respond
+    // expire. No lease may be extended any more.
+    void hand_over(time_point now);
     // Returns the parts to be stored.
     std::vector<fleet_part> take_changed_parts();
     // The most recently taken parts have been stored.
@@ -28,9 +32,13 @@
 
 private:
     fleet_record record_of(const worker_id& id, fleet_worker& worker);
+    // Adds what the next leader has to wait for if the leadership is handed
+    // over and the clock of the worker is known.
+    void bound_leases(fleet_record& record, const fleet_worker& worker) const;
 
     scheduler_state& state_;
     const takeover_recovery& recovery_;
+    std::optional<time_point> handed_over_at_;
     // Workers named in the list that is being stored.
     std::vector<worker_id> workers_being_recorded_;
 };
--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -226,6 +226,17 @@
     return clock_read_at_ + slowest + lease_expiry_margin;
 }
 
+time_point fleet_worker::late_start_limit(const run_record& run,
+                                          duration max_order_delay) const
+{
+    // A long-running task must run again within seconds. A worker that has
+    // left the list and is silent is taken for gone: it would be listed again
+    // after a restart.
+    const bool is_gone = is_unlisted && !has_malformed_entry;
+    return run.is_long_running && is_gone ? run.ordered_at
+                                          : run.ordered_at + max_order_delay;
+}
+
 void fleet_worker::restart(worker_incarnation incarnation)
 {
     entry.incarnation = incarnation;
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -238,6 +238,10 @@
     // The runs that are, or may be, on the worker.
     const std::map<task_key, run_record>& runs() const { return runs_; }
     run_record* find_run(const task_key& key);
+    // Until when a start without a response may take effect on a silent worker
+    // whose leases have expired, because the worker may have restarted.
+    time_point late_start_limit(const run_record& run,
+                                duration max_order_delay) const;
     run_record& add_run(const task_key& key, const run_record& run);
     void erase_run(const task_key& key);
     std::size_t runs_of_step(const task_key& key) const;
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -11,6 +11,26 @@
 namespace hemlockdeal::jobs
 {
 
+namespace
+{
+
+// Empty if the member is absent or no whole number.
+std::optional<std::chrono::milliseconds>
+milliseconds_in(const boost::json::object& in, std::string_view member)
+{
+    const auto* const value = in.if_contains(member);
+    if (value == nullptr)
+    {
+        return std::nullopt;
+    }
+    boost::json::error_code error;
+    const auto count = value->to_number<std::uint32_t>(error);
+    return error ? std::nullopt
+                 : std::optional(std::chrono::milliseconds(count));
+}
+
+} // namespace
+
 std::string encode_lease(const lease_row& row)
 {
     boost::json::object out;
@@ -24,6 +44,10 @@
     {
         out["r"] = 1;
     }
+    if (row.earlier_leases_left)
+    {
+        out["w"] = row.earlier_leases_left->count();
+    }
     return boost::json::serialize(out);
 }
 
@@ -44,6 +68,7 @@
     row.processor_share = real_in(*in, "s");
     row.is_recovery_complete = integer_in(*in, "a") != 0;
     row.is_released = integer_in(*in, "r") != 0;
+    row.earlier_leases_left = milliseconds_in(*in, "w");
     return row;
 }
 
@@ -96,11 +121,27 @@
     {
         return std::nullopt;
     }
-    earlier_leader_is_dead_ =
-        is_own_earlier_process && row_.is_recovery_complete;
-    return lease_write{version_,
-                       {row_.epoch + 1, 1, self_, process_, false, false,
-                        options_.processor_share}};
+    predecessors_ = find_predecessors();
+    lease_row next;
+    next.epoch = row_.epoch + 1;
+    next.count = 1;
+    next.holder = self_;
+    next.process = process_;
+    next.processor_share = options_.processor_share;
+    return lease_write{version_, next};
+}
+
+earlier_leaders leadership::find_predecessors() const
+{
+    if (row_.is_released && row_.earlier_leases_left)
+    {
+        return {true, row_.epoch, *row_.earlier_leases_left};
+    }
+    // An earlier process on this VM has ended. The leaders before it granted
+    // no lease that is left if its recovery was complete.
+    const bool is_own_earlier_process =
+        row_.holder == self_ && row_.process != process_;
+    return {is_own_earlier_process && row_.is_recovery_complete, 0, {}};
 }
 
 lease_write leadership::renewal() const
@@ -110,10 +151,12 @@
     return {version_, next};
 }
 
-lease_write leadership::release() const
+lease_write leadership::release(
+    std::optional<std::chrono::milliseconds> earlier_leases_left) const
 {
     auto write = renewal();
     write.row.is_released = true;
+    write.row.earlier_leases_left = earlier_leases_left;
     return write;
 }
 
--- a/src/jobs/leadership.hpp
+++ b/src/jobs/leadership.hpp
@@ -2,12 +2,14 @@
 // leader renews.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "core/core.hpp"
+#include "jobs/earlier_leases.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -27,6 +29,10 @@
     bool is_recovery_complete = false;
     // Share of a processor core available to the holder.
     double processor_share = 0.0;
+    // Set when the lease is released: the holder extends no lease of a worker
+    // any more, and those granted by the leaders before it expire within this
+    // time.
+    std::optional<std::chrono::milliseconds> earlier_leases_left{};
 
     friend bool operator==(const lease_row&, const lease_row&) = default;
 };
@@ -78,9 +84,8 @@
     // attempts of the VMs and lets better suited ones go first.
     std::optional<lease_write> takeover(time_point now, duration extra_wait);
 
-    // True if only an earlier process of this VM, which has ended, may have
-    // orders in transit.
-    bool earlier_leader_is_dead() const { return earlier_leader_is_dead_; }
+    // What was known of the earlier leaders when this VM took the lease.
+    const earlier_leaders& predecessors() const { return predecessors_; }
     void set_recovery_complete(bool complete)
     {
         row_.is_recovery_complete = complete;
@@ -88,7 +93,8 @@
 
     // The lease update for the leader's next transaction.
     lease_write renewal() const;
-    lease_write release() const;
+    lease_write
+    release(std::optional<std::chrono::milliseconds> earlier_leases_left) const;
 
     void on_written(const lease_write& write, row_version version,
                     time_point sent_at, duration elapsed = {});
@@ -111,6 +117,8 @@
     void relinquish(time_point now);
 
 private:
+    earlier_leaders find_predecessors() const;
+
     vm_id self_;
     std::uint64_t process_;
     leadership_options options_;
@@ -118,7 +126,7 @@
     row_version version_;
     bool has_read_ = false;
     bool leads_ = false;
-    bool earlier_leader_is_dead_ = false;
+    earlier_leaders predecessors_;
     // Start of the period in which uninterrupted reads showed this version.
     std::optional<time_point> unchanged_since_;
     time_point last_read_{};
--- a/src/jobs/lease_extension.cpp
+++ b/src/jobs/lease_extension.cpp
@@ -10,6 +10,10 @@
 poll_permission lease_extension::permission_for(time_point now,
                                                 leader_permission permission)
 {
+    if (has_ended_)
+    {
+        return {false, false, false};
+    }
     if (permission.lead_is_valid)
     {
         lead_invalid_since_.reset();
--- a/src/jobs/lease_extension.hpp
+++ b/src/jobs/lease_extension.hpp
@@ -32,6 +32,9 @@
     // determines the followers.
     poll_permission permission_for(time_point now,
                                    leader_permission permission);
+    // Extends nothing from now on, so that the next leader can be told when the
+    // leases expire.
+    void end() { has_ended_ = true; }
 
 private:
     void record_followers();
@@ -40,6 +43,7 @@
     bool reaches_majority(time_point now) const;
 
     const scheduler_state& state_;
+    bool has_ended_ = false;
     std::optional<time_point> lead_invalid_since_;
     // Number of workers that had not ended at that time, and the processes of
     // those among them that a later leader finds in the store. Only these count
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -54,17 +54,24 @@
     recovery_.recover_fleet(may_run_tasks);
 }
 
-void scheduler::begin(time_point now, bool earlier_leader_is_dead)
+void scheduler::begin(time_point now, const earlier_leaders& predecessors)
 {
     // How long the tasks have waited under earlier leaders is not recorded.
     for (const auto& [id, live] : state_.registry.live())
     {
         live->set_long_running_waiting_since(now - max_long_running_wait);
     }
-    recovery_.begin(now, earlier_leader_is_dead);
+    recovery_.begin(now, predecessors);
     long_waits_.begin(now);
 }
 
+std::chrono::milliseconds scheduler::hand_over(time_point now)
+{
+    lease_extension_.end();
+    recorder_.hand_over(now);
+    return recovery_.leases_left(now);
+}
+
 void scheduler::set_services(std::map<service_id, service_policy> services)
 {
     state_.services = std::move(services);
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -55,8 +55,12 @@
     void recover_interference(std::string_view encoded_model);
     // Enables decisions. Tasks of recovered jobs wait until every worker that
     // may run them has been seen or their leases have expired. Leases expire
-    // later if the earlier leader may still be alive and extend them.
-    void begin(time_point now, bool earlier_leader_is_dead = false);
+    // later if the last leader may still be alive and extend them.
+    void begin(time_point now, const earlier_leaders& predecessors = {});
+    // Ends the extension of leases for good, and adds to the changes when the
+    // leases on workers that do not respond expire. Returns the time until
+    // those granted by earlier leaders have expired.
+    std::chrono::milliseconds hand_over(time_point now);
 
     void set_services(std::map<service_id, service_policy> services);
     void set_closed_zones(std::set<availability_zone_id> zones);
--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -17,14 +17,23 @@
     recovered_workers_ = unseen_workers_.size();
 }
 
-void takeover_recovery::begin(time_point now, bool earlier_leader_is_dead)
+void takeover_recovery::begin(time_point now,
+                              const earlier_leaders& predecessors)
 {
     const auto& options = state_.options;
     leases_expire_at_ =
-        now + max_lease() +
-        (earlier_leader_is_dead
-             ? duration{}
-             : options.lead_overlap + options.lease_extension_time);
+        now + (predecessors.last_has_ended
+                   ? std::max(max_lease(), predecessors.leases_left)
+                   : max_lease() + options.lead_overlap +
+                         options.lease_extension_time);
+    handed_over_epoch_ = predecessors.handed_over_epoch;
+    for (const auto& [id, record] : unseen_workers_)
+    {
+        if (has_bound(record))
+        {
+            expire_earlier_at_.emplace(id, now + record.leases->left);
+        }
+    }
     has_begun_ = true;
     begun_at_ = now;
     check(now);
@@ -42,7 +51,8 @@
     // Once more than two thirds of the workers follow this leader, an earlier
     // leader that needs responses from most workers can receive no further
     // ones.
-    const auto seen = recovered_workers_ - unseen_workers_.size();
+    const auto seen =
+        recovered_workers_ - unseen_workers_.size() - expired_workers_;
     if (lease_extension_is_bounded_ || 3 * seen <= 2 * recovered_workers_)
     {
         return;
@@ -74,6 +84,7 @@
     {
         return;
     }
+    forget_expired(now);
     if (unseen_workers_.empty() || now >= leases_expire_at_)
     {
         end(now);
@@ -145,28 +156,101 @@
     return worker->is_unlisted && !worker->has_malformed_entry;
 }
 
-void takeover_recovery::end(time_point now)
+bool takeover_recovery::has_bound(const fleet_record& record) const
 {
-    state_.log_event("recovery of earlier runs complete",
-                     {{"not_seen", std::to_string(unseen_workers_.size())}});
-    // A worker that is not listed counts as crashed, because its VM may never
-    // run another one. If it was only cut off, a run that lasts clears its
-    // tasks. A malformed entry shows nothing.
-    for (const auto& [id, record] : unseen_workers_)
+    // Another leader may have extended the leases since an older bound was
+    // stored.
+    return handed_over_epoch_ > 0 && record.leases &&
+           record.leases->epoch == handed_over_epoch_;
+}
+
+fleet_record takeover_recovery::hand_over(const fleet_record& record,
+                                          time_point now) const
+{
+    auto out = record;
+    if (!record.runs || is_complete())
+    {
+        return out;
+    }
+    const auto earlier = expire_earlier_at_.find(record.worker);
+    const auto expiry = earlier == expire_earlier_at_.end()
+                            ? leases_expire_at_
+                            : std::min(earlier->second, leases_expire_at_);
+    out.leases = lease_bound{state_.epoch, time_left(expiry, now)};
+    if (!has_bound(record))
+    {
+        out.unanswered_starts.clear();
+    }
+    for (auto& start : out.unanswered_starts)
+    {
+        start.wait = time_left(begun_at_ + start.wait, now);
+    }
+    return out;
+}
+
+std::chrono::milliseconds takeover_recovery::leases_left(time_point now) const
+{
+    return time_left(leases_expire_at_, now);
+}
+
+void takeover_recovery::on_leases_expired(const fleet_record& record,
+                                          time_point now)
+{
+    if (has_left_list(record.worker))
+    {
+        crashes_.on_recorded_end(record, now);
+    }
+    if (has_bound(record))
+    {
+        delay_unanswered_starts(record);
+    }
+    // The stored record is obsolete: the worker is gone, or tasks may be
+    // started on it again.
+    state_.mark_fleet_changed(record.worker);
+}
+
+void takeover_recovery::delay_unanswered_starts(const fleet_record& record)
+{
+    for (const auto& start : record.unanswered_starts)
     {
-        if (has_left_list(id))
+        auto* const owner = state_.registry.find(start.task.job);
+        if (owner != nullptr && owner->has(start.task))
         {
-            crashes_.on_recorded_end(record, now);
+            owner->task(start.task).not_before = begun_at_ + start.wait;
         }
     }
-    // Their stored records are obsolete: the workers are gone, or tasks may be
-    // started on them again.
+}
+
+void takeover_recovery::forget_expired(time_point now)
+{
+    for (const auto& [id, expiry] : expire_earlier_at_)
+    {
+        const auto unseen = unseen_workers_.find(id);
+        if (now < expiry || unseen == unseen_workers_.end())
+        {
+            continue;
+        }
+        on_leases_expired(unseen->second, now);
+        unseen_workers_.erase(unseen);
+        unseen_with_malformed_entry_.erase(id);
+        ++expired_workers_;
+        unseen_workers_changed_ = true;
+    }
+    std::erase_if(expire_earlier_at_,
+                  [now](const auto& entry) { return now >= entry.second; });
+}
+
+void takeover_recovery::end(time_point now)
+{
+    state_.log_event("recovery of earlier runs complete",
+                     {{"not_seen", std::to_string(unseen_workers_.size())}});
     for (const auto& [id, record] : unseen_workers_)
     {
-        state_.mark_fleet_changed(id);
+        on_leases_expired(record, now);
     }
     unseen_workers_.clear();
     unseen_with_malformed_entry_.clear();
+    expire_earlier_at_.clear();
     leases_expire_at_ = {};
     update_uncertain_tasks();
 }
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -1,7 +1,9 @@
 // What a new leader knows of the runs that earlier leaders started.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
@@ -24,9 +26,9 @@
 
     // All jobs must have been recovered.
     void recover_fleet(const std::vector<fleet_record>& may_run_tasks);
-    // Leases expire later if the earlier leader may still be alive and extend
+    // Leases expire later if the last leader may still be alive and extend
     // them.
-    void begin(time_point now, bool earlier_leader_is_dead);
+    void begin(time_point now, const earlier_leaders& predecessors);
     void check(time_point now);
     void on_worker_seen(fleet_worker& worker);
     // A worker has responded that runs on its VM after all recorded ones.
@@ -36,6 +38,11 @@
     // know. A malformed one shows nothing of the worker.
     void on_entry_lost(const worker_id& id, bool is_malformed);
 
+    // Record of an unseen worker for the leader to which this one hands over.
+    fleet_record hand_over(const fleet_record& record, time_point now) const;
+    // Time until all leases granted by earlier leaders have expired.
+    std::chrono::milliseconds leases_left(time_point now) const;
+
     // True if no run of an earlier leader is uncertain any more.
     bool is_complete() const
     {
@@ -61,6 +68,16 @@
     void update_uncertain_tasks();
     // True if the list would show the worker if it still ran.
     bool has_left_list(const worker_id& id) const;
+    // True if the last leader stored until when its leases on the worker last.
+    bool has_bound(const fleet_record& record) const;
+    // Keeps the tasks of starts that may still take effect waiting.
+    void delay_unanswered_starts(const fleet_record& record);
+    // Counts a worker that runs nothing any more as crashed if it has left the
+    // list, because its VM may never run another one. If it was only cut off,
+    // a run that lasts clears its tasks. A malformed entry shows nothing.
+    void on_leases_expired(const fleet_record& record, time_point now);
+    // Forgets the unseen workers on which all leases have expired.
+    void forget_expired(time_point now);
     void end(time_point now);
 
     scheduler_state& state_;
@@ -70,11 +87,17 @@
     std::set<worker_id> unseen_with_malformed_entry_;
     // A worker was seen since the uncertain tasks were updated.
     bool unseen_workers_changed_ = true;
+    // When the last lease on any of them expires, and on those for which the
+    // last leader stored an earlier time.
     time_point leases_expire_at_{};
+    std::map<worker_id, time_point> expire_earlier_at_;
     time_point begun_at_{};
+    std::uint64_t handed_over_epoch_ = 0;
     // Number of workers in the list that an earlier leader stored, without
     // those that are known to have ended.
     std::size_t recovered_workers_ = 0;
+    // Those of them that were forgotten without having been seen.
+    std::size_t expired_workers_ = 0;
     bool lease_extension_is_bounded_ = false;
     bool has_begun_ = false;
 };
--- a/src/jobs/worker_end_handler.cpp
+++ b/src/jobs/worker_end_handler.cpp
@@ -108,7 +108,7 @@
         {
             continue;
         }
-        if (may_execute_after_restart(worker, run, now))
+        if (now < worker.late_start_limit(run, state_.options.max_order_delay))
         {
             pending_starts.emplace_back(key, run);
             continue;
@@ -126,18 +126,6 @@
     }
 }
 
-bool worker_end_handler::may_execute_after_restart(const fleet_worker& worker,
-                                                   const run_record& run,
-                                                   time_point now) const
-{
-    // A long-running task must run again within seconds. A worker that has
-    // left the list and is silent is taken for gone: it would be listed again
-    // after a restart.
-    const bool is_gone = worker.is_unlisted && !worker.has_malformed_entry;
-    const bool is_urgent = run.is_long_running && is_gone;
-    return !is_urgent && now - run.ordered_at < state_.options.max_order_delay;
-}
-
 void worker_end_handler::on_replaced(fleet_worker& worker, fleet_worker& later,
                                      time_point now)
 {
--- a/src/jobs/worker_end_handler.hpp
+++ b/src/jobs/worker_end_handler.hpp
@@ -30,10 +30,6 @@
     void check_lease_expiry(fleet_worker& worker, time_point now);
 
 private:
-    // True if a start without a response may still take effect on a silent
-    // worker whose leases have expired, because the worker may have restarted.
-    bool may_execute_after_restart(const fleet_worker& worker,
-                                   const run_record& run, time_point now) const;
     void repeat_withdrawals(fleet_worker& worker, time_point now);
     void order_refusal(const fleet_worker& worker, given_up_start& start,
                        time_point now);
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -232,7 +232,7 @@
              {"jobs_over",
               std::to_string(scheduler_->registry().over().size())},
              {"workers", std::to_string(scheduler_->fleet().size())}});
-        scheduler_->begin(clock_.now(), lead_.earlier_leader_is_dead());
+        scheduler_->begin(clock_.now(), lead_.predecessors());
         recovered_progress_.clear();
         is_active_ = true;
         request_decision();
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -161,9 +161,8 @@
     tx.lease = *write;
     tx.t.part = lead_part;
     tx.t.conditions = {{lease_table, lease_key, write->expected}};
-    tx.t.writes = {
-        {lease_table, lease_key, jobs::encode_lease(write->row)},
-        {lease_table, epoch_key, std::to_string(write->row.epoch)}};
+    tx.t.writes = {{lease_table, lease_key, jobs::encode_lease(write->row)},
+                   {lease_table, epoch_key, std::to_string(write->row.epoch)}};
     send(std::move(tx));
 }
 
@@ -240,8 +239,7 @@
         health_.on_response(clock_.now());
         const auto& rows = std::get<read_rows>(outcome).rows;
         const bool exists = !rows.empty();
-        const auto row =
-            exists ? decode_lease_row(rows.front()) : std::nullopt;
+        const auto row = exists ? decode_lease_row(rows.front()) : std::nullopt;
         const auto version = exists ? rows.front().version : row_version(0);
         const bool was_leader = lead_.leads();
         if (lead_.on_conflict(tx.lease, row, version, tx.sent_at))
@@ -319,7 +317,10 @@
         // Releases the lease at once with the changes at hand: under load there
         // are always more, and workers repeat unacknowledged ends to the next
         // leader.
-        send(make_transaction(lead_.release(), now));
+        const auto earlier_leases_left =
+            is_active ? std::optional(scheduler_->hand_over(now))
+                      : std::nullopt;
+        send(make_transaction(lead_.release(earlier_leases_left), now));
         return;
     }
     if (has_changes || now - last_flush_ >= options_.renewal_interval)
--- a/tests/jobs/crash_fixture.hpp
+++ b/tests/jobs/crash_fixture.hpp
@@ -51,7 +51,7 @@
         {
             leader->set_worker(entry, now);
         }
-        leader->begin(now, true);
+        leader->begin(now, {.last_has_ended = true});
     }
 
     void add_worker(const std::string& name, const std::string& vm)
--- a/tests/jobs/fleet_property_test.cpp
+++ b/tests/jobs/fleet_property_test.cpp
@@ -20,11 +20,12 @@
 constexpr std::uint32_t max_seeds = 3000;
 
 bool is_detected(removed_safeguard removed, std::uint32_t seeds = max_seeds,
-                 bool crashes = false, bool capacity_changes = false)
+                 bool crashes = false, bool capacity_changes = false,
+                 bool hand_overs = false)
 {
     for (std::uint32_t seed = 0; seed < seeds; ++seed)
     {
-        fleet_world world(seed, removed, crashes, capacity_changes);
+        fleet_world world(seed, removed, crashes, capacity_changes, hand_overs);
         world.simulate();
         if (!world.violations().empty())
         {
@@ -34,11 +35,12 @@
     return false;
 }
 
-bool guarantees_hold(bool crashes, bool capacity_changes = false)
+bool guarantees_hold(bool crashes, bool capacity_changes = false,
+                     bool hand_overs = false)
 {
     return rc::check([=](std::uint32_t seed) {
         fleet_world world(seed, removed_safeguard::none, crashes,
-                          capacity_changes);
+                          capacity_changes, hand_overs);
         const bool all_over = world.simulate();
         if (!world.violations().empty())
         {
@@ -80,6 +82,14 @@
     EXPECT_TRUE(guarantees_hold(true, true));
 }
 
+// Failure: a leader that takes over in a planned way starts tasks while they
+// may still run on workers that it has not seen.
+TEST(jobs_fleet, guarantees_hold_across_hand_overs)
+{
+    EXPECT_TRUE(guarantees_hold(false, false, true));
+    EXPECT_TRUE(guarantees_hold(true, false, true));
+}
+
 // Failure with seed 26814: a start on a worker that had restarted unnoticed
 // was executed after its task had been placed elsewhere. With the other two:
 // tasks were started beside a run of a finished job, whose size is unknown.
@@ -109,6 +119,12 @@
     EXPECT_TRUE(is_detected(removed_safeguard::wait_for_unseen_workers));
 }
 
+TEST(jobs_fleet, leases_that_outlast_their_stored_bound_are_detected)
+{
+    EXPECT_TRUE(is_detected(removed_safeguard::leases_of_hand_over, max_seeds,
+                            false, false, true));
+}
+
 TEST(jobs_fleet, live_workers_that_name_one_vm_are_detected)
 {
     EXPECT_TRUE(is_detected(removed_safeguard::one_worker_per_vm));
--- a/tests/jobs/fleet_world.cpp
+++ b/tests/jobs/fleet_world.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace hemlockdeal::jobs::test
 {
@@ -21,6 +22,7 @@
 constexpr duration takeover_time = milliseconds(2600);
 // Probabilities per time step.
 constexpr double leader_kills = 0.004;
+constexpr double hand_overs = 0.006;
 constexpr double worker_restarts = 0.002;
 constexpr double worker_crashes = 0.0015;
 constexpr double disconnections = 0.006;
@@ -45,9 +47,9 @@
 } // namespace
 
 fleet_world::fleet_world(std::uint32_t seed, removed_safeguard removed,
-                         bool crashes, bool capacity_changes)
+                         bool crashes, bool capacity_changes, bool hand_overs)
     : random_(seed), removed_(removed), crashes_(crashes),
-      capacity_changes_(capacity_changes)
+      capacity_changes_(capacity_changes), hand_overs_(hand_overs)
 {
     for (int i = 0; i < worker_count; ++i)
     {
@@ -260,6 +262,10 @@
     {
         kill_leader();
     }
+    if (hand_overs_ && happens(hand_overs))
+    {
+        hand_over();
+    }
     for (auto& [id, w] : workers_)
     {
         if (!w.is_up)
@@ -327,14 +333,54 @@
     {
         leader_->set_worker(workers_.at(id).entry, now_);
     }
-    leader_->begin(now_);
+    leader_->begin(now_, std::exchange(predecessors_, {}));
 }
 
 void fleet_world::kill_leader()
 {
     leader_.reset();
     next_leader_at_ = now_ + takeover_time;
-    // The next leader often cannot reach one of the workers.
+    disconnect_a_worker();
+}
+
+void fleet_world::hand_over()
+{
+    if (!leader_ || is_flushing_)
+    {
+        return;
+    }
+    // Nothing else is stored until the write has arrived.
+    is_flushing_ = true;
+    const auto earlier_leases_left = leader_->hand_over(now_);
+    auto changes = leader_->take_changes();
+    if (removed_ == removed_safeguard::leases_of_hand_over)
+    {
+        for (auto& part : changes.fleet)
+        {
+            for (auto& record : part.workers)
+            {
+                record.leases = lease_bound{epoch_, {}};
+            }
+        }
+    }
+    schedule(milliseconds(10 + random_() % 60),
+             [this, changes, earlier_leases_left, epoch = epoch_,
+              sender = std::weak_ptr(leader_)] {
+                 if (sender.lock() != leader_ || !leader_)
+                 {
+                     return;
+                 }
+                 store(changes);
+                 leader_.reset();
+                 predecessors_ = {true, epoch, earlier_leases_left};
+                 next_leader_at_ = now_ + milliseconds(random_() % 600);
+                 disconnect_a_worker();
+             });
+}
+
+// The next leader often cannot reach one of the workers.
+void fleet_world::disconnect_a_worker()
+{
     if (random_() % 2 == 0)
     {
         const auto& id =
@@ -345,6 +391,18 @@
     }
 }
 
+void fleet_world::store(const change_set& changes)
+{
+    for (const auto& [id, text] : changes.jobs)
+    {
+        store_progress(id, text);
+    }
+    for (const auto& part : changes.fleet)
+    {
+        fleet_rows_[part.number] = part.workers;
+    }
+}
+
 void fleet_world::flush()
 {
     if (is_flushing_ || !leader_->has_changes())
@@ -362,14 +420,7 @@
                  const bool is_late = leader_ && sender.lock() != leader_;
                  if (!is_lost && !is_late)
                  {
-                     for (const auto& [id, text] : changes.jobs)
-                     {
-                         store_progress(id, text);
-                     }
-                     for (const auto& part : changes.fleet)
-                     {
-                         fleet_rows_[part.number] = part.workers;
-                     }
+                     store(changes);
                  }
                  if (const auto alive = sender.lock();
                      alive && alive == leader_)
--- a/tests/jobs/fleet_world.hpp
+++ b/tests/jobs/fleet_world.hpp
@@ -37,7 +37,9 @@
     // Workers that run at the same time name the same VM.
     one_worker_per_vm,
     // The leader is not told of changed capacities.
-    published_capacity
+    published_capacity,
+    // A hand-over names leases as expired that are not.
+    leases_of_hand_over
 };
 
 class fleet_world
@@ -45,8 +47,10 @@
 public:
     // With `crashes`, workers also crash, and their VMs run new ones later.
     // With `capacity_changes`, the capacity of workers shrinks and grows back.
+    // With `hand_overs`, leaders also hand over to the next one.
     fleet_world(std::uint32_t seed, removed_safeguard removed,
-                bool crashes = false, bool capacity_changes = false);
+                bool crashes = false, bool capacity_changes = false,
+                bool hand_overs = false);
 
     // Runs a period with faults and then one without; true if every job ended.
     bool simulate();
@@ -70,6 +74,9 @@
     void inject_faults();
     void start_leader();
     void kill_leader();
+    void hand_over();
+    void disconnect_a_worker();
+    void store(const change_set& changes);
     void flush();
     void store_progress(const job_id& id, const std::string& text);
     void execute(const order& o);
@@ -92,6 +99,7 @@
     removed_safeguard removed_;
     bool crashes_;
     bool capacity_changes_;
+    bool hand_overs_;
     time_point now_{std::chrono::seconds(100)};
     emulation::event_queue events_;
     std::map<worker_id, fake_worker> workers_;
@@ -114,6 +122,8 @@
     std::uint64_t epoch_ = 0;
     std::shared_ptr<scheduler> leader_;
     time_point next_leader_at_{};
+    // What the next leader knows of the last ones.
+    earlier_leaders predecessors_;
     bool is_flushing_ = false;
 
     // Observations from the workers' point of view.
--- a/tests/jobs/leadership_test.cpp
+++ b/tests/jobs/leadership_test.cpp
@@ -222,7 +222,7 @@
     auto a = make("a");
     auto b = make("b");
     ASSERT_TRUE(polls_until_leading(a, poll_interval));
-    const auto write = a.release();
+    const auto write = a.release({});
     ASSERT_TRUE(store.write(write));
     a.on_written(write, store.version, now);
     EXPECT_FALSE(a.leads());
--- a/tests/jobs/takeover_lease_test.cpp
+++ b/tests/jobs/takeover_lease_test.cpp
@@ -126,7 +126,7 @@
     leader.recover_fleet(
         {{worker_id("here"), std::nullopt}, {worker_id("gone"), std::nullopt}});
     leader.set_worker(entry("here"), now);
-    leader.begin(now, true);
+    leader.begin(now, {.last_has_ended = true});
     EXPECT_THAT(simulate(seconds(7)), testing::ElementsAre(0U, 1U));
 }
 
