Show a double run after a late start on a restarted worker, as a known failure

If the worker has restarted under its id behind a cut and executes the start 5 s after the order, its new clock does not show that the deadline has passed, and two runs overlap until the lease of the late one expires.

--- a/tests/jobs/scheduler_lease_test.cpp
+++ b/tests/jobs/scheduler_lease_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include "fake_worker.hpp"
 #include "scheduler_fixture.hpp"
 
 using namespace hemlockdeal;
@@ -206,6 +207,42 @@
     EXPECT_TRUE(leader.fleet().at(worker_id("a")).given_up.empty());
 }
 
+// Failure: a worker that restarts under its id behind a cut executes a late
+// start beside the run on another worker (TWICE): it has left the list, so that
+// the task is started again before the run's own lease can have expired.
+TEST_F(unanswered_start_test,
+       late_start_on_a_restarted_worker_behind_a_cut_runs_alone)
+{
+    order_to_silent_worker();
+    const auto ordered_at = now;
+    fake_worker late;
+    late.entry = entry("a");
+    late.restart(now + seconds(1));
+    add_worker("b");
+    simulate(seconds(4));
+    leader.remove_worker(worker_id("a"), now);
+    simulate(seconds(1));
+    start_order order{worker_id("a"),
+                      {job_id("j"), 0, 0, 0},
+                      1,
+                      "",
+                      "",
+                      worker_clock(std::chrono::duration_cast<worker_clock>(
+                          ordered_at.time_since_epoch())) +
+                          milliseconds(2500),
+                      ""};
+    ASSERT_TRUE(late.start(order, 1, {1000, 1000, 0}, seconds(60), false, now)
+                    .has_begun);
+    for (int i = 0; i < 100; ++i)
+    {
+        const auto starts = orders_of<start_order>(simulate(milliseconds(100)));
+        late.advance(now);
+        ASSERT_TRUE(starts.empty() || late.running().empty())
+            << "started again " << (now - ordered_at).count() / 1000
+            << " ms after the order";
+    }
+}
+
 // Failure: a leader that may have been superseded starts tasks.
 TEST_F(scheduler_test, nothing_starts_while_the_lead_is_in_doubt)
 {
