--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,6 @@
 """Many small tasks end while the platform's store is down for 4.5 s.
 
-TROUBLE=0 leaves the store up."""
+TROUBLE=0 leaves the store up. DISRUPTION=kill kills the leading VM instead (3.5 s), at the same moment."""
 
 import asyncio
 import os
@@ -14,6 +14,7 @@
 COUNT = 100          # tasks of a job
 LONGEST_MS = 9000    # of the tasks of the first job; all tasks end at about the same time
 DOWN_S = 4.5
+KILLED_S = 3.5
 
 
 def batch(number):
@@ -35,12 +36,20 @@
     await asyncio.sleep(max(0.0, began + LONGEST_MS / 1000 - 0.5 - record.now()))
     record.write("script", f"{len(jobs)} jobs accepted; tasks running: " + ", ".join(
         f"{m.id} {len(m.running)}" for m in deployment.minions))
-    if trouble():
+    is_kill = os.environ.get("DISRUPTION") == "kill"
+    if trouble() and is_kill:
+        await asyncio.sleep(0.3)
+        leader = deployment.vm(deployment.store.leader())
+        record.write("script", f"{leader.name} is killed")
+        await leader.end()
+        await asyncio.sleep(KILLED_S)
+        await leader.start()
+    elif trouble():
         record.write("script", f"the store answers 503 for {DOWN_S} s")
         for vm in deployment.vms:
             deployment.store.faults[vm.name] = "busy"
     await asyncio.sleep(DOWN_S)
-    if trouble():
+    if trouble() and not is_kill:
         record.write("script", "the store is back; ends listed: " + ", ".join(
             f"{m.id} {len(m.ended)}" for m in deployment.minions))
         for vm in deployment.vms:
