--- a/review/3/case.py
+++ b/review/3/case.py
@@ -90,6 +90,7 @@
         if guard.done():
             guard.result()
         guard.cancel()
+    await asyncio.gather(*guards, return_exceptions=True)
     stuck = [j for j, since in idle.items() if time.monotonic() - since >= 3]
     for job in stuck[:3]:
         record.violation("LOST", f"accepted job {job} has had nothing running for 3 s, "
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -489,6 +489,7 @@
     def __init__(self, number, ip, zone, store_address, folder):
         self.name, self.ip, self.zone = f"edge-{zone}-{number}", ip, zone
         self.process = None
+        self.is_closed = False
         self.log = open(os.path.join(folder, f"{self.name}.log"), "ab")
         self.file = os.path.join(folder, f"{self.name}.json")
         with open(self.file, "w", encoding="utf-8") as settings:
@@ -510,8 +511,18 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
         environment["HEMLOCKDEAL_NODE_FILE"] = self.file
-        self.process = await asyncio.create_subprocess_exec(
-            PROGRAM, *ARGUMENTS, stdout=self.log, stderr=self.log, cwd=ROOT, env=environment)
+        if self.is_closed:
+            return
+        starting = asyncio.ensure_future(asyncio.create_subprocess_exec(
+            PROGRAM, *ARGUMENTS, stdout=self.log, stderr=self.log, cwd=ROOT, env=environment))
+        try:
+            self.process = await asyncio.shield(starting)
+        except asyncio.CancelledError:
+            # Otherwise nobody would end the process.
+            self.process = await starting
+            if self.is_closed:
+                self.process.kill()
+            raise
 
     def send(self, number):
         if self.process and self.process.returncode is None:
@@ -611,6 +622,8 @@
         return answer
 
     async def stop(self):
+        for vm in self.vms:
+            vm.is_closed = True
         for vm in self.vms:
             await vm.end()
         for minion in self.minions:
