Bound the stored rows of a job, whatever it has done and however often it failed

Cause: the progress row of a job with repetition holds an entry of about 13 bytes for each occurrence and step that is done. After some 5,130 occurrences it exceeds the store's limit for a value, and the store refuses the leader's transaction.

On the related path, failures that did not fit were left out of the row, and the tasks got more attempts after a takeover than their queue allows. Histories of a job with over 100 tasks are now in rows of their own, each for 100 tasks, and nothing that bounds attempts is left out. Only rows that changed are written. Long-running tasks, whose attempts are not limited, keep their last 8 failures. Progress rows are decoded one job at a time in a recovery.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -125,6 +125,11 @@
 // Number of tasks of the job, or any number above the limit.
 std::uint64_t count_tasks(const job& j);
 
+// Number of the task among all tasks of the job, in the order of occurrences,
+// steps and indices.
+std::uint64_t number_of(const job& j, std::uint32_t occurrence,
+                        std::uint32_t step, std::uint32_t index);
+
 // Stored form of a job. Decoding returns nothing for text that is not a job or
 // for a job with too many tasks.
 std::string encode_job(const job& j);
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -159,6 +159,19 @@
     return sum;
 }
 
+std::uint64_t number_of(const job& j, std::uint32_t occurrence,
+                        std::uint32_t step, std::uint32_t index)
+{
+    std::uint64_t per_occurrence = 0;
+    std::uint64_t before_step = 0;
+    for (std::uint32_t s = 0; s < j.steps.size(); ++s)
+    {
+        before_step += s < step ? j.steps[s].task_count : 0;
+        per_occurrence += j.steps[s].task_count;
+    }
+    return occurrence * per_occurrence + before_step + index;
+}
+
 std::string encode_job(const job& j)
 {
     json::object out;
--- a/src/jobs/job_registry.cpp
+++ b/src/jobs/job_registry.cpp
@@ -6,6 +6,14 @@
 namespace hemlockdeal::jobs
 {
 
+std::uint32_t history_row_of(const job& owner,
+                             const job_progress::task_position& position)
+{
+    return static_cast<std::uint32_t>(
+        number_of(owner, position.occurrence, position.step, position.index) /
+        tasks_per_history_row);
+}
+
 bool job_registry::add(job definition,
                        const std::optional<job_progress>& progress)
 {
@@ -14,9 +22,20 @@
         return false;
     }
     const auto id = definition.id;
+    if (progress && !progress->history_rows.empty())
+    {
+        for (const auto number : progress->history_rows)
+        {
+            taken_histories_[id][number].reset();
+        }
+    }
     if (progress && is_final(progress->state))
     {
         over_[id] = progress->state;
+        if (!progress->history_rows.empty())
+        {
+            mark_changed(id);
+        }
         return true;
     }
     auto created = std::make_unique<live_job>(std::move(definition));
@@ -46,35 +65,104 @@
     changed_.insert(id);
 }
 
-std::vector<std::pair<job_id, std::string>>
-job_registry::take_changes(change_limits limits, std::uint64_t number)
+job_changes job_registry::take_changes(change_limits limits,
+                                       std::uint64_t number)
 {
-    std::vector<std::pair<job_id, std::string>> out;
+    job_changes out;
     std::size_t bytes = 0;
-    while (!changed_.empty() && out.size() < limits.max_jobs &&
+    while (!changed_.empty() && out.rows() < limits.max_rows &&
            bytes < limits.bytes)
     {
         const auto id = *changed_.begin();
-        changed_.erase(changed_.begin());
         job_progress progress;
         if (auto* const found = find(id))
         {
-            progress = found->collect_progress(number);
+            progress = found->progress();
+            if (!take_history_rows(*found, progress, limits, out))
+            {
+                return out;
+            }
+            found->set_collected(number);
         }
         else if (const auto over = over_.find(id); over != over_.end())
         {
             progress.state = over->second;
+            remove_history_rows(id, out);
         }
         else
         {
+            changed_.erase(id);
             continue;
         }
-        out.emplace_back(id, encode_progress(progress, limits.row));
-        bytes += out.back().second.size();
+        changed_.erase(id);
+        out.progress.emplace_back(id, encode_progress(progress, limits.row));
+        bytes += out.progress.back().second.size();
     }
     return out;
 }
 
+bool job_registry::take_history_rows(const live_job& owner,
+                                     job_progress& progress,
+                                     const change_limits& limits,
+                                     job_changes& out)
+{
+    const auto& definition = owner.definition();
+    if (count_tasks(definition) <= tasks_per_history_row)
+    {
+        return true;
+    }
+    std::map<std::uint32_t, job_progress::history_map> rows;
+    for (auto& [position, history] : std::exchange(progress.histories, {}))
+    {
+        rows[history_row_of(definition, position)].emplace(position,
+                                                           std::move(history));
+    }
+    auto& taken = taken_histories_[definition.id];
+    // Rows whose last history is gone.
+    for (auto row = taken.begin(); row != taken.end();)
+    {
+        if (rows.contains(row->first))
+        {
+            ++row;
+            continue;
+        }
+        out.histories.push_back({definition.id, row->first, std::nullopt});
+        row = taken.erase(row);
+    }
+    std::size_t bytes = 0;
+    for (auto& [number, histories] : rows)
+    {
+        auto& last = taken[number];
+        if (last == histories)
+        {
+            continue;
+        }
+        if (out.rows() >= limits.max_rows || bytes >= limits.bytes)
+        {
+            return false;
+        }
+        out.histories.push_back(
+            {definition.id, number, encode_histories(histories, limits.row)});
+        bytes += out.histories.back().text->size();
+        last = std::move(histories);
+    }
+    return true;
+}
+
+void job_registry::remove_history_rows(const job_id& id, job_changes& out)
+{
+    const auto taken = taken_histories_.find(id);
+    if (taken == taken_histories_.end())
+    {
+        return;
+    }
+    for (const auto& [number, histories] : taken->second)
+    {
+        out.histories.push_back({id, number, std::nullopt});
+    }
+    taken_histories_.erase(taken);
+}
+
 std::map<std::string, std::size_t> job_registry::pending() const
 {
     std::map<std::string, std::size_t> counts;
--- a/src/jobs/job_registry.hpp
+++ b/src/jobs/job_registry.hpp
@@ -1,10 +1,13 @@
 // Registry of unfinished jobs, and of changes that are not stored yet.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jobs/live_job.hpp"
@@ -15,13 +18,39 @@
 // Limits of one transaction.
 struct change_limits
 {
-    std::size_t max_jobs = 60;
+    std::size_t max_rows = 60;
     // Total size in bytes of all texts; the last one may exceed it.
     std::size_t bytes = 300'000;
     // Maximum size in bytes of one text.
     std::size_t row = default_row_limit;
 };
 
+// The main row of a job with more tasks than this holds no histories. They are
+// in further rows, each for so many tasks: with a failure and a crash of each
+// task, a row stays well below the limit of every platform.
+constexpr std::uint32_t tasks_per_history_row = 100;
+
+// Number of the row that holds the history of the task.
+std::uint32_t history_row_of(const job& owner,
+                             const job_progress::task_position& position);
+
+// Row with the histories of some tasks of a job; without a text it is removed.
+struct history_row
+{
+    job_id job;
+    std::uint32_t number = 0;
+    std::optional<std::string> text;
+};
+
+struct job_changes
+{
+    // Encoded progress by job.
+    std::vector<std::pair<job_id, std::string>> progress;
+    std::vector<history_row> histories;
+
+    std::size_t rows() const { return progress.size() + histories.size(); }
+};
+
 class job_registry
 {
 public:
@@ -50,18 +79,31 @@
     // Removes a finished job.
     void forget(const job_id& id) { over_.erase(id); }
 
-    // Encoded progress of changed jobs for change set `number`, within the
-    // limits; the jobs no longer count as changed.
-    std::vector<std::pair<job_id, std::string>>
-    take_changes(change_limits limits, std::uint64_t number);
+    // Rows of changed jobs for change set `number`, within the limits. Jobs all
+    // of whose rows are among them no longer count as changed.
+    job_changes take_changes(change_limits limits, std::uint64_t number);
 
     // By queue, the number of non-repeating jobs of which no task has started.
     std::map<std::string, std::size_t> pending() const;
 
 private:
+    // History rows by number, as they were last taken; empty for one that an
+    // earlier leader stored.
+    using taken_rows =
+        std::map<std::uint32_t, std::optional<job_progress::history_map>>;
+
+    // Adds the rows that differ from those last taken, and takes the histories
+    // out of the progress. False if the limits were reached before the last
+    // one.
+    bool take_history_rows(const live_job& owner, job_progress& progress,
+                           const change_limits& limits, job_changes& out);
+    // Adds the removal of all history rows of a finished job.
+    void remove_history_rows(const job_id& id, job_changes& out);
+
     std::map<job_id, std::unique_ptr<live_job>> live_;
     std::map<job_id, job_state> over_;
     std::set<job_id> changed_;
+    std::map<job_id, taken_rows> taken_histories_;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -131,12 +131,19 @@
 
 bool live_job::add_failure(const task_key& key, std::uint32_t run)
 {
+    // Attempts of long-running tasks are not limited. The last runs show
+    // whether a failure is reported again.
+    constexpr std::size_t max_long_running_failures = 8;
     auto& runs = task(key).failed_runs;
     if (std::ranges::find(runs, run) != runs.end())
     {
         return false;
     }
     runs.push_back(run);
+    if (step_of(key).is_long_running && runs.size() > max_long_running_failures)
+    {
+        runs.erase(runs.begin());
+    }
     return true;
 }
 
@@ -196,7 +203,7 @@
     }
 }
 
-job_progress live_job::collect_progress(std::uint64_t number)
+job_progress live_job::progress() const
 {
     job_progress out;
     out.state = state_;
@@ -205,24 +212,53 @@
     {
         return out;
     }
+    if (job_.repeats.count > 0)
+    {
+        std::ranges::transform(job_.steps, std::back_inserter(out.step_sizes),
+                               &step::task_count);
+    }
     out.ordered.emplace();
     for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
     {
         for (std::uint32_t s = 0; s < occurrences_[k].steps.size(); ++s)
         {
-            auto& tasks = occurrences_[k].steps[s].tasks;
+            const auto& tasks = occurrences_[k].steps[s].tasks;
             for (std::uint32_t i = 0; i < tasks.size(); ++i)
             {
-                add_task_progress({k, s, i}, tasks[i], number, out);
+                add_task_progress({k, s, i}, tasks[i], out);
             }
         }
     }
     return out;
 }
 
+void live_job::set_collected(std::uint64_t number)
+{
+    for (auto& occurrence : occurrences_)
+    {
+        for (auto& step : occurrence.steps)
+        {
+            for (auto& record : step.tasks)
+            {
+                if (record.phase == task_phase::done)
+                {
+                    continue;
+                }
+                if (record.is_announced && record.first_change_set == 0)
+                {
+                    record.first_change_set = number;
+                }
+                if (std::exchange(record.has_unstored_crash, false))
+                {
+                    record.crash_change_set = number;
+                }
+            }
+        }
+    }
+}
+
 void live_job::add_task_progress(const job_progress::task_position& position,
-                                 task_record& record, std::uint64_t number,
-                                 job_progress& to)
+                                 const task_record& record, job_progress& to)
 {
     if (record.phase == task_phase::done)
     {
@@ -231,14 +267,8 @@
     }
     if (record.is_announced)
     {
-        record.first_change_set =
-            record.first_change_set == 0 ? number : record.first_change_set;
         to.ordered->push_back(position);
     }
-    if (std::exchange(record.has_unstored_crash, false))
-    {
-        record.crash_change_set = number;
-    }
     if (!record.failed_runs.empty() || !record.checkpoint.empty() ||
         !record.crashes.empty())
     {
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -178,9 +178,11 @@
     bool has_started() const { return has_started_; }
 
     void restore(const job_progress& progress);
-    // Progress of the job for change set `number`; records which tasks the set
-    // lists as possibly ordered.
-    job_progress collect_progress(std::uint64_t number);
+    // Progress of the job for its stored rows.
+    job_progress progress() const;
+    // The progress is part of change set `number`, which lists the announced
+    // tasks as possibly ordered and holds all crashes.
+    void set_collected(std::uint64_t number);
 
     // Adds the tasks that are being tried as suspects, by worker.
     void
@@ -195,9 +197,8 @@
     void clear_uncertain_tasks();
 
 private:
-    void add_task_progress(const job_progress::task_position& position,
-                           task_record& record, std::uint64_t number,
-                           job_progress& to);
+    static void add_task_progress(const job_progress::task_position& position,
+                                  const task_record& record, job_progress& to);
     task_record& set_phase(const task_key& key, task_phase phase);
 
     job job_;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -279,7 +279,9 @@
     change_set changes;
     change_limits limits;
     limits.row = state_.options.row_limit;
-    changes.jobs = state_.registry.take_changes(limits, ++state_.taken_set);
+    auto taken = state_.registry.take_changes(limits, ++state_.taken_set);
+    changes.jobs = std::move(taken.progress);
+    changes.histories = std::move(taken.histories);
     changes.is_partial = state_.registry.has_changes();
     changes.fleet = recorder_.take_changed_parts();
     // Ended runs are covered only if no changed job was left out.
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -34,12 +34,17 @@
 {
     // Encoded progress by job.
     std::vector<std::pair<job_id, std::string>> jobs;
+    // Changed rows with the histories of tasks of large jobs.
+    std::vector<history_row> histories;
     // Changed parts of the list of workers that may run tasks.
     std::vector<fleet_part> fleet;
     // More changes remain for the next set.
     bool is_partial = false;
 
-    bool empty() const { return jobs.empty() && fleet.empty(); }
+    bool empty() const
+    {
+        return jobs.empty() && histories.empty() && fleet.empty();
+    }
 };
 
 class scheduler
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -25,10 +25,7 @@
     read_table(row_pages({progress_table, lead_part, {}, {}, 500}), epoch_,
                [this](const read_rows& read) {
                    handle_each_row(read.rows, [this](const stored_row& row) {
-                       // Stays empty, which leaves the job out, if decoding
-                       // throws.
-                       auto& progress = recovered_progress_[job_id(row.key)];
-                       progress = jobs::decode_progress(row.value);
+                       take_progress_row(row);
                    });
                    if (!read.has_more)
                    {
@@ -107,6 +104,38 @@
     }
 }
 
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::take_progress_row(const stored_row& row)
+{
+    if (const auto name = parse_history_key(row.key))
+    {
+        recovered_progress_[name->job].history_rows[name->number] = row.value;
+        return;
+    }
+    recovered_progress_[job_id(row.key)].main_row = row.value;
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+std::optional<jobs::job_progress>
+leader_role<Store, Workers, List>::decode(const stored_progress& stored)
+{
+    auto progress = stored.main_row ? jobs::decode_progress(*stored.main_row)
+                                    : std::optional(jobs::job_progress{});
+    if (!progress)
+    {
+        return std::nullopt;
+    }
+    for (const auto& [number, text] : stored.history_rows)
+    {
+        if (!jobs::decode_histories(text, progress->histories))
+        {
+            return std::nullopt;
+        }
+        progress->history_rows.insert(number);
+    }
+    return progress;
+}
+
 template <row_store Store, worker_port Workers, worker_list List>
 void leader_role<Store, Workers, List>::recover_job(const stored_row& row)
 {
@@ -118,19 +147,17 @@
             {{"job", row.key}});
         return;
     }
-    const auto stored_progress = recovered_progress_.find(id);
-    const bool has_stored_progress =
-        stored_progress != recovered_progress_.end();
-    if (has_stored_progress && !stored_progress->second)
+    const auto stored = recovered_progress_.extract(id);
+    const auto progress =
+        stored.empty() ? std::nullopt : decode(stored.mapped());
+    if (!stored.empty() && !progress)
     {
         // Without the progress, completed tasks would run again.
         log(log_level::error, "stored progress cannot be decoded",
             {{"job", row.key}});
         return;
     }
-    scheduler_->recover_job(std::move(*definition),
-                            has_stored_progress ? stored_progress->second
-                                                : std::nullopt);
+    scheduler_->recover_job(std::move(*definition), progress);
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -137,6 +137,13 @@
     void handle_lease_read(const read_outcome& outcome, time_point sent_at);
     // Reads the record of the epoch in place of the malformed lease row.
     void read_epoch_record(row_version lease_version, time_point sent_at);
+    // Rows of the progress table that belong to one job.
+    struct stored_progress
+    {
+        std::optional<std::string> main_row;
+        std::map<std::uint32_t, std::string> history_rows;
+    };
+
     void handle_malformed_lease(const read_rows& record,
                                 row_version lease_version, time_point sent_at);
     void try_takeover(time_point now);
@@ -169,8 +176,12 @@
 
     void flush(time_point now);
     leader_transaction make_transaction(const jobs::lease_write& lease,
+    void take_progress_row(const stored_row& row);
                                         time_point now);
     void add_changes(leader_transaction& tx);
+    // Empty if a row cannot be decoded.
+    static std::optional<jobs::job_progress>
+    decode(const stored_progress& stored);
     void add_pending(leader_transaction& tx, time_point now);
     void add_learnt(leader_transaction& tx, time_point now);
     void decide(time_point now);
@@ -221,8 +232,9 @@
     // Final states that are in the store.
     std::map<job_id, jobs::job_state> stored_ends_;
 
-    // Empty for rows that cannot be decoded.
-    std::map<job_id, std::optional<jobs::job_progress>> recovered_progress_;
+    // Rows that wait for the jobs of the inbox. They are decoded one job at a
+    // time, which takes less memory.
+    std::map<job_id, stored_progress> recovered_progress_;
     row_version inbox_position_;
     bool is_polling_inbox_ = false;
     time_point next_inbox_poll_{};
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -500,3 +500,14 @@
 }
 
 } // namespace hemlockdeal::node
+    for (auto& row : changes.histories)
+    {
+        auto key = history_key(row.job, row.number);
+        if (!row.text)
+        {
+            tx.t.deletes.push_back({progress_table, std::move(key)});
+            continue;
+        }
+        tx.t.writes.push_back(
+            {progress_table, std::move(key), std::move(*row.text)});
+    }
--- a/src/node/store_tables.hpp
+++ b/src/node/store_tables.hpp
@@ -2,7 +2,9 @@
 // writes of callers and of the leader do not block each other.
 #pragma once
 
+#include <charconv>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,6 +36,37 @@
 // The epoch alone, written with each takeover.
 inline const std::string epoch_key = "epoch";
 inline const std::string progress_table = "progress";
+// Follows the id of a job in the keys of its rows with histories of tasks,
+// before their number.
+constexpr std::string_view history_infix = ".h";
+inline std::string history_key(const job_id& id, std::uint32_t number)
+{
+    return id.value() + std::string(history_infix) + std::to_string(number);
+}
+
+struct history_row_name
+{
+    job_id job;
+    std::uint32_t number = 0;
+};
+
+// Empty if the key is not that of a row with histories.
+inline std::optional<history_row_name> parse_history_key(std::string_view key)
+{
+    const auto infix = key.find(history_infix);
+    if (infix == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    history_row_name out{job_id(std::string(key.substr(0, infix))), 0};
+    const auto digits = key.substr(infix + history_infix.size());
+    const auto* const end = digits.data() + digits.size();
+    const auto read = std::from_chars(digits.data(), end, out.number);
+    const bool is_valid =
+        read.ec == std::errc{} && read.ptr == end && !out.job.empty();
+    return is_valid ? std::optional(std::move(out)) : std::nullopt;
+}
+
 inline const std::string fleet_table = "fleet";
 inline std::string fleet_key(std::uint32_t part)
 {
