Store the changes of all other jobs when the store does not accept a row

Cause: a response that no repetition can change (400 and the like) counted as a store that is down. The leader sent the same transaction again every 120 ms, for good, and with it stored neither other jobs nor its lease.

Change: transactions have a further outcome, `rejected`. The leader then stores the changes in halves, each with a renewal of its lease, until it finds the row at fault. The job of a progress row ends as failed, which is stored before ends of its runs are acknowledged; it is logged once with its id, size and reason and counted in the metrics. A record of a worker is repeated, and nothing starts there meanwhile. A release of the lease goes on without the changes. Parts also store changes that are too many for one transaction.

Ruled out: leaving the job in progress without storing it. Its ends could not be acknowledged, and a worker lists 500 ends at most, so that it would hide the ends of other jobs.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -127,6 +127,18 @@
     state_.registry.finish(id, job_state::cancelled);
 }
 
+bool scheduler::give_up_job(const job_id& id, time_point now)
+{
+    auto* const live = state_.registry.find(id);
+    if (live == nullptr)
+    {
+        return false;
+    }
+    state_.stop_job(*live, now, "progress of the job cannot be stored");
+    state_.registry.finish(id, job_state::failed);
+    return true;
+}
+
 void scheduler::on_report(const worker_id& id, const worker_report& report,
                           time_point sent_at, time_point now)
 {
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -78,6 +78,9 @@
     // Does nothing if the job is already known.
     void add_job(job definition);
     void cancel_job(const job_id& id, time_point now);
+    // Ends a job whose progress cannot be stored as failed. False if it is not
+    // in progress.
+    bool give_up_job(const job_id& id, time_point now);
 
     void on_report(const worker_id& id, const worker_report& report,
                    time_point sent_at, time_point now);
--- a/src/node/job_frontend.hpp
+++ b/src/node/job_frontend.hpp
@@ -31,6 +31,8 @@
     done,
     // Nothing was stored, and nothing will be.
     refused,
+    // The same, and the store will not accept the request later either.
+    rejected,
     // No job has this id.
     no_such_job,
     // The outcome of the store call is not known; the rows may have been
@@ -259,6 +261,12 @@
         {
             return;
         }
+        if (std::holds_alternative<rejected>(outcome))
+        {
+            finish(c, c->maybe_stored ? request_result::unknown
+                                      : request_result::rejected);
+            return;
+        }
         // Fails at once so that the caller can try another VM.
         if (health_.is_unavailable(now_()) ||
             c->attempts >= options_.max_attempts)
--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,6 +16,7 @@
 #include <boost/json.hpp>
 
 #include "jobs/jobs.hpp"
+#include "node/change_part.hpp"
 #include "node/concepts.hpp"
 #include "node/leader_stats.hpp"
 #include "node/lease_record.hpp"
@@ -129,14 +131,12 @@
         jobs::lease_write lease;
         time_point sent_at{};
         bool has_changes = false;
+        // A part of changes that the store has rejected as a whole.
+        bool is_part = false;
         // Jobs whose final state the transaction stores.
         std::vector<std::pair<job_id, jobs::job_state>> ended;
     };
 
-    void poll_lease();
-    void handle_lease_read(const read_outcome& outcome, time_point sent_at);
-    // Reads the record of the epoch in place of the malformed lease row.
-    void read_epoch_record(row_version lease_version, time_point sent_at);
     // Rows of the progress table that belong to one job.
     struct stored_progress
     {
@@ -144,6 +144,10 @@
         std::map<std::uint32_t, std::string> history_rows;
     };
 
+    void poll_lease();
+    void handle_lease_read(const read_outcome& outcome, time_point sent_at);
+    // Reads the record of the epoch in place of the malformed lease row.
+    void read_epoch_record(row_version lease_version, time_point sent_at);
     void handle_malformed_lease(const read_rows& record,
                                 row_version lease_version, time_point sent_at);
     void try_takeover(time_point now);
@@ -154,6 +158,15 @@
     void check_lease_row(const leader_transaction& tx);
     void on_leadership_lost(std::string_view cause);
     void retry_later(const leader_transaction& tx);
+    // Finds the row that the store does not accept: the changes are stored in
+    // smaller and smaller parts.
+    void on_rejected(leader_transaction tx, const std::string& reason);
+    void leave_out(const change_part& row, const std::string& reason);
+    void send_next_part();
+    // The last part is stored or left out.
+    void complete_parts();
+    void on_changes_stored(
+        const std::vector<std::pair<job_id, jobs::job_state>>& ended);
 
     void begin_recovery();
     // Passes each page to the callback.
@@ -163,8 +176,12 @@
     void read_inbox(std::function<void(const stored_row&)> on_row,
                     std::function<void()> callback);
     void recover_inbox();
+    void take_progress_row(const stored_row& row);
     // Passes a job from the inbox and its progress to the scheduler.
     void recover_job(const stored_row& row);
+    // Empty if a row cannot be decoded.
+    static std::optional<jobs::job_progress>
+    decode(const stored_progress& stored);
     void recover_fleet();
     void recover_learnt();
     void finish_recovery();
@@ -175,13 +192,13 @@
     void apply_worker_changes(const worker_changes& changes);
 
     void flush(time_point now);
+    void flush_parts(time_point now);
+    // Writes the lease alone.
+    void renew();
+    static transaction lease_transaction(const jobs::lease_write& lease);
     leader_transaction make_transaction(const jobs::lease_write& lease,
-    void take_progress_row(const stored_row& row);
                                         time_point now);
     void add_changes(leader_transaction& tx);
-    // Empty if a row cannot be decoded.
-    static std::optional<jobs::job_progress>
-    decode(const stored_progress& stored);
     void add_pending(leader_transaction& tx, time_point now);
     void add_learnt(leader_transaction& tx, time_point now);
     void decide(time_point now);
@@ -223,6 +240,12 @@
     row_version logged_lease_version_;
     bool has_transaction_in_flight_ = false;
     std::optional<leader_transaction> transaction_to_retry_;
+    // Parts of rejected changes, and the jobs whose final state they store.
+    std::deque<change_part> parts_;
+    std::vector<std::pair<job_id, jobs::job_state>> ended_in_parts_;
+    time_point next_part_at_{};
+    // When the last transaction that was committed was sent.
+    time_point renewed_at_{};
     time_point retry_at_{};
     time_point last_flush_{};
     time_point last_decision_{};
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -192,6 +192,7 @@
         const auto took = clock_.now() - tx.sent_at;
         response_time_.on_response(took);
         lead_.on_written(tx.lease, done->version, tx.sent_at, took);
+        renewed_at_ = tx.sent_at;
         on_committed(tx, done->version);
         return;
     }
@@ -201,6 +202,11 @@
         retry_later(tx);
         return;
     }
+    if (const auto* const refused = std::get_if<rejected>(&outcome))
+    {
+        on_rejected(tx, refused->reason);
+        return;
+    }
     if (const auto* const unknown = std::get_if<outcome_unknown>(&outcome))
     {
         health_.on_failure(unknown->reason);
@@ -222,6 +228,123 @@
     retry_at_ = clock_.now() + options_.retry_delay;
 }
 
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::on_rejected(leader_transaction tx,
+                                                    const std::string& reason)
+{
+    ++stats_.transactions_rejected;
+    const auto changes = changes_of(tx.t);
+    if (changes.size() == 0)
+    {
+        // The lease alone: there is nothing to leave out.
+        health_.on_failure(reason);
+        retry_later(tx);
+        return;
+    }
+    health_.on_response(clock_.now());
+    if (tx.lease.row.is_released)
+    {
+        // Workers repeat the ends that are not stored to the next leader.
+        std::erase_if(tx.t.writes, [](const row_write& write) {
+            return write.table != lease_table;
+        });
+        tx.t.deletes.clear();
+        send(std::move(tx));
+        return;
+    }
+    if (tx.is_part)
+    {
+        parts_.pop_front();
+    }
+    else
+    {
+        ended_in_parts_ = std::move(tx.ended);
+    }
+    if (changes.size() == 1)
+    {
+        leave_out(changes, reason);
+        complete_parts();
+        return;
+    }
+    auto [first, second] = halves(changes);
+    parts_.push_front(std::move(second));
+    parts_.push_front(std::move(first));
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::leave_out(const change_part& row,
+                                                  const std::string& reason)
+{
+    const bool is_write = !row.writes.empty();
+    const auto& table =
+        is_write ? row.writes.front().table : row.deletes.front().table;
+    const auto& key =
+        is_write ? row.writes.front().key : row.deletes.front().key;
+    const auto bytes = is_write ? row.writes.front().value.size() : 0;
+    log(log_level::error, "store does not accept a row",
+        {{"table", table},
+         {"key", key},
+         {"bytes", std::to_string(bytes)},
+         {"reason", reason}});
+    if (table == fleet_table)
+    {
+        // Nothing may start on workers that the store does not list.
+        parts_.push_back(row);
+        next_part_at_ = clock_.now() + options_.retry_delay;
+        return;
+    }
+    if (table != progress_table)
+    {
+        return;
+    }
+    const auto id = job_of_progress_row(key);
+    if (!scheduler_->give_up_job(id, clock_.now()))
+    {
+        return;
+    }
+    ++stats_.jobs_not_storable;
+    log(log_level::error, "job ended as failed: its progress cannot be stored",
+        {{"job", id.value()},
+         {"bytes", std::to_string(bytes)},
+         {"reason", reason}});
+    // Stored before ends of its runs are acknowledged, so that no later leader
+    // starts them again.
+    jobs::job_progress last;
+    last.state = jobs::job_state::failed;
+    parts_.push_back(
+        {{{progress_table, id.value(), jobs::encode_progress(last)}}, {}});
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::send_next_part()
+{
+    leader_transaction tx;
+    tx.lease = lead_.renewal();
+    tx.is_part = true;
+    tx.t = lease_transaction(tx.lease);
+    std::ranges::copy(parts_.front().writes, std::back_inserter(tx.t.writes));
+    tx.t.deletes = parts_.front().deletes;
+    send(std::move(tx));
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::complete_parts()
+{
+    if (parts_.empty())
+    {
+        on_changes_stored(std::exchange(ended_in_parts_, {}));
+    }
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::on_changes_stored(
+    const std::vector<std::pair<job_id, jobs::job_state>>& ended)
+{
+    scheduler_->on_changes_stored(clock_.now());
+    stored_ends_.insert(ended.begin(), ended.end());
+    request_decision();
+}
+
 template <row_store Store, worker_port Workers, worker_list List>
 void leader_role<Store, Workers, List>::check_lease_row(
     const leader_transaction& tx)
@@ -268,6 +391,7 @@
         log(log_level::info, "leadership released",
             {{"epoch", std::to_string(tx.lease.row.epoch)}});
         scheduler_.reset();
+        parts_.clear();
         is_active_ = false;
         return;
     }
@@ -276,11 +400,15 @@
         begin_recovery();
         return;
     }
+    if (tx.is_part)
+    {
+        parts_.pop_front();
+        complete_parts();
+        return;
+    }
     if (tx.has_changes)
     {
-        scheduler_->on_changes_stored(clock_.now());
-        stored_ends_.insert(tx.ended.begin(), tx.ended.end());
-        request_decision();
+        on_changes_stored(tx.ended);
     }
 }
 
@@ -294,6 +422,7 @@
     lead_.relinquish(clock_.now());
     scheduler_.reset();
     transaction_to_retry_.reset();
+    parts_.clear();
     is_active_ = false;
 }
 
@@ -323,21 +452,58 @@
         send(make_transaction(lead_.release(earlier_leases_left), now));
         return;
     }
+    if (!parts_.empty())
+    {
+        flush_parts(now);
+        return;
+    }
     if (has_changes || now - last_flush_ >= options_.renewal_interval)
     {
         send(make_transaction(lead_.renewal(), now));
     }
 }
 
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::flush_parts(time_point now)
+{
+    // A part that is not accepted does not renew the lease either.
+    if (now - renewed_at_ >= options_.renewal_interval)
+    {
+        renew();
+        return;
+    }
+    if (now >= next_part_at_)
+    {
+        send_next_part();
+    }
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::renew()
+{
+    leader_transaction tx;
+    tx.lease = lead_.renewal();
+    tx.t = lease_transaction(tx.lease);
+    send(std::move(tx));
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+transaction leader_role<Store, Workers, List>::lease_transaction(
+    const jobs::lease_write& lease)
+{
+    return {lead_part,
+            {{lease_table, lease_key, lease.expected}},
+            {{lease_table, lease_key, jobs::encode_lease(lease.row)}},
+            {}};
+}
+
 template <row_store Store, worker_port Workers, worker_list List>
 auto leader_role<Store, Workers, List>::make_transaction(
     const jobs::lease_write& lease, time_point now) -> leader_transaction
 {
     leader_transaction tx;
     tx.lease = lease;
-    tx.t.part = lead_part;
-    tx.t.conditions = {{lease_table, lease_key, tx.lease.expected}};
-    tx.t.writes = {{lease_table, lease_key, jobs::encode_lease(tx.lease.row)}};
+    tx.t = lease_transaction(lease);
     if (!is_active_ || !scheduler_)
     {
         return tx;
@@ -362,6 +528,17 @@
         }
         tx.t.writes.push_back({progress_table, id.value(), std::move(text)});
     }
+    for (auto& row : changes.histories)
+    {
+        auto key = history_key(row.job, row.number);
+        if (!row.text)
+        {
+            tx.t.deletes.push_back({progress_table, std::move(key)});
+            continue;
+        }
+        tx.t.writes.push_back(
+            {progress_table, std::move(key), std::move(*row.text)});
+    }
     for (const auto& part : changes.fleet)
     {
         tx.t.writes.push_back(
@@ -500,14 +677,3 @@
 }
 
 } // namespace hemlockdeal::node
-    for (auto& row : changes.histories)
-    {
-        auto key = history_key(row.job, row.number);
-        if (!row.text)
-        {
-            tx.t.deletes.push_back({progress_table, std::move(key)});
-            continue;
-        }
-        tx.t.writes.push_back(
-            {progress_table, std::move(key), std::move(*row.text)});
-    }
--- a/src/node/leader_stats.hpp
+++ b/src/node/leader_stats.hpp
@@ -21,6 +21,11 @@
     std::uint64_t polls = 0;
     std::uint64_t polls_failed = 0;
     std::uint64_t transactions = 0;
+    // Transactions that the store did not accept as they were.
+    std::uint64_t transactions_rejected = 0;
+    // Jobs that ended as failed because the store did not accept their
+    // progress.
+    std::uint64_t jobs_not_storable = 0;
 };
 
 } // namespace hemlockdeal::node
--- a/src/node/store_message.hpp
+++ b/src/node/store_message.hpp
@@ -64,12 +64,20 @@
     std::vector<stored_row> current;
 };
 
-// The store refused the call or could not be reached; nothing was executed.
+// The store refused the call for now or could not be reached; nothing was
+// executed.
 struct not_done
 {
     std::string reason;
 };
 
+// The store does not accept the call as it is, for example because a row is too
+// large; nothing was executed. Repeating the call cannot succeed.
+struct rejected
+{
+    std::string reason;
+};
+
 // The call may have been executed, or may still be.
 struct outcome_unknown
 {
@@ -77,7 +85,7 @@
 };
 
 using transaction_outcome =
-    std::variant<committed, conflict, not_done, outcome_unknown>;
+    std::variant<committed, conflict, not_done, rejected, outcome_unknown>;
 
 // Rows with from <= key < to; an empty `to` means no bound.
 struct row_range
--- a/tests/adapter/store_fixture.hpp
+++ b/tests/adapter/store_fixture.hpp
@@ -56,7 +56,7 @@
                     [this](const http_request& request,
                            const http_responder& responder) {
                         ++calls;
-                        responder({200, {}, respond(request.target)});
+                        responder({status, {}, respond(request.target)});
                     });
             }
             catch (const std::runtime_error&)
@@ -67,6 +67,9 @@
         return address;
     }
 
+    // Status of all responses.
+    unsigned status = 200;
+
     std::string respond(const std::string& target) const
     {
         const QUrlQuery query(QUrl(QString::fromStdString(target)));
--- a/tests/node/fake_store.hpp
+++ b/tests/node/fake_store.hpp
@@ -1,6 +1,7 @@
 // In-memory row store with selectable failure modes.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -33,6 +34,12 @@
     std::set<std::string> undecodable;
     // Number of next reads with rows that name no key of them.
     std::size_t reads_without_keys = 0;
+    // Limits as the platform sets them. Transactions beyond them are refused
+    // for good.
+    std::size_t max_value_bytes = 65'536;
+    std::size_t max_entries = 100;
+    // Rows of which no write is accepted.
+    std::set<std::string> unwritable;
 
     void transact(const transaction& t, duration /*timeout*/,
                   const std::function<void(transaction_outcome)>& callback)
@@ -48,6 +55,11 @@
             callback(outcome_unknown{"no response"});
             return;
         }
+        if (!is_acceptable(t))
+        {
+            callback(rejected{"status 400"});
+            return;
+        }
         auto outcome = apply(t);
         if (mode == store_mode::loses_responses)
         {
@@ -111,6 +123,16 @@
         return table + '/' + part + '/' + key;
     }
 
+    bool is_acceptable(const transaction& t) const
+    {
+        return t.conditions.size() + t.writes.size() + t.deletes.size() <=
+                   max_entries &&
+               std::ranges::none_of(t.writes, [this](const row_write& write) {
+                   return write.value.size() > max_value_bytes ||
+                          unwritable.contains(write.key);
+               });
+    }
+
     transaction_outcome apply(const transaction& t)
     {
         for (const auto& condition : t.conditions)
@@ -130,6 +152,10 @@
             rows_[row_path(write.table, t.part, write.key)] = {
                 write.table, t.part, write.key, write.value, newest_, false};
         }
+        for (const auto& name : t.deletes)
+        {
+            rows_.erase(row_path(name.table, t.part, name.key));
+        }
         return committed{newest_};
     }
 
--- a/tests/node/job_frontend_test.cpp
+++ b/tests/node/job_frontend_test.cpp
@@ -108,6 +108,17 @@
     EXPECT_FALSE(is_stored());
 }
 
+// Failure: a submission that the store never accepts is repeated, and its
+// caller is told to come back.
+TEST_F(job_frontend_test, job_that_is_never_accepted_is_rejected_at_once)
+{
+    store.max_value_bytes = 10;
+    submit();
+    EXPECT_EQ(result, request_result::rejected);
+    EXPECT_EQ(store.calls, 1U);
+    EXPECT_FALSE(is_stored());
+}
+
 // Failure: a stored job is refused because the store's response was lost.
 TEST_F(job_frontend_test, lost_response_is_never_a_refusal)
 {
