Keep a job out whose progress cannot be decoded, also when the inbox is read again

A recovery leaves out a job whose progress row cannot be decoded, because tasks that are done would run again. When the feed of the inbox had lost its history, the leader read the inbox anew and took such a job for a new one.

The leader now remembers the jobs that it left out.

--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -18,6 +18,7 @@
     scheduler_->set_services(services_);
     scheduler_->set_closed_zones(closed_zones_);
     recovered_progress_.clear();
+    jobs_left_out_.clear();
     stored_ends_.clear();
     stored_pending_.clear();
     is_polling_inbox_ = false;
@@ -153,6 +154,7 @@
     if (!stored.empty() && !progress)
     {
         // Without the progress, completed tasks would run again.
+        jobs_left_out_.insert(id);
         log(log_level::error, "stored progress cannot be decoded",
             {{"job", row.key}});
         return;
@@ -325,6 +327,10 @@
             clock_.now());
         return;
     }
+    if (jobs_left_out_.contains(job_id(row.key)))
+    {
+        return;
+    }
     auto definition = jobs::decode_job(job_id(row.key), row.value);
     if (!definition)
     {
--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -258,6 +258,8 @@
     // Rows that wait for the jobs of the inbox. They are decoded one job at a
     // time, which takes less memory.
     std::map<job_id, stored_progress> recovered_progress_;
+    // Jobs whose progress cannot be decoded. The inbox may show them again.
+    std::set<job_id> jobs_left_out_;
     row_version inbox_position_;
     bool is_polling_inbox_ = false;
     time_point next_inbox_poll_{};
--- a/tests/node/fake_store.hpp
+++ b/tests/node/fake_store.hpp
@@ -38,6 +38,8 @@
     // for good.
     std::size_t max_value_bytes = 65'536;
     std::size_t max_entries = 100;
+    // The history is lost before the next read of a feed.
+    bool loses_history = false;
     // Rows of which no write is accepted.
     std::set<std::string> unwritable;
 
@@ -111,6 +113,11 @@
               const std::function<void(feed_outcome)>& callback)
     {
         ++calls;
+        if (std::exchange(loses_history, false))
+        {
+            callback(history_lost{});
+            return;
+        }
         callback(not_done{"not used"});
     }
 
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -131,6 +131,23 @@
     EXPECT_EQ(workers.starts, 500U);
 }
 
+// Failure: a job that was left out because its progress cannot be decoded is
+// taken for a new one when the inbox is read again, and its tasks run again.
+TEST_F(leader_role_test, job_that_was_left_out_stays_out)
+{
+    store_job();
+    put(progress_table, lead_part, stored_job.value(),
+        R"({"s":"later state"})");
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, milliseconds(400));
+    ASSERT_TRUE(a.leads());
+    store.loses_history = true;
+    run_for(a, seconds(1));
+    EXPECT_FALSE(store.loses_history);
+    EXPECT_EQ(workers.starts, 0U);
+}
+
 // Failure: an exception while one row is read ends the recovery of every
 // leader: it keeps the lease and starts nothing.
 TEST_F(leader_role_test, row_beyond_memory_does_not_stop_recovery)
