Conclude nothing from the absence of a run in a report that may leave out ends

Cause: a worker lists at most 500 ends until they are acknowledged. Two reports in a row without a run counted as proof that it was gone ("run missing from the worker's reports"), and after a takeover the first report of a worker counted as complete, so that tasks behind the 500 ends were taken for not running anywhere.

Change: the decoded report says whether further ends may follow; the limit is known to the adapter alone. With such a report no run is taken for missing, and a worker that an earlier leader may have used stays unseen. That holds also when all leases of earlier leaders have expired, as long as this leader goes on extending them, and across a planned hand-over, which stores the later expiry. A worker with further ends is polled also if it runs nothing, and nothing starts on it until it is recorded as open. Test worker and emulated worker list a limited number of ends, as the platform's do.

Ruled out: acknowledging ends before they are stored; reading absence once the store is back only (a burst of ends is enough).

--- a/src/emulation/leased_worker.cpp
+++ b/src/emulation/leased_worker.cpp
@@ -130,7 +130,10 @@
         out.running.push_back({key, run.run, checkpoint_at(run, saved),
                                percent_of(run, now), measurement});
     }
-    out.ended.assign(ended_.begin(), ended_.end());
+    const auto listed = std::min(ended_.size(), max_listed_ends);
+    out.ended.assign(ended_.begin(),
+                     ended_.begin() + static_cast<std::ptrdiff_t>(listed));
+    out.has_more_ends = listed == max_listed_ends;
     return out;
 }
 
--- a/src/emulation/leased_worker.hpp
+++ b/src/emulation/leased_worker.hpp
@@ -93,6 +93,7 @@
 
 private:
     static constexpr jobs::worker_clock max_lease{6000};
+    static constexpr std::size_t max_listed_ends = 500;
 
     bool has_room(const jobs::step& task_step) const;
     void extend_lease(jobs::worker_clock deadline, time_point now);
--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -255,6 +255,7 @@
     failed_polls = 0;
     unreadable_runs = 0;
     unreadable_ends = 0;
+    has_more_ends = false;
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -193,6 +193,8 @@
     // takes is not known.
     std::size_t unreadable_runs = 0;
     std::size_t unreadable_ends = 0;
+    // The last report may have left out ends.
+    bool has_more_ends = false;
 
     // Starts without a response that were abandoned after all leases had ended.
     // A worker that has restarted in the meantime knows neither the deadline
--- a/src/jobs/missing_run_check.cpp
+++ b/src/jobs/missing_run_check.cpp
@@ -23,6 +23,11 @@
                                   const worker_report& report,
                                   time_point sent_at, time_point now)
 {
+    if (report.has_more_ends)
+    {
+        // Any absent run may be among the ends that are not listed.
+        return;
+    }
     std::vector<task_key> absent;
     for (const auto& [key, run] : worker.runs())
     {
--- a/src/jobs/poll_planner.cpp
+++ b/src/jobs/poll_planner.cpp
@@ -36,7 +36,8 @@
     }
     return !worker.has_been_seen() || worker.has_restarted ||
            !worker.knows_clock() || worker.failed_polls > 0 ||
-           !worker.runs().empty() || worker.has_unstored_ends();
+           !worker.runs().empty() || worker.has_unstored_ends() ||
+           worker.has_more_ends;
 }
 
 void poll_planner::order_poll(fleet_worker& worker, time_point now,
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -26,6 +26,7 @@
     worker.failed_polls = 0;
     worker.has_restarted = false;
     worker.has_ended = false;
+    worker.has_more_ends = report.has_more_ends;
     worker_ends_.withdraw_given_up_starts(worker, now);
     count_unreadable_rows(worker, report);
     run_ends_.on_report(worker, report, now);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -177,7 +177,14 @@
     worker->next_poll =
         now + (must_not_wait ? state_.options.unstored_poll_interval
                              : state_.options.min_poll_interval);
-    recovery_.on_worker_seen(*worker);
+    if (report.has_more_ends)
+    {
+        recovery_.on_incomplete_report(*worker);
+    }
+    else
+    {
+        recovery_.on_worker_seen(*worker);
+    }
     recovery_.check(now);
 }
 
--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -88,9 +88,15 @@
     if (unseen_workers_.empty() || now >= leases_expire_at_)
     {
         end(now);
+    }
+    if (is_complete())
+    {
         return;
     }
-    bound_lease_extension(now);
+    if (now < leases_expire_at_)
+    {
+        bound_lease_extension(now);
+    }
     if (unseen_workers_changed_ && !has_unknown_runs())
     {
         update_uncertain_tasks();
@@ -115,6 +121,30 @@
     unseen_workers_changed_ = true;
 }
 
+void takeover_recovery::on_incomplete_report(const fleet_worker& worker)
+{
+    if (unseen_workers_.contains(worker.entry.id))
+    {
+        unseen_with_more_ends_.insert(worker.entry.id);
+    }
+}
+
+bool takeover_recovery::may_report_more_ends(const worker_id& id,
+                                             time_point now) const
+{
+    const auto* const worker = state_.find_worker(id);
+    if (worker == nullptr || worker->has_ended ||
+        !unseen_with_more_ends_.contains(id))
+    {
+        return false;
+    }
+    // Ends on a worker whose leases have expired no longer count.
+    const bool is_silent =
+        worker->failed_polls > 0 || worker->poll_sent_at.has_value();
+    return !is_silent ||
+           now <= worker->leases_expire_at(state_.options.clock_error);
+}
+
 void takeover_recovery::on_vm_replaced(const fleet_worker& later,
                                        time_point now)
 {
@@ -173,9 +203,16 @@
         return out;
     }
     const auto earlier = expire_earlier_at_.find(record.worker);
-    const auto expiry = earlier == expire_earlier_at_.end()
-                            ? leases_expire_at_
-                            : std::min(earlier->second, leases_expire_at_);
+    auto expiry = earlier == expire_earlier_at_.end()
+                      ? leases_expire_at_
+                      : std::min(earlier->second, leases_expire_at_);
+    if (may_report_more_ends(record.worker, now))
+    {
+        // This leader has extended the leases.
+        const auto* const worker = state_.find_worker(record.worker);
+        expiry = std::max(expiry,
+                          worker->leases_expire_at(state_.options.clock_error));
+    }
     out.leases = lease_bound{state_.epoch, time_left(expiry, now)};
     if (!has_bound(record))
     {
@@ -226,7 +263,8 @@
     for (const auto& [id, expiry] : expire_earlier_at_)
     {
         const auto unseen = unseen_workers_.find(id);
-        if (now < expiry || unseen == unseen_workers_.end())
+        if (now < expiry || unseen == unseen_workers_.end() ||
+            may_report_more_ends(id, now))
         {
             continue;
         }
@@ -236,20 +274,35 @@
         ++expired_workers_;
         unseen_workers_changed_ = true;
     }
-    std::erase_if(expire_earlier_at_,
-                  [now](const auto& entry) { return now >= entry.second; });
+    std::erase_if(expire_earlier_at_, [&](const auto& entry) {
+        return now >= entry.second && !may_report_more_ends(entry.first, now);
+    });
 }
 
 void takeover_recovery::end(time_point now)
 {
-    state_.log_event("recovery of earlier runs complete",
-                     {{"not_seen", std::to_string(unseen_workers_.size())}});
-    for (const auto& [id, record] : unseen_workers_)
+    std::size_t expired = 0;
+    for (auto unseen = unseen_workers_.begin();
+         unseen != unseen_workers_.end();)
+    {
+        if (may_report_more_ends(unseen->first, now))
+        {
+            ++unseen;
+            continue;
+        }
+        on_leases_expired(unseen->second, now);
+        unseen = unseen_workers_.erase(unseen);
+        unseen_workers_changed_ = true;
+        ++expired;
+    }
+    if (!unseen_workers_.empty())
     {
-        on_leases_expired(record, now);
+        return;
     }
-    unseen_workers_.clear();
+    state_.log_event("recovery of earlier runs complete",
+                     {{"not_seen", std::to_string(expired)}});
     unseen_with_malformed_entry_.clear();
+    unseen_with_more_ends_.clear();
     expire_earlier_at_.clear();
     leases_expire_at_ = {};
     update_uncertain_tasks();
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -31,6 +31,9 @@
     void begin(time_point now, const earlier_leaders& predecessors);
     void check(time_point now);
     void on_worker_seen(fleet_worker& worker);
+    // The worker has responded, but its report does not list all ends. Tasks
+    // whose end it left out must not count as not running.
+    void on_incomplete_report(const fleet_worker& worker);
     // A worker has responded that runs on its VM after all recorded ones.
     void on_vm_replaced(const fleet_worker& later, time_point now);
 
@@ -66,6 +69,9 @@
     // Marks only those tasks uncertain that may run on workers that have not
     // been seen.
     void update_uncertain_tasks();
+    // True if ends of earlier runs may still follow from the worker, although
+    // the leases that earlier leaders granted have expired.
+    bool may_report_more_ends(const worker_id& id, time_point now) const;
     // True if the list would show the worker if it still ran.
     bool has_left_list(const worker_id& id) const;
     // True if the last leader stored until when its leases on the worker last.
@@ -85,6 +91,8 @@
     std::map<worker_id, fleet_record> unseen_workers_;
     // Those whose entry is malformed, without those in the fleet.
     std::set<worker_id> unseen_with_malformed_entry_;
+    // Those that have responded without listing all ends.
+    std::set<worker_id> unseen_with_more_ends_;
     // A worker was seen since the uncertain tasks were updated.
     bool unseen_workers_changed_ = true;
     // When the last lease on any of them expires, and on those for which the
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -93,6 +93,9 @@
     worker_incarnation incarnation = 0;
     std::vector<running_task> running;
     std::vector<ended_run> ended;
+    // The worker may have ended further runs that it does not list yet. Nothing
+    // follows then from the absence of a run.
+    bool has_more_ends = false;
     // Rows that cannot be attributed to a run. A run in progress that cannot be
     // decoded still occupies room.
     std::size_t unreadable_running = 0;
--- a/tests/adapter/report_codec_test.cpp
+++ b/tests/adapter/report_codec_test.cpp
@@ -131,3 +131,21 @@
             << lists;
     }
 }
+
+// Failure: a report with as many ends as a worker lists counts as complete, and
+// runs whose end it left out are taken for missing.
+TEST(report_codec, full_list_of_ends_is_not_complete)
+{
+    const auto report_with = [](int ends) {
+        std::string rows;
+        for (int i = 1; i <= ends; ++i)
+        {
+            rows += (i > 1 ? "," : "") + std::string("[") + std::to_string(i) +
+                    R"(,"5c0e7a21d94b36f8.0.0.1",1,"done",""])";
+        }
+        return decode_report(R"({"clock_ms":1,"ended":[)" + rows + "]}");
+    };
+    EXPECT_TRUE(report_with(500).value().has_more_ends);
+    EXPECT_FALSE(report_with(499).value().has_more_ends);
+    EXPECT_FALSE(report_with(0).value().has_more_ends);
+}
--- a/tests/jobs/fake_worker.hpp
+++ b/tests/jobs/fake_worker.hpp
@@ -160,7 +160,11 @@
             report.running.push_back(
                 {key, run.run, "", static_cast<int>(percent), -1});
         }
-        report.ended.assign(ended_.begin(), ended_.end());
+        const auto listed = std::min(ended_.size(), max_listed_ends);
+        report.ended.assign(ended_.begin(),
+                            ended_.begin() +
+                                static_cast<std::ptrdiff_t>(listed));
+        report.has_more_ends = listed == max_listed_ends;
         return report;
     }
 
@@ -197,6 +201,8 @@
 
 private:
     static constexpr worker_clock max_lease{6000};
+    // Low, so that reports often leave out ends.
+    static constexpr std::size_t max_listed_ends = 3;
 
     void extend_lease(worker_clock deadline, time_point now)
     {
