Keep records only of tasks that have been ordered

Cause: each task of each occurrence had a record of about 400 bytes from the moment a job was read: 8 MB for 10,000 occurrences of two tasks. The same holds for jobs with steps of 10,000 tasks.

Change: an occurrence has a record from its due time until it is finished, and a task from its first order until it is done. What is done is one bit. If many occurrences are due at once, 32 of which nothing has started are active, and the next ones follow when their tasks have been ordered. The recovery uses the same form. Durations of the last 256 finished tasks of a step stay for the comparison of workers. A late end of a finished occurrence no longer finds a record.

--- a/src/jobs/current_run.cpp
+++ b/src/jobs/current_run.cpp
@@ -11,7 +11,7 @@
     {
         return false;
     }
-    const auto& task = owner->task(key);
+    const auto& task = owner->peek(key);
     return task.phase == task_phase::placed && task.worker == worker.entry.id &&
            task.last_run == run;
 }
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -10,19 +10,53 @@
 namespace
 {
 
-step_record make_waiting_step(const step& s)
-{
-    step_record record;
-    record.tasks.resize(s.task_count);
-    record.waiting = s.task_count;
+// Occurrences that are activated ahead of the start of their tasks.
+constexpr std::size_t max_untouched_occurrences = 32;
+
+const task_record untouched_task;
+const task_record uncertain_task = [] {
+    task_record record;
+    record.may_run_elsewhere = true;
     return record;
-}
+}();
+const task_record finished_task = [] {
+    task_record record;
+    record.phase = task_phase::done;
+    return record;
+}();
 
 task_key key_of(const job_id& id, const job_progress::task_position& position)
 {
     return {id, position.occurrence, position.step, position.index};
 }
 
+void add_task_progress(const job_progress::task_position& position,
+                       const task_record& record, job_progress& to)
+{
+    if (record.is_announced)
+    {
+        to.ordered->push_back(position);
+    }
+    if (!record.failed_runs.empty() || !record.checkpoint.empty() ||
+        !record.crashes.empty())
+    {
+        to.histories[position] = {record.failed_runs, record.checkpoint,
+                                  record.crashes};
+    }
+}
+
+void add_finished(std::uint32_t occurrence, const std::vector<step>& steps,
+                  job_progress& to)
+{
+    for (std::uint32_t s = 0; s < steps.size(); ++s)
+    {
+        for (std::uint32_t i = 0; i < steps[s].task_count; ++i)
+        {
+            to.done.push_back({occurrence, s, i});
+        }
+    }
+}
+
 } // namespace
 
 live_job::live_job(job definition)
@@ -32,18 +66,39 @@
                          ? duration{}
                          : std::ranges::max(critical_paths_))
 {
-    occurrences_.resize(job_.repeats_count());
-    for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
+    is_finished_.resize(job_.repeats_count());
+    if (job_.repeats.count == 0)
     {
-        if (job_.repeats.count > 0)
+        activate(0);
+    }
+}
+
+void step_record::set_done(std::uint32_t index)
+{
+    if (const auto found = tasks.find(index); found != tasks.end())
+    {
+        const auto& record = found->second;
+        if (record.projected_duration > duration{})
+        {
+            durations.push_back({record.worker, record.projected_duration});
+        }
+        if (durations.size() > max_durations)
         {
-            occurrences_[k].due =
-                job_.repeats.first_due + k * job_.repeats.interval;
+            durations.erase(durations.begin());
         }
-        std::ranges::transform(job_.steps,
-                               std::back_inserter(occurrences_[k].steps),
-                               make_waiting_step);
+        waiting -= record.phase == task_phase::waiting ? 1 : 0;
+        tasks.erase(found);
+    }
+    else
+    {
+        --waiting;
+    }
+    if (is_done_.size() <= index)
+    {
+        is_done_.resize(index + 1);
     }
+    is_done_[index] = true;
+    ++done;
 }
 
 const step& live_job::step_of(const task_key& key) const
@@ -53,40 +108,108 @@
 
 bool live_job::has(const task_key& key) const
 {
-    return key.occurrence < occurrences_.size() &&
-           key.step < job_.steps.size() &&
+    return key.occurrence < is_finished_.size() &&
+           !is_finished_[key.occurrence] && key.step < job_.steps.size() &&
            key.index < job_.steps[key.step].task_count;
 }
 
+const task_record& live_job::peek(const task_key& key) const
+{
+    const auto& initial = are_all_uncertain_ ? uncertain_task : untouched_task;
+    const auto active = active_.find(key.occurrence);
+    if (active == active_.end())
+    {
+        return is_finished_[key.occurrence] ? finished_task : initial;
+    }
+    const auto& step = active->second.steps[key.step];
+    const auto found = step.tasks.find(key.index);
+    if (found != step.tasks.end())
+    {
+        return found->second;
+    }
+    return step.is_done(key.index) ? finished_task : initial;
+}
+
 task_record& live_job::task(const task_key& key)
 {
-    return occurrences_[key.occurrence].steps[key.step].tasks[key.index];
+    const auto& state = peek(key);
+    auto& tasks = activate(key.occurrence).steps[key.step].tasks;
+    return tasks.try_emplace(key.index, state).first->second;
+}
+
+occurrence_record& live_job::activate(std::uint32_t occurrence)
+{
+    const auto [found, is_new] = active_.try_emplace(occurrence);
+    if (is_new)
+    {
+        for (const auto& s : job_.steps)
+        {
+            auto& record = found->second.steps.emplace_back(s.task_count);
+            if (s.is_long_running)
+            {
+                record.waiting_since = waiting_since_at_first_;
+            }
+        }
+    }
+    return found->second;
+}
+
+void live_job::activate_due(std::chrono::milliseconds unix_now)
+{
+    const auto is_due = [&] {
+        return next_occurrence_ < is_finished_.size() &&
+               due(next_occurrence_) <= unix_now;
+    };
+    if (is_due())
+    {
+        auto untouched = static_cast<std::size_t>(
+            std::ranges::count_if(active_, [](const auto& entry) {
+                return entry.second.is_untouched();
+            }));
+        for (; is_due() && untouched < max_untouched_occurrences;
+             ++next_occurrence_)
+        {
+            if (!is_finished_[next_occurrence_] &&
+                !active_.contains(next_occurrence_))
+            {
+                activate(next_occurrence_);
+                ++untouched;
+            }
+        }
+    }
+    waiting_since_at_first_.reset();
+}
+
+void live_job::finish(std::uint32_t occurrence)
+{
+    active_.erase(occurrence);
+    is_finished_[occurrence] = true;
+    ++done_occurrences_;
 }
 
 bool live_job::is_open(std::uint32_t occurrence, std::uint32_t step,
                        std::chrono::milliseconds unix_now) const
 {
-    const auto& record = occurrences_[occurrence];
-    if (record.due > unix_now)
+    if (due(occurrence) > unix_now)
     {
         return false;
     }
+    const auto active = active_.find(occurrence);
     return std::ranges::all_of(job_.steps[step].after,
                                [&](std::uint32_t before) {
-                                   const auto& earlier = record.steps[before];
-                                   return earlier.done == earlier.tasks.size();
+                                   return active != active_.end() &&
+                                          active->second.steps[before].done ==
+                                              job_.steps[before].task_count;
                                });
 }
 
 task_record& live_job::set_phase(const task_key& key, task_phase phase)
 {
-    auto& step = occurrences_[key.occurrence].steps[key.step];
-    auto& record = step.tasks[key.index];
+    auto& record = task(key);
+    auto& step = step_state(key.occurrence, key.step);
     step.waiting -= record.phase == task_phase::waiting ? 1 : 0;
-    step.done -= record.phase == task_phase::done ? 1 : 0;
     record.phase = phase;
     step.waiting += phase == task_phase::waiting ? 1 : 0;
-    step.done += phase == task_phase::done ? 1 : 0;
     return record;
 }
 
@@ -112,19 +235,21 @@
 
 bool live_job::set_done(const task_key& key)
 {
-    if (task(key).phase == task_phase::done)
+    if (peek(key).phase == task_phase::done)
     {
         return false;
     }
-    set_phase(key, task_phase::done).checkpoint.clear();
     has_started_ = true;
-    auto& occurrence = occurrences_[key.occurrence];
-    const auto& step = occurrence.steps[key.step];
-    if (step.done == step.tasks.size())
+    auto& occurrence = activate(key.occurrence);
+    auto& step = occurrence.steps[key.step];
+    step.set_done(key.index);
+    if (step.done < job_.steps[key.step].task_count)
     {
-        ++occurrence.done_steps;
-        done_occurrences_ +=
-            occurrence.done_steps == occurrence.steps.size() ? 1 : 0;
+        return true;
+    }
+    if (++occurrence.done_steps == occurrence.steps.size())
+    {
+        finish(key.occurrence);
     }
     return true;
 }
@@ -155,11 +280,8 @@
 
 bool live_job::has_failed(const task_key& key) const
 {
-    const auto& step = job_.steps[key.step];
-    const auto& record =
-        occurrences_[key.occurrence].steps[key.step].tasks[key.index];
-    return !step.is_long_running &&
-           record.failed_runs.size() >= job_.policy.max_attempts;
+    return !job_.steps[key.step].is_long_running &&
+           peek(key).failed_runs.size() >= job_.policy.max_attempts;
 }
 
 void live_job::restore(const job_progress& progress)
@@ -218,76 +340,89 @@
                                &step::task_count);
     }
     out.ordered.emplace();
-    for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
+    for (std::uint32_t k = 0; k < is_finished_.size(); ++k)
     {
-        for (std::uint32_t s = 0; s < occurrences_[k].steps.size(); ++s)
+        const auto active = active_.find(k);
+        if (active != active_.end())
         {
-            const auto& tasks = occurrences_[k].steps[s].tasks;
-            for (std::uint32_t i = 0; i < tasks.size(); ++i)
-            {
-                add_task_progress({k, s, i}, tasks[i], out);
-            }
+            add_progress(k, active->second, out);
+        }
+        else if (is_finished_[k])
+        {
+            add_finished(k, job_.steps, out);
         }
     }
     return out;
 }
 
-void live_job::set_collected(std::uint64_t number)
+void live_job::add_progress(std::uint32_t occurrence,
+                            const occurrence_record& record,
+                            job_progress& to) const
 {
-    for (auto& occurrence : occurrences_)
+    for (std::uint32_t s = 0; s < record.steps.size(); ++s)
     {
-        for (auto& step : occurrence.steps)
+        const auto& step = record.steps[s];
+        for (std::uint32_t i = 0; step.done > 0 && i < job_.steps[s].task_count;
+             ++i)
         {
-            for (auto& record : step.tasks)
+            if (step.is_done(i))
             {
-                if (record.phase == task_phase::done)
-                {
-                    continue;
-                }
-                if (record.is_announced && record.first_change_set == 0)
-                {
-                    record.first_change_set = number;
-                }
-                if (std::exchange(record.has_unstored_crash, false))
-                {
-                    record.crash_change_set = number;
-                }
+                to.done.push_back({occurrence, s, i});
+            }
+        }
+        for (const auto& [index, task] : step.tasks)
+        {
+            if (task.phase != task_phase::done)
+            {
+                add_task_progress({occurrence, s, index}, task, to);
             }
         }
     }
 }
 
-void live_job::add_task_progress(const job_progress::task_position& position,
-                                 const task_record& record, job_progress& to)
+template <typename Change>
+void live_job::for_each_record(const Change& change)
 {
-    if (record.phase == task_phase::done)
-    {
-        to.done.push_back(position);
-        return;
-    }
-    if (record.is_announced)
-    {
-        to.ordered->push_back(position);
-    }
-    if (!record.failed_runs.empty() || !record.checkpoint.empty() ||
-        !record.crashes.empty())
+    for (auto& [k, occurrence] : active_)
     {
-        to.histories[position] = {record.failed_runs, record.checkpoint,
-                                  record.crashes};
+        for (auto& step : occurrence.steps)
+        {
+            for (auto& [index, record] : step.tasks)
+            {
+                change(record);
+            }
+        }
     }
 }
 
+void live_job::set_collected(std::uint64_t number)
+{
+    for_each_record([number](task_record& record) {
+        if (record.phase == task_phase::done)
+        {
+            return;
+        }
+        if (record.is_announced && record.first_change_set == 0)
+        {
+            record.first_change_set = number;
+        }
+        if (std::exchange(record.has_unstored_crash, false))
+        {
+            record.crash_change_set = number;
+        }
+    });
+}
+
 void live_job::collect_trials(
     std::map<worker_id, std::vector<task_key>>& trials) const
 {
-    for (std::uint32_t k = 0; k < occurrences_.size(); ++k)
+    for (const auto& [k, occurrence] : active_)
     {
-        for (std::uint32_t s = 0; s < occurrences_[k].steps.size(); ++s)
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
         {
-            const auto& tasks = occurrences_[k].steps[s].tasks;
-            for (std::uint32_t i = 0; i < tasks.size(); ++i)
+            for (const auto& [i, record] : occurrence.steps[s].tasks)
             {
-                const auto& worker = tasks[i].crashes.tried_on;
+                const auto& worker = record.crashes.tried_on;
                 if (!worker.empty())
                 {
                     trials[worker].push_back({job_.id, k, s, i});
@@ -299,28 +434,26 @@
 
 void live_job::mark_ordered_tasks_uncertain()
 {
-    for (auto& occurrence : occurrences_)
-    {
-        for (auto& step : occurrence.steps)
-        {
-            std::ranges::for_each(step.tasks, [this](task_record& record) {
-                record.may_run_elsewhere =
-                    record.phase == task_phase::waiting &&
-                    (record.is_announced || !lists_ordered_tasks_);
-            });
-        }
-    }
+    are_all_uncertain_ = !lists_ordered_tasks_;
+    for_each_record([this](task_record& record) {
+        record.may_run_elsewhere =
+            record.phase == task_phase::waiting &&
+            (record.is_announced || !lists_ordered_tasks_);
+    });
 }
 
 void live_job::mark_uncertain(const task_key& key)
 {
-    auto& record = task(key);
-    record.may_run_elsewhere = record.phase == task_phase::waiting;
+    if (peek(key).phase == task_phase::waiting)
+    {
+        task(key).may_run_elsewhere = true;
+    }
 }
 
 void live_job::set_long_running_waiting_since(time_point since)
 {
-    for (auto& occurrence : occurrences_)
+    waiting_since_at_first_ = since;
+    for (auto& [k, occurrence] : active_)
     {
         for (std::size_t s = 0; s < occurrence.steps.size(); ++s)
         {
@@ -334,15 +467,9 @@
 
 void live_job::clear_uncertain_tasks()
 {
-    for (auto& occurrence : occurrences_)
-    {
-        for (auto& step : occurrence.steps)
-        {
-            std::ranges::for_each(step.tasks, [](task_record& record) {
-                record.may_run_elsewhere = false;
-            });
-        }
-    }
+    are_all_uncertain_ = false;
+    for_each_record(
+        [](task_record& record) { record.may_run_elsewhere = false; });
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -78,9 +78,21 @@
     }
 };
 
-struct step_record
+// How long a task that is done would have taken on its worker.
+struct task_duration
 {
-    std::vector<task_record> tasks;
+    worker_id worker;
+    duration projected{};
+};
+
+// A step of one occurrence. Memory follows the tasks that have been ordered or
+// have a history: tasks that have not, and tasks that are done, have no record.
+class step_record
+{
+public:
+    explicit step_record(std::uint32_t task_count) : waiting(task_count) {}
+
+    std::map<std::uint32_t, task_record> tasks;
     std::uint32_t done = 0;
     std::uint32_t waiting = 0;
     // Time of the last search over all workers in which some waiting tasks had
@@ -88,18 +100,40 @@
     time_point searched_at{};
     // Since when the step has had waiting tasks that may start.
     std::optional<time_point> waiting_since;
+    // Of the tasks that were done last.
+    std::vector<task_duration> durations;
+
+    bool is_done(std::uint32_t index) const
+    {
+        return index < is_done_.size() && is_done_[index];
+    }
+    // Removes the record of the task. It must not be done.
+    void set_done(std::uint32_t index);
+
+private:
+    static constexpr std::size_t max_durations = 256;
+
+    // By index, up to the highest one that is done.
+    std::vector<bool> is_done_;
 };
 
 struct occurrence_record
 {
-    // Unix time; zero for a job without repetition.
-    std::chrono::milliseconds due{};
     std::vector<step_record> steps;
     std::uint32_t done_steps = 0;
+
+    // True if nothing is known of any of its tasks.
+    bool is_untouched() const
+    {
+        return std::ranges::all_of(steps, [](const step_record& s) {
+            return s.tasks.empty() && s.done == 0;
+        });
+    }
 };
 
-// Invariant: `waiting` and `done` of each step count its tasks in these
-// phases.
+// Invariants: `waiting` and `done` of each step count its tasks in these
+// phases; an occurrence is active, finished or neither; one that is neither has
+// no task that was ever ordered.
 class live_job
 {
 public:
@@ -114,28 +148,46 @@
         return critical_paths_[step];
     }
     const step& step_of(const task_key& key) const;
+    // False also for the tasks of an occurrence that is finished.
     bool has(const task_key& key) const;
+    // The job must have the task.
     task_record& task(const task_key& key);
-    const std::vector<occurrence_record>& occurrences() const
+    // The state of the task, without creating a record of it.
+    const task_record& peek(const task_key& key) const;
+
+    // Occurrences that are due, or of whose tasks something is known, by
+    // number.
+    std::map<std::uint32_t, occurrence_record>& active() { return active_; }
+    const std::map<std::uint32_t, occurrence_record>& active() const
     {
-        return occurrences_;
+        return active_;
     }
-
-    time_point& searched_at(std::uint32_t occurrence, std::uint32_t step)
+    // Activates the occurrences that are due. If many are, the next ones follow
+    // when tasks of these have been ordered.
+    void activate_due(std::chrono::milliseconds unix_now);
+    // Unix time; zero for a job without repetition.
+    std::chrono::milliseconds due(std::uint32_t occurrence) const
     {
-        return occurrences_[occurrence].steps[step].searched_at;
+        return job_.repeats.count == 0 ? std::chrono::milliseconds{}
+                                       : job_.repeats.first_due +
+                                             occurrence * job_.repeats.interval;
     }
 
-    std::optional<time_point>& waiting_since(std::uint32_t occurrence,
-                                             std::uint32_t step)
+    // The step must be part of an active occurrence.
+    step_record& step_state(std::uint32_t occurrence, std::uint32_t step)
+    {
+        return active_.at(occurrence).steps[step];
+    }
+    const step_record& step_state(std::uint32_t occurrence,
+                                  std::uint32_t step) const
     {
-        return occurrences_[occurrence].steps[step].waiting_since;
+        return active_.at(occurrence).steps[step];
     }
 
     // The step has had no run of one of its tasks since this time.
     void note_lost_run(const task_key& key, time_point lost_at)
     {
-        auto& since = waiting_since(key.occurrence, key.step);
+        auto& since = step_state(key.occurrence, key.step).waiting_since;
         since = std::min(since.value_or(lost_at), lost_at);
     }
     // Long-running steps that an earlier leader may have kept waiting count as
@@ -197,8 +249,13 @@
     void clear_uncertain_tasks();
 
 private:
-    static void add_task_progress(const job_progress::task_position& position,
-                                  const task_record& record, job_progress& to);
+    occurrence_record& activate(std::uint32_t occurrence);
+    void finish(std::uint32_t occurrence);
+    void add_progress(std::uint32_t occurrence, const occurrence_record& record,
+                      job_progress& to) const;
+    // Calls `change` for the record of each task that has one.
+    template <typename Change>
+    void for_each_record(const Change& change);
     task_record& set_phase(const task_key& key, task_phase phase);
 
     job job_;
@@ -211,7 +268,15 @@
     // True if the recovered row lists the tasks that may have been ordered. A
     // job without a row has no such tasks.
     bool lists_ordered_tasks_ = true;
-    std::vector<occurrence_record> occurrences_;
+    // Tasks without a record may run elsewhere, too.
+    bool are_all_uncertain_ = false;
+    std::map<std::uint32_t, occurrence_record> active_;
+    // By number of the occurrence.
+    std::vector<bool> is_finished_;
+    // The occurrences before it have been activated.
+    std::uint32_t next_occurrence_ = 0;
+    // Given to long-running steps of the occurrences that are due at first.
+    std::optional<time_point> waiting_since_at_first_;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/long_wait_log.cpp
+++ b/src/jobs/long_wait_log.cpp
@@ -92,17 +92,16 @@
     for (const auto& [id, owner] : state_.registry.live())
     {
         const auto& definition = owner->definition();
-        const auto& occurrences = owner->occurrences();
-        for (std::uint32_t k = 0; k < occurrences.size(); ++k)
+        for (const auto& [k, occurrence] : owner->active())
         {
-            if (occurrences[k].due > circumstances.unix_now)
+            if (owner->due(k) > circumstances.unix_now)
             {
                 continue;
             }
-            for (std::uint32_t s = 0; s < occurrences[k].steps.size(); ++s)
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
             {
                 if (definition.steps[s].is_long_running &&
-                    occurrences[k].steps[s].waiting > 0)
+                    occurrence.steps[s].waiting > 0)
                 {
                     add_waiting_tasks(*owner, k, s, circumstances.now);
                 }
@@ -115,16 +114,19 @@
                                       std::uint32_t occurrence,
                                       std::uint32_t step, time_point now)
 {
-    const auto& record = owner.occurrences()[occurrence].steps[step];
+    const auto& id = owner.definition().id;
+    const auto& record = owner.step_state(occurrence, step);
     // The step's time covers tasks that have waited for longer; a task that is
     // new here was not waiting at the last check.
     const auto since =
         std::max(record.waiting_since.value_or(now), checked_at_);
-    for (std::uint32_t i = 0; i < record.tasks.size(); ++i)
+    const auto count = owner.definition().steps[step].task_count;
+    for (std::uint32_t i = 0; i < count; ++i)
     {
-        if (record.tasks[i].phase == task_phase::waiting)
+        const task_key key{id, occurrence, step, i};
+        if (owner.peek(key).phase == task_phase::waiting)
         {
-            begin_episode({owner.definition().id, occurrence, step, i}, since);
+            begin_episode(key, since);
         }
     }
 }
@@ -269,7 +271,7 @@
 const task_record* long_wait_log::find_task(const task_key& key) const
 {
     auto* const owner = state_.registry.find(key.job);
-    return owner != nullptr && owner->has(key) ? &owner->task(key) : nullptr;
+    return owner != nullptr && owner->has(key) ? &owner->peek(key) : nullptr;
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/placing_order.cpp
+++ b/src/jobs/placing_order.cpp
@@ -15,9 +15,8 @@
 {
     const auto& definition = owner.definition();
     const auto& waiting = definition.steps[step];
-    const auto begin = definition.repeats.count > 0
-                           ? owner.occurrences()[occurrence].due
-                           : definition.accepted_at;
+    const auto begin = definition.repeats.count > 0 ? owner.due(occurrence)
+                                                    : definition.accepted_at;
     const auto target = duration_cast<milliseconds>(
         owner.critical_path() * definition.policy.stretch +
         definition.policy.slack);
--- a/src/jobs/scheduler_state.cpp
+++ b/src/jobs/scheduler_state.cpp
@@ -95,16 +95,14 @@
                                std::string_view reason)
 {
     const auto& id = ended.definition().id;
-    const auto& occurrences = ended.occurrences();
-    for (std::uint32_t k = 0; k < occurrences.size(); ++k)
+    for (const auto& [k, occurrence] : ended.active())
     {
-        for (std::uint32_t s = 0; s < occurrences[k].steps.size(); ++s)
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
         {
-            const auto& tasks = occurrences[k].steps[s].tasks;
-            for (std::uint32_t i = 0; i < tasks.size(); ++i)
+            for (const auto& [i, task] : occurrence.steps[s].tasks)
             {
-                auto* const worker = find_worker(tasks[i].worker);
-                if (tasks[i].phase == task_phase::placed && worker != nullptr)
+                auto* const worker = find_worker(task.worker);
+                if (task.phase == task_phase::placed && worker != nullptr)
                 {
                     order_stop(*worker, {id, k, s, i}, now, reason);
                 }
--- a/src/jobs/speed_monitor.cpp
+++ b/src/jobs/speed_monitor.cpp
@@ -68,17 +68,23 @@
                                                 const task_key& key) const
 {
     std::vector<duration> durations;
-    const auto& own = owner.task(key);
-    for (std::uint32_t i = 0; i < owner.step_of(key).task_count; ++i)
+    const auto own_worker = owner.peek(key).worker;
+    const auto& step = owner.step_state(key.occurrence, key.step);
+    for (const auto& [index, sibling] : step.tasks)
     {
-        const auto& sibling =
-            owner.task({key.job, key.occurrence, key.step, i});
         if (sibling.projected_duration > duration{} &&
-            sibling.worker != own.worker)
+            sibling.worker != own_worker)
         {
             durations.push_back(sibling.projected_duration);
         }
     }
+    for (const auto& done : step.durations)
+    {
+        if (done.worker != own_worker)
+        {
+            durations.push_back(done.projected);
+        }
+    }
     if (durations.size() < min_siblings)
     {
         return {};
@@ -93,7 +99,7 @@
                                         const run_record& run) const
 {
     const auto median = median_sibling_duration(owner, key);
-    const auto own_duration = owner.task(key).projected_duration;
+    const auto own_duration = owner.peek(key).projected_duration;
     if (median <= duration{} || own_duration <= duration{})
     {
         return false;
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -76,13 +76,13 @@
     std::vector<candidate> out;
     for (auto& [id, owner] : state_.registry.live())
     {
-        const auto& occurrences = owner->occurrences();
-        for (std::uint32_t k = 0; k < occurrences.size(); ++k)
+        owner->activate_due(unix_now);
+        for (auto& [k, occurrence] : owner->active())
         {
-            const auto& steps = occurrences[k].steps;
+            auto& steps = occurrence.steps;
             for (std::uint32_t s = 0; s < steps.size(); ++s)
             {
-                auto& since = owner->waiting_since(k, s);
+                auto& since = steps[s].waiting_since;
                 if (steps[s].waiting == 0 || !owner->is_open(k, s, unix_now))
                 {
                     since.reset();
@@ -175,7 +175,7 @@
     const bool is_valid =
         worker != nullptr && eligibility_.is_available(*worker, now) &&
         eligibility_.accepts_step(*worker, owner.step_of(key), now) &&
-        worker_eligibility::keeps_trials_apart(*worker, owner.task(key), true,
+        worker_eligibility::keeps_trials_apart(*worker, owner.peek(key), true,
                                                now) &&
         eligibility_.may_run(*worker, owner, key, now);
     return is_valid ? worker : nullptr;
@@ -190,7 +190,7 @@
         return {{freed_workers_}};
     }
     std::deque<worker_list> lists = {{usable_workers_}};
-    const auto& since = c.owner->waiting_since(c.occurrence, c.step);
+    const auto& since = c.owner->step_state(c.occurrence, c.step).waiting_since;
     const bool is_long_running =
         c.owner->definition().steps[c.step].is_long_running;
     if (is_long_running && since && now - *since >= max_wait_for_sound_worker)
@@ -205,7 +205,7 @@
     const auto& definition = c.owner->definition();
     const auto count = definition.steps[c.step].task_count;
     request_advice(c, now);
-    auto& searched_at = c.owner->searched_at(c.occurrence, c.step);
+    auto& searched_at = c.owner->step_state(c.occurrence, c.step).searched_at;
     const bool is_full_search = definition.policy.needs_advice ||
                                 now - searched_at >= full_search_interval;
     // All tasks of a step have the same size: a list without room for one of
@@ -218,7 +218,7 @@
     for (std::uint32_t i = 0; i < count; ++i)
     {
         const task_key key{definition.id, c.occurrence, c.step, i};
-        const auto& task = c.owner->task(key);
+        const auto& task = c.owner->peek(key);
         if (!may_start(task) || task.not_before > now)
         {
             continue;
@@ -298,7 +298,7 @@
     for (std::uint32_t i = 0; i < count; ++i)
     {
         const auto& task =
-            c.owner->task({definition.id, c.occurrence, c.step, i});
+            c.owner->peek({definition.id, c.occurrence, c.step, i});
         if (!may_start(task) || task.not_before > now)
         {
             return;
@@ -315,7 +315,7 @@
         if (worker == nullptr)
         {
             worker = choose({usable_workers_}, *c.owner, key,
-                            c.owner->task(key), now);
+                            c.owner->peek(key), now);
         }
         if (worker == nullptr)
         {
@@ -323,7 +323,7 @@
         }
         run_record planned;
         planned.size = definition.steps[c.step].size;
-        planned.is_trial = c.owner->task(key).needs_trial();
+        planned.is_trial = c.owner->peek(key).needs_trial();
         worker->add_run(key, planned);
         placements.emplace_back(key, worker);
     }
@@ -450,7 +450,7 @@
         return false;
     }
     const auto* const better =
-        choose({usable_workers_}, *owner, key, owner->task(key), now);
+        choose({usable_workers_}, *owner, key, owner->peek(key), now);
     return better != nullptr && better != &worker &&
            cost_.fill_cost(*better, owner->step_of(key), run.image, now) <
                full_pace_cost;
--- a/src/jobs/wait_diagnosis.cpp
+++ b/src/jobs/wait_diagnosis.cpp
@@ -38,8 +38,7 @@
 wait_finding wait_diagnosis::find(const live_job& owner, const task_key& key,
                                   const wait_circumstances& circumstances)
 {
-    const auto& step = owner.occurrences()[key.occurrence].steps[key.step];
-    const auto& task = step.tasks[key.index];
+    const auto& task = owner.peek(key);
     if (task.phase == task_phase::placed)
     {
         return find_for_placed(key, task, circumstances.now);
