Bound the memory of accepted jobs, and refuse further ones truly beyond it

Change: the leader estimates the memory of the jobs that are not over, from their definitions and the records of their tasks, and publishes it with its lease, which all VMs read anyway. Before it refuses, it looks whether an earlier attempt has stored the job. Cancellations are always taken. The figure holds across a takeover until the next leader has read the jobs.

Ruled out: a counter row beside each submission (a condition on one row makes submissions conflict, and costs a write each); the process's own resident memory (a recovery has to be bounded before it begins). Jobs that other VMs accept within the same second are not seen: three quarters of the memory are the margin for that, for pages of rows and the process itself.

Figures: the estimate is 1 to 4 times the memory taken (test).

--- a/src/jobs/job_registry.cpp
+++ b/src/jobs/job_registry.cpp
@@ -1,8 +1,11 @@
 // Registry of jobs.
 #include "jobs/job_registry.hpp"
 
+#include <numeric>
 #include <utility>
 
+#include "jobs/job_memory.hpp"
+
 namespace hemlockdeal::jobs
 {
 
@@ -163,6 +166,14 @@
     taken_histories_.erase(taken);
 }
 
+std::size_t job_registry::memory() const
+{
+    return std::accumulate(live_.begin(), live_.end(), std::size_t{0},
+                           [](std::size_t sum, const auto& entry) {
+                               return sum + memory_of(*entry.second);
+                           });
+}
+
 std::map<std::string, std::size_t> job_registry::pending() const
 {
     std::map<std::string, std::size_t> counts;
--- a/src/jobs/job_registry.hpp
+++ b/src/jobs/job_registry.hpp
@@ -83,6 +83,9 @@
     // of whose rows are among them no longer count as changed.
     job_changes take_changes(change_limits limits, std::uint64_t number);
 
+    // Estimate of the memory that the unfinished jobs take, in bytes.
+    std::size_t memory() const;
+
     // By queue, the number of non-repeating jobs of which no task has started.
     std::map<std::string, std::size_t> pending() const;
 
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -5,6 +5,7 @@
 #include "jobs/advice_cache.hpp"
 #include "jobs/fleet_record.hpp"
 #include "jobs/job.hpp"
+#include "jobs/job_memory.hpp"
 #include "jobs/job_progress.hpp"
 #include "jobs/leadership.hpp"
 #include "jobs/order.hpp"
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -40,6 +40,7 @@
     out["p"] = row.process;
     out["s"] = row.processor_share;
     out["a"] = row.is_recovery_complete ? 1 : 0;
+    out["m"] = row.job_memory;
     if (row.is_released)
     {
         out["r"] = 1;
@@ -67,6 +68,8 @@
     row.process = static_cast<std::uint64_t>(integer_in(*in, "p"));
     row.processor_share = real_in(*in, "s");
     row.is_recovery_complete = integer_in(*in, "a") != 0;
+    row.job_memory = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(integer_in(*in, "m"), 0));
     row.is_released = integer_in(*in, "r") != 0;
     row.earlier_leases_left = milliseconds_in(*in, "w");
     return row;
@@ -128,6 +131,8 @@
     next.holder = self_;
     next.process = process_;
     next.processor_share = options_.processor_share;
+    // Holds until this leader has read the jobs.
+    next.job_memory = row_.job_memory;
     return lease_write{version_, next};
 }
 
--- a/src/jobs/leadership.hpp
+++ b/src/jobs/leadership.hpp
@@ -29,6 +29,8 @@
     bool is_recovery_complete = false;
     // Share of a processor core available to the holder.
     double processor_share = 0.0;
+    // Memory that the accepted jobs take in the leader, in bytes.
+    std::uint64_t job_memory = 0;
     // Set when the lease is released: the holder extends no lease of a worker
     // any more, and those granted by the leaders before it expire within this
     // time.
@@ -91,6 +93,11 @@
         row_.is_recovery_complete = complete;
     }
 
+    // Memory in bytes that the accepted jobs take in the leader, as it is
+    // published with the lease.
+    std::uint64_t job_memory() const { return row_.job_memory; }
+    void set_job_memory(std::uint64_t bytes) { row_.job_memory = bytes; }
+
     // The lease update for the leader's next transaction.
     lease_write renewal() const;
     lease_write
--- a/src/node/job_frontend.hpp
+++ b/src/node/job_frontend.hpp
@@ -18,6 +18,7 @@
 
 #include "jobs/jobs.hpp"
 #include "node/concepts.hpp"
+#include "node/job_admission.hpp"
 #include "node/store_health.hpp"
 #include "node/store_tables.hpp"
 #include "observe/logging.hpp"
@@ -33,6 +34,8 @@
     refused,
     // The same, and the store will not accept the request later either.
     rejected,
+    // Nothing was stored: the accepted jobs leave no memory for this one.
+    no_memory,
     // No job has this id.
     no_such_job,
     // The outcome of the store call is not known; the rows may have been
@@ -52,6 +55,9 @@
     // How long a cached count of waiting jobs is used.
     duration pending_count_max_age = std::chrono::milliseconds(700);
     std::size_t max_cached_jobs = 20000;
+    // Estimated memory of accepted jobs, in bytes, up to which further ones are
+    // accepted.
+    std::size_t max_job_memory = std::size_t{64} << 20U;
 };
 
 // State known to the leader on this VM, available without a call to the store.
@@ -61,6 +67,9 @@
     // lead or does not know the job.
     std::function<std::optional<jobs::job_state>(const job_id&)> state;
     std::function<std::optional<std::size_t>(const std::string&)> pending;
+    // Memory in bytes that the accepted jobs take, as the leader has published
+    // it.
+    std::function<std::uint64_t()> job_memory;
 };
 
 template <row_store Store, typename Timer>
@@ -79,7 +88,8 @@
                  store_health& health, leader_view local,
                  frontend_options options)
         : store_(store), timer_(std::move(timer)), now_(std::move(now)),
-          health_(health), leader_view_(std::move(local)), options_(options)
+          health_(health), leader_view_(std::move(local)), options_(options),
+          admission_(options.max_job_memory)
     {}
 
     // Stores the job. `deadline` is the time at which the caller stops waiting.
@@ -91,6 +101,13 @@
             callback(request_result::refused);
             return;
         }
+        const auto bytes = jobs::memory_of(j);
+        if (!admission_.admits(bytes, leader_view_.job_memory(), now_()))
+        {
+            refuse_unless_stored(j.id, callback);
+            return;
+        }
+        admission_.add(bytes, now_());
         transaction t{inbox_part(j.id),
                       {{inbox_table, j.id.value(), row_version(0)}},
                       {{inbox_table, j.id.value(), jobs::encode_job(j)}},
@@ -287,6 +304,27 @@
         }
     }
 
+    // An earlier attempt with the same id may have stored the job: then it will
+    // run, and its caller must not be told otherwise.
+    void refuse_unless_stored(const job_id& id,
+                              const on_request_result& callback)
+    {
+        if (stored_jobs_.contains(id))
+        {
+            callback(request_result::done);
+            return;
+        }
+        find_in_inbox(id, [callback](std::variant<bool, not_done> found) {
+            if (std::holds_alternative<not_done>(found))
+            {
+                callback(request_result::unknown);
+                return;
+            }
+            callback(std::get<bool>(found) ? request_result::done
+                                           : request_result::no_memory);
+        });
+    }
+
     void store_cancellation(const job_id& id, time_point deadline,
                             const on_request_result& callback)
     {
@@ -426,6 +464,7 @@
     store_health& health_;
     leader_view leader_view_;
     frontend_options options_;
+    job_admission admission_;
     // Jobs whose row is known to be in the store.
     std::set<job_id> stored_jobs_;
     std::map<job_id, jobs::job_state> finished_jobs_;
--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -47,6 +47,8 @@
     duration feed_wait = std::chrono::milliseconds(1500);
     duration worker_list_poll_interval = std::chrono::milliseconds(500);
     duration pending_interval = std::chrono::milliseconds(500);
+    // Between two updates of the memory that is published with the lease.
+    duration job_memory_interval = std::chrono::milliseconds(300);
     // Between two writes of the learnt interference. Losing the last few
     // seconds of it costs little.
     duration learnt_interval = std::chrono::seconds(3);
@@ -79,6 +81,9 @@
     void set_takeover_delay(duration delay) { takeover_delay_ = delay; }
     // True if the lease row names a current or past leader.
     bool has_seen_leader() const { return lead_.epoch() > 0; }
+    // Memory in bytes that the accepted jobs take in the leader, as far as this
+    // VM knows.
+    std::uint64_t job_memory() const { return lead_.job_memory(); }
     // Fraction by which this VM's processor share is below the last leader's.
     double processor_deficit() const { return lead_.processor_deficit(); }
 
@@ -192,6 +197,7 @@
     void apply_worker_changes(const worker_changes& changes);
 
     void flush(time_point now);
+    void update_job_memory(time_point now);
     void flush_parts(time_point now);
     // Writes the lease alone.
     void renew();
@@ -250,6 +256,7 @@
     time_point last_flush_{};
     time_point last_decision_{};
     time_point last_pending_write_{};
+    time_point job_memory_updated_at_{};
     time_point last_learnt_write_{};
     std::map<std::string, std::size_t> stored_pending_;
     // Final states that are in the store.
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -438,6 +438,10 @@
     {
         return;
     }
+    if (is_active)
+    {
+        update_job_memory(now);
+    }
     const bool has_changes = is_active && scheduler_->has_changes();
     lead_.set_recovery_complete(is_active &&
                                 scheduler_->is_recovery_complete());
@@ -463,6 +467,17 @@
     }
 }
 
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::update_job_memory(time_point now)
+{
+    if (now - job_memory_updated_at_ < options_.job_memory_interval)
+    {
+        return;
+    }
+    job_memory_updated_at_ = now;
+    lead_.set_job_memory(scheduler_->registry().memory());
+}
+
 template <row_store Store, worker_port Workers, worker_list List>
 void leader_role<Store, Workers, List>::flush_parts(time_point now)
 {
@@ -670,6 +685,7 @@
     if (scheduler_)
     {
         out.live_jobs = scheduler_->registry().live().size();
+        out.job_memory = lead_.job_memory();
         out.workers = scheduler_->fleet().size();
         out.tasks_without_room = scheduler_->tasks_without_room();
     }
--- a/src/node/leader_stats.hpp
+++ b/src/node/leader_stats.hpp
@@ -12,6 +12,8 @@
     bool leads = false;
     std::uint64_t epoch = 0;
     std::size_t live_jobs = 0;
+    // Estimate in bytes.
+    std::uint64_t job_memory = 0;
     std::size_t workers = 0;
     std::size_t tasks_without_room = 0;
     std::uint64_t starts = 0;
--- a/tests/jobs/job_memory_test.cpp
+++ b/tests/jobs/job_memory_test.cpp
@@ -118,6 +118,46 @@
     EXPECT_LT(bytes_in_use() - before, job_count * max_bytes_per_job);
 }
 
+// Failure: the bound on accepted work counts less than the jobs take.
+TEST_F(job_memory_test, estimate_covers_the_memory_that_jobs_take)
+{
+    constexpr int job_count = 100;
+    auto many_steps = make_job("j", short_step(10));
+    many_steps.payload = std::string(4000, 'x');
+    for (int i = 1; i < 100; ++i)
+    {
+        many_steps.steps.push_back(short_step(10));
+        many_steps.steps.back().required_label = std::string(30, 'l');
+    }
+    auto repeated = make_job("j", short_step(1));
+    repeated.repeats = {10'000, hours(1), minutes(1)};
+    auto running = make_job("j", short_step(150));
+    running.steps[0].size = {1, 1, 0};
+    add_worker("a");
+    leader.begin(now);
+    simulate();
+    leader.take_events();
+    for (const auto& definition : {running, repeated, many_steps})
+    {
+        const auto before = bytes_in_use();
+        const auto estimated_before = leader.registry().memory();
+        for (int i = 0; i < job_count; ++i)
+        {
+            auto j = definition;
+            j.id =
+                job_id(std::to_string(definition.steps.size()) + "e7a21d94b36" +
+                       std::to_string(definition.repeats.count + 100 + i));
+            leader.add_job(j);
+        }
+        simulate();
+        leader.take_events();
+        const auto taken = bytes_in_use() - before;
+        const auto estimate = leader.registry().memory() - estimated_before;
+        EXPECT_GE(estimate, taken);
+        EXPECT_LE(estimate, 4 * taken);
+    }
+}
+
 // Failure: of many occurrences that are due at once, some are never started, or
 // all of them have records while they wait for room.
 TEST_F(job_memory_test, overdue_occurrences_are_activated_as_tasks_start)
--- a/tests/node/job_frontend_test.cpp
+++ b/tests/node/job_frontend_test.cpp
@@ -29,7 +29,8 @@
               },
               [this] { return clock.now; }, health,
               {[](const job_id&) { return std::nullopt; },
-               [](const std::string&) { return std::nullopt; }},
+               [](const std::string&) { return std::nullopt; },
+               [this] { return job_memory; }},
               {})
     {}
 
@@ -76,6 +77,8 @@
     store_health health;
     frontend_type frontend;
     std::optional<request_result> result;
+    // As the leader publishes it.
+    std::uint64_t job_memory = 0;
 };
 
 } // namespace
@@ -119,6 +122,70 @@
     EXPECT_FALSE(is_stored());
 }
 
+// Failure: accepted work has no bound, and fills the memory of each leader in
+// turn.
+TEST_F(job_frontend_test, job_without_memory_for_it_is_refused_and_not_stored)
+{
+    job_memory = frontend_options{}.max_job_memory;
+    submit();
+    EXPECT_EQ(result, request_result::no_memory);
+    clock.advance(seconds(4));
+    EXPECT_FALSE(is_stored());
+    job_memory = 0;
+    submit();
+    EXPECT_EQ(result, request_result::done);
+}
+
+// Failure: a burst passes the bound because the leader has not published the
+// memory of the latest jobs.
+TEST_F(job_frontend_test, burst_is_bounded_before_the_leader_has_read_it)
+{
+    const auto bytes = jobs::memory_of(make_job());
+    job_memory = frontend_options{}.max_job_memory - 10 * bytes;
+    std::size_t accepted = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        id = job_id("5c0e7a21d94b36" + std::to_string(100 + i));
+        submit();
+        accepted += result == request_result::done ? 1 : 0;
+    }
+    EXPECT_EQ(accepted, 10U);
+    // By now the published figure contains them.
+    clock.advance(seconds(3));
+    id = job_id("5c0e7a21d94b36ff");
+    submit();
+    EXPECT_EQ(result, request_result::done);
+}
+
+// Failure: the caller of a job that is stored is told that it will not run.
+TEST_F(job_frontend_test, stored_job_is_not_refused_for_lack_of_memory)
+{
+    store.mode = store_mode::loses_responses;
+    submit();
+    clock.advance(seconds(4));
+    ASSERT_TRUE(is_stored());
+    store.mode = store_mode::responds;
+    health = {};
+    job_memory = frontend_options{}.max_job_memory;
+    submit();
+    EXPECT_EQ(result, request_result::done);
+    store.mode = store_mode::rejects;
+    id = job_id("5c0e7a21d94b36ff");
+    health = {};
+    submit();
+    EXPECT_EQ(result, request_result::unknown);
+}
+
+// Failure: nobody can make room, because cancellations are refused as well.
+TEST_F(job_frontend_test, job_can_be_cancelled_without_memory_for_others)
+{
+    submit();
+    job_memory = frontend_options{}.max_job_memory;
+    cancel();
+    EXPECT_EQ(result, request_result::done);
+    EXPECT_EQ(store.rows().size(), 2U);
+}
+
 // Failure: a stored job is refused because the store's response was lost.
 TEST_F(job_frontend_test, lost_response_is_never_a_refusal)
 {
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -148,6 +148,27 @@
     EXPECT_EQ(workers.starts, 0U);
 }
 
+// Failure: the bound on accepted work is not known to the VMs that do not lead,
+// or is forgotten while the next leader reads the jobs.
+TEST_F(leader_role_test, memory_of_jobs_is_published_with_the_lease)
+{
+    list.is_listed = false;
+    store_job();
+    auto a = make_leader("a");
+    run_for(a, seconds(1));
+    ASSERT_TRUE(a.leads());
+    EXPECT_GT(a.job_memory(), 100U);
+    auto b = make_leader("b");
+    run_for(b, milliseconds(100));
+    EXPECT_FALSE(b.leads());
+    EXPECT_EQ(b.job_memory(), a.job_memory());
+    a.step_down();
+    run_for(a, milliseconds(100));
+    run_for(b, seconds(2));
+    EXPECT_TRUE(b.leads());
+    EXPECT_EQ(b.job_memory(), a.job_memory());
+}
+
 // Failure: an exception while one row is read ends the recovery of every
 // leader: it keeps the lease and starts nothing.
 TEST_F(leader_role_test, row_beyond_memory_does_not_stop_recovery)
