Evaluate no untouched task of a step once no worker has room for its size

A task without a record costs a search in two maps for each pass, so that many waiting steps of 10,000 tasks would slow the leader's decisions. All tasks of a step have the same size: when no worker has room for one, the others that have neither a record nor a reservation are counted at once. Also a lint finding in store_outcome_test. No decision changes.

--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -107,6 +107,11 @@
     {
         return index < is_done_.size() && is_done_[index];
     }
+    // True if neither this task nor one after it has a record.
+    bool is_untouched_from(std::uint32_t index) const
+    {
+        return tasks.lower_bound(index) == tasks.end();
+    }
     // Removes the record of the task. It must not be done.
     void set_done(std::uint32_t index);
 
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -205,9 +205,9 @@
     const auto& definition = c.owner->definition();
     const auto count = definition.steps[c.step].task_count;
     request_advice(c, now);
-    auto& searched_at = c.owner->step_state(c.occurrence, c.step).searched_at;
+    auto& step = c.owner->step_state(c.occurrence, c.step);
     const bool is_full_search = definition.policy.needs_advice ||
-                                now - searched_at >= full_search_interval;
+                                now - step.searched_at >= full_search_interval;
     // All tasks of a step have the same size: a list without room for one of
     // them has none for the others. Suspects are choosier.
     const auto lists = workers_to_search(c, is_full_search, now);
@@ -215,10 +215,19 @@
     auto searched_for_suspects = lists;
     bool is_waiting_for_store = false;
     const auto without_room_before = without_room_;
+    const auto waiting = step.waiting;
+    std::uint32_t evaluated = 0;
     for (std::uint32_t i = 0; i < count; ++i)
     {
+        // No list has room for the other tasks, and none has a reservation.
+        if (searched.empty() && step.is_untouched_from(i))
+        {
+            without_room_ += waiting - std::min(waiting, evaluated);
+            break;
+        }
         const task_key key{definition.id, c.occurrence, c.step, i};
         const auto& task = c.owner->peek(key);
+        evaluated += task.phase == task_phase::waiting ? 1 : 0;
         if (!may_start(task) || task.not_before > now)
         {
             continue;
@@ -247,11 +256,11 @@
     }
     if (is_waiting_for_store || without_room_ == without_room_before)
     {
-        searched_at = {};
+        step.searched_at = {};
     }
     else if (is_full_search)
     {
-        searched_at = now;
+        step.searched_at = now;
     }
 }
 
--- a/tests/adapter/store_outcome_test.cpp
+++ b/tests/adapter/store_outcome_test.cpp
@@ -20,9 +20,9 @@
     {
         status = with_status;
         std::optional<node::transaction_outcome> outcome;
-        store.transact({"part", {}, {{"t", "key", "value"}}, {}},
-                       std::chrono::seconds(2),
-                       [&](node::transaction_outcome o) { outcome = o; });
+        store.transact(
+            {"part", {}, {{"t", "key", "value"}}, {}}, std::chrono::seconds(2),
+            [&](const node::transaction_outcome& o) { outcome = o; });
         run_until([&] { return outcome.has_value(); });
         return outcome.value_or(node::conflict{});
     }
