Move the leader's transactions into a file of their own

Moved without a change: what a transaction contains, and what follows from its outcome. leader_role.ipp keeps lease and decisions.

--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -281,3 +281,4 @@
 #include "node/leader_intake.ipp"
 #include "node/leader_orders.ipp"
 #include "node/leader_role.ipp"
+#include "node/leader_transactions.ipp"
