Ignore a rejection that arrives after the lead was lost

Found by reading the change again: when the store rejects a transaction of a leader that has lost the lead while it was in flight, the parts of the changes and the scheduler are gone already, and the process would end. The test ended with a crash without the check, and passes with it.

--- a/src/node/leader_transactions.ipp
+++ b/src/node/leader_transactions.ipp
@@ -85,6 +85,11 @@
         return;
     }
     health_.on_response(clock_.now());
+    if (!scheduler_)
+    {
+        // The lead has been lost in the meantime.
+        return;
+    }
     if (tx.lease.row.is_released)
     {
         // Workers repeat the ends that are not stored to the next leader.
--- a/tests/node/fake_store.hpp
+++ b/tests/node/fake_store.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "node/node.hpp"
 
@@ -38,6 +39,17 @@
     // for good.
     std::size_t max_value_bytes = 65'536;
     std::size_t max_entries = 100;
+    // Transactions wait until `release()` is called.
+    bool holds_responses = false;
+    std::vector<std::function<void()>> held;
+    void release()
+    {
+        holds_responses = false;
+        for (const auto& call : std::exchange(held, {}))
+        {
+            call();
+        }
+    }
     // The history is lost before the next read of a feed.
     bool loses_history = false;
     // Rows of which no write is accepted.
@@ -57,6 +69,15 @@
             callback(outcome_unknown{"no response"});
             return;
         }
+        if (holds_responses)
+        {
+            held.push_back([this, t, callback] {
+                callback(is_acceptable(t)
+                             ? apply(t)
+                             : transaction_outcome(rejected{"status 400"}));
+            });
+            return;
+        }
         if (!is_acceptable(t))
         {
             callback(rejected{"status 400"});
--- a/tests/node/leader_fixture.hpp
+++ b/tests/node/leader_fixture.hpp
@@ -26,6 +26,8 @@
     std::size_t starts = 0;
     std::vector<jobs::start_order> accepted;
     std::uint64_t ends = 0;
+    // Workers follow a later leader.
+    bool is_superseded = false;
 
     void start(const jobs::worker_entry&, const jobs::start_order& order,
                std::uint64_t,
@@ -56,7 +58,7 @@
             report.ended.push_back(
                 {++ends, order.task, order.run, jobs::run_end::done, ""});
         }
-        callback({report, false});
+        callback({report, is_superseded});
     }
     void advise(
         const jobs::advice_request&,
--- a/tests/node/rejected_row_test.cpp
+++ b/tests/node/rejected_row_test.cpp
@@ -125,3 +125,25 @@
         EXPECT_TRUE(a.has_stepped_down()) << offset;
     }
 }
+
+// Failure: the process ends when the store rejects changes of a leader that has
+// lost the lead in the meantime.
+TEST_F(rejected_row_test, rejection_after_the_lead_was_lost_changes_nothing)
+{
+    const job_id large("00000000000000aa");
+    store_job(large, 8000);
+    auto a = make_leader("a");
+    a.set_services({{service_id("s"), {}}});
+    run_for(a, milliseconds(300));
+    ASSERT_TRUE(a.leads());
+    store.unwritable.insert(large.value());
+    store.holds_responses = true;
+    run_for(a, milliseconds(100));
+    ASSERT_FALSE(store.held.empty());
+    workers.is_superseded = true;
+    run_for(a, seconds(1));
+    ASSERT_FALSE(a.leads());
+    store.release();
+    run_for(a, milliseconds(100));
+    EXPECT_FALSE(a.leads());
+}
