--- a/src/jobs/job_registry.hpp
+++ b/src/jobs/job_registry.hpp
@@ -26,8 +26,8 @@
 };
 
 // The main row of a job with more tasks than this holds no histories. They are
-// in further rows, each for so many tasks: with a failure and a crash of each
-// task, a row stays well below the limit of every platform.
+// in further rows, each for so many tasks, which leaves about 450 bytes for the
+// failures and crashes of one task.
 constexpr std::uint32_t tasks_per_history_row = 100;
 
 // Number of the row that holds the history of the task.
