Log and count calls to the store that get no complete response

The record of the incident shows a full link and no line of the calls that filled it: a feed call that is given up, how much of its response had come and when it began are in no log, and the metrics count feed calls but not how they ended. The hypotheses "the store does not answer" and "the response does not get through" look the same.

The HTTP client now passes a record of each call to an observer.

No decision is changed.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -26,8 +26,10 @@
 
 } // namespace
 
-http_client::http_client(socket_address address, http_client_options options)
-    : address_(std::move(address)), options_(options)
+http_client::http_client(socket_address address, http_client_options options,
+                         call_observer observer)
+    : address_(std::move(address)), options_(options),
+      observer_(std::move(observer))
 {}
 
 http_client::~http_client() = default;
@@ -39,11 +41,37 @@
     {
         request.host = to_text(address_);
     }
-    queue_.push_back(
-        {to_bytes(request), boot_now() + timeout, std::move(handler)});
+    const auto now = boot_now();
+    queue_.push_back({request.target, to_bytes(request), now, now + timeout,
+                      std::move(handler)});
     dispatch();
 }
 
+void http_client::record(const call& ended, const std::string& failure) const
+{
+    if (!observer_)
+    {
+        return;
+    }
+    call_record out;
+    out.target = ended.target;
+    out.took = boot_now() - ended.sent_at;
+    if (ended.begun_at)
+    {
+        out.begun_after = *ended.begun_at - ended.sent_at;
+    }
+    out.received = ended.received;
+    out.failure = failure;
+    observer_(out);
+}
+
+void http_client::fail(call failed, const std::string& reason,
+                       bool maybe_executed)
+{
+    record(failed, reason);
+    post_failure(std::move(failed.handler), {reason, maybe_executed});
+}
+
 http_client_connection* http_client::available_connection()
 {
     const auto least_loaded = std::ranges::min_element(
@@ -100,7 +128,7 @@
     const bool maybe_executed = retired->has_sent();
     for (auto& failed_call : retired->release_calls())
     {
-        post_failure(std::move(failed_call.handler), {reason, maybe_executed});
+        fail(std::move(failed_call), reason, maybe_executed);
     }
     QTimer::singleShot(0, [retired] {});
     dispatch();
@@ -117,8 +145,8 @@
     }
     while (!queue_.empty() && queue_.front().deadline <= now)
     {
-        post_failure(std::move(queue_.front().handler),
-                     {"no free connection before the deadline", false});
+        fail(std::move(queue_.front()),
+             "no free connection before the deadline", false);
         queue_.pop_front();
     }
 }
@@ -129,7 +157,7 @@
     queue_.clear();
     for (auto& unsent_call : unsent)
     {
-        post_failure(std::move(unsent_call.handler), {reason, false});
+        fail(std::move(unsent_call), reason, false);
     }
     while (!connections_.empty())
     {
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -31,6 +31,22 @@
 using call_result = std::variant<http_response, call_failure>;
 using call_handler = std::function<void(call_result)>;
 
+// How a call went, for logs and metrics.
+struct call_record
+{
+    std::string target;
+    duration took{};
+    // Until the first byte of the response; empty if none arrived.
+    std::optional<duration> begun_after;
+    // Bytes of the response that arrived, including its headers.
+    std::size_t received = 0;
+    // Empty if the response is complete.
+    std::string failure;
+};
+
+// Called before the handler of the call.
+using call_observer = std::function<void(const call_record&)>;
+
 struct http_client_options
 {
     std::size_t connections = 1;
@@ -44,7 +60,8 @@
 class http_client
 {
 public:
-    http_client(socket_address address, http_client_options options);
+    http_client(socket_address address, http_client_options options,
+                call_observer observer = {});
     ~http_client();
 
     http_client(const http_client&) = delete;
@@ -69,17 +86,25 @@
 
     struct call
     {
+        std::string target;
         std::string bytes;
+        time_point sent_at;
         time_point deadline;
         call_handler handler;
+        std::optional<time_point> begun_at;
+        std::size_t received = 0;
     };
 
     void dispatch();
     http_client_connection* available_connection();
     void retire(http_client_connection& connection, const std::string& reason);
+    // Tells the observer how the call went; no reason means success.
+    void record(const call& ended, const std::string& failure) const;
+    void fail(call failed, const std::string& reason, bool maybe_executed);
 
     socket_address address_;
     http_client_options options_;
+    call_observer observer_;
     std::deque<call> queue_;
     std::vector<std::unique_ptr<http_client_connection>> connections_;
     std::size_t opened_ = 0;
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include "http/boot_clock.hpp"
+
 namespace hemlockdeal
 {
 
@@ -47,7 +49,9 @@
 
 void http_client_connection::on_readable()
 {
+    const auto known = received_.size();
     const bool open = socket_->receive(received_);
+    count_received(received_.size() - known);
     if (!received_.empty())
     {
         if (!parse_responses())
@@ -64,6 +68,17 @@
     owner_.dispatch();
 }
 
+void http_client_connection::count_received(std::size_t bytes)
+{
+    if (bytes == 0 || calls_.empty())
+    {
+        return;
+    }
+    auto& responding = calls_.front();
+    responding.begun_at = responding.begun_at.value_or(boot_now());
+    responding.received += bytes;
+}
+
 bool http_client_connection::parse_responses()
 {
     while (!received_.empty())
@@ -108,6 +123,7 @@
         response.body = std::move(message.body());
         auto completed = std::move(calls_.front());
         calls_.pop_front();
+        owner_.record(completed, {});
         completed.handler(std::move(response));
     }
     return true;
--- a/src/http/http_client_connection.hpp
+++ b/src/http/http_client_connection.hpp
@@ -36,6 +36,8 @@
 
     void on_writable();
     void on_readable();
+    // The bytes belong to the response of the first call in flight.
+    void count_received(std::size_t bytes);
     // Parses the complete responses in `received_` and passes them to their
     // handlers. Returns false on malformed input and on a response without a
     // pending call.
--- a/src/node/operator_watch.hpp
+++ b/src/node/operator_watch.hpp
@@ -75,10 +75,11 @@
             return;
         }
         is_polling_ = true;
-        const auto on_outcome = [this](const operator_outcome& outcome) {
-            is_polling_ = false;
-            handle_outcome(outcome);
-        };
+        const auto on_outcome =
+            [this, asked_at = now_()](const operator_outcome& outcome) {
+                is_polling_ = false;
+                handle_outcome(outcome, asked_at);
+            };
         if (position_ == row_version(0))
         {
             source_.read_all(on_outcome);
@@ -89,8 +90,12 @@
 
     const jobs::queue_directory& queues() const { return queues_; }
 
+    // How old this VM's knowledge of the declarations is. Later changes may be
+    // in the store, earlier ones are in force here.
+    duration age() const { return now_() - known_at_; }
+
 private:
-    void handle_outcome(const operator_outcome& outcome)
+    void handle_outcome(const operator_outcome& outcome, time_point asked_at)
     {
         if (const auto* const failed = std::get_if<not_done>(&outcome))
         {
@@ -110,12 +115,25 @@
         position_ = std::max(position_, changes.newest);
         if (changes.configuration && queues_.adopt(*changes.configuration))
         {
-            log(log_level::info, "configuration applied",
-                {{"version", std::to_string(queues_.version().value())},
-                 {"routes", std::to_string(queues_.all().routes.size())}});
             callbacks_.on_configuration(queues_);
+            log_applied(asked_at);
         }
         apply_zones(changes);
+        known_at_ = std::max(known_at_, asked_at);
+    }
+
+    void log_applied(time_point asked_at) const
+    {
+        const auto milliseconds = [](duration time) {
+            return std::to_string(
+                std::chrono::duration_cast<std::chrono::milliseconds>(time)
+                    .count());
+        };
+        log(log_level::info, "configuration applied",
+            {{"version", std::to_string(queues_.version().value())},
+             {"routes", std::to_string(queues_.all().routes.size())},
+             {"asked_ms_ago", milliseconds(now_() - asked_at)},
+             {"known_ms_ago", milliseconds(age())}});
     }
 
     void apply_zones(const operator_changes& changes)
@@ -151,6 +169,8 @@
     row_version position_;
     bool is_polling_ = false;
     time_point next_poll_{};
+    // When the last call with a complete answer was sent.
+    time_point known_at_{now_()};
 };
 
 } // namespace hemlockdeal::node
