Test a large configuration over a slow path to the store (fails)

The test puts a link of 150 KB/s between a VM and a store whose configuration takes 400 KB in a response, as the link between the regions gave each VM in the incident. A change of the configuration, and the first read of a VM that starts, are not in force within 8 s; the transfer alone takes 2.7 s.

--- /dev/null
+++ b/tests/adapter/slow_store_test.cpp
@@ -0,0 +1,120 @@
+// Guards against declarations that never come into force because the path to
+// the store is slow or a connection to it is silent.
+#include <memory>
+#include <set>
+#include <string>
+
+#include <QElapsedTimer>
+#include <gtest/gtest.h>
+
+#include "declaration_feeds.hpp"
+#include "names.hpp"
+#include "store_fixture.hpp"
+#include "support/slow_link.hpp"
+
+using namespace hemlockdeal;
+using namespace hemlockdeal::adapter;
+using namespace hemlockdeal::adapter::test;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+// About 300 KB, and 400 KB in a response.
+std::string configuration_with_routes(int version, int routes)
+{
+    boost::json::array list;
+    for (int i = 0; i < routes; ++i)
+    {
+        list.push_back({{"name", "queue-" + std::to_string(i)},
+                        {"host", "h"},
+                        {"path_prefix", "/p" + std::to_string(i) + "/"},
+                        {"service", "s"},
+                        {"note", std::string(150, 'x')}});
+    }
+    return boost::json::serialize(
+        boost::json::object{{"version", version},
+                            {"routes", std::move(list)},
+                            {"services", boost::json::array{}}});
+}
+
+class slow_store_test : public store_fixture
+{
+protected:
+    slow_store_test() : link(store_address.port) {}
+
+    // The VM's first read of the declarations.
+    void start_vm()
+    {
+        const socket_address through_link{"127.0.0.1", link.port()};
+        port = std::make_unique<store_port>(through_link);
+        feed = std::make_unique<operator_feed>(*port);
+        watch = std::make_unique<node::operator_watch<operator_feed>>(
+            *feed, boot_now, health, node::operator_watch_options{},
+            node::operator_watch<operator_feed>::listeners{
+                [](const jobs::queue_directory&) {},
+                [](const std::set<availability_zone_id>&) {}});
+    }
+
+    void declare(int version, int routes)
+    {
+        rows[names::configuration_key] =
+            configuration_with_routes(version, routes);
+        versions[names::configuration_key] = ++newest;
+    }
+
+    // Empty if the version is not in force within the time.
+    std::optional<milliseconds> time_until_in_force(int version,
+                                                    milliseconds at_most)
+    {
+        QElapsedTimer passed;
+        passed.start();
+        while (passed.elapsed() < at_most.count())
+        {
+            watch->tick();
+            port->expire(boot_now());
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+            if (watch->queues().version() ==
+                configuration_version(static_cast<std::uint64_t>(version)))
+            {
+                return milliseconds(passed.elapsed());
+            }
+        }
+        return std::nullopt;
+    }
+
+    std::uint64_t newest = 10;
+    hemlockdeal::test::slow_link link;
+    node::store_health health;
+    std::unique_ptr<store_port> port;
+    std::unique_ptr<operator_feed> feed;
+    std::unique_ptr<node::operator_watch<operator_feed>> watch;
+};
+
+constexpr int large = 1400;
+// The response takes about 2.7 s.
+constexpr double slow_rate = 150'000;
+constexpr milliseconds patience(8000);
+
+} // namespace
+
+// Failure: a change is never in force on a VM whose path is slower than the
+// size of the configuration allows within the deadline of a call.
+TEST_F(slow_store_test, large_change_arrives_over_a_slow_path)
+{
+    declare(1, 1);
+    start_vm();
+    ASSERT_TRUE(time_until_in_force(1, patience));
+    link.set_rate(slow_rate);
+    declare(2, large);
+    EXPECT_TRUE(time_until_in_force(2, patience));
+}
+
+// Failure: a VM that starts behind a slow path never serves.
+TEST_F(slow_store_test, vm_starts_over_a_slow_path)
+{
+    declare(1, large);
+    link.set_rate(slow_rate);
+    start_vm();
+    EXPECT_TRUE(time_until_in_force(1, patience));
+}
--- a/tests/adapter/store_fixture.hpp
+++ b/tests/adapter/store_fixture.hpp
@@ -29,7 +29,10 @@
 class store_fixture : public testing::Test
 {
 protected:
-    store_fixture() : application(argc, nullptr), store(start_server()) {}
+    store_fixture()
+        : application(argc, nullptr), store_address(start_server()),
+          store(store_address)
+    {}
 
     // Returns when the condition holds, at the latest after 5 s.
     static void run_until(const std::function<bool()>& condition)
@@ -156,6 +159,7 @@
     std::map<std::string, std::string> raw_entries;
     std::size_t calls = 0;
     std::unique_ptr<http_server> server;
+    socket_address store_address;
     store_port store;
 };
 
