Give up a call by the progress of its response, not by its size

Cause: a call to the store had one deadline for its whole response (1.2 s wait and 1.3 s for a feed, 1.5 s for a page), whatever the response's size, and began again from the first byte. The response of version 16 takes 1.3 MB; 19 of them take 3.3 s of the 60 Mbit/s between the regions.

Ruled out: position and decoding (near VMs adopt the same row, no log line), work (15 % of the processor share).

Change: response_deadline, in core and without a clock. A response must begin within the call's timeout, and must then go on by 1 KiB in each second; its size has no limit in time. A byte a second is no progress. The deadline holds for all calls of the HTTP client: pages of the leader's recovery, reads of the frontend, and reports of workers had the same fault. A process that was paused reads what has arrived before it gives a call up.

--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -14,6 +14,7 @@
 #include "core/operator_message.hpp"
 #include "core/peer_message.hpp"
 #include "core/resources.hpp"
+#include "core/response_deadline.hpp"
 #include "core/result.hpp"
 #include "core/table.hpp"
 #include "core/time.hpp"
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -41,8 +41,8 @@
     {
         request.host = to_text(address_);
     }
-    const auto now = boot_now();
-    queue_.push_back({request.target, to_bytes(request), now, now + timeout,
+    queue_.push_back({request.target, to_bytes(request),
+                      response_deadline(boot_now(), timeout, options_.progress),
                       std::move(handler)});
     dispatch();
 }
@@ -55,12 +55,13 @@
     }
     call_record out;
     out.target = ended.target;
-    out.took = boot_now() - ended.sent_at;
-    if (ended.begun_at)
+    const auto& deadline = ended.deadline;
+    out.took = boot_now() - deadline.sent_at();
+    if (const auto begun_at = deadline.begun_at())
     {
-        out.begun_after = *ended.begun_at - ended.sent_at;
+        out.begun_after = *begun_at - deadline.sent_at();
     }
-    out.received = ended.received;
+    out.received = deadline.received();
     out.failure = failure;
     observer_(out);
 }
@@ -140,10 +141,12 @@
     {
         if (i < connections_.size() && connections_[i]->has_expired(now))
         {
-            retire(*connections_[i], "no response in time");
+            retire(*connections_[i], connections_[i]->has_response_begun()
+                                         ? "response makes no progress"
+                                         : "no response in time");
         }
     }
-    while (!queue_.empty() && queue_.front().deadline <= now)
+    while (!queue_.empty() && queue_.front().deadline.has_expired(now))
     {
         fail(std::move(queue_.front()),
              "no free connection before the deadline", false);
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -1,5 +1,6 @@
-// HTTP client for one address with persistent connections and a deadline for
-// each call. A failed call reports whether the server may have executed it.
+// HTTP client for one address with persistent connections. A call is given up
+// when its response does not begin in time or makes no progress. A failed call
+// reports whether the server may have executed it.
 #pragma once
 
 #include <cstddef>
@@ -53,6 +54,7 @@
     // Maximum number of calls in flight on one connection. Above 1 requests are
     // pipelined, and a lost response also fails the calls after it.
     std::size_t max_pipelined = 1;
+    progress_limits progress = {};
 };
 
 // Calls are queued in order when all connections are busy. Handlers are called
@@ -67,10 +69,14 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
+    // The response must begin within the timeout. Once it has begun, it may
+    // take as long as it makes progress.
     void send(http_request request, duration timeout, call_handler handler);
 
     // Fails calls whose deadline has passed and closes their connections, since
-    // a connection that lost a response may never respond again.
+    // a connection that lost a response may never respond again. Bytes that
+    // have arrived and are not read yet count as progress: the process itself
+    // may have been paused.
     void expire(time_point now);
 
     // Closes all connections; calls in flight and queued calls fail.
@@ -88,11 +94,8 @@
     {
         std::string target;
         std::string bytes;
-        time_point sent_at;
-        time_point deadline;
+        response_deadline deadline;
         call_handler handler;
-        std::optional<time_point> begun_at;
-        std::size_t received = 0;
     };
 
     void dispatch();
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -36,7 +36,8 @@
 
 bool http_client_connection::has_expired(time_point now) const
 {
-    return !calls_.empty() && calls_.front().deadline <= now;
+    return !calls_.empty() && calls_.front().deadline.has_expired(now) &&
+           !socket_->has_unread();
 }
 
 void http_client_connection::on_writable()
@@ -70,13 +71,10 @@
 
 void http_client_connection::count_received(std::size_t bytes)
 {
-    if (bytes == 0 || calls_.empty())
+    if (!calls_.empty())
     {
-        return;
+        calls_.front().deadline.on_received(bytes, boot_now());
     }
-    auto& responding = calls_.front();
-    responding.begun_at = responding.begun_at.value_or(boot_now());
-    responding.received += bytes;
 }
 
 bool http_client_connection::parse_responses()
--- a/src/http/http_client_connection.hpp
+++ b/src/http/http_client_connection.hpp
@@ -23,7 +23,14 @@
 
     void send(http_client::call outgoing);
     std::size_t in_flight() const { return calls_.size(); }
+    // True if the first call in flight is overdue and nothing has arrived that
+    // is still to be read.
     bool has_expired(time_point now) const;
+    // True if a part of the first response has arrived.
+    bool has_response_begun() const
+    {
+        return !calls_.empty() && calls_.front().deadline.begun_at();
+    }
 
     // Releases the calls without a response, so that the client can fail them.
     std::deque<http_client::call> release_calls() { return std::move(calls_); }
--- a/src/http/nonblocking_socket.cpp
+++ b/src/http/nonblocking_socket.cpp
@@ -135,6 +135,12 @@
     }
 }
 
+bool nonblocking_socket::has_unread() const
+{
+    char byte = 0;
+    return recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool nonblocking_socket::send(std::string bytes)
 {
     if (has_unsent())
--- a/src/http/nonblocking_socket.hpp
+++ b/src/http/nonblocking_socket.hpp
@@ -38,6 +38,8 @@
     // Appends what has arrived to `into`. False when the other side closed the
     // connection or it broke.
     bool receive(std::string& into);
+    // True if bytes have arrived that receive() would return.
+    bool has_unread() const;
     // Sends the bytes and buffers those that the kernel does not accept.
     // Returns false when the connection failed.
     bool send(std::string bytes);
