Give up hemlockdeald's calls by progress, too

A page of the table, or the list of 2,000 VMs (0.6 MB), never arrives over a path that needs longer.

The call now follows response_deadline, as the entry VMs' calls do: 2 s until the response begins, then 1 KiB in each second.

Evidence: slow_path_test.large_response_arrives_over_a_slow_path, 400 KB at 160 KB/s, failed with "call timed out" after 2.1 s before; passes now in 2.5 s. A response that stalls is given up before and after.

--- a/src/core/response_deadline.hpp
+++ b/src/core/response_deadline.hpp
@@ -48,6 +48,7 @@
     }
 
     bool has_expired(time_point now) const { return expires_at_ <= now; }
+    time_point expires_at() const { return expires_at_; }
     time_point sent_at() const { return sent_at_; }
     // When the first byte arrived.
     std::optional<time_point> begun_at() const { return begun_at_; }
--- a/src/platform/http_caller.cpp
+++ b/src/platform/http_caller.cpp
@@ -65,15 +65,22 @@
     return number == 0 ? QString() : QString::number(number);
 }
 
-// State of an outstanding call.
-struct call_state
+time_point steady_now()
 {
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+} // namespace
+
+struct outstanding_call
+{
+    response_deadline deadline;
+    qint64 received = 0;
     bool timed_out = false;
     bool too_large = false;
 };
 
-} // namespace
-
 http_caller::http_caller(http_limits limits) : limits_(limits)
 {
     manager_.setProxy(QNetworkProxy::NoProxy);
@@ -182,16 +189,16 @@
 void http_caller::watch(QNetworkReply* reply, callback done)
 {
     ++outstanding_;
-    const auto state = std::make_shared<call_state>();
-    // Qt's own transfer timeout restarts with each byte received; this one
-    // bounds the whole call.
-    QTimer::singleShot(limits_.timeout, reply, [this, reply, state] {
-        state->timed_out = true;
-        replace_connections(reply->request());
-        reply->abort();
-    });
+    const auto state = std::make_shared<outstanding_call>(outstanding_call{
+        response_deadline(steady_now(), limits_.timeout, limits_.progress)});
+    expire_when_due(reply, state);
     QObject::connect(reply, &QNetworkReply::downloadProgress, &context_,
                      [this, reply, state](qint64 received, qint64 /*total*/) {
+                         const auto added =
+                             received -
+                             std::exchange(state->received, received);
+                         state->deadline.on_received(
+                             static_cast<std::size_t>(added), steady_now());
                          if (received > limits_.max_response_bytes)
                          {
                              state->too_large = true;
@@ -207,6 +214,26 @@
         });
 }
 
+// Aborts the call when its response is overdue. Qt's own transfer timeout would
+// restart with each byte received.
+void http_caller::expire_when_due(QNetworkReply* reply,
+                                  std::shared_ptr<outstanding_call> state)
+{
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(
+        state->deadline.expires_at() - steady_now());
+    QTimer::singleShot(std::max(remaining, std::chrono::milliseconds(0)), reply,
+                       [this, reply, state] {
+                           if (!state->deadline.has_expired(steady_now()))
+                           {
+                               expire_when_due(reply, state);
+                               return;
+                           }
+                           state->timed_out = true;
+                           replace_connections(reply->request());
+                           reply->abort();
+                       });
+}
+
 call_response http_caller::finish(QNetworkReply& reply, bool timed_out,
                                   bool too_large)
 {
--- a/src/platform/http_caller.hpp
+++ b/src/platform/http_caller.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 #include <QByteArray>
@@ -15,16 +16,21 @@
 #include <QObject>
 #include <QUrl>
 
+#include "core/core.hpp"
+
 namespace hemlockdeal
 {
 
 class one_shot_body;
+struct outstanding_call;
 
 struct http_limits
 {
-    // From the call to the end of the response, including the wait for a free
-    // connection.
+    // From the call to the beginning of the response, including the wait for a
+    // free connection. Once it has begun, the response may take as long as it
+    // makes progress.
     std::chrono::milliseconds timeout{2000};
+    progress_limits progress = {};
     std::size_t max_outstanding = 64;
     // Larger responses are aborted and count as failed. The membership list of
     // 2,000 VMs has about 0.6 MB.
@@ -86,6 +92,8 @@
     bool admit();
     QNetworkRequest request_for(const QUrl& url) const;
     void replace_connections(const QNetworkRequest& timed_out_request);
+    void expire_when_due(QNetworkReply* reply,
+                         std::shared_ptr<outstanding_call> state);
     void watch(QNetworkReply* reply, callback done);
     call_response finish(QNetworkReply& reply, bool timed_out, bool too_large);
     void count_sent(const QUrl& url, qint64 body_size);
