--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -37,13 +37,43 @@
             f"Content-Length: {len(data)}\r\n\r\n").encode() + data
 
 
+class Link:
+    """Bounds the rate of the bytes that all its users send together. `rate()` is
+    the current one in bytes a second; None has no bound."""
+
+    STEP_S = 0.01
+
+    def __init__(self, rate):
+        self.rate = rate
+        self.free_at = 0.0
+
+    async def send(self, writer, data):
+        while data:
+            rate = self.rate()
+            if rate is None:
+                writer.write(data)
+                break
+            size = max(1, int(rate * self.STEP_S))
+            self.free_at = max(self.free_at, time.monotonic()) + size / rate
+            writer.write(data[:size])
+            data = data[size:]
+            await writer.drain()
+            if writer.is_closing():
+                raise ConnectionError("closed by the receiver")
+            await asyncio.sleep(max(0.0, self.free_at - time.monotonic()))
+        await writer.drain()
+
+
 class Server:
     """Responds with the result of `handle(method, target, body)`: a pair of
     status and body, or None to send no response and keep the connection
-    open."""
+    open. Each connection has a link of the server's `rate`, unless all share
+    `link`."""
 
     def __init__(self, handle):
         self.handle = handle
+        self.rate = None
+        self.link = None
         self.server = None
         self.writers = set()
 
@@ -58,8 +88,8 @@
                 response = await self.handle(method, target, body)
                 if response is None:
                     await asyncio.sleep(3600)
-                writer.write(encode_response(*response))
-                await writer.drain()
+                link = self.link or Link(lambda: self.rate)
+                await link.send(writer, encode_response(*response))
         except (asyncio.IncompleteReadError, ConnectionError, ValueError,
                 asyncio.CancelledError):
             pass
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -24,6 +24,9 @@
 # Keys of malformed entries among those of the workers, some of which go on with a
 # byte that sorts before all that keys of the platform consist of.
 MALFORMED_KEYS = ["", "a", "w0 malformed", "w1\x01", "w1!", "w2-", "w3\u00e9", "x" * 5000]
+# Within which a configuration must be in force, and the routes that one adds.
+APPLY_WITHIN_S = 4.0
+ADDED_ROUTES = 300
 CONFIGURATION = {
     "version": 1,
     "routes": [{"name": "r", "host": HOST, "path_prefix": PREFIX,
@@ -33,10 +36,23 @@
     "services": [{"name": SERVICE, "enforces_capacity": True}], "limits": {}}
 
 
+def large_configuration(version):
+    """The first configuration and further routes, whose number grows."""
+    template = CONFIGURATION["routes"][0]
+    added = [dict(template, name=f"added-{i}", path_prefix=f"/added{i}/")
+             for i in range((version - 1) * ADDED_ROUTES)]
+    return dict(CONFIGURATION, version=version,
+                routes=CONFIGURATION["routes"] + added)
+
+
+def last_added_prefix(version):
+    return f"/added{(version - 1) * ADDED_ROUTES - 1}/"
+
+
 class Daemon:
     """An entry VM: a process and its ports."""
 
-    def __init__(self, number, base, program, folder):
+    def __init__(self, number, base, program, folder, bounds=None):
         self.name = f"edge-{number}"
         self.callers, self.ready, self.store = base, base + 1, base + 2
         self.program = program
@@ -49,8 +65,9 @@
                 "listen": {"front": f"127.0.0.1:{self.callers}",
                            "ready": f"127.0.0.1:{self.ready}"},
                 "platform": {"address": f"127.0.0.1:{self.store}"},
-                "bounds": {"hold_max_ms": 6000, "grace_s": 6,
-                           "far_factor": 2}}, settings)
+                "bounds": {"hold_max_ms": 6000, "grace_s": 6, "far_factor": 2,
+                           "config_apply_ms": int(APPLY_WITHIN_S * 1000),
+                           **(bounds or {})}}, settings)
         self.process = None
         self.is_paused = False
 
@@ -96,6 +113,10 @@
 class Soak:
     def __init__(self, options, folder):
         self.rng = random.Random(options.seed)
+        # Paths have a generator of their own, so that the faults of a seed stay
+        # the same.
+        self.path_rng = random.Random(options.seed + 1)
+        self.version = 1
         self.options = options
         base = 11000 + (os.getpid() * 37 + options.seed) % 7000
         self.record, self.store = Record(), Store()
@@ -225,6 +246,50 @@
             if self.record.violations:
                 return
 
+    async def slow_paths(self, seconds):
+        """Limits the rate of paths to the store while the configuration grows."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            server = self.store.servers[self.path_rng.choice(self.daemons).store]
+            server.rate = self.path_rng.uniform(60e3, 400e3)
+            self.grow_configuration()
+            await asyncio.sleep(self.path_rng.uniform(0.5, 3.0))
+            server.rate = None
+
+    def grow_configuration(self):
+        self.version += 1
+        self.store.put("op", "", "config",
+                       json.dumps(large_configuration(self.version)).encode())
+
+    async def check_configuration(self):
+        """Checks that a change is in force in time when its transfer takes half
+        of the time."""
+        encoded = json.dumps(large_configuration(self.version + 1))
+        bytes_in_response = len(encoded) * 4 / 3
+        for daemon in self.daemons:
+            self.store.servers[daemon.store].rate = (
+                bytes_in_response / (APPLY_WITHIN_S / 2))
+        self.grow_configuration()
+        began = time.monotonic()
+        await asyncio.gather(*[self.check_route(d, began) for d in self.daemons])
+        for daemon in self.daemons:
+            self.store.servers[daemon.store].rate = None
+
+    async def check_route(self, daemon, began):
+        """Checks when the newest route is served."""
+        prefix = last_added_prefix(self.version)
+        while True:
+            asked_at = time.monotonic()
+            response = await call(daemon.callers, "GET", prefix)
+            if response and response[0] == 200:
+                return
+            if asked_at - began > APPLY_WITHIN_S:
+                self.record.record_violation(
+                    f"version {self.version} of the configuration is not in "
+                    f"force on {daemon.name} after {APPLY_WITHIN_S} s")
+                return
+            await asyncio.sleep(0.05)
+
     async def job_state(self, job):
         for daemon in self.daemons:
             response = await call(daemon.callers, "GET", PREFIX + job)
@@ -264,7 +329,9 @@
         asyncio.ensure_future(self.rewrite_malformed_entries())
         await asyncio.sleep(2.5)
         await asyncio.gather(self.load(self.options.seconds),
-                             self.inject_faults(self.options.seconds))
+                             self.inject_faults(self.options.seconds),
+                             self.slow_paths(self.options.seconds))
+        await self.check_configuration()
         accepted, rejected = await self.check_completion()
         for daemon in self.daemons:
             daemon.send(signal.SIGTERM)
