Let the time for a worker's report follow the delay of its path

Cause, of the same class: a poll was given up 0.4 s after its wait, whatever the path. While the transfers fill the link between the regions, each response takes 0.6 to 1 s, so that each poll fails, again and again, although the worker answers each one. The leader hears nothing for as long as the link is full: it throttles nothing (HARM), and once the leases have ended it starts again what has ended meanwhile (877 runs lapsed, TWICE).

Change: poll_margin. A poll without a response doubles the margin, up to 1.2 s; a response sets it to twice its delay, and it falls back slowly. A lost worker is still noticed after the first 0.4 s.

--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -7,6 +7,7 @@
 #include "node/job_frontend.hpp"
 #include "node/leader_role.hpp"
 #include "node/operator_watch.hpp"
+#include "node/poll_margin.hpp"
 #include "node/row_barrier.hpp"
 #include "node/row_pages.hpp"
 #include "node/store_health.hpp"
