--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -553,6 +553,34 @@
         parse_vm_settings("no json", "file.json")));
 }
 
+// Failure: a bound that cannot be met, or that is no number, is taken, and
+// every VM calls the store without pause.
+TEST(vm_settings, time_for_declarations_is_read_and_checked)
+{
+    const auto parse_with = [](const std::string& bound) {
+        return parse_vm_settings(
+            R"({"node_name":"edge-1","zone":"z","zones":{"z":"r"},)"
+            R"("listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81"},)"
+            R"("platform":{"address":"10.0.0.2:82"},)"
+            R"("bounds":{"hold_max_ms":6000,"grace_s":6)" +
+                bound + "}}",
+            "file.json");
+    };
+    const auto read = parse_with(R"(,"config_apply_ms":2500)");
+    const auto* const settings = std::get_if<vm_settings>(&read);
+    ASSERT_NE(settings, nullptr);
+    EXPECT_EQ(settings->apply_within, milliseconds(2500));
+    EXPECT_TRUE(std::holds_alternative<vm_settings>(parse_with("")));
+    for (const std::string wrong : {"0", "-1", "\"soon\"", "1e300"})
+    {
+        const auto refused = parse_with(",\"config_apply_ms\":" + wrong);
+        const auto* const found = std::get_if<findings>(&refused);
+        ASSERT_NE(found, nullptr) << wrong;
+        EXPECT_NE(to_text(found->front()).find("config_apply_ms"),
+                  std::string::npos);
+    }
+}
+
 // Failure: an unknown field prevents the process from starting.
 TEST(vm_settings, unknown_fields_are_ignored)
 {
