--- a/src/platform/http_caller.cpp
+++ b/src/platform/http_caller.cpp
@@ -216,8 +216,8 @@
 
 // Aborts the call when its response is overdue. Qt's own transfer timeout would
 // restart with each byte received.
-void http_caller::expire_when_due(QNetworkReply* reply,
-                                  std::shared_ptr<outstanding_call> state)
+void http_caller::expire_when_due(
+    QNetworkReply* reply, const std::shared_ptr<outstanding_call>& state)
 {
     const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(
         state->deadline.expires_at() - steady_now());
--- a/src/platform/http_caller.hpp
+++ b/src/platform/http_caller.hpp
@@ -93,7 +93,7 @@
     QNetworkRequest request_for(const QUrl& url) const;
     void replace_connections(const QNetworkRequest& timed_out_request);
     void expire_when_due(QNetworkReply* reply,
-                         std::shared_ptr<outstanding_call> state);
+                         const std::shared_ptr<outstanding_call>& state);
     void watch(QNetworkReply* reply, callback done);
     call_response finish(QNetworkReply& reply, bool timed_out, bool too_large);
     void count_sent(const QUrl& url, qint64 body_size);
