Forget response times that are too old to compare endpoints by

All callers were served, but one endpoint, listed and sound, got no requests while the others were free.

Cause: the load of an endpoint is (requests in flight + 1) x mean response time. Once the mean is above that of the others, for example by one response that was slow by chance, the endpoint loses each comparison, so that no faster response can correct the mean. With few requests in flight it stays unused for good; an ejection, which would probe it, needs five responses.

Change: a mean whose last response is more than 5 s old no longer counts: the endpoint is compared by the mean of its service, and the next response begins a new mean.

--- a/src/request/ejector.cpp
+++ b/src/request/ejector.cpp
@@ -28,9 +28,10 @@
     : directory_(directory), enabled_(enabled)
 {}
 
-void ejector::record_response(instance_index i, duration elapsed)
+void ejector::record_response(instance_index i, duration elapsed,
+                              time_point now)
 {
-    directory_.at(i).health.add_response(elapsed);
+    directory_.at(i).health.add_response(elapsed, now);
 }
 
 void ejector::record_failure(instance_index i, time_point now)
--- a/src/request/ejector.hpp
+++ b/src/request/ejector.hpp
@@ -20,7 +20,7 @@
 public:
     ejector(endpoint_directory& directory, bool enabled);
 
-    void record_response(instance_index i, duration elapsed);
+    void record_response(instance_index i, duration elapsed, time_point now);
     void record_failure(instance_index i, time_point now);
     // A status of 500 or more may be caused by the request itself, so more of
     // these than of other failures are needed for an ejection.
--- a/src/request/instance_health.cpp
+++ b/src/request/instance_health.cpp
@@ -14,14 +14,20 @@
 // An unanswered probe is repeated after this time.
 constexpr duration probe_timeout = std::chrono::seconds(2);
 constexpr unsigned probation_failure_weight = 100;
+constexpr duration estimate_lifetime = std::chrono::seconds(5);
 constexpr unsigned probation_responses = 5;
 // The ejection back-off is reset after this many consecutive responses.
 constexpr unsigned responses_to_reset_backoff = 50;
 
 } // namespace
 
-void instance_health::add_response(duration elapsed)
+void instance_health::add_response(duration elapsed, time_point now)
 {
+    if (is_outdated(now))
+    {
+        responses_.reset();
+    }
+    last_response_at_ = now;
     responses_.add(elapsed);
     failures_ = 0;
     on_probation_ =
@@ -32,6 +38,18 @@
     }
 }
 
+bool instance_health::is_outdated(time_point now) const
+{
+    return now - last_response_at_ > estimate_lifetime;
+}
+
+std::optional<duration> instance_health::expected_response(time_point now) const
+{
+    return responses_.samples() == 0 || is_outdated(now)
+               ? std::nullopt
+               : std::optional(responses_.mean());
+}
+
 unsigned instance_health::add_failure()
 {
     consecutive_responses_ = 0;
--- a/src/request/instance_health.hpp
+++ b/src/request/instance_health.hpp
@@ -14,7 +14,12 @@
 class instance_health
 {
 public:
-    void add_response(duration elapsed);
+    void add_response(duration elapsed, time_point now);
+    // Mean response time; empty if there is none, or if the last response is
+    // too old to say anything about the next one. Without this limit, an
+    // instance that was slow once would get no request that shows otherwise, as
+    // long as others are free.
+    std::optional<duration> expected_response(time_point now) const;
     // Returns the number of failures since the last response.
     unsigned add_failure();
 
@@ -34,7 +39,10 @@
     bool is_on_probation() const { return on_probation_; }
 
 private:
+    bool is_outdated(time_point now) const;
+
     response_estimate responses_{0.2};
+    time_point last_response_at_{};
     unsigned failures_ = 0;
     // Since the last failure or ejection.
     unsigned consecutive_responses_ = 0;
--- a/src/request/request_attempts.ipp
+++ b/src/request/request_attempts.ipp
@@ -150,7 +150,7 @@
     else
     {
         const duration elapsed = now - r.attempt_started;
-        ejector_.record_response(r.instance, elapsed);
+        ejector_.record_response(r.instance, elapsed, now);
         directory_.service(r.service).responses.add(elapsed);
     }
     if (failed && r.rule->idempotent && can_retry(r, now) &&
--- a/src/request/router.hpp
+++ b/src/request/router.hpp
@@ -51,9 +51,8 @@
     double load(std::size_t i) const
     {
         const endpoint_instance& e = directory_.at(members_[i]);
-        const response_estimate& estimate = e.health.responses();
         duration expected =
-            estimate.samples() > 0 ? estimate.mean() : service_mean_;
+            e.health.expected_response(now_).value_or(service_mean_);
         if (!e.in_flight.empty())
         {
             expected =
--- a/tests/request/limits_test.cpp
+++ b/tests/request/limits_test.cpp
@@ -319,7 +319,7 @@
     {
         for (instance_index i = 0; i < 4; ++i)
         {
-            e.record_response(i, i == 2 ? 200ms : 20ms);
+            e.record_response(i, i == 2 ? 200ms : 20ms, at(0s));
         }
     }
     EXPECT_TRUE(e.run(at(1s)).empty());
@@ -330,6 +330,32 @@
     EXPECT_FALSE(d.at(2).health.is_ejected());
 }
 
+// Guards against an instance that gets no requests any more, and so no faster
+// response, after one response that was slow by chance.
+TEST(router, instance_gets_requests_again_after_one_slow_response)
+{
+    endpoint_directory d = make_directory(1, 3);
+    ejector e(d, true);
+    router<standard_request_policy> r(1);
+    request_rule rule;
+    const service_index service = d.at(0).service;
+    const auto requests_to_first = [&](time_point from, time_point until) {
+        int count = 0;
+        for (time_point now = from; now < until; now += 10ms)
+        {
+            const auto i = r.choose(d, service, rule, false, {}, now).value();
+            count += i == 0 ? 1 : 0;
+            e.record_response(i, 1ms, now);
+        }
+        return count;
+    };
+    e.record_response(0, 9ms, at(1s));
+    e.record_response(1, 1ms, at(1s));
+    e.record_response(2, 1ms, at(1s));
+    EXPECT_EQ(requests_to_first(at(1s), at(3s)), 0);
+    EXPECT_GT(requests_to_first(at(3s), at(13s)), 200);
+}
+
 // Guards against stored responses that change when they are encoded and
 // decoded.
 RC_GTEST_PROP(claim_row, serialization_preserves_every_byte,
