--- a/tests/adapter/store_fixture.hpp
+++ b/tests/adapter/store_fixture.hpp
@@ -76,6 +76,10 @@
 
     std::string respond(const std::string& target) const
     {
+        if (target == names::transact_path)
+        {
+            return to_response({}, false);
+        }
         const QUrlQuery query(QUrl(QString::fromStdString(target)));
         return target.starts_with(names::feed_path) ? feed_of(query)
                                                     : page_of(query);
