Keep the read of a configuration row until it is answered

Its answer was then ignored and the row read again from the first byte, so that a version whose transfer takes longer was never adopted from the table.

Evidence: configuration_manager.version_is_adopted_however_long_its_transfer_takes counted two transfers of the same row within 12 s before, and the first was ignored; now one, which is adopted.

--- a/src/control/configuration_manager.ipp
+++ b/src/control/configuration_manager.ipp
@@ -12,7 +12,6 @@
                                             std::int64_t /*unix_ms*/,
                                             const heartbeat_fields& fields)
 {
-    reads_.expire(settings_.change_timeout, now);
     if (now >= next_poll_)
     {
         next_poll_ = now + settings_.poll_interval;
--- a/src/control/pending_reads.cpp
+++ b/src/control/pending_reads.cpp
@@ -55,11 +55,4 @@
     });
 }
 
-void pending_reads::expire(duration age, time_point now)
-{
-    std::erase_if(reads_, [&](const auto& read) {
-        return now - read.second.sent_at > age;
-    });
-}
-
 } // namespace hemlockdeal
--- a/src/control/pending_reads.hpp
+++ b/src/control/pending_reads.hpp
@@ -1,4 +1,6 @@
-// Reads of configuration rows whose responses are outstanding.
+// Reads of configuration rows whose responses are outstanding. Each read is
+// answered in the end, if only with an error, so that none has a time limit
+// here: a large row may be on its way for long.
 #pragma once
 
 #include <cstdint>
@@ -44,11 +46,6 @@
     bool is_outstanding(read_purpose purpose) const;
     bool is_outstanding_for(std::uint64_t request) const;
 
-    // Drops the reads that were sent longer ago than `age`. The table client
-    // responds to every read, also on a timeout; this bounds the map in case
-    // a response is dropped because a ring is full.
-    void expire(duration age, time_point now);
-
 private:
     std::uint64_t add(const pending_read& read);
 
--- a/tests/control/configuration_manager_test.cpp
+++ b/tests/control/configuration_manager_test.cpp
@@ -355,6 +355,45 @@
     EXPECT_EQ(lost->version, configuration_version(1));
 }
 
+// Failure: a version whose row takes longer to transfer than a change may take
+// is asked for again from its first byte and never adopted.
+TEST(configuration_manager, version_is_adopted_however_long_its_transfer_takes)
+{
+    const configuration_version version(1);
+    manager daemon(vm_id("entry-0"), zone, any_declaration{});
+    time_point now{100s};
+    std::vector<std::uint64_t> transfers;
+    for (int step = 0; step < 24; ++step)
+    {
+        now += 500ms;
+        daemon.on_tick(now, 0, {});
+        for (const auto& action : daemon.take_actions())
+        {
+            const auto* const read = std::get_if<read_row>(&action);
+            if (read == nullptr)
+            {
+                continue;
+            }
+            if (read->key != configuration_head_key)
+            {
+                transfers.push_back(read->number);
+                continue;
+            }
+            daemon.on_row(
+                read->number,
+                table_row{read->key, row_version(1), head_to_text(version)},
+                now, 0);
+        }
+    }
+    ASSERT_EQ(transfers.size(), 1U);
+    const configuration_row content{version, "", {}, "ana", 0, "first"};
+    daemon.on_row(
+        transfers.front(),
+        table_row{configuration_key(version), row_version(1), to_text(content)},
+        now, 0);
+    EXPECT_EQ(daemon.state().version(), version);
+}
+
 // Failure: a daemon that has no list of VMs yet confirms for itself alone, and
 // a change counts as in force everywhere.
 TEST(configuration_manager, confirms_nothing_before_the_list_of_vms_is_known)
