Log responses of the store whose transfer takes long

The line "configuration applied" knows when it was asked for and adopted; a response that arrived complete, but slowly, left no trace, so that a late change could have been one that the store showed late, a slow transfer, or slow decoding.

Change: a complete response that takes 500 ms or more from its first byte to its last is logged at level info with its times and bytes, under the same bound of four lines a second as incomplete ones. Begun is "seen", the time of the line is "fetched", "configuration applied" is "adopted".

store_call_log_test.slow_transfer_is_logged_with_its_times: no line before.

--- a/tests/adapter/store_call_log_test.cpp
+++ b/tests/adapter/store_call_log_test.cpp
@@ -38,6 +38,28 @@
     EXPECT_EQ(calls.traffic().at("/rows-feed").incomplete, 1U);
 }
 
+// Failure: when a change is in force late, nobody can tell whether its response
+// began late or took long.
+TEST(store_call_log_test, slow_transfer_is_logged_with_its_times)
+{
+    log_capture capture;
+    store_call_log calls;
+    calls.add({"/rows-feed?table=op", milliseconds(2600), milliseconds(1100),
+               435'000, ""},
+              time_point(milliseconds(5000)));
+    calls.add({"/rows-feed?table=op", milliseconds(1190), milliseconds(1188),
+               120, ""},
+              time_point(milliseconds(5000)));
+    const auto lines = capture.count({"response of the store took long",
+                                      "took_ms=2600", "begun_after_ms=1100",
+                                      "received=435000", "took_ms=1190"});
+    EXPECT_EQ(lines.at("response of the store took long"), 1U);
+    EXPECT_EQ(lines.at("took_ms=2600"), 1U);
+    EXPECT_EQ(lines.at("begun_after_ms=1100"), 1U);
+    EXPECT_EQ(lines.at("received=435000"), 1U);
+    EXPECT_EQ(calls.traffic().at("/rows-feed").complete, 2U);
+}
+
 // Failure: a store that does not answer fills the log.
 TEST(store_call_log_test, lines_are_bounded)
 {
