--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -53,7 +53,7 @@
             if rate is None:
                 writer.write(data)
                 break
-            size = max(1, int(rate * self.STEP_S))
+            size = min(len(data), max(1, int(rate * self.STEP_S)))
             self.free_at = max(self.free_at, time.monotonic()) + size / rate
             writer.write(data[:size])
             data = data[size:]
@@ -78,7 +78,9 @@
         self.writers = set()
 
     async def listen(self, port):
+        """Returns the port, which is a free one if 0 is given."""
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        return self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
