Slow paths in hemlockdeal-standin, and tests of hemlockdeald behind them

The fault "slow_path" sends the responses of table, membership list or workers at a rate, each on its own or all together.

--- a/src/standin/endpoint_farm.cpp
+++ b/src/standin/endpoint_farm.cpp
@@ -33,6 +33,8 @@
         return endpoint_fault::silent;
     case fault_mode::truncate:
         return endpoint_fault::truncate;
+    case fault_mode::slow_path:
+        break;
     case fault_mode::fail_all:
         return endpoint_fault::fail_all;
     case fault_mode::late:
--- a/src/standin/fault_set.cpp
+++ b/src/standin/fault_set.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<std::string_view, fault_mode>, 12> mode_names{
+constexpr std::array<std::pair<std::string_view, fault_mode>, 13> mode_names{
     {{"none", fault_mode::none},
      {"down", fault_mode::down},
      {"slow", fault_mode::slow},
@@ -21,6 +21,7 @@
      {"pause", fault_mode::pause},
      {"silent", fault_mode::silent},
      {"truncate", fault_mode::truncate},
+     {"slow_path", fault_mode::slow_path},
      {"fail_all", fault_mode::fail_all},
      {"late", fault_mode::late},
      {"leaving", fault_mode::leaving},
@@ -38,6 +39,24 @@
     return found->second;
 }
 
+void set_rate(fault& f, const boost::json::object& message)
+{
+    f.bytes_per_second = json_fields::number_or(message, "bytes_per_second", 0);
+    if (!(f.bytes_per_second > 0))
+    {
+        json_fields::fail("bytes_per_second", "a positive number");
+    }
+    const auto* const shared = json_fields::find(message, "shared");
+    if (shared != nullptr && !shared->is_bool())
+    {
+        json_fields::fail("shared", "true or false");
+    }
+    if (shared != nullptr && shared->get_bool())
+    {
+        f.shared_rate = std::make_shared<transfer_rate>(f.bytes_per_second);
+    }
+}
+
 } // namespace
 
 void fault_set::set(const std::string& target, const std::string& id, fault f)
@@ -59,6 +78,10 @@
     f.probability = json_fields::number_or(message, "probability", 1.0);
     f.delay = std::chrono::milliseconds(
         json_fields::integer_or(message, "delay_ms", 0));
+    if (f.mode == fault_mode::slow_path)
+    {
+        set_rate(f, message);
+    }
     return f;
 }
 
--- a/src/standin/fault_set.hpp
+++ b/src/standin/fault_set.hpp
@@ -4,12 +4,15 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <utility>
 
 #include <boost/json.hpp>
 
+#include "standin/transfer_rate.hpp"
+
 namespace hemlockdeal
 {
 
@@ -27,6 +30,7 @@
     silent,      // connections that were opened before the fault was set never
                  // get a response again, new ones work
     truncate,    // takes effect, the response is truncated
+    slow_path,   // takes effect, the response is sent at a limited rate
     fail_all,    // tasks that are started on the worker fail
     late,        // this and the following modes apply to endpoints only
     leaving,
@@ -39,6 +43,10 @@
     fault_mode mode = fault_mode::none;
     double probability = 1.0; // per request or start of a task
     std::chrono::milliseconds delay{0};
+    // Of slow_path. Responses have it together if they share the path, and
+    // otherwise each on its own.
+    double bytes_per_second = 0;
+    std::shared_ptr<transfer_rate> shared_rate = nullptr;
     std::chrono::steady_clock::time_point since{}; // set by fault_set::set()
 };
 
--- a/src/standin/http_server.cpp
+++ b/src/standin/http_server.cpp
@@ -10,6 +10,7 @@
 
 #include <QHostAddress>
 #include <QTcpSocket>
+#include <QTimer>
 #include <QUrl>
 #include <QUrlQuery>
 
@@ -20,6 +21,21 @@
 
 constexpr std::uint64_t max_body_bytes = 32U << 20U;
 
+namespace
+{
+
+std::string to_bytes(const http_reply& reply)
+{
+    const auto reason = http::obsolete_reason(
+        http::int_to_status(static_cast<unsigned>(reply.status)));
+    return "HTTP/1.1 " + std::to_string(reply.status) + ' ' +
+           std::string(reason) +
+           "\r\nContent-Type: application/json\r\nContent-Length: " +
+           std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body;
+}
+
+} // namespace
+
 // Owned by the slots that are connected to its socket, so it is destroyed
 // together with the socket.
 class http_connection : public std::enable_shared_from_this<http_connection>
@@ -34,6 +50,8 @@
 
     void read();
     void send(const http_reply& reply, bool truncated);
+    void send_slowly(const http_reply& reply,
+                     std::shared_ptr<transfer_rate> rate);
     void close();
     void ignore_input() { ignores_input_ = true; }
     std::chrono::steady_clock::time_point opened_at() const
@@ -44,12 +62,15 @@
 private:
     void serve_complete_requests();
     bool parse_request();
+    void send_piece(const std::shared_ptr<transfer_rate>& rate);
+    void on_sent();
 
     QTcpSocket* socket_;
     const http_server::handler& request_handler_;
     std::uint64_t& received_;
     std::uint64_t& sent_;
-    std::string input_; // received, not yet parsed
+    std::string input_;  // received, not yet parsed
+    std::string output_; // of a response that is sent in pieces
     std::optional<http::request_parser<http::string_body>> parser_;
     bool awaits_response_ = false; // a request is being handled
     bool is_serving_ = false;      // serve_complete_requests() is running
@@ -123,24 +144,57 @@
     {
         return;
     }
-    const auto reason = http::obsolete_reason(
-        http::int_to_status(static_cast<unsigned>(reply.status)));
-    auto text = "HTTP/1.1 " + std::to_string(reply.status) + ' ' +
-                std::string(reason) +
-                "\r\nContent-Type: application/json\r\nContent-Length: " +
-                std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body;
+    auto text = to_bytes(reply);
     if (truncated)
     {
         text.resize(text.size() - reply.body.size() / 2);
     }
     sent_ += text.size();
     socket_->write(text.data(), static_cast<qint64>(text.size()));
-    awaits_response_ = false;
     if (truncated)
     {
+        awaits_response_ = false;
         socket_->disconnectFromHost();
         return;
     }
+    on_sent();
+}
+
+void http_connection::send_slowly(const http_reply& reply,
+                                  std::shared_ptr<transfer_rate> rate)
+{
+    if (!awaits_response_ || ignores_input_ || !output_.empty())
+    {
+        return;
+    }
+    output_ = to_bytes(reply);
+    sent_ += output_.size();
+    send_piece(rate);
+}
+
+void http_connection::send_piece(const std::shared_ptr<transfer_rate>& rate)
+{
+    if (ignores_input_)
+    {
+        return;
+    }
+    const auto size = rate->next_piece(output_.size());
+    socket_->write(output_.data(), static_cast<qint64>(size));
+    output_.erase(0, size);
+    const auto wait = rate->add(size, std::chrono::steady_clock::now());
+    QTimer::singleShot(wait, socket_, [self = shared_from_this(), rate] {
+        if (self->output_.empty())
+        {
+            self->on_sent();
+            return;
+        }
+        self->send_piece(rate);
+    });
+}
+
+void http_connection::on_sent()
+{
+    awaits_response_ = false;
     serve_complete_requests();
 }
 
@@ -162,6 +216,15 @@
     }
 }
 
+void http_exchange::answer_slowly(const http_reply& reply,
+                                  std::shared_ptr<transfer_rate> rate) const
+{
+    if (const auto connection = connection_.lock())
+    {
+        connection->send_slowly(reply, std::move(rate));
+    }
+}
+
 void http_exchange::answer_truncated(const http_reply& reply) const
 {
     if (const auto connection = connection_.lock())
--- a/src/standin/http_server.hpp
+++ b/src/standin/http_server.hpp
@@ -10,6 +10,8 @@
 
 #include <QTcpServer>
 
+#include "standin/transfer_rate.hpp"
+
 namespace hemlockdeal
 {
 
@@ -29,14 +31,17 @@
 };
 
 // A request that awaits its response. Without a call of answer(),
-// answer_truncated() or close() the connection stays open and no response is
-// sent. Calls after the connection was closed have no effect.
+// answer_slowly(), answer_truncated() or close() the connection stays open and
+// no response is sent. Calls after the connection was closed have no effect.
 class http_exchange
 {
 public:
     explicit http_exchange(std::weak_ptr<http_connection> connection);
 
     void answer(const http_reply& reply) const;
+    // Sends the response in pieces, at the given rate.
+    void answer_slowly(const http_reply& reply,
+                       std::shared_ptr<transfer_rate> rate) const;
     // Sends a Content-Length for the whole body, then half of the body, and
     // closes the connection.
     void answer_truncated(const http_reply& reply) const;
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -303,6 +303,13 @@
     case fault_mode::truncate:
         c.exchange.answer_truncated(reply_or_bad_request(c.operation));
         return;
+    case fault_mode::slow_path:
+        c.exchange.answer_slowly(
+            reply_or_bad_request(c.operation),
+            f.shared_rate
+                ? f.shared_rate
+                : std::make_shared<transfer_rate>(f.bytes_per_second));
+        return;
     case fault_mode::none:
     case fault_mode::fail_all:
     case fault_mode::late:
--- a/src/standin/standin.hpp
+++ b/src/standin/standin.hpp
@@ -11,4 +11,5 @@
 #include "standin/platform_standin.hpp"
 #include "standin/run_record.hpp"
 #include "standin/table_standin.hpp"
+#include "standin/transfer_rate.hpp"
 #include "standin/worker_standin.hpp"
--- a/tests/platform/slow_path_test.cpp
+++ b/tests/platform/slow_path_test.cpp
@@ -2,13 +2,15 @@
 // on a slow path.
 #include <chrono>
 #include <optional>
+#include <string>
 
+#include <QElapsedTimer>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QUrl>
 #include <gtest/gtest.h>
 
-#include "event_loop.hpp"
+#include "fixture.hpp"
 #include "platform/http_caller.hpp"
 #include "support/slow_link.hpp"
 
@@ -47,8 +49,106 @@
     QTcpServer listener_;
 };
 
+// Clients that wait 0.3 s for a response to begin, and a stand-in whose
+// responses take longer.
+class slow_platform_test : public test::platform_fixture
+{
+protected:
+    void list_workers(int count)
+    {
+        boost::json::array entries;
+        for (int i = 0; i < count; ++i)
+        {
+            entries.push_back({{"id", "worker-" + std::to_string(i)},
+                               {"kind", "worker"},
+                               {"zone", "zone-a"},
+                               {"region", "region-1"},
+                               {"rack", "rack-1"},
+                               {"state", "live"},
+                               {"processors_milli", 16000},
+                               {"memory_mb", 64000}});
+        }
+        standin.start_with_membership({{"vms", std::move(entries)}});
+    }
+
+    void slow_down(const char* target, double bytes_per_second, bool shared)
+    {
+        standin.set_fault({{"target", target},
+                           {"mode", "slow_path"},
+                           {"bytes_per_second", bytes_per_second},
+                           {"shared", shared}});
+    }
+
+    // The list as it is received by two clients at the same time.
+    std::chrono::milliseconds time_of_two_fetches()
+    {
+        membership_client other("http://" + standin.address(),
+                                test::short_limits());
+        int complete = 0;
+        const auto on_list = [&](const result<received_membership>& list) {
+            complete += is_ok(list) ? 1 : 0;
+        };
+        QElapsedTimer passed;
+        passed.start();
+        membership.fetch(on_list);
+        other.fetch(on_list);
+        EXPECT_TRUE(run_until([&] { return complete == 2; }));
+        return std::chrono::milliseconds(passed.elapsed());
+    }
+};
+
 } // namespace
 
+// Failure: the list of members of the size to design for never arrives over a
+// path on which it takes longer than a call may.
+TEST_F(slow_platform_test, list_of_1900_workers_arrives)
+{
+    constexpr int count = 1900;
+    list_workers(count);
+    slow_down("membership", 400'000, false);
+    const auto list = fetch();
+    ASSERT_TRUE(is_ok(list)) << error_of(list).message;
+    EXPECT_EQ(value_of(list).members.size(), count);
+    EXPECT_TRUE(value_of(list).malformed.empty());
+}
+
+// Failure: a page of the table never arrives over such a path.
+TEST_F(slow_platform_test, page_of_the_table_arrives)
+{
+    constexpr int rows = 100;
+    for (int i = 0; i < rows; ++i)
+    {
+        const auto key = "row-" + std::to_string(i);
+        ASSERT_TRUE(std::holds_alternative<commit_done>(
+            commit(test::create(key, std::string(3000, 'x'), key))));
+    }
+    slow_down("table", 400'000, false);
+    const auto page = read_rows("row-", "", 500);
+    ASSERT_TRUE(is_ok(page)) << error_of(page).message;
+    EXPECT_EQ(value_of(page).rows.size(), rows);
+}
+
+// Verifies that the stand-in's shared path halves the rate of two responses.
+TEST_F(slow_platform_test, shared_path_is_divided)
+{
+    list_workers(1000);
+    slow_down("membership", 400'000, false);
+    const auto alone = time_of_two_fetches();
+    slow_down("membership", 400'000, true);
+    const auto together = time_of_two_fetches();
+    EXPECT_GT(together, alone * 3 / 2);
+}
+
+// Failure: a stand-in that is told to limit the rate to nothing ends the test
+// program, or never responds.
+TEST_F(slow_platform_test, rate_must_be_positive)
+{
+    for (const double rate : {0.0, -1.0})
+    {
+        EXPECT_ANY_THROW(slow_down("table", rate, false));
+    }
+}
+
 // Failure: the list of members, or a page of the table, never arrives over a
 // path that needs longer for it than the time limit of a call.
 TEST(slow_path_test, large_response_arrives_over_a_slow_path)
