--- a/src/standin/http_server.cpp
+++ b/src/standin/http_server.cpp
@@ -51,7 +51,7 @@
     void read();
     void send(const http_reply& reply, bool truncated);
     void send_slowly(const http_reply& reply,
-                     std::shared_ptr<transfer_rate> rate);
+                     const std::shared_ptr<transfer_rate>& rate);
     void close();
     void ignore_input() { ignores_input_ = true; }
     std::chrono::steady_clock::time_point opened_at() const
@@ -161,7 +161,7 @@
 }
 
 void http_connection::send_slowly(const http_reply& reply,
-                                  std::shared_ptr<transfer_rate> rate)
+                                  const std::shared_ptr<transfer_rate>& rate)
 {
     if (!awaits_response_ || ignores_input_ || !output_.empty())
     {
@@ -216,12 +216,12 @@
     }
 }
 
-void http_exchange::answer_slowly(const http_reply& reply,
-                                  std::shared_ptr<transfer_rate> rate) const
+void http_exchange::answer_slowly(
+    const http_reply& reply, const std::shared_ptr<transfer_rate>& rate) const
 {
     if (const auto connection = connection_.lock())
     {
-        connection->send_slowly(reply, std::move(rate));
+        connection->send_slowly(reply, rate);
     }
 }
 
--- a/src/standin/http_server.hpp
+++ b/src/standin/http_server.hpp
@@ -41,7 +41,7 @@
     void answer(const http_reply& reply) const;
     // Sends the response in pieces, at the given rate.
     void answer_slowly(const http_reply& reply,
-                       std::shared_ptr<transfer_rate> rate) const;
+                       const std::shared_ptr<transfer_rate>& rate) const;
     // Sends a Content-Length for the whole body, then half of the body, and
     // closes the connection.
     void answer_truncated(const http_reply& reply) const;
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -80,7 +80,7 @@
         endpoints_.set_fault(id, f);
         return;
     }
-    faults_.set(target, id, f);
+    faults_.set(target, id, std::move(f));
     dispatch_held_calls();
 }
 
