Execute and take the messages of hemlockdeald's threads by overloads

platform_thread::execute and batch_thread::on_platform were chains of get_if over 50 lines each; a message that had no branch would have been dropped. Each kind has a function of its own now, and a kind without one does not compile. No change of behaviour.

--- a/src/hemlockdeald/batch_thread.cpp
+++ b/src/hemlockdeald/batch_thread.cpp
@@ -33,6 +33,39 @@
     return options;
 }
 
+// The reply to a request that could not be queued: the same as for any failed
+// call, so that the state machine schedules the retry itself.
+struct reply_to_unsent
+{
+    std::string reason =
+        "the request ring of the platform thread is full; nothing was sent";
+
+    platform_reply operator()(const commit_request& request) const
+    {
+        return commit_reply{request.user, request.commit.id,
+                            commit_unknown{reason}};
+    }
+    platform_reply operator()(const row_request& request) const
+    {
+        return row_result{request.user, request.read.number,
+                          error{error_code::unavailable, reason}};
+    }
+    platform_reply operator()(const rows_request& request) const
+    {
+        return rows_result{request.user, request.read.number,
+                           error{error_code::unavailable, reason}};
+    }
+    platform_reply operator()(const ask_for_report& request) const
+    {
+        return report_result{request.worker, worker_unreachable{reason},
+                             lease_clock_now()};
+    }
+    platform_reply operator()(const send_commands& request) const
+    {
+        return commands_result{request.number, worker_unreachable{reason}};
+    }
+};
+
 } // namespace
 
 result<declaration>
@@ -193,63 +226,59 @@
         return;
     }
     const auto now = lease_clock_now();
-    auto& batch = state_machines_->batch;
-    auto& configuration = state_machines_->configuration;
-    if (const auto* commit = std::get_if<commit_reply>(&reply))
-    {
-        switch (commit->user)
-        {
-        case table_user::lease:
-            state_machines_->lease.on_outcome(commit->id, commit->outcome, now);
-            break;
-        case table_user::configuration:
-            configuration.on_outcome(commit->id, commit->outcome, now,
-                                     unix_ms_now());
-            break;
-        default:
-            batch.on_commit_outcome(commit->id, commit->outcome, now);
-            break;
-        }
-    }
-    else if (const auto* row = std::get_if<row_result>(&reply))
-    {
-        if (row->user == table_user::configuration)
-        {
-            configuration.on_row(row->number, row->row, now, unix_ms_now());
-        }
-        else
-        {
-            batch.on_row(row->number, row->row, now);
-        }
-    }
-    else if (const auto* rows = std::get_if<rows_result>(&reply))
-    {
-        if (rows->user == table_user::configuration)
-        {
-            configuration.on_rows(rows->number, rows->page, now);
-        }
-        else
-        {
-            batch.on_rows(rows->number, rows->page, now);
-        }
-    }
-    else if (const auto* report = std::get_if<report_result>(&reply))
+    std::visit([this, now](const auto& r) { take(r, now); }, reply);
+    after_event(now);
+}
+
+void batch_thread::take(const commit_reply& reply, time_point now)
+{
+    switch (reply.user)
     {
-        batch.on_report(report->worker, report->reply, report->sent_at, now);
+    case table_user::lease:
+        state_machines_->lease.on_outcome(reply.id, reply.outcome, now);
+        return;
+    case table_user::configuration:
+        state_machines_->configuration.on_outcome(reply.id, reply.outcome, now,
+                                                  unix_ms_now());
+        return;
+    default:
+        state_machines_->batch.on_commit_outcome(reply.id, reply.outcome, now);
     }
-    else if (const auto* commands = std::get_if<commands_result>(&reply))
+}
+
+void batch_thread::take(const row_result& reply, time_point now)
+{
+    if (reply.user == table_user::configuration)
     {
-        batch.on_command_reply(commands->number, commands->reply, now);
+        state_machines_->configuration.on_row(reply.number, reply.row, now,
+                                              unix_ms_now());
+        return;
     }
-    else
+    state_machines_->batch.on_row(reply.number, reply.row, now);
+}
+
+void batch_thread::take(const rows_result& reply, time_point now)
+{
+    if (reply.user == table_user::configuration)
     {
-        handle_membership(std::get<shared_membership>(reply), now);
+        state_machines_->configuration.on_rows(reply.number, reply.page, now);
+        return;
     }
-    after_event(now);
+    state_machines_->batch.on_rows(reply.number, reply.page, now);
 }
 
-void batch_thread::handle_membership(const shared_membership& list,
-                                     time_point now)
+void batch_thread::take(const report_result& reply, time_point now)
+{
+    state_machines_->batch.on_report(reply.worker, reply.reply, reply.sent_at,
+                                     now);
+}
+
+void batch_thread::take(const commands_result& reply, time_point now)
+{
+    state_machines_->batch.on_command_reply(reply.number, reply.reply, now);
+}
+
+void batch_thread::take(const shared_membership& list, time_point now)
 {
     std::vector<std::pair<vm_id, availability_zone_id>> vms;
     std::ranges::for_each(list->members, [&](const member& m) {
@@ -268,37 +297,8 @@
     {
         return;
     }
-    // Nothing was sent. The state machine gets the same reply as for any failed
-    // call and schedules the retry itself.
-    const std::string reason =
-        "the request ring of the platform thread is full; nothing was sent";
     // NOLINTNEXTLINE(bugprone-use-after-move): a failed post() moves nothing.
-    const auto& unsent = request;
-    if (const auto* commit = std::get_if<commit_request>(&unsent))
-    {
-        on_platform(commit_reply{commit->user, commit->commit.id,
-                                 commit_unknown{reason}});
-    }
-    else if (const auto* row = std::get_if<row_request>(&unsent))
-    {
-        on_platform(row_result{row->user, row->read.number,
-                               error{error_code::unavailable, reason}});
-    }
-    else if (const auto* rows = std::get_if<rows_request>(&unsent))
-    {
-        on_platform(rows_result{rows->user, rows->read.number,
-                                error{error_code::unavailable, reason}});
-    }
-    else if (const auto* unsent_report = std::get_if<ask_for_report>(&unsent))
-    {
-        on_platform(report_result{unsent_report->worker,
-                                  worker_unreachable{reason},
-                                  lease_clock_now()});
-    }
-    else if (const auto* send = std::get_if<send_commands>(&unsent))
-    {
-        on_platform(commands_result{send->number, worker_unreachable{reason}});
-    }
+    on_platform(std::visit(reply_to_unsent{}, request));
 }
 
 void batch_thread::execute_control_action(control_action&& action)
--- a/src/hemlockdeald/batch_thread.hpp
+++ b/src/hemlockdeald/batch_thread.hpp
@@ -88,6 +88,13 @@
         QTimer timer;
     };
 
+    // Each passes a reply of the platform thread to its state machine.
+    void take(const commit_reply& reply, time_point now);
+    void take(const row_result& reply, time_point now);
+    void take(const rows_result& reply, time_point now);
+    void take(const report_result& reply, time_point now);
+    void take(const commands_result& reply, time_point now);
+    void take(const shared_membership& list, time_point now);
     void tick();
     void after_event(time_point now);
     void update_lease(time_point now);
@@ -99,7 +106,6 @@
     daemon_status status(time_point now) const;
     void add_tail(class_status& entry) const;
     void add_operator_address(peer_status& peer) const;
-    void handle_membership(const shared_membership& list, time_point now);
 
     daemon_settings settings_;
     incarnation process_;
--- a/src/hemlockdeald/platform_thread.cpp
+++ b/src/hemlockdeald/platform_thread.cpp
@@ -35,12 +35,14 @@
       membership_age_(lease_clock_now()),
       membership_received_at_(lease_clock_now()), thread_("platform")
 {
-    from_batch_.connect(thread_.context(), [this](platform_request&& request) {
-        execute(std::move(request), batch_replies_);
-    });
-    from_proxy_.connect(thread_.context(), [this](platform_request&& request) {
-        execute(std::move(request), proxy_replies_);
-    });
+    from_batch_.connect(thread_.context(),
+                        [this](const platform_request& request) {
+                            execute(request, batch_replies_);
+                        });
+    from_proxy_.connect(thread_.context(),
+                        [this](const platform_request& request) {
+                            execute(request, proxy_replies_);
+                        });
 }
 
 platform_thread::~platform_thread()
@@ -169,66 +171,71 @@
     return now - membership_received_at_.load();
 }
 
-void platform_thread::execute(platform_request&& request, reply_sender& to)
+void platform_thread::execute(const platform_request& request, reply_sender& to)
 {
-    if (!clients_)
-    {
-        return;
-    }
-    if (auto* commit = std::get_if<commit_request>(&request))
-    {
-        const auto user = commit->user;
-        const auto id = commit->commit.id;
-        const auto refused = clients_->table.commit(
-            commit->commit, [&to, user, id](commit_outcome outcome) {
-                to.post(commit_reply{user, id, std::move(outcome)});
-            });
-        if (refused)
-        {
-            to.post(commit_reply{user, id, commit_unknown{refused->message}});
-        }
-    }
-    else if (auto* row = std::get_if<row_request>(&request))
-    {
-        const auto user = row->user;
-        const auto number = row->read.number;
-        clients_->table.read_row(
-            row->read.key,
-            [&to, user, number](result<std::optional<table_row>> found) {
-                to.post(row_result{user, number, std::move(found)});
-            });
-    }
-    else if (auto* rows = std::get_if<rows_request>(&request))
+    if (clients_)
     {
-        const auto user = rows->user;
-        const auto number = rows->read.number;
-        clients_->table.read_rows(
-            rows->read.prefix, rows->read.after, rows->read.limit,
-            [&to, user, number](result<table_page> page) {
-                to.post(rows_result{user, number, std::move(page)});
-            });
+        std::visit([this, &to](const auto& r) { call(r, to); }, request);
     }
-    else if (auto* report_request = std::get_if<ask_for_report>(&request))
-    {
-        const auto worker = report_request->worker;
-        const auto sent_at = lease_clock_now();
-        clients_->workers.report(
-            report_request->address, report_request->request,
-            [&to, worker, sent_at](worker_report_reply reply) {
-                to.post(report_result{worker, std::move(reply), sent_at});
-            });
-    }
-    else if (auto* send = std::get_if<send_commands>(&request))
+}
+
+void platform_thread::call(const commit_request& request, reply_sender& to)
+{
+    const auto user = request.user;
+    const auto id = request.commit.id;
+    const auto refused = clients_->table.commit(
+        request.commit, [&to, user, id](commit_outcome outcome) {
+            to.post(commit_reply{user, id, std::move(outcome)});
+        });
+    if (refused)
     {
-        const auto number = send->number;
-        clients_->workers.command(
-            send->address, send->batch,
-            [&to, number](worker_command_reply reply) {
-                to.post(commands_result{number, std::move(reply)});
-            });
+        to.post(commit_reply{user, id, commit_unknown{refused->message}});
     }
 }
 
+void platform_thread::call(const row_request& request, reply_sender& to)
+{
+    const auto user = request.user;
+    const auto number = request.read.number;
+    clients_->table.read_row(
+        request.read.key,
+        [&to, user, number](result<std::optional<table_row>> found) {
+            to.post(row_result{user, number, std::move(found)});
+        });
+}
+
+void platform_thread::call(const rows_request& request, reply_sender& to)
+{
+    const auto user = request.user;
+    const auto number = request.read.number;
+    clients_->table.read_rows(
+        request.read.prefix, request.read.after, request.read.limit,
+        [&to, user, number](result<table_page> page) {
+            to.post(rows_result{user, number, std::move(page)});
+        });
+}
+
+void platform_thread::call(const ask_for_report& request, reply_sender& to)
+{
+    const auto worker = request.worker;
+    const auto sent_at = lease_clock_now();
+    clients_->workers.report(
+        request.address, request.request,
+        [&to, worker, sent_at](worker_report_reply reply) {
+            to.post(report_result{worker, std::move(reply), sent_at});
+        });
+}
+
+void platform_thread::call(const send_commands& request, reply_sender& to)
+{
+    const auto number = request.number;
+    clients_->workers.command(
+        request.address, request.batch,
+        [&to, number](worker_command_reply reply) {
+            to.post(commands_result{number, std::move(reply)});
+        });
+}
+
 void platform_thread::reply_sender::post(platform_reply reply)
 {
     pending.push_back(std::move(reply));
--- a/src/hemlockdeald/platform_thread.hpp
+++ b/src/hemlockdeald/platform_thread.hpp
@@ -65,7 +65,13 @@
     };
 
     void open();
-    void execute(platform_request&& request, reply_sender& to);
+    void execute(const platform_request& request, reply_sender& to);
+    // Each calls the platform and replies once, if only with an error.
+    void call(const commit_request& request, reply_sender& to);
+    void call(const row_request& request, reply_sender& to);
+    void call(const rows_request& request, reply_sender& to);
+    void call(const ask_for_report& request, reply_sender& to);
+    void call(const send_commands& request, reply_sender& to);
     void fetch_membership();
     void publish_membership(received_membership&& received);
     void log_malformed(const std::vector<malformed_member>& malformed);
