Read the rows of a job and of a prefix in named steps

job_reader::read_next_part and read_sender::all_rows were chains of nested lambdas, and of a local class with a static function. Each step has a name now. No change of behaviour.

--- a/src/batch/job_reader.cpp
+++ b/src/batch/job_reader.cpp
@@ -15,19 +15,33 @@
     job_state state;
     std::vector<shard_id> open;
     std::set<shard_id> seen;
+    // The shard that is being read, and its rows so far.
+    shard_id shard;
     std::vector<journal_row> journal;
     std::optional<job_part> part;
 
-    void add(const shard_id& shard)
+    void add(const shard_id& found)
     {
-        if (seen.insert(shard).second)
+        if (seen.insert(found).second)
         {
-            open.push_back(shard);
+            open.push_back(found);
         }
     }
 
-    // Joins the rows of one shard.
-    void finish_part(const shard_id& shard)
+    void add_journal(const std::vector<table_row>& rows, time_point now)
+    {
+        for (const table_row& row : rows)
+        {
+            std::optional<journal_row> content = decode_journal(row.value, now);
+            if (content)
+            {
+                journal.push_back(std::move(*content));
+            }
+        }
+    }
+
+    // Joins the rows of the shard.
+    void finish_part()
     {
         for (const journal_row& row : journal)
         {
@@ -90,54 +104,55 @@
         r->done(std::optional<job_state>(std::move(r->state)), now);
         return;
     }
-    const shard_id shard = r->open.back();
+    r->shard = r->open.back();
     r->open.pop_back();
     r->journal.clear();
     r->part.reset();
-    const auto finish = [this, r, shard](time_point at) {
-        r->finish_part(shard);
-        read_next_part(r, at);
-    };
-    const auto read_part = [this, r](const std::string& key, auto next) {
-        return [this, r, key, next](time_point) {
-            context_.reads.row(
-                key, [r, next](const read_sender::row_answer& answer,
-                               time_point read_at) {
-                    if (!is_ok(answer))
-                    {
-                        r->done(error_of(answer), read_at);
-                        return;
-                    }
-                    if (!r->part && value_of(answer))
-                    {
-                        r->part = decode_part(value_of(answer)->value, read_at);
-                    }
-                    next(read_at);
-                });
-        };
-    };
-    const auto read_snapshot =
-        read_part(snapshot_key(shard, r->job),
-                  read_part(ended_key(shard, r->job), finish));
+    read_journal(r);
+}
+
+void job_reader::read_journal(const std::shared_ptr<reading>& r)
+{
     context_.reads.all_rows(
-        journal_prefix(shard),
-        [r, read_snapshot](const result<std::vector<table_row>>& rows,
-                           time_point at) {
+        journal_prefix(r->shard),
+        [this, r](const result<std::vector<table_row>>& rows, time_point at) {
             if (!is_ok(rows))
             {
                 r->done(error_of(rows), at);
                 return;
             }
-            for (const table_row& row : value_of(rows))
+            r->add_journal(value_of(rows), at);
+            read_snapshots(r);
+        });
+}
+
+void job_reader::read_snapshots(const std::shared_ptr<reading>& r)
+{
+    read_part(r, snapshot_key(r->shard, r->job), [this, r](time_point) {
+        read_part(r, ended_key(r->shard, r->job), [this, r](time_point at) {
+            r->finish_part();
+            read_next_part(r, at);
+        });
+    });
+}
+
+void job_reader::read_part(const std::shared_ptr<reading>& r,
+                           const std::string& key,
+                           std::function<void(time_point)> next)
+{
+    context_.reads.row(
+        key, [r, next = std::move(next)](const read_sender::row_answer& answer,
+                                         time_point at) {
+            if (!is_ok(answer))
             {
-                std::optional<journal_row> content =
-                    decode_journal(row.value, at);
-                if (content)
-                {
-                    r->journal.push_back(std::move(*content));
-                }
+                r->done(error_of(answer), at);
+                return;
+            }
+            if (!r->part && value_of(answer))
+            {
+                r->part = decode_part(value_of(answer)->value, at);
             }
-            read_snapshot(at);
+            next(at);
         });
 }
 
--- a/src/batch/job_reader.hpp
+++ b/src/batch/job_reader.hpp
@@ -42,6 +42,11 @@
     struct reading;
 
     void read_next_part(const std::shared_ptr<reading>& r, time_point now);
+    void read_journal(const std::shared_ptr<reading>& r);
+    void read_snapshots(const std::shared_ptr<reading>& r);
+    // Reads a row that may hold the part. `next` is not called on an error.
+    void read_part(const std::shared_ptr<reading>& r, const std::string& key,
+                   std::function<void(time_point)> next);
 
     batch_context& context_;
 };
--- a/src/batch/read_sender.cpp
+++ b/src/batch/read_sender.cpp
@@ -29,45 +29,39 @@
         read_rows{number, std::move(prefix), std::move(after), limit});
 }
 
-void read_sender::all_rows(
-    std::string prefix,
-    std::function<void(const result<std::vector<table_row>>&, time_point)>
-        handler)
+void read_sender::all_rows(std::string prefix, all_rows_handler handler)
 {
-    struct collector
-    {
-        read_sender& reads;
-        std::string prefix;
-        std::function<void(const result<std::vector<table_row>>&, time_point)>
-            handler;
-        std::vector<table_row> collected;
+    read_on(std::make_shared<partial_read>(
+        partial_read{std::move(prefix), std::move(handler), {}}));
+}
+
+void read_sender::read_on(const std::shared_ptr<partial_read>& partial)
+{
+    const std::string after =
+        partial->rows.empty() ? "" : partial->rows.back().key;
+    rows(partial->prefix, after, page_size,
+         [this, partial](const page_answer& answer, time_point now) {
+             take_page(partial, answer, now);
+         });
+}
 
-        static void next(const std::shared_ptr<collector>& self)
-        {
-            const std::string after =
-                self->collected.empty() ? "" : self->collected.back().key;
-            self->reads.rows(self->prefix, after, page_size,
-                             [self](const page_answer& answer, time_point now) {
-                                 if (!is_ok(answer))
-                                 {
-                                     self->handler(error_of(answer), now);
-                                     return;
-                                 }
-                                 const table_page& page = value_of(answer);
-                                 self->collected.insert(self->collected.end(),
-                                                        page.rows.begin(),
-                                                        page.rows.end());
-                                 if (page.more && !page.rows.empty())
-                                 {
-                                     next(self);
-                                     return;
-                                 }
-                                 self->handler(std::move(self->collected), now);
-                             });
-        }
-    };
-    collector::next(std::make_shared<collector>(
-        collector{*this, std::move(prefix), std::move(handler), {}}));
+void read_sender::take_page(const std::shared_ptr<partial_read>& partial,
+                            const page_answer& answer, time_point now)
+{
+    if (!is_ok(answer))
+    {
+        partial->handler(error_of(answer), now);
+        return;
+    }
+    const table_page& page = value_of(answer);
+    partial->rows.insert(partial->rows.end(), page.rows.begin(),
+                         page.rows.end());
+    if (page.more && !page.rows.empty())
+    {
+        read_on(partial);
+        return;
+    }
+    partial->handler(std::move(partial->rows), now);
 }
 
 void read_sender::on_row(std::uint64_t number, const row_answer& answer,
