--- a/src/request/instance_health.cpp
+++ b/src/request/instance_health.cpp
@@ -14,10 +14,11 @@
 // An unanswered probe is repeated after this time.
 constexpr duration probe_timeout = std::chrono::seconds(2);
 constexpr unsigned probation_failure_weight = 100;
-constexpr duration estimate_lifetime = std::chrono::seconds(5);
 constexpr unsigned probation_responses = 5;
 // The ejection back-off is reset after this many consecutive responses.
 constexpr unsigned responses_to_reset_backoff = 50;
+// How long after its last response a mean response time counts.
+constexpr duration estimate_lifetime = std::chrono::seconds(5);
 
 } // namespace
 
