Read pages of hemlockdeald's table over connections of their own

A page keeps its connection for as long as it makes progress, so that eight pages over a slow path (the shards of a recovery) kept commits, and with them the renewal of leases, from being sent: "unknown" after the deadline.

Change: reads of pages use a caller of their own.

--- a/src/platform/table_client.cpp
+++ b/src/platform/table_client.cpp
@@ -164,7 +164,7 @@
 } // namespace
 
 table_client::table_client(std::string address, http_limits limits)
-    : address_(std::move(address)), http_(limits)
+    : address_(std::move(address)), http_(limits), pages_(limits)
 {}
 
 std::optional<error> table_client::commit(const table_commit& commit,
@@ -212,7 +212,7 @@
     add_item(query, "after", after);
     add_item(query, "limit", std::to_string(limit));
     url.setQuery(query);
-    const auto sent = http_.get(url, [done](const call_response& response) {
+    const auto sent = pages_.get(url, [done](const call_response& response) {
         done(response.status != 200
                  ? result<table_page>(response_error(service_name, response))
                  : decode_response<table_page>(service_name, response,
@@ -220,7 +220,7 @@
     });
     if (!sent)
     {
-        http_.post_action([done] { done(too_many_calls(service_name)); });
+        pages_.post_action([done] { done(too_many_calls(service_name)); });
     }
 }
 
--- a/src/platform/table_client.hpp
+++ b/src/platform/table_client.hpp
@@ -11,6 +11,9 @@
 namespace hemlockdeal
 {
 
+// Reads of many rows have connections of their own: their responses may take
+// long over a slow path, and commits, which renew leases, must not wait for
+// them.
 class table_client
 {
 public:
@@ -31,11 +34,16 @@
     void read_rows(const std::string& prefix, const std::string& after,
                    std::size_t limit, const page_callback& done);
 
-    const traffic& bytes() const { return http_.bytes(); }
+    traffic bytes() const
+    {
+        return {http_.bytes().sent + pages_.bytes().sent,
+                http_.bytes().received + pages_.bytes().received};
+    }
 
 private:
     std::string address_;
     http_caller http_;
+    http_caller pages_;
 };
 
 static_assert(table_service<table_client>);
--- a/tests/platform/slow_path_test.cpp
+++ b/tests/platform/slow_path_test.cpp
@@ -128,6 +128,26 @@
     EXPECT_EQ(value_of(page).rows.size(), rows);
 }
 
+// Failure: pages of the table hold all connections while they are transferred,
+// so that a commit, which may renew a lease, is not sent.
+TEST_F(slow_platform_test, commit_does_not_wait_for_pages_in_transfer)
+{
+    constexpr int pages = 8;
+    ASSERT_TRUE(std::holds_alternative<commit_done>(
+        commit(test::create("row-0", std::string(300'000, 'x'), "first"))));
+    slow_down("table", 300'000, false);
+    int complete = 0;
+    for (int i = 0; i < pages; ++i)
+    {
+        table.read_rows("row-", "", 500, [&](const result<table_page>& page) {
+            complete += is_ok(page) ? 1 : 0;
+        });
+    }
+    EXPECT_TRUE(std::holds_alternative<commit_done>(
+        commit(test::create("lease", "value", "second"))));
+    EXPECT_EQ(complete, 0);
+}
+
 // Verifies that the stand-in's shared path halves the rate of two responses.
 TEST_F(slow_platform_test, shared_path_is_divided)
 {
