Log at each change of leader for how many workers the lease ends are known

Two events, at the start of a recovery and at a hand-over, give the number of recorded workers, of those with a known lease end, and the last end of the others.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -69,7 +69,14 @@
 {
     lease_extension_.end();
     recorder_.hand_over(now);
-    return recovery_.leases_left(now);
+    const auto leases_left = recovery_.leases_left(now);
+    state_.log_event(
+        "leadership handed over",
+        {{"workers_not_seen",
+          std::to_string(recovery_.unseen_workers().size())},
+         {"known_lease_ends", std::to_string(recovery_.known_lease_ends())},
+         {"leases_end_in_ms", std::to_string(leases_left.count())}});
+    return leases_left;
 }
 
 void scheduler::set_services(std::map<service_id, service_policy> services)
--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -36,6 +36,12 @@
     }
     has_begun_ = true;
     begun_at_ = now;
+    state_.log_event(
+        "recovery of earlier runs started",
+        {{"last_leader_has_ended", predecessors.last_has_ended ? "yes" : "no"},
+         {"workers_recorded", std::to_string(unseen_workers_.size())},
+         {"known_lease_ends", std::to_string(expire_earlier_at_.size())},
+         {"leases_end_in_ms", std::to_string(leases_left(now).count())}});
     check(now);
 }
 
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -46,6 +46,9 @@
     // Time until all leases granted by earlier leaders have expired.
     std::chrono::milliseconds leases_left(time_point now) const;
 
+    // Number of workers for which an earlier leader stored when its leases end.
+    std::size_t known_lease_ends() const { return expire_earlier_at_.size(); }
+
     // True if no run of an earlier leader is uncertain any more.
     bool is_complete() const
     {
--- a/src/node/leader_transactions.ipp
+++ b/src/node/leader_transactions.ipp
@@ -236,6 +236,7 @@
 {
     if (tx.lease.row.is_released)
     {
+        log_events();
         log(log_level::info, "leadership released",
             {{"epoch", std::to_string(tx.lease.row.epoch)}});
         scheduler_.reset();
