Store the ends of leases by the store's clock

What callers saw: LOST, a long-running task that does not run although there is room, after several planned stops of the leading VM. Cause: a leader that releases its lead stored a remaining time, and the next one counted it from its own start. Change: the ends are times of the store's steady clock, which the responses of the store name and which all VMs see. Without a known clock nothing is stored, and the next leader waits as after an unplanned takeover. Ruled out: counting from the followers' reads of the lease row, which adds the poll interval (400 ms) at each hand-over. Test: hand_over_chain_test.worker_lost_before_the_stops/ten_at_once failed (10.1 s) and passes. Two tests of the same suite now state the same bounds in the store's time. Eight cases of another cause still fail.

--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -22,4 +22,17 @@
 
 using time_point = monotonic_clock::time_point;
 
+// Clock type of the platform's store, whose steady clock is the only one that
+// all VMs see.
+struct store_steady_clock
+{
+    using rep = std::chrono::milliseconds::rep;
+    using period = std::chrono::milliseconds::period;
+    using duration = std::chrono::milliseconds;
+    using time_point = std::chrono::time_point<store_steady_clock>;
+    static constexpr bool is_steady = true;
+};
+
+using store_time = store_steady_clock::time_point;
+
 } // namespace hemlockdeal
--- a/src/jobs/earlier_leases.hpp
+++ b/src/jobs/earlier_leases.hpp
@@ -1,33 +1,25 @@
 // What is known of the leases that earlier leaders granted.
 #pragma once
 
-#include <algorithm>
-#include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "core/core.hpp"
 
 namespace hemlockdeal::jobs
 {
 
-// Leases on one worker, as known to a leader that hands its leadership over.
+// When the leases on one worker end, as known to a leader that hands its
+// leadership over.
 struct lease_bound
 {
     // Epoch of that leader, which extends no lease afterwards.
     std::uint64_t epoch = 0;
-    // Time from the hand-over until all leases on the worker have expired.
-    std::chrono::milliseconds left{};
+    store_time ends_at{};
 
     friend bool operator==(const lease_bound&, const lease_bound&) = default;
 };
 
-// Rounded up; 0 in the past.
-inline std::chrono::milliseconds time_left(time_point until, time_point now)
-{
-    return std::chrono::ceil<std::chrono::milliseconds>(
-        std::max(until - now, duration{}));
-}
-
 // What a new leader knows of its predecessors.
 struct earlier_leaders
 {
@@ -35,9 +27,9 @@
     bool last_has_ended = false;
     // Epoch of the last leader if it handed its leadership over; otherwise 0.
     std::uint64_t handed_over_epoch = 0;
-    // Time until the leases granted by the leaders before the last one have
-    // expired.
-    duration leases_left{};
+    // When the leases end on workers for which no bound is stored, if the last
+    // leader stored it.
+    std::optional<store_time> leases_end{};
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/fleet_record.cpp
+++ b/src/jobs/fleet_record.cpp
@@ -41,7 +41,8 @@
     json::array out;
     std::ranges::transform(
         starts, std::back_inserter(out), [](const unanswered_start& start) {
-            return json::array{to_text(start.task), start.wait.count()};
+            return json::array{to_text(start.task),
+                               start.until.time_since_epoch().count()};
         });
     return out;
 }
@@ -64,8 +65,9 @@
     }
     if (record.leases)
     {
-        out["x"] =
-            json::array{record.leases->epoch, record.leases->left.count()};
+        out["t"] =
+            json::array{record.leases->epoch,
+                        record.leases->ends_at.time_since_epoch().count()};
     }
     if (!record.unanswered_starts.empty())
     {
@@ -102,14 +104,6 @@
     return true;
 }
 
-std::optional<std::chrono::milliseconds> to_milliseconds(const json::value& in)
-{
-    json::error_code error;
-    const auto count = in.to_number<std::uint32_t>(error);
-    return error ? std::nullopt
-                 : std::optional(std::chrono::milliseconds(count));
-}
-
 std::optional<unanswered_start> to_unanswered_start(const json::value& in)
 {
     const auto* const pair = in.if_array();
@@ -118,28 +112,28 @@
         return std::nullopt;
     }
     auto task = parse_task_key(to_string((*pair)[0]));
-    const auto wait = to_milliseconds((*pair)[1]);
-    if (!task || !wait)
+    const auto until = store_time_of((*pair)[1]);
+    if (!task || !until)
     {
         return std::nullopt;
     }
-    return unanswered_start{std::move(*task), *wait};
+    return unanswered_start{std::move(*task), *until};
 }
 
 // Leaves the bound out if any part of it is malformed: the longest possible one
 // holds then.
 void read_leases(const json::object& in, fleet_record& record)
 {
-    const auto& pair = list_in(in, "x");
+    const auto& pair = list_in(in, "t");
     if (pair.size() != 2)
     {
         return;
     }
     json::error_code error;
     const auto epoch = pair[0].to_number<std::uint64_t>(error);
-    const auto left = to_milliseconds(pair[1]);
+    const auto ends_at = store_time_of(pair[1]);
     const auto* const starts = in.if_contains("u");
-    if (error || !left || (starts != nullptr && !starts->is_array()))
+    if (error || !ends_at || (starts != nullptr && !starts->is_array()))
     {
         return;
     }
@@ -153,7 +147,7 @@
         }
         unanswered.push_back(std::move(*start));
     }
-    record.leases = lease_bound{epoch, *left};
+    record.leases = lease_bound{epoch, *ends_at};
     record.unanswered_starts = std::move(unanswered);
 }
 
--- a/src/jobs/fleet_record.hpp
+++ b/src/jobs/fleet_record.hpp
@@ -1,7 +1,6 @@
 // The stored list of workers that may run tasks, for the next leader.
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,11 +16,12 @@
 {
 
 // A start without a response that may still take effect after all leases have
-// expired, counted from a hand-over of the leadership.
+// expired.
 struct unanswered_start
 {
     task_key task;
-    std::chrono::milliseconds wait{};
+    // When it can no longer take effect.
+    store_time until{};
 
     friend bool operator==(const unanswered_start&,
                            const unanswered_start&) = default;
--- a/src/jobs/fleet_recorder.cpp
+++ b/src/jobs/fleet_recorder.cpp
@@ -132,17 +132,22 @@
     {
         return;
     }
-    const auto now = *handed_over_at_;
     const auto& options = state_.options;
-    const auto expiry = worker.leases_expire_at(options.clock_error);
-    record.leases = lease_bound{state_.epoch, time_left(expiry, now)};
+    const auto ends_at =
+        state_.clock.latest_at(worker.leases_expire_at(options.clock_error));
+    if (!ends_at)
+    {
+        return;
+    }
+    record.leases = lease_bound{state_.epoch, *ends_at};
     for (const auto& [key, run] : worker.runs())
     {
         const auto limit =
             worker.late_start_limit(run, options.max_order_delay);
-        if (!run.confirmed_at && now < limit)
+        if (!run.confirmed_at && *handed_over_at_ < limit)
         {
-            record.unanswered_starts.push_back({key, time_left(limit, now)});
+            record.unanswered_starts.push_back(
+                {key, *state_.clock.latest_at(limit)});
         }
     }
 }
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -12,4 +12,5 @@
 #include "jobs/queue_directory.hpp"
 #include "jobs/scheduler.hpp"
 #include "jobs/scheduler_options.hpp"
+#include "jobs/store_clock.hpp"
 #include "jobs/worker_report.hpp"
--- a/src/jobs/json_value.hpp
+++ b/src/jobs/json_value.hpp
@@ -1,12 +1,16 @@
 // Lenient accessors for JSON values that the scheduler itself wrote.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include <boost/json.hpp>
 
+#include "core/core.hpp"
+
 namespace hemlockdeal::jobs
 {
 
@@ -25,6 +29,16 @@
     return found == nullptr ? 0 : integer_of(*found);
 }
 
+// Empty unless the value is a whole number that is not negative.
+inline std::optional<store_time> store_time_of(const boost::json::value& value)
+{
+    boost::json::error_code error;
+    const auto count = value.to_number<std::int64_t>(error);
+    return error || count < 0
+               ? std::nullopt
+               : std::optional(store_time(std::chrono::milliseconds(count)));
+}
+
 inline double real_in(const boost::json::object& object, std::string_view name)
 {
     const auto* const found = object.if_contains(name);
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -14,19 +14,12 @@
 namespace
 {
 
-// Empty if the member is absent or no whole number.
-std::optional<std::chrono::milliseconds>
-milliseconds_in(const boost::json::object& in, std::string_view member)
+// Empty if the member is absent or no time.
+std::optional<store_time> store_time_in(const boost::json::object& in,
+                                        std::string_view member)
 {
     const auto* const value = in.if_contains(member);
-    if (value == nullptr)
-    {
-        return std::nullopt;
-    }
-    boost::json::error_code error;
-    const auto count = value->to_number<std::uint32_t>(error);
-    return error ? std::nullopt
-                 : std::optional(std::chrono::milliseconds(count));
+    return value == nullptr ? std::nullopt : store_time_of(*value);
 }
 
 } // namespace
@@ -45,9 +38,9 @@
     {
         out["r"] = 1;
     }
-    if (row.earlier_leases_left)
+    if (row.worker_leases_end)
     {
-        out["w"] = row.earlier_leases_left->count();
+        out["l"] = row.worker_leases_end->time_since_epoch().count();
     }
     return boost::json::serialize(out);
 }
@@ -71,7 +64,7 @@
     row.job_memory = static_cast<std::uint64_t>(
         std::max<std::int64_t>(integer_in(*in, "m"), 0));
     row.is_released = integer_in(*in, "r") != 0;
-    row.earlier_leases_left = milliseconds_in(*in, "w");
+    row.worker_leases_end = store_time_in(*in, "l");
     return row;
 }
 
@@ -138,9 +131,9 @@
 
 earlier_leaders leadership::find_predecessors() const
 {
-    if (row_.is_released && row_.earlier_leases_left)
+    if (row_.is_released && row_.worker_leases_end)
     {
-        return {true, row_.epoch, *row_.earlier_leases_left};
+        return {true, row_.epoch, row_.worker_leases_end};
     }
     // An earlier process on this VM has ended. The leaders before it granted
     // no lease that is left if its recovery was complete.
@@ -156,12 +149,12 @@
     return {version_, next};
 }
 
-lease_write leadership::release(
-    std::optional<std::chrono::milliseconds> earlier_leases_left) const
+lease_write
+leadership::release(std::optional<store_time> worker_leases_end) const
 {
     auto write = renewal();
     write.row.is_released = true;
-    write.row.earlier_leases_left = earlier_leases_left;
+    write.row.worker_leases_end = worker_leases_end;
     return write;
 }
 
--- a/src/jobs/leadership.hpp
+++ b/src/jobs/leadership.hpp
@@ -32,9 +32,8 @@
     // Memory that the accepted jobs take in the leader, in bytes.
     std::uint64_t job_memory = 0;
     // Set when the lease is released: the holder extends no lease of a worker
-    // any more, and those granted by the leaders before it expire within this
-    // time.
-    std::optional<std::chrono::milliseconds> earlier_leases_left{};
+    // any more, and those for which no other end is stored have ended by then.
+    std::optional<store_time> worker_leases_end{};
 
     friend bool operator==(const lease_row&, const lease_row&) = default;
 };
@@ -100,8 +99,7 @@
 
     // The lease update for the leader's next transaction.
     lease_write renewal() const;
-    lease_write
-    release(std::optional<std::chrono::milliseconds> earlier_leases_left) const;
+    lease_write release(std::optional<store_time> worker_leases_end) const;
 
     void on_written(const lease_write& write, row_version version,
                     time_point sent_at, duration elapsed = {});
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -65,18 +65,20 @@
     long_waits_.begin(now);
 }
 
-std::chrono::milliseconds scheduler::hand_over(time_point now)
+std::optional<store_time> scheduler::hand_over(time_point now)
 {
     lease_extension_.end();
     recorder_.hand_over(now);
-    const auto leases_left = recovery_.leases_left(now);
+    const auto leases_end = std::max(now + longest_lease(state_.options),
+                                     recovery_.leases_expire_at());
     state_.log_event(
         "leadership handed over",
         {{"workers_not_seen",
           std::to_string(recovery_.unseen_workers().size())},
          {"known_lease_ends", std::to_string(recovery_.known_lease_ends())},
-         {"leases_end_in_ms", std::to_string(leases_left.count())}});
-    return leases_left;
+         {"leases_end_in_ms",
+          std::to_string((leases_end - now).count() / 1000)}});
+    return state_.clock.latest_at(leases_end);
 }
 
 void scheduler::set_services(std::map<service_id, service_policy> services)
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -63,9 +63,10 @@
     // later if the last leader may still be alive and extend them.
     void begin(time_point now, const earlier_leaders& predecessors = {});
     // Ends the extension of leases for good, and adds to the changes when the
-    // leases on workers that do not respond expire. Returns the time until
-    // those granted by earlier leaders have expired.
-    std::chrono::milliseconds hand_over(time_point now);
+    // leases on workers that do not respond expire. Returns when all others
+    // have expired; empty if the store's clock is not known.
+    std::optional<store_time> hand_over(time_point now);
+    void set_store_clock(const store_clock& clock) { state_.clock = clock; }
 
     void set_services(std::map<service_id, service_policy> services);
     void set_closed_zones(std::set<availability_zone_id> zones);
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -70,4 +70,12 @@
     policy_switches policy;
 };
 
+// Longest duration of a lease by this VM's clock, on a worker with the slowest
+// permitted clock.
+inline duration longest_lease(const scheduler_options& options)
+{
+    return std::chrono::duration_cast<duration>(
+        options.max_lease * (1.0 + 2 * options.clock_error));
+}
+
 } // namespace hemlockdeal::jobs
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -15,6 +15,7 @@
 #include "jobs/order.hpp"
 #include "jobs/queue_directory.hpp"
 #include "jobs/scheduler_options.hpp"
+#include "jobs/store_clock.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -33,6 +34,7 @@
 {
     scheduler_options options;
     std::uint64_t epoch = 0;
+    store_clock clock;
     job_registry registry;
     std::map<worker_id, fleet_worker> fleet;
     std::map<service_id, service_policy> services;
--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -20,18 +20,17 @@
 void takeover_recovery::begin(time_point now,
                               const earlier_leaders& predecessors)
 {
-    const auto& options = state_.options;
-    leases_expire_at_ =
-        now + (predecessors.last_has_ended
-                   ? std::max(max_lease(), predecessors.leases_left)
-                   : max_lease() + options.lead_overlap +
-                         options.lease_extension_time);
+    leases_expire_at_ = last_expiry(now, predecessors);
     handed_over_epoch_ = predecessors.handed_over_epoch;
     for (const auto& [id, record] : unseen_workers_)
     {
         if (has_bound(record))
         {
-            expire_earlier_at_.emplace(id, now + record.leases->left);
+            const auto ends_at =
+                state_.clock.reached_by(record.leases->ends_at);
+            expire_earlier_at_.emplace(
+                id, std::min(ends_at.value_or(leases_expire_at_),
+                             leases_expire_at_));
         }
     }
     has_begun_ = true;
@@ -41,15 +40,31 @@
         {{"last_leader_has_ended", predecessors.last_has_ended ? "yes" : "no"},
          {"workers_recorded", std::to_string(unseen_workers_.size())},
          {"known_lease_ends", std::to_string(expire_earlier_at_.size())},
-         {"leases_end_in_ms", std::to_string(leases_left(now).count())}});
+         {"leases_end_in_ms",
+          std::to_string((leases_expire_at_ - now).count() / 1000)}});
     check(now);
 }
 
-duration takeover_recovery::max_lease() const
+time_point
+takeover_recovery::last_expiry(time_point now,
+                               const earlier_leaders& predecessors) const
 {
     const auto& options = state_.options;
-    return std::chrono::duration_cast<duration>(
-        options.max_lease * (1.0 + 2 * options.clock_error));
+    const auto latest = now + longest_lease(options) + options.lead_overlap +
+                        options.lease_extension_time;
+    if (!predecessors.last_has_ended)
+    {
+        return latest;
+    }
+    if (!predecessors.leases_end)
+    {
+        return now + longest_lease(options);
+    }
+    // A time beyond the latest possible one shows that the store's clock has
+    // been set back.
+    return std::min(
+        state_.clock.reached_by(*predecessors.leases_end).value_or(latest),
+        latest);
 }
 
 void takeover_recovery::bound_lease_extension(time_point now)
@@ -69,7 +84,7 @@
                                              options.lease_extension_contact,
                                          now + options.lease_extension_contact);
     leases_expire_at_ =
-        std::min(leases_expire_at_, last_extension + max_lease());
+        std::min(leases_expire_at_, last_extension + longest_lease(options));
     state_.log_event(
         "most workers follow this leader",
         {{"workers_not_seen", std::to_string(unseen_workers_.size())},
@@ -219,23 +234,16 @@
         expiry = std::max(expiry,
                           worker->leases_expire_at(state_.options.clock_error));
     }
-    out.leases = lease_bound{state_.epoch, time_left(expiry, now)};
+    const auto ends_at = state_.clock.latest_at(expiry);
+    out.leases = ends_at ? std::optional(lease_bound{state_.epoch, *ends_at})
+                         : std::nullopt;
     if (!has_bound(record))
     {
         out.unanswered_starts.clear();
     }
-    for (auto& start : out.unanswered_starts)
-    {
-        start.wait = time_left(begun_at_ + start.wait, now);
-    }
     return out;
 }
 
-std::chrono::milliseconds takeover_recovery::leases_left(time_point now) const
-{
-    return time_left(leases_expire_at_, now);
-}
-
 void takeover_recovery::on_leases_expired(const fleet_record& record,
                                           time_point now)
 {
@@ -259,7 +267,9 @@
         auto* const owner = state_.registry.find(start.task.job);
         if (owner != nullptr && owner->has(start.task))
         {
-            owner->task(start.task).not_before = begun_at_ + start.wait;
+            owner->task(start.task).not_before =
+                state_.clock.reached_by(start.until)
+                    .value_or(begun_at_ + state_.options.max_order_delay);
         }
     }
 }
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -43,8 +43,9 @@
 
     // Record of an unseen worker for the leader to which this one hands over.
     fleet_record hand_over(const fleet_record& record, time_point now) const;
-    // Time until all leases granted by earlier leaders have expired.
-    std::chrono::milliseconds leases_left(time_point now) const;
+    // When the last lease granted by an earlier leader expires; in the past if
+    // the recovery is complete.
+    time_point leases_expire_at() const { return leases_expire_at_; }
 
     // Number of workers for which an earlier leader stored when its leases end.
     std::size_t known_lease_ends() const { return expire_earlier_at_.size(); }
@@ -65,9 +66,9 @@
     // Brings the expected expiry of all leases forward once most workers
     // follow this leader: an earlier leader can no longer extend them.
     void bound_lease_extension(time_point now);
-    // Longest duration of a lease by this VM's clock, on a worker with the
-    // slowest permitted clock.
-    duration max_lease() const;
+    // Until when leases last on workers for which no bound is stored.
+    time_point last_expiry(time_point now,
+                           const earlier_leaders& predecessors) const;
     bool has_unknown_runs() const;
     // Marks only those tasks uncertain that may run on workers that have not
     // been seen.
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -15,6 +15,7 @@
     log(log_level::info, "leadership acquired",
         {{"epoch", std::to_string(epoch_)}});
     scheduler_ = std::make_unique<jobs::scheduler>(options_.scheduler, epoch_);
+    scheduler_->set_store_clock(store_clock_);
     scheduler_->set_services(services_);
     scheduler_->set_closed_zones(closed_zones_);
     recovered_progress_.clear();
--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -161,6 +161,7 @@
                     const transaction_outcome& outcome);
     void on_committed(const leader_transaction& tx, row_version version);
     void check_lease_row(const leader_transaction& tx);
+    void note_store_time(std::optional<store_time> read, time_point sent_at);
     void on_leadership_lost(std::string_view cause);
     void retry_later(const leader_transaction& tx);
     // Finds the row that the store does not accept: the changes are stored in
@@ -240,6 +241,7 @@
     bool is_decision_requested_ = false;
 
     response_time response_time_;
+    jobs::store_clock store_clock_;
     bool is_polling_lease_ = false;
     time_point next_lease_poll_{};
     // Version of the malformed lease row that was last logged.
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -75,7 +75,9 @@
         return;
     }
     health_.on_response(clock_.now());
-    const auto& rows = std::get<read_rows>(outcome).rows;
+    const auto& read = std::get<read_rows>(outcome);
+    note_store_time(read.store_now, sent_at);
+    const auto& rows = read.rows;
     if (rows.empty())
     {
         lead_.on_read(std::nullopt, row_version(0), clock_.now());
--- a/src/node/leader_transactions.ipp
+++ b/src/node/leader_transactions.ipp
@@ -34,6 +34,7 @@
         health_.on_response(clock_.now());
         const auto took = clock_.now() - tx.sent_at;
         response_time_.on_response(took);
+        note_store_time(done->store_now, tx.sent_at);
         lead_.on_written(tx.lease, done->version, tx.sent_at, took);
         renewed_at_ = tx.sent_at;
         on_committed(tx, done->version);
@@ -58,6 +59,21 @@
     check_lease_row(tx);
 }
 
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::note_store_time(
+    std::optional<store_time> read, time_point sent_at)
+{
+    if (!read)
+    {
+        return;
+    }
+    store_clock_.on_response(*read, sent_at, clock_.now());
+    if (scheduler_)
+    {
+        scheduler_->set_store_clock(store_clock_);
+    }
+}
+
 template <row_store Store, worker_port Workers, worker_list List>
 void leader_role<Store, Workers, List>::retry_later(
     const leader_transaction& tx)
@@ -285,10 +301,9 @@
         // Releases the lease at once with the changes at hand: under load there
         // are always more, and workers repeat unacknowledged ends to the next
         // leader.
-        const auto earlier_leases_left =
-            is_active ? std::optional(scheduler_->hand_over(now))
-                      : std::nullopt;
-        send(make_transaction(lead_.release(earlier_leases_left), now));
+        const auto worker_leases_end =
+            is_active ? scheduler_->hand_over(now) : std::nullopt;
+        send(make_transaction(lead_.release(worker_leases_end), now));
         return;
     }
     if (!parts_.empty())
--- a/src/node/store_message.hpp
+++ b/src/node/store_message.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,6 +56,8 @@
 struct committed
 {
     row_version version;
+    // The store's clock, if the response names it.
+    std::optional<store_time> store_now{};
 };
 
 // A condition did not hold; nothing was written.
@@ -106,6 +109,8 @@
     std::string last_key;
     // The newest version in the store at the time of the read.
     row_version newest;
+    // The store's clock, if the response names it.
+    std::optional<store_time> store_now{};
 };
 
 using read_outcome = std::variant<read_rows, not_done>;
--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -67,3 +67,21 @@
     EXPECT_FALSE(decode_committed(R"({"ver":-1})"));
     EXPECT_TRUE(decode_committed(R"({"ver":0})"));
 }
+
+// Failure: a clock that is malformed makes a response useless, or counts as 0,
+// and leases end too early.
+TEST(store_codec_rows, malformed_store_clock_is_left_out)
+{
+    const auto done = decode_committed(R"({"ver":3,"now_ms":1500})");
+    ASSERT_TRUE(done);
+    EXPECT_EQ(done->store_now, store_time(std::chrono::milliseconds(1500)));
+    for (const auto* const now : {"-5", "\"5\"", "null", "1.5", "[]"})
+    {
+        const auto body =
+            R"({"rows":[],"ver":3,"now_ms":)" + std::string(now) + "}";
+        ASSERT_TRUE(decode_committed(body)) << now;
+        EXPECT_FALSE(decode_committed(body)->store_now) << now;
+        ASSERT_TRUE(decode_rows(body)) << now;
+        EXPECT_FALSE(decode_rows(body)->store_now) << now;
+    }
+}
--- a/tests/jobs/fleet_world.cpp
+++ b/tests/jobs/fleet_world.cpp
@@ -5,6 +5,8 @@
 #include <functional>
 #include <utility>
 
+#include "store_clock_fixture.hpp"
+
 namespace hemlockdeal::jobs::test
 {
 
@@ -313,6 +315,7 @@
     epoch_ += keeps_epoch && epoch_ > 0 ? 0 : 1;
     leader_ = std::make_shared<scheduler>(options_of(removed_), epoch_);
     is_flushing_ = false;
+    leader_->set_store_clock(store_clock_at(now_));
     leader_->set_services({{service_id("s"), {}}});
     for (const auto& [id, definition] : submitted_)
     {
@@ -351,7 +354,7 @@
     }
     // Nothing else is stored until the write has arrived.
     is_flushing_ = true;
-    const auto earlier_leases_left = leader_->hand_over(now_);
+    const auto leases_end = leader_->hand_over(now_);
     auto changes = leader_->take_changes();
     if (removed_ == removed_safeguard::leases_of_hand_over)
     {
@@ -364,7 +367,7 @@
         }
     }
     schedule(milliseconds(10 + random_() % 60),
-             [this, changes, earlier_leases_left, epoch = epoch_,
+             [this, changes, leases_end, epoch = epoch_,
               sender = std::weak_ptr(leader_)] {
                  if (sender.lock() != leader_ || !leader_)
                  {
@@ -372,7 +375,7 @@
                  }
                  store(changes);
                  leader_.reset();
-                 predecessors_ = {true, epoch, earlier_leases_left};
+                 predecessors_ = {true, epoch, leases_end};
                  next_leader_at_ = now_ + milliseconds(random_() % 600);
                  disconnect_a_worker();
              });
--- a/tests/jobs/hand_over_test.cpp
+++ b/tests/jobs/hand_over_test.cpp
@@ -6,9 +6,12 @@
 #include <gtest/gtest.h>
 
 #include "jobs/jobs.hpp"
+#include "store_clock_fixture.hpp"
 
 using namespace hemlockdeal;
 using namespace hemlockdeal::jobs;
+using hemlockdeal::jobs::test::store_clock_at;
+using hemlockdeal::jobs::test::store_time_at;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -53,6 +56,7 @@
     void replace_leader(const earlier_leaders& predecessors)
     {
         leader.emplace(scheduler_options{}, ++epoch);
+        leader->set_store_clock(store_clock_at(now));
         leader->set_services({{service_id("s"), {}}});
         if (progress)
         {
@@ -102,7 +106,7 @@
         earlier_leaders next;
         next.last_has_ended = true;
         next.handed_over_epoch = epoch;
-        next.leases_left = leader->hand_over(now);
+        next.leases_end = leader->hand_over(now);
         store_changes();
         now += milliseconds(100);
         replace_leader(next);
@@ -277,8 +281,8 @@
     ASSERT_EQ(record.unanswered_starts.size(), 1U);
     const auto& start = record.unanswered_starts.front();
     EXPECT_EQ(start.task.job, other.id);
-    EXPECT_GT(start.wait, seconds(12));
-    EXPECT_LT(record.leases->left, seconds(7));
+    EXPECT_GT(start.until, store_time_at(now + seconds(12)));
+    EXPECT_LT(record.leases->ends_at, store_time_at(now + seconds(7)));
 }
 
 // Failure: one start without a response keeps the other tasks of a lost worker
@@ -287,8 +291,8 @@
 {
     fleet_record record{worker_id("lost"), std::vector{key(0), key(1)},
                         vm_id("vm-lost")};
-    record.leases = lease_bound{epoch, milliseconds(500)};
-    record.unanswered_starts = {{key(1), seconds(10)}};
+    record.leases = lease_bound{epoch, store_time_at(now + milliseconds(500))};
+    record.unanswered_starts = {{key(1), store_time_at(now + seconds(10))}};
     fleet_rows = {{fleet_part_of(record.worker),
                    {fleet_part_of(record.worker), {record}}}};
     running.clear();
@@ -304,8 +308,9 @@
 TEST(fleet_record, bound_of_leases_is_stored)
 {
     fleet_record record{worker_id("w"), std::vector<task_key>{}, vm_id("v")};
-    record.leases = lease_bound{7, milliseconds(2500)};
-    record.unanswered_starts = {{{job_id("j"), 0, 1, 2}, seconds(9)}};
+    record.leases = lease_bound{7, store_time(milliseconds(2500))};
+    record.unanswered_starts = {
+        {{job_id("j"), 0, 1, 2}, store_time(seconds(9))}};
     const auto decoded = decode_fleet(encode_fleet({record}));
     ASSERT_TRUE(decoded);
     EXPECT_THAT(*decoded, testing::ElementsAre(record));
@@ -317,7 +322,7 @@
     for (const auto* const bound :
          {"5", "[]", "[7]", "[7,-1]", "[7,2.5]", "[\"7\",1]", "[7,null]"})
     {
-        const auto decoded = decode_fleet(R"([{"w":"a","r":[],"x":)" +
+        const auto decoded = decode_fleet(R"([{"w":"a","r":[],"t":)" +
                                           std::string(bound) + "}]");
         ASSERT_TRUE(decoded) << bound;
         EXPECT_FALSE(decoded->front().leases) << bound;
@@ -332,7 +337,7 @@
     for (const auto* const starts :
          {"5", "[5]", "[[]]", R"([["x",5]])", R"([["0a.0.0.0",-5]])"})
     {
-        const auto decoded = decode_fleet(R"([{"w":"a","r":[],"x":[7,5],"u":)" +
+        const auto decoded = decode_fleet(R"([{"w":"a","r":[],"t":[7,5],"u":)" +
                                           std::string(starts) + "}]");
         ASSERT_TRUE(decoded) << starts;
         EXPECT_FALSE(decoded->front().leases) << starts;
--- a/tests/jobs/incomplete_report_test.cpp
+++ b/tests/jobs/incomplete_report_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include "fake_worker.hpp"
+#include "store_clock_fixture.hpp"
 
 using namespace hemlockdeal;
 using namespace hemlockdeal::jobs;
@@ -46,6 +47,7 @@
     void begin_leader(const std::optional<job_progress>& progress)
     {
         leader = std::make_unique<scheduler>(scheduler_options{}, ++epoch);
+        leader->set_store_clock(store_clock_at(now));
         leader->set_services({{service_id("s"), {}}});
         leader->recover_job(definition, progress);
         for (const auto& [number, text] : fleet_rows)
@@ -208,9 +210,10 @@
     take_over();
     store_is_up = false;
     run_for(seconds(20));
-    const auto left = leader->hand_over(now);
+    const auto leases_end = leader->hand_over(now);
     store();
     leader = std::make_unique<scheduler>(scheduler_options{}, ++epoch);
+    leader->set_store_clock(store_clock_at(now));
     leader->set_services({{service_id("s"), {}}});
     leader->recover_job(definition, decode_progress(progress_row));
     for (const auto& [number, text] : fleet_rows)
@@ -220,7 +223,7 @@
     leader->set_worker(worker.entry, now);
     earlier_leaders predecessors;
     predecessors.last_has_ended = true;
-    predecessors.leases_left = left;
+    predecessors.leases_end = leases_end;
     predecessors.handed_over_epoch = epoch - 1;
     leader->begin(now, predecessors);
     store_is_up = true;
--- a/tests/node/fake_store.hpp
+++ b/tests/node/fake_store.hpp
@@ -52,6 +52,8 @@
     }
     // The history is lost before the next read of a feed.
     bool loses_history = false;
+    // The store's clock, if its responses name it.
+    std::function<store_time()> now;
     // Rows of which no write is accepted.
     std::set<std::string> unwritable;
 
@@ -103,6 +105,7 @@
         }
         read_rows out;
         out.newest = newest_;
+        out.store_now = store_now();
         for (const auto& [name, row] : rows_)
         {
             const bool matches = row.table == range.table &&
@@ -151,6 +154,11 @@
         return table + '/' + part + '/' + key;
     }
 
+    std::optional<store_time> store_now() const
+    {
+        return now ? std::optional(now()) : std::nullopt;
+    }
+
     bool is_acceptable(const transaction& t) const
     {
         return t.conditions.size() + t.writes.size() + t.deletes.size() <=
@@ -184,7 +192,7 @@
         {
             rows_.erase(row_path(name.table, t.part, name.key));
         }
-        return committed{newest_};
+        return committed{newest_, store_now()};
     }
 
     std::map<std::string, stored_row> rows_;
--- a/tests/node/leader_chain.hpp
+++ b/tests/node/leader_chain.hpp
@@ -226,6 +226,10 @@
     // Starts all tasks.
     leader_chain() : fleet(clock), list_(fleet, clock)
     {
+        store.now = [this] {
+            return store_time(std::chrono::duration_cast<milliseconds>(
+                clock.now.time_since_epoch()));
+        };
         for (std::size_t i = 0; i < worker_count; ++i)
         {
             add_worker("worker-" + std::to_string(i));
