Hand on when the leases of workers end that no leader has seen

Cause: a worker that ends between two leaders, or before the next one polls it, is recorded without a list of runs, because any task may run on it. A leader that releases its lead stored the end of its leases only for workers with such a list, so that each successor waited for a whole lease (6.2 s) from its own start. All tasks in doubt wait that long, also those of workers whose leases had ended. Change: the bound is stored for every worker that the leader has not seen. It extends no lease there, because it does not know the worker's clock. Ruled out: fewer hand-overs (a VM that will be stopped next cannot be known); a shorter wait (the last leader may have extended the leases until its release).

--- a/src/jobs/fleet_record.cpp
+++ b/src/jobs/fleet_record.cpp
@@ -1,5 +1,6 @@
 // Codec of the fleet list: a JSON array with, for each worker, the pair of its
-// id and its VM, or an object where the runs are known. The VM may be absent.
+// id and its VM, or an object where the runs or the ends of leases are known.
+// The VM may be absent.
 #include "jobs/fleet_record.hpp"
 
 #include <algorithm>
@@ -47,10 +48,13 @@
     return out;
 }
 
-json::value to_value_with_runs(const fleet_record& record)
+json::value to_object(const fleet_record& record)
 {
-    json::object out{{"w", record.worker.value()},
-                     {"r", to_json(*record.runs)}};
+    json::object out{{"w", record.worker.value()}};
+    if (record.runs)
+    {
+        out["r"] = to_json(*record.runs);
+    }
     if (!record.suspects.empty())
     {
         out["s"] = to_json(record.suspects);
@@ -173,13 +177,20 @@
     }
     record.worker = worker_id(text_in(*in, "w"));
     record.vm = vm_id(text_in(*in, "v"));
-    if (!in->contains("r") || !read_tasks(*in, "r", record.runs.emplace()) ||
-        !read_tasks(*in, "s", record.suspects) ||
+    if (in->contains("r") && !read_tasks(*in, "r", record.runs.emplace()))
+    {
+        return std::nullopt;
+    }
+    if (!read_tasks(*in, "s", record.suspects) ||
         !read_tasks(*in, "l", record.late_suspects))
     {
         return std::nullopt;
     }
     read_leases(*in, record);
+    if (!record.runs && !record.leases)
+    {
+        return std::nullopt;
+    }
     return record;
 }
 
@@ -198,11 +209,11 @@
     auto length = json::serialize(out).size();
     for (std::size_t i = 0; i < fleet.size(); ++i)
     {
-        if (!fleet[i].runs)
+        if (!fleet[i].runs && !fleet[i].leases)
         {
             continue;
         }
-        auto value = to_value_with_runs(fleet[i]);
+        auto value = to_object(fleet[i]);
         const auto added = json::serialize(value).size();
         if (length + added <= max_bytes)
         {
--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -219,7 +219,7 @@
                                           time_point now) const
 {
     auto out = record;
-    if (!record.runs || is_complete())
+    if (is_complete())
     {
         return out;
     }
--- a/tests/jobs/hand_over_test.cpp
+++ b/tests/jobs/hand_over_test.cpp
@@ -316,6 +316,17 @@
     EXPECT_THAT(*decoded, testing::ElementsAre(record));
 }
 
+// Failure: the end of the leases on a worker whose runs nobody knows is not
+// handed on.
+TEST(fleet_record, bound_of_leases_is_stored_without_runs)
+{
+    fleet_record record{worker_id("w"), std::nullopt, vm_id("v")};
+    record.leases = lease_bound{7, store_time(milliseconds(2500))};
+    const auto decoded = decode_fleet(encode_fleet({record}));
+    ASSERT_TRUE(decoded);
+    EXPECT_THAT(*decoded, testing::ElementsAre(record));
+}
+
 // Failure: a malformed bound is taken for 0, and a task runs twice.
 TEST(fleet_record, malformed_bound_of_leases_is_ignored)
 {
