--- a/tests/node/fake_store.hpp
+++ b/tests/node/fake_store.hpp
@@ -56,6 +56,8 @@
     std::function<store_time()> now;
     // Rows of which no write is accepted.
     std::set<std::string> unwritable;
+    // Delivers responses later, if set.
+    std::function<void(std::function<void()>)> defer;
 
     void transact(const transaction& t, duration /*timeout*/,
                   const std::function<void(transaction_outcome)>& callback)
@@ -91,7 +93,7 @@
             callback(outcome_unknown{"no response"});
             return;
         }
-        callback(std::move(outcome));
+        deliver(callback, std::move(outcome));
     }
 
     void read(const row_range& range, duration /*timeout*/,
@@ -129,7 +131,7 @@
         std::erase_if(out.rows, [this](const stored_row& row) {
             return undecodable.contains(row.key);
         });
-        callback(std::move(out));
+        deliver(callback, read_outcome(std::move(out)));
     }
 
     void feed(const std::string& /*table*/, row_version /*after*/,
@@ -148,6 +150,18 @@
     const std::map<std::string, stored_row>& rows() const { return rows_; }
 
 private:
+    template <typename Outcome>
+    void deliver(const std::function<void(Outcome)>& callback,
+                 Outcome outcome) const
+    {
+        if (!defer)
+        {
+            callback(std::move(outcome));
+            return;
+        }
+        defer([callback, outcome = std::move(outcome)] { callback(outcome); });
+    }
+
     static std::string row_path(const std::string& table,
                                 const std::string& part, const std::string& key)
     {
