Test that an unanswered start is handed on twice (fails)

What callers would see: TWICE, if a worker that is not seen executes a start late. Cause: when the leases on the worker have ended, the next leader drops its stored record and keeps the time until which the start may take effect in memory only. The leader after that one does not wait for it.

--- a/tests/jobs/hand_over_test.cpp
+++ b/tests/jobs/hand_over_test.cpp
@@ -303,6 +303,25 @@
     EXPECT_GE(started_at[key(1)] - begun_at, seconds(10));
 }
 
+// Failure: TWICE, because only the first of several next leaders waits until an
+// unanswered start can no longer take effect.
+TEST_F(hand_over_test, unanswered_start_is_handed_on_after_the_leases)
+{
+    fleet_record record{worker_id("lost"), std::vector{key(0), key(1)},
+                        vm_id("vm-lost")};
+    record.leases = lease_bound{epoch, store_time_at(now + milliseconds(500))};
+    record.unanswered_starts = {{key(1), store_time_at(now + seconds(10))}};
+    fleet_rows = {{fleet_part_of(record.worker),
+                   {fleet_part_of(record.worker), {record}}}};
+    running.clear();
+    const auto begun_at = now;
+    replace_leader({true, epoch, {}});
+    simulate(seconds(1));
+    hand_over();
+    simulate(seconds(12));
+    EXPECT_GE(started_at[key(1)] - begun_at, seconds(10));
+}
+
 // Failure: a record is not decoded as it was encoded, and tasks wait for leases
 // that have expired.
 TEST(fleet_record, bound_of_leases_is_stored)
