Split the task placer by responsibility

Cause: task_placer.cpp had 503 lines that decide, for eight matters: which steps wait, which workers are candidates, the search, reservations, gangs, start orders, requests for advice and moves of slowed tasks.

Change: a class in a file of its own for each. task_placer keeps its interface and holds the sequence of a pass; waiting_steps collects and sorts the steps, candidate_workers the workers, worker_search compares them, place_reservations keeps capacity until an announcement is stored, task_starter announces and orders, step_placer and gang_placer place, advice_requester asks for tickets, slowed_task_mover stops slowed fill tasks.

Ruled out: a free function for each step of the pass, because the search offset, the lists of workers and the reservations live on between passes.

--- /dev/null
+++ b/src/jobs/gang_placer.cpp
@@ -0,0 +1,105 @@
+// Placement of gangs.
+#include "jobs/gang_placer.hpp"
+
+#include <algorithm>
+
+namespace hemlockdeal::jobs
+{
+
+namespace
+{
+
+bool may_all_start(const waiting_step& gang, time_point now)
+{
+    for (std::uint32_t i = 0; i < gang.definition().task_count; ++i)
+    {
+        if (!may_start(gang.owner->peek(gang.task(i)), now))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::size_t gang_placer::place(const waiting_step& gang, time_point now)
+{
+    if (!may_all_start(gang, now))
+    {
+        return 0;
+    }
+    const auto count = gang.definition().task_count;
+    const auto run = next_run(gang);
+    const auto places = find_places(gang, now);
+    if (places.size() < count)
+    {
+        return count;
+    }
+    if (!prepare(gang, places, now))
+    {
+        return 0;
+    }
+    for (const auto& [key, worker] : places)
+    {
+        starter_.order(*gang.owner, key, *worker, run, now);
+    }
+    return 0;
+}
+
+std::vector<gang_placer::member_place>
+gang_placer::find_places(const waiting_step& gang, time_point now)
+{
+    // Each member is added to its worker's ledger while workers for the other
+    // members are searched. All are removed again afterwards.
+    std::vector<member_place> places;
+    for (std::uint32_t i = 0; i < gang.definition().task_count; ++i)
+    {
+        const auto key = gang.task(i);
+        auto* worker = reservations_.find(*gang.owner, key, now);
+        if (worker == nullptr)
+        {
+            worker = search_.find(candidates_.usable(), *gang.owner, key, now);
+        }
+        if (worker == nullptr)
+        {
+            break;
+        }
+        run_record planned;
+        planned.size = gang.definition().size;
+        planned.is_trial = gang.owner->peek(key).needs_trial();
+        worker->add_run(key, planned);
+        places.push_back({key, worker});
+    }
+    for (const auto& [key, worker] : places)
+    {
+        worker->erase_run(key);
+    }
+    return places;
+}
+
+bool gang_placer::prepare(const waiting_step& gang,
+                          const std::vector<member_place>& places,
+                          time_point now)
+{
+    bool may_be_ordered = true;
+    for (const auto& [key, worker] : places)
+    {
+        may_be_ordered =
+            starter_.prepare(*gang.owner, key, *worker, now) && may_be_ordered;
+    }
+    return may_be_ordered;
+}
+
+std::uint32_t gang_placer::next_run(const waiting_step& gang) const
+{
+    std::uint32_t run = 0;
+    for (std::uint32_t i = 0; i < gang.definition().task_count; ++i)
+    {
+        const auto& task = gang.owner->peek(gang.task(i));
+        run = std::max(run, state_.next_run(task));
+    }
+    return run;
+}
+
+} // namespace hemlockdeal::jobs
--- /dev/null
+++ b/src/jobs/step_placer.hpp
@@ -0,0 +1,58 @@
+// Places the waiting tasks of a step one by one.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+
+#include "jobs/task_starter.hpp"
+#include "jobs/worker_search.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+class step_placer
+{
+public:
+    step_placer(scheduler_state& state, const candidate_workers& candidates,
+                const place_reservations& reservations, worker_search& search,
+                task_starter& starter)
+        : state_(state), candidates_(candidates), reservations_(reservations),
+          search_(search), starter_(starter)
+    {}
+
+    // Orders a start for each task that may start and for which a worker has
+    // room. Returns the number of tasks without room.
+    std::size_t place(const waiting_step& step, time_point now);
+
+private:
+    // Lists in which a place may still be found. All tasks of a step have the
+    // same size: a list without room for one of them has none for the others.
+    // Suspects are choosier.
+    struct open_lists
+    {
+        std::deque<worker_list> for_others;
+        std::deque<worker_list> for_suspects;
+    };
+
+    struct outcome
+    {
+        std::size_t without_room = 0;
+        // Some tasks wait until their announcement is stored.
+        bool is_waiting_for_store = false;
+    };
+
+    outcome place_tasks(const waiting_step& step, open_lists lists,
+                        time_point now);
+    // The reserved worker of the task or else the best one of the lists. Drops
+    // the lists without room.
+    fleet_worker* find_worker(const waiting_step& step, const task_key& key,
+                              open_lists& lists, time_point now);
+
+    const scheduler_state& state_;
+    const candidate_workers& candidates_;
+    const place_reservations& reservations_;
+    worker_search& search_;
+    task_starter& starter_;
+};
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/suspect_trial.hpp
+++ b/src/jobs/suspect_trial.hpp
@@ -1,5 +1,5 @@
-// Rule on trials of suspects that the task placer and the diagnosis of waits
-// share.
+// Rule on trials of suspects that the search for workers and the diagnosis of
+// waits share.
 #pragma once
 
 #include <chrono>
