Split the job frontend by responsibility

Cause: job_frontend.hpp had 475 lines for the requests of callers, the retries of an insert, the cache of known jobs and the cached numbers of waiting jobs.

Ruled out: an .ipp file for the implementation, because the header is short enough without it, and a result type of its own for inserts, because each of its values would only be mapped to the request_result of the same name.

--- a/src/node/job_frontend.hpp
+++ b/src/node/job_frontend.hpp
@@ -3,55 +3,34 @@
 // serve any job.
 #pragma once
 
-#include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <variant>
 
-#include <boost/json.hpp>
-
 #include "jobs/jobs.hpp"
 #include "node/concepts.hpp"
 #include "node/job_admission.hpp"
+#include "node/known_jobs.hpp"
+#include "node/pending_counts.hpp"
+#include "node/request_result.hpp"
+#include "node/row_inserter.hpp"
 #include "node/store_health.hpp"
+#include "node/store_outcome.hpp"
 #include "node/store_tables.hpp"
-#include "observe/logging.hpp"
 
 namespace hemlockdeal::node
 {
 
-// Outcome of a submission or a cancellation.
-enum class request_result
-{
-    done,
-    // Nothing was stored, and nothing will be.
-    refused,
-    // The same, and the store will not accept the request later either.
-    rejected,
-    // Nothing was stored: the accepted jobs leave no memory for this one.
-    no_memory,
-    // No job has this id.
-    no_such_job,
-    // The outcome of the store call is not known; the rows may have been
-    // stored.
-    unknown
-};
-
 struct frontend_options
 {
     // Timeout of a read.
     duration call_timeout = std::chrono::milliseconds(1500);
-    // A write may take until the caller's deadline. If it has no response after
-    // this time, a second call is sent.
-    duration hedge_delay = std::chrono::milliseconds(1000);
-    duration initial_retry_delay = std::chrono::milliseconds(40);
-    unsigned max_attempts = 5;
+    insert_options inserts;
     // How long a cached count of waiting jobs is used.
     duration pending_count_max_age = std::chrono::milliseconds(700);
     std::size_t max_cached_jobs = 20000;
@@ -87,9 +66,12 @@
     job_frontend(Store& store, Timer timer, std::function<time_point()> now,
                  store_health& health, leader_view local,
                  frontend_options options)
-        : store_(store), timer_(std::move(timer)), now_(std::move(now)),
-          health_(health), leader_view_(std::move(local)), options_(options),
-          admission_(options.max_job_memory)
+        : store_(store), now_(std::move(now)), health_(health),
+          leader_view_(std::move(local)), options_(options),
+          admission_(options.max_job_memory),
+          inserter_(store, std::move(timer), now_, health, options.inserts),
+          known_(options.max_cached_jobs),
+          pending_(options.pending_count_max_age)
     {}
 
     // Stores the job. `deadline` is the time at which the caller stops waiting.
@@ -108,25 +90,26 @@
             return;
         }
         admission_.add(bytes, now_());
-        transaction t{inbox_part(j.id),
-                      {{inbox_table, j.id.value(), row_version(0)}},
-                      {{inbox_table, j.id.value(), jobs::encode_job(j)}},
-                      {}};
-        create(t, deadline,
-               [this, id = j.id,
-                callback = std::move(callback)](request_result a) {
-                   if (a == request_result::done)
-                   {
-                       cache_stored_job(id);
-                   }
-                   callback(a);
-               });
+        const transaction t{inbox_part(j.id),
+                            {{inbox_table, j.id.value(), row_version(0)}},
+                            {{inbox_table, j.id.value(), jobs::encode_job(j)}},
+                            {}};
+        inserter_.insert(t, deadline,
+                         [this, id = j.id, callback = std::move(callback)](
+                             request_result result) {
+                             if (result == request_result::done)
+                             {
+                                 known_.add_stored(id);
+                             }
+                             callback(result);
+                         });
     }
 
+    // Stores the cancellation if there is such a job.
     void cancel(const job_id& id, time_point deadline,
                 on_request_result callback)
     {
-        if (stored_jobs_.contains(id))
+        if (known_.is_stored(id))
         {
             store_cancellation(id, deadline, callback);
             return;
@@ -147,17 +130,17 @@
         });
     }
 
+    // Looks the job's state up, in memory if it is known there.
     void state_of(const job_id& id, on_state callback)
     {
-        if (const auto finished = finished_jobs_.find(id);
-            finished != finished_jobs_.end())
+        if (const auto state = known_.final_state(id))
         {
-            callback(std::optional(finished->second));
+            callback(state);
             return;
         }
         if (const auto local = leader_view_.state(id))
         {
-            callback(std::optional(*local));
+            callback(local);
             return;
         }
         row_range range{progress_table, lead_part, id.value(),
@@ -165,7 +148,7 @@
         store_.read(
             range, options_.call_timeout,
             [this, id, callback = std::move(callback)](read_outcome outcome) {
-                record_outcome(outcome);
+                record_outcome(health_, outcome, now_());
                 if (const auto* const failed = std::get_if<not_done>(&outcome))
                 {
                     callback(*failed);
@@ -175,6 +158,7 @@
             });
     }
 
+    // Counts the waiting jobs of the queue.
     void pending(const std::string& queue, on_pending callback)
     {
         if (const auto local = leader_view_.pending(queue))
@@ -182,134 +166,36 @@
             callback(*local);
             return;
         }
-        if (now_() - pending_read_at_ < options_.pending_count_max_age)
+        if (pending_.is_current(now_()))
         {
-            callback(pending_of(queue));
+            callback(pending_.of(queue));
             return;
         }
         row_range range{pending_table, lead_part, pending_key, {}, 1};
         store_.read(range, options_.call_timeout,
                     [this, queue,
                      callback = std::move(callback)](read_outcome outcome) {
-                        record_outcome(outcome);
+                        record_outcome(health_, outcome, now_());
                         if (const auto* const failed =
                                 std::get_if<not_done>(&outcome))
                         {
                             callback(*failed);
                             return;
                         }
-                        update_pending_counts(std::get<read_rows>(outcome));
-                        callback(pending_of(queue));
+                        pending_.update(std::get<read_rows>(outcome), now_());
+                        callback(pending_.of(queue));
                     });
     }
 
 private:
     using on_inbox_lookup = std::function<void(std::variant<bool, not_done>)>;
 
-    // An insert in progress. Its rows are never modified later, so the call can
-    // be repeated, and a conflict means that the rows already exist.
-    struct pending_insert
-    {
-        transaction t;
-        time_point deadline;
-        on_request_result callback;
-        unsigned attempts = 0;
-        unsigned outstanding = 0;
-        duration retry_delay{};
-        bool maybe_stored = false;
-        bool is_complete = false;
-    };
-    using shared_insert = std::shared_ptr<pending_insert>;
-
-    void create(const transaction& t, time_point deadline,
-                const on_request_result& callback)
-    {
-        auto c = std::make_shared<pending_insert>();
-        c->t = t;
-        c->deadline = deadline;
-        c->callback = callback;
-        c->retry_delay = options_.initial_retry_delay;
-        timer_(std::max(deadline - now_(), duration{}), [this, c] {
-            finish(c, c->maybe_stored || c->outstanding > 0
-                          ? request_result::unknown
-                          : request_result::refused);
-        });
-        attempt(c);
-    }
-
-    void attempt(const shared_insert& c)
-    {
-        const auto remaining = c->deadline - now_();
-        if (c->is_complete || remaining <= duration{} ||
-            c->attempts >= options_.max_attempts)
-        {
-            return;
-        }
-        ++c->attempts;
-        ++c->outstanding;
-        store_.transact(c->t, remaining,
-                        [this, c](const transaction_outcome& o) {
-                            record_outcome(o);
-                            --c->outstanding;
-                            handle_outcome(c, o);
-                        });
-        // The connection may be dead or the store slow: sends a second call. A
-        // response to the first one still counts.
-        timer_(options_.hedge_delay, [this, c] {
-            if (c->outstanding > 0)
-            {
-                attempt(c);
-            }
-        });
-    }
-
-    void handle_outcome(const shared_insert& c,
-                        const transaction_outcome& outcome)
-    {
-        if (std::holds_alternative<committed>(outcome) ||
-            std::holds_alternative<conflict>(outcome))
-        {
-            finish(c, request_result::done);
-            return;
-        }
-        c->maybe_stored =
-            c->maybe_stored || std::holds_alternative<outcome_unknown>(outcome);
-        if (c->outstanding > 0)
-        {
-            return;
-        }
-        if (std::holds_alternative<rejected>(outcome))
-        {
-            finish(c, c->maybe_stored ? request_result::unknown
-                                      : request_result::rejected);
-            return;
-        }
-        // Fails at once so that the caller can try another VM.
-        if (health_.is_unavailable(now_()) ||
-            c->attempts >= options_.max_attempts)
-        {
-            finish(c, c->maybe_stored ? request_result::unknown
-                                      : request_result::refused);
-            return;
-        }
-        timer_(c->retry_delay, [this, c] { attempt(c); });
-        c->retry_delay *= 2;
-    }
-
-    void finish(const shared_insert& c, request_result result)
-    {
-        if (!std::exchange(c->is_complete, true))
-        {
-            c->callback(result);
-        }
-    }
-
     // An earlier attempt with the same id may have stored the job: then it will
     // run, and its caller must not be told otherwise.
     void refuse_unless_stored(const job_id& id,
                               const on_request_result& callback)
     {
-        if (stored_jobs_.contains(id))
+        if (known_.is_stored(id))
         {
             callback(request_result::done);
             return;
@@ -328,11 +214,11 @@
     void store_cancellation(const job_id& id, time_point deadline,
                             const on_request_result& callback)
     {
-        transaction t{inbox_part(id),
-                      {{inbox_table, cancel_key(id), row_version(0)}},
-                      {{inbox_table, cancel_key(id), "{}"}},
-                      {}};
-        create(t, deadline, callback);
+        const transaction t{inbox_part(id),
+                            {{inbox_table, cancel_key(id), row_version(0)}},
+                            {{inbox_table, cancel_key(id), "{}"}},
+                            {}};
+        inserter_.insert(t, deadline, callback);
     }
 
     void find_in_inbox(const job_id& id, on_inbox_lookup on_found)
@@ -342,7 +228,7 @@
         store_.read(
             range, options_.call_timeout,
             [this, id, on_found = std::move(on_found)](read_outcome outcome) {
-                record_outcome(outcome);
+                record_outcome(health_, outcome, now_());
                 if (const auto* const failed = std::get_if<not_done>(&outcome))
                 {
                     on_found(*failed);
@@ -353,7 +239,7 @@
                     !rows.empty() && rows.front().key == id.value();
                 if (exists)
                 {
-                    cache_stored_job(id);
+                    known_.add_stored(id);
                 }
                 on_found(exists);
             });
@@ -369,12 +255,12 @@
         {
             if (is_final(progress->state))
             {
-                cache_state(finished_jobs_, id, progress->state);
+                known_.add_finished(id, progress->state);
             }
             callback(std::optional(progress->state));
             return;
         }
-        if (stored_jobs_.contains(id))
+        if (known_.is_stored(id))
         {
             callback(std::optional(jobs::job_state::queued));
             return;
@@ -391,85 +277,15 @@
         });
     }
 
-    void update_pending_counts(const read_rows& read)
-    {
-        pending_.clear();
-        pending_read_at_ = now_();
-        if (read.rows.empty())
-        {
-            return;
-        }
-        boost::json::error_code error;
-        const auto parsed = boost::json::parse(read.rows.front().value, error);
-        if (error || !parsed.is_object())
-        {
-            log(log_level::warning, "counts of waiting jobs cannot be decoded");
-            return;
-        }
-        for (const auto& entry : parsed.get_object())
-        {
-            const auto count = entry.value().to_number<std::size_t>(error);
-            pending_[std::string(entry.key())] = error ? 0 : count;
-        }
-    }
-
-    std::size_t pending_of(const std::string& queue) const
-    {
-        const auto found = pending_.find(queue);
-        return found == pending_.end() ? 0 : found->second;
-    }
-
-    template <typename Outcome>
-    void record_outcome(const Outcome& outcome)
-    {
-        if (const auto* const failed = std::get_if<not_done>(&outcome))
-        {
-            health_.on_failure(failed->reason);
-            return;
-        }
-        if constexpr (std::is_same_v<Outcome, transaction_outcome>)
-        {
-            if (const auto* const unknown =
-                    std::get_if<outcome_unknown>(&outcome))
-            {
-                health_.on_failure(unknown->reason);
-                return;
-            }
-        }
-        health_.on_response(now_());
-    }
-
-    void cache_stored_job(const job_id& id)
-    {
-        if (stored_jobs_.size() >= options_.max_cached_jobs)
-        {
-            stored_jobs_.clear();
-        }
-        stored_jobs_.insert(id);
-    }
-
-    void cache_state(std::map<job_id, jobs::job_state>& into, const job_id& id,
-                     jobs::job_state state)
-    {
-        if (into.size() >= options_.max_cached_jobs)
-        {
-            into.clear();
-        }
-        into[id] = state;
-    }
-
     Store& store_;
-    Timer timer_;
     std::function<time_point()> now_;
     store_health& health_;
     leader_view leader_view_;
     frontend_options options_;
     job_admission admission_;
-    // Jobs whose row is known to be in the store.
-    std::set<job_id> stored_jobs_;
-    std::map<job_id, jobs::job_state> finished_jobs_;
-    std::map<std::string, std::size_t> pending_;
-    time_point pending_read_at_{};
+    row_inserter<Store, Timer> inserter_;
+    known_jobs known_;
+    pending_counts pending_;
 };
 
 } // namespace hemlockdeal::node
