Split live_job by responsibility

The records are restored in the same order as before: ordered tasks, finished ones, histories.

Ruled out: moving progress() and restore() out of the class, because they set and read members that nothing else may see.

Evidence (x86_64): all targets build; test_node (44) and test_adapter (70) pass, test_jobs passes but for the two tests of KNOWN-RED.txt, as before.

--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -2,8 +2,11 @@
 #include "jobs/live_job.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "jobs/stored_progress.hpp"
+
 namespace hemlockdeal::jobs
 {
 
@@ -25,38 +28,6 @@
     return record;
 }();
 
-task_key key_of(const job_id& id, const job_progress::task_position& position)
-{
-    return {id, position.occurrence, position.step, position.index};
-}
-
-void add_task_progress(const job_progress::task_position& position,
-                       const task_record& record, job_progress& to)
-{
-    if (record.is_announced)
-    {
-        to.ordered->push_back(position);
-    }
-    if (!record.failed_runs.empty() || !record.checkpoint.empty() ||
-        !record.crashes.empty())
-    {
-        to.histories[position] = {record.failed_runs, record.checkpoint,
-                                  record.crashes};
-    }
-}
-
-void add_finished(std::uint32_t occurrence, const std::vector<step>& steps,
-                  job_progress& to)
-{
-    for (std::uint32_t s = 0; s < steps.size(); ++s)
-    {
-        for (std::uint32_t i = 0; i < steps[s].task_count; ++i)
-        {
-            to.done.push_back({occurrence, s, i});
-        }
-    }
-}
-
 } // namespace
 
 live_job::live_job(job definition)
@@ -73,34 +44,6 @@
     }
 }
 
-void step_record::set_done(std::uint32_t index)
-{
-    if (const auto found = tasks.find(index); found != tasks.end())
-    {
-        const auto& record = found->second;
-        if (record.projected_duration > duration{})
-        {
-            durations.push_back({record.worker, record.projected_duration});
-        }
-        if (durations.size() > max_durations)
-        {
-            durations.erase(durations.begin());
-        }
-        waiting -= record.phase == task_phase::waiting ? 1 : 0;
-        tasks.erase(found);
-    }
-    else
-    {
-        --waiting;
-    }
-    if (is_done_.size() <= index)
-    {
-        is_done_.resize(index + 1);
-    }
-    is_done_[index] = true;
-    ++done;
-}
-
 const step& live_job::step_of(const task_key& key) const
 {
     return job_.steps[key.step];
@@ -289,40 +232,7 @@
     state_ = progress.state;
     has_started_ = progress.has_started;
     lists_ordered_tasks_ = progress.ordered.has_value();
-    for (const auto& position :
-         progress.ordered.value_or(std::vector<job_progress::task_position>{}))
-    {
-        const auto key = key_of(job_.id, position);
-        if (has(key))
-        {
-            task(key).is_announced = true;
-            task(key).first_change_set = recovered_set;
-        }
-    }
-    for (const auto& position : progress.done)
-    {
-        const auto key = key_of(job_.id, position);
-        if (has(key))
-        {
-            set_done(key);
-        }
-    }
-    for (const auto& [position, history] : progress.histories)
-    {
-        const auto key = key_of(job_.id, position);
-        if (!has(key))
-        {
-            continue;
-        }
-        auto& record = task(key);
-        record.failed_runs = history.failed_runs;
-        record.checkpoint = history.checkpoint;
-        record.crashes = history.crashes;
-        if (!history.failed_runs.empty())
-        {
-            record.last_run = std::ranges::max(history.failed_runs);
-        }
-    }
+    restore_tasks(*this, progress);
 }
 
 job_progress live_job::progress() const
@@ -345,7 +255,7 @@
         const auto active = active_.find(k);
         if (active != active_.end())
         {
-            add_progress(k, active->second, out);
+            add_active(k, job_.steps, active->second, out);
         }
         else if (is_finished_[k])
         {
@@ -355,31 +265,6 @@
     return out;
 }
 
-void live_job::add_progress(std::uint32_t occurrence,
-                            const occurrence_record& record,
-                            job_progress& to) const
-{
-    for (std::uint32_t s = 0; s < record.steps.size(); ++s)
-    {
-        const auto& step = record.steps[s];
-        for (std::uint32_t i = 0; step.done > 0 && i < job_.steps[s].task_count;
-             ++i)
-        {
-            if (step.is_done(i))
-            {
-                to.done.push_back({occurrence, s, i});
-            }
-        }
-        for (const auto& [index, task] : step.tasks)
-        {
-            if (task.phase != task_phase::done)
-            {
-                add_task_progress({occurrence, s, index}, task, to);
-            }
-        }
-    }
-}
-
 template <typename Change>
 void live_job::for_each_record(const Change& change)
 {
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -6,136 +6,15 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
-#include "jobs/crash_history.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_progress.hpp"
-#include "jobs/recent_workers.hpp"
+#include "jobs/occurrence_record.hpp"
 
 namespace hemlockdeal::jobs
 {
 
-enum class task_phase
-{
-    waiting,
-    // Ordered to a worker; it may run there.
-    placed,
-    done
-};
-
-struct task_record
-{
-    task_phase phase = task_phase::waiting;
-    // Highest known number of a run that was ordered.
-    std::uint32_t last_run = 0;
-    std::vector<std::uint32_t> failed_runs;
-    // Checkpoint from which the next run resumes.
-    std::string checkpoint;
-    // Worker on which it is placed.
-    worker_id worker;
-    // The last workers on which it failed or stalled.
-    recent_workers failed_on;
-    // An earlier leader may have ordered it to a worker that has not been seen
-    // yet.
-    bool may_run_elsewhere = false;
-    // Total duration of a run at full speed, extrapolated from its progress.
-    duration projected_duration{};
-    time_point not_before{};
-    // The stored row of the job lists the task as possibly ordered, or its
-    // next version will.
-    bool is_announced = false;
-    // Number of the first change set that lists it as possibly ordered; 0 if
-    // none.
-    std::uint64_t first_change_set = 0;
-    crash_history crashes;
-    // Workers that it may have crashed and of which it is not known whether
-    // they have crashed.
-    std::set<worker_id> suspected_on;
-    // When it last became a suspect that may be started again.
-    time_point suspected_at{};
-    // The next stored row of the job will contain a new crash.
-    bool has_unstored_crash = false;
-    // Number of the change set that contains the latest crash; 0 if none.
-    std::uint64_t crash_change_set = 0;
-
-    // True if nothing else may be started beside the task.
-    bool needs_trial() const
-    {
-        return !suspected_on.empty() || crashes.needs_trial();
-    }
-    // False while a later leader would not learn of the task's latest crash.
-    bool is_crash_stored(std::uint64_t stored_set) const
-    {
-        return !has_unstored_crash && crash_change_set <= stored_set;
-    }
-    // True if the store tells a later leader that the task may have been
-    // ordered.
-    bool may_be_ordered(std::uint64_t stored_set) const
-    {
-        return first_change_set > 0 && first_change_set <= stored_set;
-    }
-};
-
-// How long a task that is done would have taken on its worker.
-struct task_duration
-{
-    worker_id worker;
-    duration projected{};
-};
-
-// A step of one occurrence. Memory follows the tasks that have been ordered or
-// have a history: tasks that have not, and tasks that are done, have no record.
-class step_record
-{
-public:
-    explicit step_record(std::uint32_t task_count) : waiting(task_count) {}
-
-    std::map<std::uint32_t, task_record> tasks;
-    std::uint32_t done = 0;
-    std::uint32_t waiting = 0;
-    // Time of the last search over all workers in which some waiting tasks had
-    // no room; zero if all had room.
-    time_point searched_at{};
-    // Since when the step has had waiting tasks that may start.
-    std::optional<time_point> waiting_since;
-    // Of the tasks that were done last.
-    std::vector<task_duration> durations;
-
-    bool is_done(std::uint32_t index) const
-    {
-        return index < is_done_.size() && is_done_[index];
-    }
-    // True if neither this task nor one after it has a record.
-    bool is_untouched_from(std::uint32_t index) const
-    {
-        return tasks.lower_bound(index) == tasks.end();
-    }
-    // Removes the record of the task. It must not be done.
-    void set_done(std::uint32_t index);
-
-private:
-    static constexpr std::size_t max_durations = 256;
-
-    // By index, up to the highest one that is done.
-    std::vector<bool> is_done_;
-};
-
-struct occurrence_record
-{
-    std::vector<step_record> steps;
-    std::uint32_t done_steps = 0;
-
-    // True if nothing is known of any of its tasks.
-    bool is_untouched() const
-    {
-        return std::ranges::all_of(steps, [](const step_record& s) {
-            return s.tasks.empty() && s.done == 0;
-        });
-    }
-};
-
 // Invariants: `waiting` and `done` of each step count its tasks in these
 // phases; an occurrence is active, finished or neither; one that is neither has
 // no task that was ever ordered.
@@ -256,8 +135,6 @@
 private:
     occurrence_record& activate(std::uint32_t occurrence);
     void finish(std::uint32_t occurrence);
-    void add_progress(std::uint32_t occurrence, const occurrence_record& record,
-                      job_progress& to) const;
     // Calls `change` for the record of each task that has one.
     template <typename Change>
     void for_each_record(const Change& change);
