Check JSON counts for their sign in one function

Cause: both overloads of json_fields::count held the same check.

Change: non_negative() checks and converts for both; messages are as before.

Ruled out: one set of functions for this file and the entry VM's json_fields.hpp, because one throws on a malformed member and the other leaves it empty on purpose.

--- a/src/platform/json_fields.hpp
+++ b/src/platform/json_fields.hpp
@@ -105,10 +105,8 @@
     return value == nullptr ? fallback : integer(*value, name);
 }
 
-inline std::uint64_t count(const boost::json::value& value,
-                           std::string_view name)
+inline std::uint64_t non_negative(std::int64_t number, std::string_view name)
 {
-    const auto number = integer(value, name);
     if (number < 0)
     {
         fail(name, "a non-negative integer");
@@ -116,15 +114,16 @@
     return static_cast<std::uint64_t>(number);
 }
 
+inline std::uint64_t count(const boost::json::value& value,
+                           std::string_view name)
+{
+    return non_negative(integer(value, name), name);
+}
+
 inline std::uint64_t count(const boost::json::object& from,
                            std::string_view name)
 {
-    const auto number = integer(from, name);
-    if (number < 0)
-    {
-        fail(name, "a non-negative integer");
-    }
-    return static_cast<std::uint64_t>(number);
+    return non_negative(integer(from, name), name);
 }
 
 inline std::uint64_t count_or(const boost::json::object& from,
