--- /dev/null
+++ b/soak/entry_vm.py
@@ -0,0 +1,44 @@
+"""Entry VMs of a soak, as real processes."""
+
+import asyncio
+import json
+import os
+import signal
+
+from configuration import APPLY_WITHIN_S, ZONES
+
+
+class EntryVm:
+    """An entry VM: a process and its ports."""
+
+    def __init__(self, number, base, program, folder, bounds=None):
+        self.name = f"edge-{number}"
+        self.callers, self.ready, self.store = base, base + 1, base + 2
+        self.program = program
+        self.log = open(os.path.join(folder, f"{self.name}.log"), "ab")
+        self.file = os.path.join(folder, f"{self.name}.json")
+        with open(self.file, "w", encoding="utf-8") as settings:
+            json.dump({
+                "node_name": self.name, "zone": ZONES[number % len(ZONES)],
+                "zones": {zone: "region" for zone in ZONES},
+                "listen": {"front": f"127.0.0.1:{self.callers}",
+                           "ready": f"127.0.0.1:{self.ready}"},
+                "platform": {"address": f"127.0.0.1:{self.store}"},
+                "bounds": {"hold_max_ms": 6000, "grace_s": 6, "far_factor": 2,
+                           "config_apply_ms": int(APPLY_WITHIN_S * 1000),
+                           **(bounds or {})}}, settings)
+        self.process = None
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            self.program, "--settings", self.file, stdout=self.log,
+            stderr=self.log)
+
+    def send(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self):
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        await self.process.wait()
--- a/soak/slow_store.py
+++ b/soak/slow_store.py
@@ -8,12 +8,16 @@
 import argparse
 import asyncio
 import copy
+import json
 import os
 import time
 
-import soak
+from caller import call
 from command_line import add_common_options, run_and_exit
-from platform_standin import Link, Store
+from configuration import CONFIGURATION, PREFIX
+from entry_vm import EntryVm
+from http_standin import Link
+from store_standin import Store
 
 NEW_PREFIX = "/added"
 POLL_INTERVAL_S = 0.02
@@ -27,7 +31,7 @@
 
 
 def configuration(version, routes):
-    out = copy.deepcopy(soak.CONFIGURATION)
+    out = copy.deepcopy(CONFIGURATION)
     out["version"] = version
     template = out["routes"][0]
     for number in range(routes):
@@ -39,7 +43,7 @@
 async def time_in_force(daemon, prefix, began, at_most):
     """Seconds from `began` until the VM serves the route, or None."""
     while time.monotonic() - began < at_most:
-        response = await soak.call(daemon.callers, "GET", prefix, timeout=1.0)
+        response = await call(daemon.callers, "GET", prefix, timeout=1.0)
         if response is not None and response[0] not in (404, 503):
             return time.monotonic() - began
         await asyncio.sleep(POLL_INTERVAL_S)
@@ -48,7 +52,7 @@
 
 def put(store, version, routes):
     store.put("op", "", "config",
-              soak.json.dumps(configuration(version, routes)).encode())
+              json.dumps(configuration(version, routes)).encode())
 
 
 async def disrupt(options, store, daemons):
@@ -79,7 +83,7 @@
 async def run(options, folder):
     base = 19000 + os.getpid() % 2000
     store = Store()
-    daemons = [soak.Daemon(i, base + 3 * i, options.program, folder,
+    daemons = [EntryVm(i, base + 3 * i, options.program, folder,
                            {"config_apply_ms": options.bound_ms})
                for i in range(options.daemons)]
     for daemon in daemons:
@@ -88,7 +92,7 @@
     for daemon in daemons:
         await daemon.start()
     for daemon in daemons:
-        if await time_in_force(daemon, soak.PREFIX, time.monotonic(), 10) is None:
+        if await time_in_force(daemon, PREFIX, time.monotonic(), 10) is None:
             print(f"{daemon.name} does not serve")
             return 1
     await asyncio.sleep(1.0)
--- a/soak/slow_takeover.py
+++ b/soak/slow_takeover.py
@@ -13,9 +13,14 @@
 import signal
 import time
 
-import soak
+from caller import call
 from command_line import add_common_options, run_and_exit
-from platform_standin import Link, Record, Store, Worker
+from configuration import CONFIGURATION, PREFIX, ZONES
+from entry_vm import EntryVm
+from http_standin import Link
+from run_record import Record
+from store_standin import Store
+from worker_standin import Worker
 
 RUNNING_WORKERS = 8
 SPEC_BYTES = 4000
@@ -41,16 +46,16 @@
         self.options = options
         self.record, self.store = Record(), Store()
         self.near, self.far = [
-            soak.Daemon(i, base + 3 * i, options.program, folder) for i in (0, 1)]
+            EntryVm(i, base + 3 * i, options.program, folder) for i in (0, 1)]
         rng = random.Random(options.seed)
         self.workers = [
             (Worker if i < RUNNING_WORKERS else DrainingWorker)(
-                f"w{i:04}", 0, soak.ZONES[i % 2], self.store, self.record, rng)
+                f"w{i:04}", 0, ZONES[i % 2], self.store, self.record, rng)
             for i in range(options.workers)]
 
     async def start(self):
         self.store.put("op", "", "config",
-                       json.dumps(soak.CONFIGURATION).encode())
+                       json.dumps(CONFIGURATION).encode())
         for daemon in (self.near, self.far):
             await self.store.listen(daemon.store)
         for worker in self.workers:
@@ -71,7 +76,7 @@
             body.update(repeat_count=1, interval_ms=1000,
                         first_run_ms=int((time.time() + occurs_in_s) * 1000))
         self.record.jobs[job] = body
-        response = await soak.call(daemon.callers, "POST", soak.PREFIX + job,
+        response = await call(daemon.callers, "POST", PREFIX + job,
                                    body)
         return response is not None and response[0] == 200
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -14,101 +14,22 @@
 import signal
 import time
 
+from caller import call
 from command_line import add_common_options, run_and_exit
-from platform_standin import Record, Store, Worker, malformed_entries
+from configuration import (APPLY_WITHIN_S, CONFIGURATION, PREFIX, ZONES,
+                           large_configuration, last_added_prefix)
+from entry_vm import EntryVm
+from malformed_entries import malformed_entries
+from run_record import Record
+from store_standin import Store
+from worker_standin import Worker
 
-HOST, PREFIX, SERVICE = "q.example", "/q/", "s"
 COMPLETION_TIMEOUT_S = 25
-ZONES = ["z1", "z2"]
 # Keys of malformed entries among those of the workers, some of which go on with a
 # byte that sorts before all that keys of the platform consist of.
 MALFORMED_KEYS = ["", "a", "w0 malformed", "w1\x01", "w1!", "w2-", "w3\u00e9", "x" * 5000]
-# Within which a configuration must be in force, and the routes that one adds.
-APPLY_WITHIN_S = 4.0
-# The share of that time that a transfer may take (docs/design.md).
+# The share of the time for a change that its transfer may take (docs/design.md).
 TRANSFER_SHARE = 0.45
-ADDED_ROUTES = 300
-CONFIGURATION = {
-    "version": 1,
-    "routes": [{"name": "r", "host": HOST, "path_prefix": PREFIX,
-                "kind": "non_idempotent", "timeout_ms": 3000, "slo_ms": 500,
-                "priority": 0, "service": SERVICE, "max_attempts": 3,
-                "stretch": 2.0, "allowed_regions": []}],
-    "services": [{"name": SERVICE, "enforces_capacity": True}], "limits": {}}
-
-
-def large_configuration(version):
-    """The first configuration and further routes, whose number grows."""
-    template = CONFIGURATION["routes"][0]
-    added = [dict(template, name=f"added-{i}", path_prefix=f"/added{i}/")
-             for i in range((version - 1) * ADDED_ROUTES)]
-    return dict(CONFIGURATION, version=version,
-                routes=CONFIGURATION["routes"] + added)
-
-
-def last_added_prefix(version):
-    return f"/added{(version - 1) * ADDED_ROUTES - 1}/"
-
-
-class Daemon:
-    """An entry VM: a process and its ports."""
-
-    def __init__(self, number, base, program, folder, bounds=None):
-        self.name = f"edge-{number}"
-        self.callers, self.ready, self.store = base, base + 1, base + 2
-        self.program = program
-        self.log = open(os.path.join(folder, f"{self.name}.log"), "ab")
-        self.file = os.path.join(folder, f"{self.name}.json")
-        with open(self.file, "w", encoding="utf-8") as settings:
-            json.dump({
-                "node_name": self.name, "zone": ZONES[number % len(ZONES)],
-                "zones": {zone: "region" for zone in ZONES},
-                "listen": {"front": f"127.0.0.1:{self.callers}",
-                           "ready": f"127.0.0.1:{self.ready}"},
-                "platform": {"address": f"127.0.0.1:{self.store}"},
-                "bounds": {"hold_max_ms": 6000, "grace_s": 6, "far_factor": 2,
-                           "config_apply_ms": int(APPLY_WITHIN_S * 1000),
-                           **(bounds or {})}}, settings)
-        self.process = None
-        self.is_paused = False
-
-    async def start(self):
-        self.process = await asyncio.create_subprocess_exec(
-            self.program, "--settings", self.file, stdout=self.log,
-            stderr=self.log)
-
-    def send(self, number):
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def kill(self):
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
-        await self.process.wait()
-
-
-async def call(port, method, path, body=None, timeout=3.0):
-    """Returns status and body, or None if no complete response was received."""
-    data = b"" if body is None else json.dumps(body).encode()
-    writer = None
-    try:
-        reader, writer = await asyncio.wait_for(
-            asyncio.open_connection("127.0.0.1", port), timeout)
-        writer.write((f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-                      f"X-Deadline-Ms: {int(timeout * 1000)}\r\n"
-                      f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
-        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), timeout)
-        lines = head.decode().split("\r\n")
-        length = next(int(line.split(":")[1]) for line in lines
-                      if line.lower().startswith("content-length:"))
-        content = await asyncio.wait_for(reader.readexactly(length), timeout)
-        return int(lines[0].split(" ")[1]), json.loads(content or b"null")
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
-            StopIteration):
-        return None
-    finally:
-        if writer is not None:
-            writer.close()
 
 
 class Soak:
@@ -121,7 +42,7 @@
         self.options = options
         base = 11000 + (os.getpid() * 37 + options.seed) % 7000
         self.record, self.store = Record(), Store()
-        self.daemons = [Daemon(i, base + 3 * i, options.program, folder)
+        self.vms = [EntryVm(i, base + 3 * i, options.program, folder)
                         for i in range(options.daemons)]
         self.workers = [Worker(f"w{i}", base + 100 + i, ZONES[i % 2],
                                self.store, self.record, self.rng)
@@ -137,7 +58,7 @@
         self.given_up = 0
 
     async def start(self):
-        for daemon in self.daemons:
+        for daemon in self.vms:
             await self.store.listen(daemon.store)
         self.store.put("op", "", "config", json.dumps(CONFIGURATION).encode())
         for worker in self.workers:
@@ -149,7 +70,7 @@
         self.decoy.closed_at = time.monotonic()
         for key in MALFORMED_KEYS:
             self.write_malformed_entry(key)
-        for daemon in self.daemons:
+        for daemon in self.vms:
             await daemon.start()
 
     def malformed_entry(self, worker):
@@ -177,7 +98,7 @@
         self.record.jobs[job] = body
         self.responses[job] = []
         for _ in range(4):
-            daemon = self.rng.choice(self.daemons)
+            daemon = self.rng.choice(self.vms)
             response = await call(daemon.callers, "POST", PREFIX + job, body)
             self.responses[job].append(response and response[0])
             if response and response[0] == 200:
@@ -195,7 +116,7 @@
     async def inject_fault(self):
         """Injects a random fault and ends it."""
         self.fault_count += 1
-        daemon, worker = self.rng.choice(self.daemons), self.rng.choice(self.workers)
+        daemon, worker = self.rng.choice(self.vms), self.rng.choice(self.workers)
         duration = self.rng.uniform(0.3, 6.0)
         kind = self.rng.choice(["kill", "pause", "stop", "store", "cut", "reset",
                                 "crash", "dark", "late", "history", "malformed"])
@@ -213,7 +134,7 @@
             await daemon.start()
         elif kind in ("store", "cut"):
             fault = self.rng.choice(["busy", "silent", "lost", "slow"])
-            ports = [d.store for d in self.daemons] if kind == "store" else [daemon.store]
+            ports = [d.store for d in self.vms] if kind == "store" else [daemon.store]
             for port in ports:
                 self.store.faults[port] = fault
             await asyncio.sleep(duration)
@@ -253,7 +174,7 @@
         """Limits the rate of paths to the store while the configuration grows."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            server = self.store.servers[self.path_rng.choice(self.daemons).store]
+            server = self.store.servers[self.path_rng.choice(self.vms).store]
             server.rate = self.path_rng.uniform(60e3, 400e3)
             self.grow_configuration()
             await asyncio.sleep(self.path_rng.uniform(0.5, 3.0))
@@ -269,13 +190,13 @@
         share of the time, also while an earlier change is in transfer."""
         encoded = json.dumps(large_configuration(self.version + 1))
         bytes_in_response = len(encoded) * 4 / 3
-        for daemon in self.daemons:
+        for daemon in self.vms:
             self.store.servers[daemon.store].rate = (
                 bytes_in_response / (APPLY_WITHIN_S * TRANSFER_SHARE))
         self.grow_configuration()
         began = time.monotonic()
-        await asyncio.gather(*[self.check_route(d, began) for d in self.daemons])
-        for daemon in self.daemons:
+        await asyncio.gather(*[self.check_route(d, began) for d in self.vms])
+        for daemon in self.vms:
             self.store.servers[daemon.store].rate = None
 
     async def check_route(self, daemon, began):
@@ -294,7 +215,7 @@
             await asyncio.sleep(0.05)
 
     async def job_state(self, job):
-        for daemon in self.daemons:
+        for daemon in self.vms:
             response = await call(daemon.callers, "GET", PREFIX + job)
             if response:
                 return response
@@ -340,9 +261,9 @@
                              self.slow_paths(self.options.seconds))
         await self.check_configuration()
         accepted, rejected = await self.check_completion()
-        for daemon in self.daemons:
+        for daemon in self.vms:
             daemon.send(signal.SIGTERM)
-        for daemon in self.daemons:
+        for daemon in self.vms:
             await asyncio.wait_for(daemon.process.wait(), 8)
         print(f"seed {self.options.seed}: {len(self.responses)} jobs, "
               f"{accepted} accepted, {rejected} rejected, {self.given_up} "
