--- a/soak/caller.py
+++ b/soak/caller.py
@@ -3,7 +3,25 @@
 import asyncio
 import json
 
-from configuration import HOST
+from configuration import HOST, PREFIX
+
+CALL_INTERVAL_S = 0.1
+RECONNECT_S = 0.2
+
+
+def encode_call(method, path, timeout, data=b""):
+    return (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Deadline-Ms: {int(timeout * 1000)}\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n").encode() + data
+
+
+async def read_response(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    length = next(int(line.split(":")[1]) for line in lines
+                  if line.lower().startswith("content-length:"))
+    content = await reader.readexactly(length)
+    return int(lines[0].split(" ")[1]), json.loads(content or b"null")
 
 
 async def call(port, method, path, body=None, timeout=3.0):
@@ -13,18 +31,42 @@
     try:
         reader, writer = await asyncio.wait_for(
             asyncio.open_connection("127.0.0.1", port), timeout)
-        writer.write((f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-                      f"X-Deadline-Ms: {int(timeout * 1000)}\r\n"
-                      f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
-        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), timeout)
-        lines = head.decode().split("\r\n")
-        length = next(int(line.split(":")[1]) for line in lines
-                      if line.lower().startswith("content-length:"))
-        content = await asyncio.wait_for(reader.readexactly(length), timeout)
-        return int(lines[0].split(" ")[1]), json.loads(content or b"null")
+        writer.write(encode_call(method, path, timeout, data))
+        return await asyncio.wait_for(read_response(reader), timeout)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
             StopIteration):
         return None
     finally:
         if writer is not None:
             writer.close()
+
+
+class PersistentCaller:
+    """Keeps calling over one connection until the VM closes it, also while the
+    VM shuts down, and connects again then."""
+
+    TIMEOUT_S = 3.0
+
+    def __init__(self, port):
+        self.port = port
+        self.answered = 0
+
+    async def run(self):
+        while True:
+            try:
+                await self.use_connection()
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
+                    StopIteration):
+                pass
+            await asyncio.sleep(RECONNECT_S)
+
+    async def use_connection(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        try:
+            while True:
+                writer.write(encode_call("GET", PREFIX, self.TIMEOUT_S))
+                await asyncio.wait_for(read_response(reader), self.TIMEOUT_S)
+                self.answered += 1
+                await asyncio.sleep(CALL_INTERVAL_S)
+        finally:
+            writer.close()
--- a/soak/entry_vm.py
+++ b/soak/entry_vm.py
@@ -7,6 +7,8 @@
 
 from configuration import APPLY_WITHIN_S, ZONES
 
+GRACE_S = 6
+
 
 class EntryVm:
     """An entry VM: a process and its ports."""
@@ -24,18 +26,24 @@
                 "listen": {"front": f"127.0.0.1:{self.callers}",
                            "ready": f"127.0.0.1:{self.ready}"},
                 "platform": {"address": f"127.0.0.1:{self.store}"},
-                "bounds": {"hold_max_ms": 6000, "grace_s": 6, "far_factor": 2,
+                "bounds": {"hold_max_ms": 6000, "grace_s": GRACE_S,
+                           "far_factor": 2,
                            "config_apply_ms": int(APPLY_WITHIN_S * 1000),
                            **(bounds or {})}}, settings)
         self.process = None
+        # Whether the process was told to end, or has not been started.
+        self.is_ending = True
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
             self.program, "--settings", self.file, stdout=self.log,
             stderr=self.log)
+        self.is_ending = False
 
     def send(self, number):
         if self.process and self.process.returncode is None:
+            if number in (signal.SIGTERM, signal.SIGKILL):
+                self.is_ending = True
             self.process.send_signal(number)
 
     async def kill(self):
--- a/soak/http_standin.py
+++ b/soak/http_standin.py
@@ -86,6 +86,10 @@
             self.writers.discard(writer)
             writer.close()
 
+    def close(self):
+        self.server.close()
+        self.reset()
+
     def reset(self):
         for writer in list(self.writers):
             writer.transport.abort()
--- /dev/null
+++ b/soak/series.py
@@ -0,0 +1,60 @@
+"""The part of a soak with planned stops in a row beside long-running
+tasks and ordinary callers."""
+
+import asyncio
+import random
+
+from caller import PersistentCaller
+from calm import Calm
+from lasting_tasks import LastingTasks
+from planned_stops import PlannedStops
+from worker_losses import WorkerLosses
+
+CALLERS_OF_A_VM = 2
+
+
+class Series:
+    """Its parts have generators of their own, so that the faults of a seed stay
+    the same."""
+
+    def __init__(self, soak):
+        self.soak, self.options = soak, soak.options
+        seeds = random.Random(self.options.seed + 2)
+        self.rng, lasting, losses, stops = (
+            random.Random(seeds.getrandbits(64)) for _ in range(4))
+        vms, record, calm = soak.vms, soak.record, Calm()
+        self.lasting = LastingTasks(lasting, vms, soak.workers, record, calm)
+        self.losses = WorkerLosses(losses, soak.workers, record, calm,
+                                   soak.add_worker)
+        self.stops = PlannedStops(stops, vms, soak.store, self.losses,
+                                  record)
+        self.callers = [PersistentCaller(vm.callers) for vm in vms
+                        for _ in range(CALLERS_OF_A_VM)]
+
+    async def run(self):
+        await self.lasting.submit()
+        background = [asyncio.ensure_future(task) for task in (
+            self.lasting.check(), self.change_configuration(),
+            *(caller.run() for caller in self.callers))]
+        is_over = asyncio.Event()
+        load = asyncio.ensure_future(self.soak.load(is_over.is_set))
+        for _ in range(self.options.planned_stops):
+            await self.stops.run_round()
+        is_over.set()
+        await load
+        await self.stops.wait_until_started()
+        await self.lasting.cancel()
+        for task in background:
+            task.cancel()
+
+    async def change_configuration(self):
+        while True:
+            await asyncio.sleep(self.rng.uniform(3.0, 12.0))
+            self.soak.grow_configuration()
+
+    def summary(self):
+        return (f"{self.stops.count} planned stops, {self.losses.count} workers "
+                f"lost, long-running tasks away for "
+                f"{self.lasting.longest_away_s:.1f} s at most, "
+                f"{sum(c.answered for c in self.callers)} calls answered, "
+                f"slowed {self.lasting.slowed} times")
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -3,7 +3,8 @@
 stand-in, with injected faults. Checks the guarantees from the view of callers
 and workers.
 
-Usage: soak/soak.py --seed N --seconds S [--daemons D] [--program PATH]
+Usage: soak/soak.py --seed N --seconds S [--planned-stops ROUNDS]
+    [--daemons D] [--program PATH]
 """
 
 import argparse
@@ -21,6 +22,7 @@
 from entry_vm import EntryVm
 from malformed_entries import malformed_entries
 from run_record import Record
+from series import Series
 from store_standin import Store
 from worker_standin import Worker
 
@@ -30,6 +32,8 @@
 MALFORMED_KEYS = ["", "a", "w0 malformed", "w1\x01", "w1!", "w2-", "w3\u00e9", "x" * 5000]
 # The share of the time for a change that its transfer may take (docs/design.md).
 TRANSFER_SHARE = 0.45
+# With planned stops, room is left on the workers while some are lost.
+WORKERS, WORKERS_BESIDE_STOPS = 4, 8
 
 
 class Soak:
@@ -39,14 +43,16 @@
         # the same.
         self.path_rng = random.Random(options.seed + 1)
         self.version = 1
-        self.options = options
+        self.options, self.folder = options, folder
         base = 11000 + (os.getpid() * 37 + options.seed) % 7000
         self.record, self.store = Record(), Store()
         self.vms = [EntryVm(i, base + 3 * i, options.program, folder)
-                        for i in range(options.daemons)]
+                    for i in range(options.daemons)]
         self.workers = [Worker(f"w{i}", base + 100 + i, ZONES[i % 2],
                                self.store, self.record, self.rng)
-                        for i in range(4)]
+                        for i in range(WORKERS_BESIDE_STOPS
+                                       if options.planned_stops else WORKERS)]
+        self.workers_added = 0
         # Malformed entries with a usable address lead here.
         self.decoy = Worker("decoy", base + 110, ZONES[0], self.store,
                             self.record, self.rng)
@@ -56,15 +62,14 @@
         self.fault_count = 0
         # Jobs that ended as failed after two crashes of workers.
         self.given_up = 0
+        self.series = Series(self) if options.planned_stops else None
 
     async def start(self):
         for daemon in self.vms:
             await self.store.listen(daemon.store)
         self.store.put("op", "", "config", json.dumps(CONFIGURATION).encode())
         for worker in self.workers:
-            await worker.server.listen(worker.port)
-            asyncio.ensure_future(worker.run_tasks())
-            asyncio.ensure_future(worker.send_heartbeats())
+            await self.start_worker(worker)
         await self.decoy.server.listen(self.decoy.port)
         self.decoy.malformed_entry = b"each of the malformed ones"
         self.decoy.closed_at = time.monotonic()
@@ -73,6 +78,20 @@
         for daemon in self.vms:
             await daemon.start()
 
+    @staticmethod
+    async def start_worker(worker):
+        worker.port = await worker.server.listen(worker.port)
+        asyncio.ensure_future(worker.run_tasks())
+        asyncio.ensure_future(worker.send_heartbeats())
+
+    async def add_worker(self):
+        self.workers_added += 1
+        number = self.workers_added
+        worker = Worker(f"added-{number}", 0, ZONES[number % 2], self.store,
+                        self.record, self.rng)
+        self.workers.append(worker)
+        await self.start_worker(worker)
+
     def malformed_entry(self, worker):
         return self.rng.choice(malformed_entries(json.loads(worker.entry())))
 
@@ -105,9 +124,9 @@
                 return
             await asyncio.sleep(self.rng.uniform(0.2, 1.0))
 
-    async def load(self, seconds):
-        tasks, end, number = [], time.monotonic() + seconds, 0
-        while time.monotonic() < end:
+    async def load(self, is_over):
+        tasks, number = [], 0
+        while not is_over():
             number += 1
             tasks.append(asyncio.ensure_future(self.submit(number)))
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
@@ -256,35 +275,57 @@
         await self.start()
         asyncio.ensure_future(self.rewrite_malformed_entries())
         await asyncio.sleep(2.5)
-        await asyncio.gather(self.load(self.options.seconds),
+        end = time.monotonic() + self.options.seconds
+        await asyncio.gather(self.load(lambda: time.monotonic() >= end),
                              self.inject_faults(self.options.seconds),
                              self.slow_paths(self.options.seconds))
         await self.check_configuration()
+        if self.series:
+            await self.series.run()
         accepted, rejected = await self.check_completion()
-        for daemon in self.vms:
-            daemon.send(signal.SIGTERM)
-        for daemon in self.vms:
-            await asyncio.wait_for(daemon.process.wait(), 8)
+        for vm in self.vms:
+            vm.send(signal.SIGTERM)
+        for vm in self.vms:
+            await asyncio.wait_for(vm.process.wait(), 8)
+        self.report(accepted, rejected)
+        return 1 if self.record.violations or accepted == 0 else 0
+
+    async def run_and_clean_up(self):
+        try:
+            return await self.run()
+        finally:
+            for vm in self.vms:
+                if vm.process and vm.process.returncode is None:
+                    await vm.kill()
+
+    def report(self, accepted, rejected):
         print(f"seed {self.options.seed}: {len(self.responses)} jobs, "
               f"{accepted} accepted, {rejected} rejected, {self.given_up} "
               f"given up after crashes, "
               f"{self.record.starts} starts, {self.fault_count} faults, "
               f"{len(self.record.violations)} guarantees violated")
+        if self.series:
+            print("  " + self.series.summary())
+        with open(os.path.join(self.folder, "events.log"), "w",
+                  encoding="utf-8") as events:
+            events.writelines(self.record.events)
         for text in self.record.violations[:5]:
             print("  " + text)
         if accepted == 0:
             print("  no job was accepted, so the run checked nothing")
-        return 1 if self.record.violations or accepted == 0 else 0
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--planned-stops", type=int, default=0, metavar="ROUNDS",
+                        help="rounds of planned stops in a row, beside workers "
+                        "that are lost and long-running tasks")
     parser.add_argument("--daemons", type=int, default=3)
     add_common_options(parser)
     options = parser.parse_args()
-    run_and_exit(options, lambda logs: Soak(options, logs).run())
+    run_and_exit(options, lambda logs: Soak(options, logs).run_and_clean_up())
 
 
 if __name__ == "__main__":
--- a/soak/store_standin.py
+++ b/soak/store_standin.py
@@ -27,6 +27,8 @@
         # transaction takes effect, the response is lost) or slow (0.4 s delay).
         self.faults = {}
         self.servers = {}
+        # Table to the port of the last transaction that wrote to it.
+        self.last_writer = {}
         self.page_limit = 500
 
     async def listen(self, port):
@@ -69,7 +71,7 @@
         query = {k: unquote(v[0]) for k, v in
                  parse_qs(url.query, keep_blank_values=True).items()}
         if url.path == "/rows-tx":
-            response = self.transact(json.loads(body))
+            response = self.transact(port, json.loads(body))
             return None if fault == "lost" else response
         if url.path == "/rows-get":
             return self.read(query)
@@ -77,7 +79,7 @@
             return await self.feed(query)
         return 404, {}
 
-    def transact(self, call):
+    def transact(self, port, call):
         names = [(e["table"], e["part"], e["key"]) for e in call["expect"]]
         for name, entry in zip(names, call["expect"]):
             if self.rows.get(name, (None, 0))[1] != entry["ver"]:
@@ -89,6 +91,7 @@
             name = (entry["table"], entry["part"], entry["key"])
             self.rows[name] = (base64.b64decode(entry["value"]), self.version)
             self.removed.pop(name, None)
+            self.last_writer[entry["table"]] = port
         for entry in call["deletes"]:
             name = (entry["table"], entry["part"], entry["key"])
             if self.rows.pop(name, None):
--- a/soak/worker_standin.py
+++ b/soak/worker_standin.py
@@ -8,6 +8,8 @@
 
 MAX_LEASE_MS = 6000
 HEARTBEAT_INTERVAL_S = 0.5
+CAPACITY = {"cpu": 8000, "mem_mb": 16000}
+MEAN_LASTING_RUN_S = 60.0
 STOP_DELAY_S = 0.05
 # Time for a changed entry to reach the leader, also after a take-over.
 ENTRY_NOTICE_S = 6.0
@@ -22,6 +24,8 @@
         self.store, self.record, self.rng = store, record, rng
         self.server = Server(self.handle)
         self.is_up = True
+        # Whether the network connects the worker with the others.
+        self.is_reachable = True
         self.late_fraction = 0.0
         # Written in place of the entry while it is set.
         self.malformed_entry = None
@@ -34,6 +38,27 @@
                        self.entry() if self.malformed_entry is None
                        else self.malformed_entry)
 
+    def remove_entry(self):
+        self.store.remove("servers", "", self.name)
+
+    def end_for_good(self, refuses):
+        """The worker's VM is lost. New connections are refused, or nothing
+        answers."""
+        self.is_up = self.is_reachable = False
+        self.restart()
+        if refuses:
+            self.server.close()
+
+    def has_room(self, step, factor):
+        """Whether `factor` times the demand of a task of the step is free."""
+        if not (self.is_up and self.is_reachable
+                and self.malformed_entry is None):
+            return False
+        steps = [self.record.step(task) for task in self.running
+                 if self.record.step(task)]
+        return all(capacity - sum(s[name] for s in steps)
+                   >= factor * step[name] for name, capacity in CAPACITY.items())
+
     def set_malformed_entry(self, entry):
         """Replaces the entry by one that names no worker; None ends this."""
         self.malformed_entry = entry
@@ -58,12 +83,12 @@
             "service": "s", "address": f"127.0.0.1:{self.port}",
             "zone": self.zone, "version": "v1", "slots": 8, "state": "ready",
             "cold_left_ms": 0, "labels": ["a", "r1"], "born": self.incarnation,
-            "capacity": {"cpu": 8000, "mem_mb": 16000, "gpu": 0},
+            "capacity": {**CAPACITY, "gpu": 0},
             "clock_ms": self.clock(), "seq": self.clock()}).encode()
 
     def end(self, task, state):
         run, _ = self.running.pop(task)
-        self.record.running.pop(task, None)
+        self.record.on_end(task)
         if state == "done":
             self.record.done.setdefault(task, "listed")
         self.highest_ended_run[task] = max(
@@ -84,17 +109,22 @@
                 self.lease = None
             for task, (_, until) in list(self.running.items()):
                 if time.monotonic() >= until:
-                    self.end(task, "done")
+                    self.end(task, "failed" if self.lasts(task) else "done")
 
     async def send_heartbeats(self):
         while True:
-            if self.is_up:
+            if self.is_up and self.is_reachable:
                 self.write_entry()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def handle(self, method, target, body):
-        if not self.is_up:
+        """Nothing is received or sent by a worker that cannot be reached."""
+        if not (self.is_up and self.is_reachable):
             return None
+        response = await self.execute(target, body)
+        return response if self.is_up and self.is_reachable else None
+
+    async def execute(self, target, body):
         call = json.loads(body)
         if target == "/run-start" and self.closed_at is not None \
                 and time.monotonic() > self.closed_at:
@@ -134,9 +164,19 @@
             return 409, {"clock_ms": self.clock(), "reason": "late"}
         self.extend_lease(call["deadline_ms"])
         self.record.on_start(task, self.name)
-        self.running[task] = (run, time.monotonic() + self.rng.uniform(0.2, 0.9))
+        self.running[task] = (run, time.monotonic() + self.run_time(task))
         return 200, {"clock_ms": self.clock()}
 
+    def lasts(self, task):
+        step = self.record.step(task)
+        return step is not None and step.get("long_running", False)
+
+    def run_time(self, task):
+        """A long-running task fails at some time."""
+        if self.lasts(task):
+            return self.rng.expovariate(1 / MEAN_LASTING_RUN_S)
+        return self.rng.uniform(0.2, 0.9)
+
     async def stop(self, call):
         task, run = call["task"], call["run"]
         self.highest_ended_run[task] = max(
@@ -159,6 +199,7 @@
                 await asyncio.wait_for(self.event.wait(), call["wait_ms"] / 1000)
             except asyncio.TimeoutError:
                 pass
-        running = [[t, r, "", 50, -1] for t, (r, _) in self.running.items()]
+        running = [[t, r, "", 100 if self.lasts(t) else 50, -1]
+                   for t, (r, _) in self.running.items()]
         return 200, {"clock_ms": self.clock(), "born": self.incarnation,
                      "running": running, "ended": self.ended}
