--- a/soak/caller.py
+++ b/soak/caller.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+import time
 
 from configuration import HOST, PREFIX
 
 CALL_INTERVAL_S = 0.1
 RECONNECT_S = 0.2
+ANSWER_WITHIN_S = 15
 
 
 def encode_call(method, path, timeout, data=b""):
@@ -41,6 +43,17 @@
             writer.close()
 
 
+async def is_answered(port):
+    """Whether an ordinary call is answered before ANSWER_WITHIN_S are over."""
+    end = time.monotonic() + ANSWER_WITHIN_S
+    while time.monotonic() < end:
+        response = await call(port, "GET", PREFIX)
+        if response and response[0] == 200:
+            return True
+        await asyncio.sleep(CALL_INTERVAL_S)
+    return False
+
+
 class PersistentCaller:
     """Keeps calling over one connection until the VM closes it, also while the
     VM shuts down, and connects again then."""
--- a/soak/calm.py
+++ b/soak/calm.py
@@ -8,8 +8,8 @@
 
 
 class Calm:
-    """Disruptions are losses and silences of workers, kills of VMs and the like;
-    planned stops and configurations are none."""
+    """Disruptions are losses and silences of workers, kills of VMs, crowds of
+    clients and the like; planned stops and configurations are none."""
 
     def __init__(self):
         self.active = 0
--- a/soak/entry_vm.py
+++ b/soak/entry_vm.py
@@ -13,7 +13,7 @@
 class EntryVm:
     """An entry VM: a process and its ports."""
 
-    def __init__(self, number, base, program, folder, bounds=None):
+    def __init__(self, number, base, program, folder, bounds=None, limits=None):
         self.name = f"edge-{number}"
         self.callers, self.ready, self.store = base, base + 1, base + 2
         self.program = program
@@ -26,6 +26,7 @@
                 "listen": {"front": f"127.0.0.1:{self.callers}",
                            "ready": f"127.0.0.1:{self.ready}"},
                 "platform": {"address": f"127.0.0.1:{self.store}"},
+                "limits": limits or {},
                 "bounds": {"hold_max_ms": 6000, "grace_s": GRACE_S,
                            "far_factor": 2,
                            "config_apply_ms": int(APPLY_WITHIN_S * 1000),
@@ -50,3 +51,15 @@
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
         await self.process.wait()
+
+    def peak_memory_mb(self):
+        """The process's largest resident memory so far, or None if it ended."""
+        try:
+            with open(f"/proc/{self.process.pid}/status",
+                      encoding="utf-8") as status:
+                for line in status:
+                    if line.startswith("VmHWM:"):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return None
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -4,7 +4,7 @@
 and workers.
 
 Usage: soak/soak.py --seed N --seconds S [--planned-stops ROUNDS]
-    [--daemons D] [--program PATH]
+    [--crowds N] [--daemons D] [--program PATH]
 """
 
 import argparse
@@ -22,7 +22,7 @@
 from entry_vm import EntryVm
 from malformed_entries import malformed_entries
 from run_record import Record
-from series import Series
+from series import LIMITS, Series
 from store_standin import Store
 from worker_standin import Worker
 
@@ -46,7 +46,9 @@
         self.options, self.folder = options, folder
         base = 11000 + (os.getpid() * 37 + options.seed) % 7000
         self.record, self.store = Record(), Store()
-        self.vms = [EntryVm(i, base + 3 * i, options.program, folder)
+        has_series = options.planned_stops or options.crowds
+        self.vms = [EntryVm(i, base + 3 * i, options.program, folder,
+                            limits=LIMITS if has_series else None)
                     for i in range(options.daemons)]
         self.workers = [Worker(f"w{i}", base + 100 + i, ZONES[i % 2],
                                self.store, self.record, self.rng)
@@ -62,7 +64,7 @@
         self.fault_count = 0
         # Jobs that ended as failed after two crashes of workers.
         self.given_up = 0
-        self.series = Series(self) if options.planned_stops else None
+        self.series = Series(self) if has_series else None
 
     async def start(self):
         for daemon in self.vms:
@@ -322,6 +324,8 @@
     parser.add_argument("--planned-stops", type=int, default=0, metavar="ROUNDS",
                         help="rounds of planned stops in a row, beside workers "
                         "that are lost and long-running tasks")
+    parser.add_argument("--crowds", type=int, default=0, metavar="N",
+                        help="crowds of clients outside the limits")
     parser.add_argument("--daemons", type=int, default=3)
     add_common_options(parser)
     options = parser.parse_args()
