--- a/soak/soak.py
+++ b/soak/soak.py
@@ -9,10 +9,12 @@
 
 import argparse
 import asyncio
+import itertools
 import json
 import os
 import random
 import signal
+import socket
 import time
 
 from caller import call
@@ -34,6 +36,19 @@
 TRANSFER_SHARE = 0.45
 # With planned stops, room is left on the workers while some are lost.
 WORKERS, WORKERS_BESIDE_STOPS = 4, 8
+# A soak's ports lie within as many numbers.
+PORTS_OF_A_SOAK = 200
+
+
+def is_free(port):
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) != 0
+
+
+def free_ports(first):
+    """The first of a range of ports that no other soak beside this one uses."""
+    return next(base for base in itertools.count(first, PORTS_OF_A_SOAK)
+                if all(map(is_free, range(base, base + PORTS_OF_A_SOAK))))
 
 
 class Soak:
@@ -44,7 +59,7 @@
         self.path_rng = random.Random(options.seed + 1)
         self.version = 1
         self.options, self.folder = options, folder
-        base = 11000 + (os.getpid() * 37 + options.seed) % 7000
+        base = free_ports(11000 + (os.getpid() * 37 + options.seed) % 7000)
         self.record, self.store = Record(), Store()
         has_series = options.planned_stops or options.crowds
         self.vms = [EntryVm(i, base + 3 * i, options.program, folder,
