Bound chunk headers, extensions and trailers of a request

Clients that sent trailers, a chunk extension or a chunk size without end filled the memory of an entry VM: the parser consumes these only when they are complete, and its limits for header and body do not cover them, so the bytes stayed in the receive buffer until the request timed out.

What the parser has not consumed of an incomplete request is now bounded by the limit of the header, 16 KB; beyond it the client gets 400.

Ruled out: a limit on all framing bytes of a request, since a body in one-byte chunks needs six bytes a byte; it does not occupy memory.

--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -8,4 +8,5 @@
 #include "http/http_client.hpp"
 #include "http/http_message.hpp"
 #include "http/http_server.hpp"
+#include "http/refusal.hpp"
 #include "http/socket_address.hpp"
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -12,6 +12,7 @@
 
 #include "core/core.hpp"
 #include "http/http_message.hpp"
+#include "http/refusal.hpp"
 #include "http/socket_address.hpp"
 
 namespace hemlockdeal
@@ -21,6 +22,8 @@
 
 struct http_server_limits
 {
+    // Also the maximum of a chunk header with its extension, and of the
+    // trailers.
     std::uint32_t header_bytes = 16U * 1024;
     std::uint64_t body_bytes = 256ULL * 1024;
     // Maximum time from the first to the last byte of a request.
@@ -68,6 +71,7 @@
     // Number of requests without a response.
     std::size_t unanswered() const;
     std::size_t connections() const { return connections_.size(); }
+    const refusal_counts& refusals() const { return refusals_; }
 
 private:
     friend class http_server_connection;
@@ -79,6 +83,7 @@
     http_service service_;
     int listener_ = -1;
     bool draining_ = false;
+    refusal_counts refusals_;
     std::unique_ptr<QSocketNotifier> accept_notifier_;
     std::unordered_map<int, std::shared_ptr<http_server_connection>>
         connections_;
--- a/src/http/http_server_connection.cpp
+++ b/src/http/http_server_connection.cpp
@@ -20,6 +20,31 @@
 constexpr unsigned payload_too_large = 413;
 constexpr unsigned header_too_large = 431;
 
+unsigned status_of(refusal why)
+{
+    switch (why)
+    {
+    case refusal::body_too_large:
+        return payload_too_large;
+    case refusal::header_too_large:
+        return header_too_large;
+    case refusal::framing_too_large:
+    case refusal::malformed:
+        break;
+    }
+    return bad_request;
+}
+
+refusal refusal_for(const boost::beast::error_code& error)
+{
+    if (error == bhttp::error::body_limit)
+    {
+        return refusal::body_too_large;
+    }
+    return error == bhttp::error::header_limit ? refusal::header_too_large
+                                               : refusal::malformed;
+}
+
 } // namespace
 
 http_server_connection::http_server_connection(http_server& server,
@@ -91,15 +116,17 @@
     received_.erase(0, used);
     if (error && error != bhttp::error::need_more)
     {
-        const bool is_body_too_large = error == bhttp::error::body_limit;
-        const bool is_header_too_large = error == bhttp::error::header_limit;
-        reject(is_body_too_large
-                   ? payload_too_large
-                   : (is_header_too_large ? header_too_large : bad_request));
+        reject(refusal_for(error));
         return;
     }
     if (!parser_->is_done())
     {
+        // Chunk headers, chunk extensions and trailers are consumed only when
+        // they are complete, and the parser's own limits do not cover them.
+        if (received_.size() > server_.limits().header_bytes)
+        {
+            reject(refusal::framing_too_large);
+        }
         return;
     }
     auto message = parser_->release();
@@ -109,11 +136,13 @@
     server_.service_(to_request(message), http_responder(weak_from_this()));
 }
 
-void http_server_connection::reject(unsigned status)
+void http_server_connection::reject(refusal why)
 {
+    server_.refusals_.add(why);
+    received_ = {};
     serving_ = true;
     close_after_response_ = true;
-    respond({status, {}, {}});
+    respond({status_of(why), {}, {}});
 }
 
 void http_server_connection::respond(const http_response& response)
--- a/src/http/http_server_connection.hpp
+++ b/src/http/http_server_connection.hpp
@@ -36,7 +36,7 @@
     void on_writable();
     // Parses the next request and passes it to the service when it is complete.
     void parse_request();
-    void reject(unsigned status);
+    void reject(refusal why);
 
     http_server& server_;
     int descriptor_;
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -15,6 +15,7 @@
 
 #include "http/http.hpp"
 #include "http/nonblocking_socket.hpp"
+#include "loopback.hpp"
 
 using namespace hemlockdeal;
 using std::chrono::milliseconds;
@@ -22,26 +23,6 @@
 namespace
 {
 
-// Ports below the ephemeral range, which the system uses for outgoing
-// connections.
-socket_address test_address()
-{
-    static std::uint16_t next =
-        static_cast<std::uint16_t>(21000 + getpid() % 8000);
-    return {"127.0.0.1", ++next};
-}
-
-bool run_until(const std::function<bool()>& done, int timeout_ms = 3000)
-{
-    QElapsedTimer timer;
-    timer.start();
-    while (!done() && timer.elapsed() < timeout_ms)
-    {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
-    }
-    return done();
-}
-
 std::string body_of(const call_result& result)
 {
     const auto* const response = std::get_if<http_response>(&result);
