Let a refusal reach a client that is still sending

A client that sent more than the server read before it refused the request (400, 413, 431) had its connection reset, since the socket was closed with unread bytes: it got an error while sending, or after the answer, and could not tell that nothing was done.

After a refusal the server now ends its sending direction and discards what still arrives, for 1 s and 1 MB at most, before it closes the connection. A client that closes its side ends this at once.

Not changed: connections closed after an ordinary answer ("Connection: close", draining) are closed at once as before.

server_limits.refusal_reaches_a_client_that_sends_first failed on the code before (ECONNRESET after the answer) and passes; refused_client_is_disconnected bounds the lingering in amount and time. x86-64, three runs of test_http.

--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -29,6 +29,11 @@
     // Maximum time from the first to the last byte of a request.
     duration request_time = std::chrono::seconds(3);
     duration idle_time = std::chrono::seconds(15);
+    // A refused client's connection is read for this long, and up to this
+    // amount, before it is closed: closing it with unread bytes resets it, and
+    // the client may lose the response.
+    duration linger_time = std::chrono::seconds(1);
+    std::size_t linger_bytes = 1024ULL * 1024;
     std::size_t connections = 3000;
 };
 
--- a/src/http/http_server_connection.cpp
+++ b/src/http/http_server_connection.cpp
@@ -65,6 +65,11 @@
         return;
     }
     const auto self = shared_from_this();
+    if (refused_)
+    {
+        discard_received();
+        return;
+    }
     if (!socket_.receive(received_))
     {
         close();
@@ -92,9 +97,29 @@
         return;
     }
     if (!socket_.has_unsent() && close_after_response_ && !serving_)
+    {
+        finish();
+    }
+}
+
+void http_server_connection::discard_received()
+{
+    const auto count = socket_.discard();
+    discarded_ += count.value_or(0);
+    if (!count || discarded_ > server_.limits().linger_bytes)
+    {
+        close();
+    }
+}
+
+void http_server_connection::finish()
+{
+    if (!refused_)
     {
         close();
+        return;
     }
+    socket_.shut_down_sending();
 }
 
 void http_server_connection::parse_request()
@@ -140,6 +165,8 @@
 {
     server_.refusals_.add(why);
     received_ = {};
+    parser_.reset();
+    refused_ = true;
     serving_ = true;
     close_after_response_ = true;
     respond({status_of(why), {}, {}});
@@ -167,7 +194,7 @@
     }
     if (close_after_response_)
     {
-        close();
+        finish();
         return;
     }
     if (!received_.empty())
@@ -189,8 +216,12 @@
     {
         return false;
     }
-    const auto limit =
-        parser_ ? server_.limits().request_time : server_.limits().idle_time;
+    const auto& limits = server_.limits();
+    if (refused_)
+    {
+        return now - last_activity_ > limits.linger_time;
+    }
+    const auto limit = parser_ ? limits.request_time : limits.idle_time;
     return now - last_activity_ > limit;
 }
 
--- a/src/http/http_server_connection.hpp
+++ b/src/http/http_server_connection.hpp
@@ -36,7 +36,11 @@
     void on_writable();
     // Parses the next request and passes it to the service when it is complete.
     void parse_request();
+    // Responds with an error, then discards what still arrives.
     void reject(refusal why);
+    void discard_received();
+    // Called when the last response of the connection has been sent.
+    void finish();
 
     http_server& server_;
     int descriptor_;
@@ -46,6 +50,8 @@
     bool serving_ = false;
     bool close_after_response_ = false;
     bool closed_ = false;
+    bool refused_ = false;
+    std::size_t discarded_ = 0;
     time_point last_activity_;
 };
 
--- a/src/http/nonblocking_socket.cpp
+++ b/src/http/nonblocking_socket.cpp
@@ -135,6 +135,23 @@
     }
 }
 
+std::optional<std::size_t> nonblocking_socket::discard()
+{
+    char buffer[receive_buffer];
+    const auto count = recv(descriptor_, buffer, sizeof buffer, 0);
+    if (count > 0)
+    {
+        return static_cast<std::size_t>(count);
+    }
+    const bool is_open = count < 0 && would_block();
+    return is_open ? std::optional<std::size_t>(0) : std::nullopt;
+}
+
+void nonblocking_socket::shut_down_sending()
+{
+    shutdown(descriptor_, SHUT_WR);
+}
+
 bool nonblocking_socket::has_unread() const
 {
     char byte = 0;
--- a/src/http/nonblocking_socket.hpp
+++ b/src/http/nonblocking_socket.hpp
@@ -38,6 +38,11 @@
     // Appends what has arrived to `into`. False when the other side closed the
     // connection or it broke.
     bool receive(std::string& into);
+    // Discards what has arrived and returns the number of bytes; nothing when
+    // the other side closed the connection or it broke.
+    std::optional<std::size_t> discard();
+    // Ends the sending direction; the other side reads an end of stream.
+    void shut_down_sending();
     // True if bytes have arrived that receive() would return.
     bool has_unread() const;
     // Sends the bytes and buffers those that the kernel does not accept.
--- a/tests/http/server_limits_test.cpp
+++ b/tests/http/server_limits_test.cpp
@@ -1,8 +1,15 @@
 // Tests of what the HTTP server does with clients that exceed its limits.
-#include <algorithm>
+#include <cerrno>
+#include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http/http.hpp"
 #include "http/nonblocking_socket.hpp"
@@ -24,6 +31,19 @@
     };
 }
 
+int connect_blocking(const socket_address& address)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in remote{};
+    remote.sin_family = AF_INET;
+    remote.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &remote.sin_addr);
+    EXPECT_EQ(connect(descriptor, reinterpret_cast<const sockaddr*>(&remote),
+                      sizeof remote),
+              0);
+    return descriptor;
+}
+
 // A client that sends bytes and keeps what it receives.
 class raw_client
 {
@@ -67,6 +87,65 @@
     EXPECT_EQ(server.refusals().of(refusal::framing_too_large), 3U);
 }
 
+// Failure: a client that sends its whole request first has its connection reset
+// instead of receiving the refusal.
+TEST(server_limits, refusal_reaches_a_client_that_sends_first)
+{
+    const auto address = test_address();
+    http_server server(address, {}, ok_service());
+    constexpr std::size_t length = 900'000;
+    const auto request =
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(length) +
+        "\r\n\r\n" + std::string(length, 'x');
+    const int client = connect_blocking(address);
+    std::size_t sent = 0;
+    EXPECT_TRUE(run_until([&] {
+        const auto count =
+            send(client, request.data() + sent, request.size() - sent,
+                 MSG_NOSIGNAL | MSG_DONTWAIT);
+        sent += count > 0 ? static_cast<std::size_t>(count) : 0;
+        return sent == request.size();
+    }));
+    std::string received;
+    std::optional<ssize_t> end;
+    EXPECT_TRUE(run_until([&] {
+        std::string part(1000, '\0');
+        const auto count = recv(client, part.data(), part.size(), MSG_DONTWAIT);
+        if (count > 0)
+        {
+            received += part.substr(0, static_cast<std::size_t>(count));
+        }
+        else if (count == 0 || errno != EAGAIN)
+        {
+            end = end.value_or(count);
+        }
+        return end.has_value();
+    }));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 413")) << received;
+    EXPECT_EQ(end, 0) << "the connection was reset";
+    close(client);
+}
+
+// Failure: a refused client that goes on sending, or that keeps its connection
+// open, is never disconnected.
+TEST(server_limits, refused_client_is_disconnected)
+{
+    const auto address = test_address();
+    http_server_limits limits;
+    limits.linger_time = milliseconds(100);
+    http_server server(address, limits, ok_service());
+    raw_client silent(address, "malformed\r\n\r\n");
+    raw_client loud(address, "malformed\r\n\r\n" +
+                                 std::string(3 * limits.linger_bytes, 'x'));
+    EXPECT_TRUE(run_until(
+        [&] { return server.refusals().of(refusal::malformed) == 2; }));
+    EXPECT_TRUE(run_until([&] { return server.connections() == 1; }));
+    EXPECT_TRUE(run_until([&] {
+        server.expire(boot_now());
+        return server.connections() == 0;
+    }));
+}
+
 // Failure: a chunked request with an extension and trailers inside the limits
 // is refused.
 TEST(server_limits, small_extensions_and_trailers_are_served)
