Serve a pipelined request only when the last answer has been sent

A client that sent requests in a row and read no answer filled the memory: an answer that the kernel does not accept is kept, and each further request added one. A request that had arrived behind such an answer, in turn, was parsed only when the client sent something more, so a client that waited for it got nothing until the connection timed out.

The next request is now parsed when the last answer has been sent completely. What waits behind it is bounded as before (272 KB, then the connection is closed), also when answers are given at once; such connections are counted.

Ruled out: pausing the reading instead of closing, since the bound existed and its test holds.

unread_answers_end_the_requests_of_a_connection and pipelined_requests_are_answered_once_the_client_reads failed on the code before and pass.

--- a/src/http/http_server_connection.cpp
+++ b/src/http/http_server_connection.cpp
@@ -29,6 +29,7 @@
     case refusal::header_too_large:
         return header_too_large;
     case refusal::framing_too_large:
+    case refusal::pipelined:
     case refusal::malformed:
         break;
     }
@@ -75,16 +76,13 @@
         close();
         return;
     }
-    if (!serving_)
-    {
-        parse_request();
-        return;
-    }
-    // What arrives before the response is not parsed yet; a caller must not
-    // fill the memory with it.
+    parse_request();
+    // What arrives before the response is sent is not parsed yet; a caller must
+    // not fill the memory with it.
     const auto& limits = server_.limits();
     if (received_.size() > limits.header_bytes + limits.body_bytes)
     {
+        server_.refusals_.add(refusal::pipelined);
         close();
     }
 }
@@ -96,10 +94,16 @@
         close();
         return;
     }
-    if (!socket_.has_unsent() && close_after_response_ && !serving_)
+    if (is_busy())
+    {
+        return;
+    }
+    if (close_after_response_)
     {
         finish();
+        return;
     }
+    parse_request();
 }
 
 void http_server_connection::discard_received()
@@ -124,7 +128,7 @@
 
 void http_server_connection::parse_request()
 {
-    if (received_.empty())
+    if (received_.empty() || is_busy())
     {
         return;
     }
@@ -202,7 +206,7 @@
         // The service may respond synchronously, so the next request is parsed
         // from the event loop to avoid recursion.
         QTimer::singleShot(0, [self] {
-            if (!self->serving_ && !self->closed_)
+            if (!self->closed_)
             {
                 self->parse_request();
             }
--- a/src/http/http_server_connection.hpp
+++ b/src/http/http_server_connection.hpp
@@ -32,9 +32,12 @@
     using parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    // True while a request has no response, or one that is not sent completely.
+    bool is_busy() const { return serving_ || socket_.has_unsent(); }
     void on_readable();
     void on_writable();
     // Parses the next request and passes it to the service when it is complete.
+    // Does nothing while the connection is busy.
     void parse_request();
     // Responds with an error, then discards what still arrives.
     void reject(refusal why);
--- a/src/http/refusal.hpp
+++ b/src/http/refusal.hpp
@@ -15,12 +15,15 @@
     header_too_large,
     body_too_large,
     // Chunk headers, chunk extensions or trailers are too large.
-    framing_too_large
+    framing_too_large,
+    // Too many bytes wait behind a request without a complete response.
+    pipelined
 };
 
 // As in metrics and log lines.
-inline constexpr std::array<std::string_view, 4> refusal_names = {
-    "malformed", "header_too_large", "body_too_large", "framing_too_large"};
+inline constexpr std::array<std::string_view, 5> refusal_names = {
+    "malformed", "header_too_large", "body_too_large", "framing_too_large",
+    "pipelined"};
 
 class refusal_counts
 {
--- a/tests/http/server_limits_test.cpp
+++ b/tests/http/server_limits_test.cpp
@@ -146,6 +146,60 @@
     }));
 }
 
+// Failure: a client that sends requests and never reads the answers fills the
+// memory with them.
+TEST(server_limits, unread_answers_end_the_requests_of_a_connection)
+{
+    const auto address = test_address();
+    constexpr std::size_t answer_bytes = 100'000;
+    std::size_t served = 0;
+    http_server server(address, {},
+                       [&](const http_request&, const http_responder& r) {
+                           ++served;
+                           r({200, {}, std::string(answer_bytes, 'x')});
+                       });
+    const int client = connect_blocking(address);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (std::size_t i = 0; i < 200; ++i)
+    {
+        send(client, request.data(), request.size(),
+             MSG_NOSIGNAL | MSG_DONTWAIT);
+        run_until([&] { return served > i; }, 2);
+    }
+    // What the kernel may buffer between both sides.
+    constexpr std::size_t kernel_bytes = 16'000'000;
+    EXPECT_LT(served * answer_bytes, kernel_bytes);
+    close(client);
+}
+
+// Failure: an answer that the client reads late delays the next request for
+// ever.
+TEST(server_limits, pipelined_requests_are_answered_once_the_client_reads)
+{
+    const auto address = test_address();
+    constexpr std::size_t answer_bytes = 4'000'000;
+    http_server server(address, {},
+                       [&](const http_request&, const http_responder& r) {
+                           r({200, {}, std::string(answer_bytes, 'x')});
+                       });
+    const int client = connect_blocking(address);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const auto requests = request + request + request;
+    send(client, requests.data(), requests.size(), MSG_NOSIGNAL);
+    for (int i = 0; i < 20; ++i)
+    {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+    }
+    std::size_t received = 0;
+    EXPECT_TRUE(run_until([&] {
+        std::string part(100'000, '\0');
+        const auto count = recv(client, part.data(), part.size(), MSG_DONTWAIT);
+        received += count > 0 ? static_cast<std::size_t>(count) : 0;
+        return received > 3 * answer_bytes;
+    }));
+    close(client);
+}
+
 // Failure: a chunked request with an extension and trailers inside the limits
 // is refused.
 TEST(server_limits, small_extensions_and_trailers_are_served)
