Bound the memory of all connections of an entry VM together

The limits of a connection (a body of 256 KB, 272 KB behind a request) bound nothing for the process: 3,000 connections at each of three servers may have them at once, and clients that stopped short of the end of a request, or sent much behind one, filled the memory of the VM.

A budget that the three servers share counts the buffers of their connections (received bytes, the body in progress, unsent answers). Over it, connections are given up by stage and age: incomplete requests first, the oldest first, then connections whose answer is not read, last those with bytes behind a request in service. An incomplete request is answered 503 with Retry-After, as nothing of it was done; others are closed. The calls to the store and to workers are not part of it. A connection no longer keeps the buffer of its largest request.

Ruled out: a smaller limit for each connection, which bounds the process only when it is far below the pages' bodies.

--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "http/boot_clock.hpp"
+#include "http/connection_budget.hpp"
 #include "http/epoll_dispatcher.hpp"
 #include "http/hedged_client.hpp"
 #include "http/http_client.hpp"
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -61,8 +61,9 @@
 }
 
 http_server::http_server(const socket_address& address,
-                         http_server_limits limits, http_service service)
-    : limits_(limits), service_(std::move(service)),
+                         http_server_limits limits, http_service service,
+                         std::shared_ptr<connection_budget> budget)
+    : limits_(limits), service_(std::move(service)), budget_(std::move(budget)),
       listener_(listen_on(address))
 {
     accept_notifier_ =
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -11,6 +11,7 @@
 #include <QSocketNotifier>
 
 #include "core/core.hpp"
+#include "http/connection_budget.hpp"
 #include "http/http_message.hpp"
 #include "http/refusal.hpp"
 #include "http/socket_address.hpp"
@@ -56,8 +57,11 @@
 {
 public:
     // Throws std::runtime_error if it cannot listen on the address.
+    // Servers of one process share a budget.
     http_server(const socket_address& address, http_server_limits limits,
-                http_service service);
+                http_service service,
+                std::shared_ptr<connection_budget> budget =
+                    std::make_shared<connection_budget>());
     ~http_server();
 
     http_server(const http_server&) = delete;
@@ -86,6 +90,7 @@
 
     http_server_limits limits_;
     http_service service_;
+    std::shared_ptr<connection_budget> budget_;
     int listener_ = -1;
     bool draining_ = false;
     refusal_counts refusals_;
--- a/src/http/http_server_connection.cpp
+++ b/src/http/http_server_connection.cpp
@@ -19,6 +19,9 @@
 constexpr unsigned bad_request = 400;
 constexpr unsigned payload_too_large = 413;
 constexpr unsigned header_too_large = 431;
+constexpr unsigned unavailable = 503;
+
+constexpr const char* retry_after_s = "1";
 
 unsigned status_of(refusal why)
 {
@@ -28,6 +31,8 @@
         return payload_too_large;
     case refusal::header_too_large:
         return header_too_large;
+    case refusal::memory:
+        return unavailable;
     case refusal::framing_too_large:
     case refusal::pipelined:
     case refusal::malformed:
@@ -50,12 +55,24 @@
 
 http_server_connection::http_server_connection(http_server& server,
                                                int descriptor)
-    : server_(server), descriptor_(descriptor), socket_(descriptor),
-      last_activity_(boot_now())
+    : server_(server), budget_(server.budget_), descriptor_(descriptor),
+      socket_(descriptor), last_activity_(boot_now())
 {}
 
+http_server_connection::~http_server_connection()
+{
+    budget_->remove(budget_id_);
+}
+
 void http_server_connection::start()
 {
+    budget_id_ =
+        budget_->add(last_activity_, [weak = weak_from_this()](refusal why) {
+            if (const auto connection = weak.lock())
+            {
+                connection->give_up(why);
+            }
+        });
     socket_.on_readable([this] { on_readable(); });
 }
 
@@ -85,6 +102,8 @@
         server_.refusals_.add(refusal::pipelined);
         close();
     }
+    report_bytes();
+    budget_->enforce();
 }
 
 void http_server_connection::on_writable()
@@ -94,16 +113,13 @@
         close();
         return;
     }
-    if (is_busy())
-    {
-        return;
-    }
-    if (close_after_response_)
+    if (!is_busy() && close_after_response_)
     {
         finish();
         return;
     }
     parse_request();
+    report_bytes();
 }
 
 void http_server_connection::discard_received()
@@ -139,10 +155,13 @@
         parser_->header_limit(server_.limits().header_bytes);
         parser_->body_limit(server_.limits().body_bytes);
         last_activity_ = boot_now();
+        enter(connection_stage::incomplete);
     }
     boost::beast::error_code error;
     const auto used = parser_->put(boost::asio::buffer(received_), error);
     received_.erase(0, used);
+    // A large request must not leave a large buffer.
+    received_.shrink_to_fit();
     if (error && error != bhttp::error::need_more)
     {
         reject(refusal_for(error));
@@ -161,6 +180,7 @@
     auto message = parser_->release();
     parser_.reset();
     serving_ = true;
+    enter(connection_stage::serving);
     close_after_response_ = !message.keep_alive();
     server_.service_(to_request(message), http_responder(weak_from_this()));
 }
@@ -168,12 +188,66 @@
 void http_server_connection::reject(refusal why)
 {
     server_.refusals_.add(why);
-    received_ = {};
+    free_received();
     parser_.reset();
     refused_ = true;
     serving_ = true;
     close_after_response_ = true;
-    respond({status_of(why), {}, {}});
+    const auto status = status_of(why);
+    http_response response{status, {}, {}};
+    if (status == unavailable)
+    {
+        response.headers.emplace_back("Retry-After", retry_after_s);
+    }
+    respond(response);
+    enter(connection_stage::refused);
+    report_bytes();
+}
+
+void http_server_connection::give_up(refusal why)
+{
+    if (closed_)
+    {
+        return;
+    }
+    const auto self = shared_from_this();
+    const bool can_respond = parser_ && !is_busy();
+    if (can_respond)
+    {
+        reject(why);
+        return;
+    }
+    if (!refused_)
+    {
+        server_.refusals_.add(why);
+    }
+    close();
+}
+
+void http_server_connection::free_received()
+{
+    received_.clear();
+    received_.shrink_to_fit();
+}
+
+void http_server_connection::enter(connection_stage stage)
+{
+    budget_->set_stage(budget_id_, stage, last_activity_);
+}
+
+std::size_t http_server_connection::held_bytes() const
+{
+    const auto received = received_.empty() ? 0 : received_.capacity();
+    const auto body = parser_ ? parser_->get().body().capacity() : 0;
+    return received + body + socket_.unsent_bytes();
+}
+
+void http_server_connection::report_bytes()
+{
+    if (!closed_)
+    {
+        budget_->set_bytes(budget_id_, held_bytes());
+    }
 }
 
 void http_server_connection::respond(const http_response& response)
@@ -185,6 +259,7 @@
     const auto self = shared_from_this();
     serving_ = false;
     last_activity_ = boot_now();
+    enter(connection_stage::idle);
     close_after_response_ = close_after_response_ || server_.is_draining();
     if (!socket_.send(to_bytes(response, close_after_response_)))
     {
@@ -194,6 +269,7 @@
     if (socket_.has_unsent())
     {
         socket_.on_writable([this] { on_writable(); });
+        report_bytes();
         return;
     }
     if (close_after_response_)
@@ -209,6 +285,7 @@
             if (!self->closed_)
             {
                 self->parse_request();
+                self->report_bytes();
             }
         });
     }
@@ -236,6 +313,9 @@
         return;
     }
     closed_ = true;
+    free_received();
+    parser_.reset();
+    budget_->remove(budget_id_);
     server_.remove(descriptor_);
 }
 
--- a/src/http/http_server_connection.hpp
+++ b/src/http/http_server_connection.hpp
@@ -19,6 +19,10 @@
 {
 public:
     http_server_connection(http_server& server, int descriptor);
+    ~http_server_connection();
+
+    http_server_connection(const http_server_connection&) = delete;
+    http_server_connection& operator=(const http_server_connection&) = delete;
 
     void start();
     void respond(const http_response& response);
@@ -41,11 +45,22 @@
     void parse_request();
     // Responds with an error, then discards what still arrives.
     void reject(refusal why);
+    // Gives the connection up for the budget: rejects an incomplete request and
+    // closes the connection otherwise.
+    void give_up(refusal why);
     void discard_received();
     // Called when the last response of the connection has been sent.
     void finish();
 
+    void free_received();
+    void enter(connection_stage stage);
+    // Bytes that the connection occupies.
+    std::size_t held_bytes() const;
+    void report_bytes();
+
     http_server& server_;
+    std::shared_ptr<connection_budget> budget_;
+    connection_id budget_id_{};
     int descriptor_;
     nonblocking_socket socket_;
     std::string received_;
--- a/src/http/nonblocking_socket.hpp
+++ b/src/http/nonblocking_socket.hpp
@@ -53,6 +53,11 @@
     // True once a byte has left this VM, so that the other side may have it.
     bool has_sent() const { return has_sent_; }
     bool has_unsent() const { return sent_ < unsent_.size(); }
+    // Size of the buffer with the bytes that the kernel has not accepted.
+    std::size_t unsent_bytes() const
+    {
+        return has_unsent() ? unsent_.size() : 0;
+    }
 
 private:
     void enable_write_notifier(bool enabled);
--- a/src/http/refusal.hpp
+++ b/src/http/refusal.hpp
@@ -17,13 +17,15 @@
     // Chunk headers, chunk extensions or trailers are too large.
     framing_too_large,
     // Too many bytes wait behind a request without a complete response.
-    pipelined
+    pipelined,
+    // All connections together occupy too much memory.
+    memory
 };
 
 // As in metrics and log lines.
-inline constexpr std::array<std::string_view, 5> refusal_names = {
-    "malformed", "header_too_large", "body_too_large", "framing_too_large",
-    "pipelined"};
+inline constexpr std::array<std::string_view, 6> refusal_names = {
+    "malformed",         "header_too_large", "body_too_large",
+    "framing_too_large", "pipelined",        "memory"};
 
 class refusal_counts
 {
--- a/tests/http/server_limits_test.cpp
+++ b/tests/http/server_limits_test.cpp
@@ -200,6 +200,33 @@
     close(client);
 }
 
+// Failure: incomplete requests on several servers fill the memory together, and
+// new requests are refused because of them.
+TEST(server_limits, oldest_incomplete_request_is_refused_for_memory)
+{
+    constexpr std::size_t max_bytes = 100'000;
+    const auto budget = std::make_shared<connection_budget>(
+        connection_budget_limits{max_bytes});
+    const auto first = test_address();
+    const auto second = test_address();
+    http_server callers(first, {}, ok_service(), budget);
+    http_server others(second, {}, ok_service(), budget);
+    const auto incomplete = "POST / HTTP/1.1\r\nContent-Length: 60001\r\n\r\n" +
+                            std::string(60'000, 'x');
+    raw_client oldest(first, incomplete);
+    EXPECT_TRUE(run_until([&] { return budget->bytes() >= 60'000; }));
+    raw_client newest(second, incomplete);
+    EXPECT_TRUE(run_until(
+        [&] { return oldest.received().starts_with("HTTP/1.1 503"); }));
+    EXPECT_NE(oldest.received().find("Retry-After: 1"), std::string::npos);
+    EXPECT_LE(budget->bytes(), max_bytes);
+    newest.send("y");
+    EXPECT_TRUE(run_until(
+        [&] { return newest.received().starts_with("HTTP/1.1 200"); }));
+    EXPECT_EQ(callers.refusals().of(refusal::memory), 1U);
+    EXPECT_TRUE(run_until([&] { return budget->bytes() == 0; }));
+}
+
 // Failure: a chunked request with an extension and trailers inside the limits
 // is refused.
 TEST(server_limits, small_extensions_and_trailers_are_served)
