Bound the connections of an entry VM by its descriptors

Each of the three HTTP servers accepted 3,000 connections, beside the descriptors for workers and the store: clients that only connect took more descriptors than the settings allow. The platform ends no process for that, but then the VM's own calls to the store and to workers fail.

For a new connection the oldest one without a complete request makes room, or one that is idle between two requests; with a partial request it is told 503 with Retry-After. A connection whose request is being served is never closed for it: when all are, the new one is told 503. The limit of each server (http_server_limits::connections) is gone.

At most 32 connections are accepted in one step of the event loop, since those that are given up are closed by the loop.

Ruled out: a fixed share for callers (30% of the sockets, as worker_calls leaves it): it would turn callers away at 1,170 connections of 3,900 sockets though workers use few.

--- a/src/http/connection_budget.cpp
+++ b/src/http/connection_budget.cpp
@@ -11,13 +11,19 @@
     const connection_id id{++last_id_};
     entries_[id] = {
         {connection_stage::incomplete, now, id}, 0, std::move(refuse)};
+    unserved_.insert(entries_[id].at);
     return id;
 }
 
 void connection_budget::remove(connection_id id)
 {
     set_bytes(id, 0);
-    entries_.erase(id);
+    const auto found = entries_.find(id);
+    if (found != entries_.end())
+    {
+        unserved_.erase(found->second.at);
+        entries_.erase(found);
+    }
 }
 
 void connection_budget::set_stage(connection_id id, connection_stage stage,
@@ -30,8 +36,13 @@
     }
     auto& at = found->second.at;
     const bool is_holder = holders_.erase(at) > 0;
+    unserved_.erase(at);
     at.stage = stage;
     at.since = since;
+    if (stage != connection_stage::serving)
+    {
+        unserved_.insert(at);
+    }
     if (is_holder)
     {
         holders_.insert(at);
@@ -64,6 +75,15 @@
     }
 }
 
+bool connection_budget::make_room()
+{
+    while (entries_.size() >= limits_.connections && !unserved_.empty())
+    {
+        refuse(unserved_.begin()->id, refusal::connections);
+    }
+    return entries_.size() < limits_.connections;
+}
+
 void connection_budget::refuse(connection_id id, refusal why)
 {
     // A refused connection reports what it still holds.
--- a/src/http/connection_budget.hpp
+++ b/src/http/connection_budget.hpp
@@ -36,6 +36,7 @@
 {
     // Buffered bytes of requests and responses.
     std::size_t bytes = 64ULL * 1024 * 1024;
+    std::size_t connections = 3000;
 };
 
 // Connections that send little and stay are given up first: by stage, and the
@@ -59,7 +60,13 @@
     // Refuses connections until the others are within the limits.
     void enforce();
 
+    // Gives up connections until one more is within the limit; false if there
+    // are still too many, since all are being served.
+    bool make_room();
+
+    void set_max_connections(std::size_t count) { limits_.connections = count; }
     std::size_t bytes() const { return bytes_; }
+    std::size_t connections() const { return entries_.size(); }
 
 private:
     struct place
@@ -83,6 +90,8 @@
     connection_budget_limits limits_;
     std::uint64_t last_id_ = 0;
     std::unordered_map<connection_id, entry> entries_;
+    // Connections that are not being served.
+    std::set<place> unserved_;
     // Connections with bytes.
     std::set<place> holders_;
     // Sum over all entries.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -21,6 +21,7 @@
 {
 
 constexpr int backlog = 512;
+constexpr int max_accepted_at_once = 32;
 
 int listen_on(const socket_address& address)
 {
@@ -80,7 +81,8 @@
 
 void http_server::accept_pending()
 {
-    while (true)
+    // Connections that are given up are closed by the event loop.
+    for (int i = 0; i < max_accepted_at_once; ++i)
     {
         const int descriptor =
             accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -88,15 +90,15 @@
         {
             return;
         }
-        if (connections_.size() >= limits_.connections)
-        {
-            ::close(descriptor);
-            continue;
-        }
+        const bool has_room = budget_->make_room();
         const auto connection =
             std::make_shared<http_server_connection>(*this, descriptor);
         connections_[descriptor] = connection;
         connection->start();
+        if (!has_room)
+        {
+            connection->reject(refusal::connections);
+        }
     }
 }
 
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -35,7 +35,6 @@
     // the client may lose the response.
     duration linger_time = std::chrono::seconds(1);
     std::size_t linger_bytes = 1024ULL * 1024;
-    std::size_t connections = 3000;
 };
 
 // Sends the response to one request, at any time but only once. Responses to a
--- a/src/http/http_server_connection.cpp
+++ b/src/http/http_server_connection.cpp
@@ -32,6 +32,7 @@
     case refusal::header_too_large:
         return header_too_large;
     case refusal::memory:
+    case refusal::connections:
         return unavailable;
     case refusal::framing_too_large:
     case refusal::pipelined:
--- a/src/http/http_server_connection.hpp
+++ b/src/http/http_server_connection.hpp
@@ -26,6 +26,8 @@
 
     void start();
     void respond(const http_response& response);
+    // Responds with an error, then discards what still arrives.
+    void reject(refusal why);
     bool is_serving() const { return serving_; }
     // True when the connection has been idle, or a request incomplete, for
     // longer than the limits allow.
@@ -43,8 +45,6 @@
     // Parses the next request and passes it to the service when it is complete.
     // Does nothing while the connection is busy.
     void parse_request();
-    // Responds with an error, then discards what still arrives.
-    void reject(refusal why);
     // Gives the connection up for the budget: rejects an incomplete request and
     // closes the connection otherwise.
     void give_up(refusal why);
--- a/src/http/refusal.hpp
+++ b/src/http/refusal.hpp
@@ -19,13 +19,15 @@
     // Too many bytes wait behind a request without a complete response.
     pipelined,
     // All connections together occupy too much memory.
-    memory
+    memory,
+    // There are too many connections.
+    connections
 };
 
 // As in metrics and log lines.
-inline constexpr std::array<std::string_view, 6> refusal_names = {
-    "malformed",         "header_too_large", "body_too_large",
-    "framing_too_large", "pipelined",        "memory"};
+inline constexpr std::array<std::string_view, 7> refusal_names = {
+    "malformed", "header_too_large", "body_too_large", "framing_too_large",
+    "pipelined", "memory",           "connections"};
 
 class refusal_counts
 {
--- a/tests/http/connection_budget_test.cpp
+++ b/tests/http/connection_budget_test.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr std::size_t max_bytes = 100;
+constexpr std::size_t max_connections = 3;
 
 class connection_budget_test : public testing::Test
 {
@@ -31,7 +32,7 @@
         return ids[slot];
     }
 
-    connection_budget budget{{max_bytes}};
+    connection_budget budget{{max_bytes, max_connections}};
     std::vector<connection_id> ids;
     std::vector<std::string> given_up;
 };
@@ -111,3 +112,42 @@
     EXPECT_EQ(refused, 2);
     EXPECT_EQ(budget.bytes(), 0U);
 }
+
+// Failure: connections that stay incomplete or idle keep new callers out.
+TEST_F(connection_budget_test, oldest_unserved_connection_makes_room)
+{
+    const auto serving = add("serving", 1);
+    budget.set_stage(serving, connection_stage::serving, at(1));
+    const auto idle = add("idle", 2);
+    budget.set_stage(idle, connection_stage::idle, at(2));
+    add("incomplete", 3);
+    EXPECT_TRUE(budget.make_room());
+    EXPECT_EQ(given_up, names{"incomplete"});
+    add("next", 4);
+    budget.set_stage(ids.back(), connection_stage::serving, at(4));
+    EXPECT_TRUE(budget.make_room());
+    EXPECT_EQ(given_up, (names{"incomplete", "idle"}));
+}
+
+// Failure: a connection in service is given up for a new one.
+TEST_F(connection_budget_test, connections_in_service_do_not_make_room)
+{
+    for (int i = 0; i < static_cast<int>(max_connections); ++i)
+    {
+        budget.set_stage(add("serving", i), connection_stage::serving, at(i));
+    }
+    EXPECT_FALSE(budget.make_room());
+    EXPECT_EQ(given_up, names{});
+}
+
+// Failure: connections beyond a limit that was lowered stay.
+TEST_F(connection_budget_test, lowered_limit_gives_up_several)
+{
+    add("a", 1);
+    add("b", 2);
+    add("c", 3);
+    budget.set_max_connections(2);
+    EXPECT_TRUE(budget.make_room());
+    EXPECT_EQ(given_up, (names{"a", "b"}));
+    EXPECT_EQ(budget.connections(), 1U);
+}
--- a/tests/http/server_limits_test.cpp
+++ b/tests/http/server_limits_test.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -227,6 +228,54 @@
     EXPECT_TRUE(run_until([&] { return budget->bytes() == 0; }));
 }
 
+// Failure: a caller is not served, because connections of clients that send
+// nothing are as many as the limit.
+TEST(server_limits, silent_connections_make_room_for_a_caller)
+{
+    constexpr std::size_t max_connections = 3;
+    const auto budget = std::make_shared<connection_budget>(
+        connection_budget_limits{100'000, max_connections});
+    const auto address = test_address();
+    http_server server(address, {}, ok_service(), budget);
+    const raw_client first(address, "");
+    const raw_client second(address, "P");
+    const raw_client third(address, "");
+    EXPECT_TRUE(run_until([&] { return server.connections() == 3; }));
+    const raw_client caller(address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(run_until(
+        [&] { return caller.received().starts_with("HTTP/1.1 200"); }));
+    EXPECT_TRUE(run_until([&] { return !first.is_open(); }));
+    EXPECT_TRUE(second.is_open());
+    EXPECT_EQ(server.connections(), max_connections);
+    EXPECT_EQ(server.refusals().of(refusal::connections), 1U);
+}
+
+// Failure: a connection beyond the limit is closed without a word while all
+// others are served.
+TEST(server_limits, connection_beyond_those_in_service_is_told)
+{
+    const auto budget = std::make_shared<connection_budget>(
+        connection_budget_limits{100'000, 1});
+    const auto address = test_address();
+    std::vector<http_responder> waiting;
+    http_server server(
+        address, {},
+        [&](const http_request&, const http_responder& r) {
+            waiting.push_back(r);
+        },
+        budget);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const raw_client served(address, request);
+    EXPECT_TRUE(run_until([&] { return waiting.size() == 1; }));
+    const raw_client refused(address, request);
+    EXPECT_TRUE(run_until(
+        [&] { return refused.received().starts_with("HTTP/1.1 503"); }));
+    waiting.front()({200, {}, {}});
+    EXPECT_TRUE(run_until(
+        [&] { return served.received().starts_with("HTTP/1.1 200"); }));
+    EXPECT_EQ(waiting.size(), 1U);
+}
+
 // Failure: a chunked request with an extension and trailers inside the limits
 // is refused.
 TEST(server_limits, small_extensions_and_trailers_are_served)
