Pause accepting while the process has no descriptors

When accept4 failed for want of descriptors, the listening socket stayed readable and the event loop called it again at once: the process spent its processor time on failing, for as long as connections stayed.

The server now stops accepting for 50 ms, and up to 32 connections without a complete request or between two requests are given up, the oldest first, so that callers that wait in the backlog get in.

Ruled out: a spare descriptor with which to accept and close. It would close the connections of ordinary callers without a word, while those that stay keep theirs.

--- a/src/http/connection_budget.cpp
+++ b/src/http/connection_budget.cpp
@@ -1,6 +1,7 @@
 // Implements the budget of the connections.
 #include "http/connection_budget.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace hemlockdeal
@@ -84,6 +85,15 @@
     return entries_.size() < limits_.connections;
 }
 
+void connection_budget::give_up(std::size_t count)
+{
+    const auto target = entries_.size() - std::min(entries_.size(), count);
+    while (entries_.size() > target && !unserved_.empty())
+    {
+        refuse(unserved_.begin()->id, refusal::descriptors);
+    }
+}
+
 void connection_budget::refuse(connection_id id, refusal why)
 {
     // A refused connection reports what it still holds.
--- a/src/http/connection_budget.hpp
+++ b/src/http/connection_budget.hpp
@@ -64,6 +64,9 @@
     // are still too many, since all are being served.
     bool make_room();
 
+    // Gives up to `count` connections up to free their descriptors.
+    void give_up(std::size_t count);
+
     void set_max_connections(std::size_t count) { limits_.connections = count; }
     std::size_t bytes() const { return bytes_; }
     std::size_t connections() const { return entries_.size(); }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,6 +2,8 @@
 #include "http/http_server.hpp"
 
 #include <algorithm>
+#include <cerrno>
+#include <chrono>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -22,6 +24,13 @@
 
 constexpr int backlog = 512;
 constexpr int max_accepted_at_once = 32;
+constexpr std::chrono::milliseconds accept_pause(50);
+
+bool is_out_of_resources()
+{
+    return errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+           errno == ENOMEM;
+}
 
 int listen_on(const socket_address& address)
 {
@@ -88,6 +97,10 @@
             accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0)
         {
+            if (is_out_of_resources())
+            {
+                pause_accepting();
+            }
             return;
         }
         const bool has_room = budget_->make_room();
@@ -102,6 +115,15 @@
     }
 }
 
+void http_server::pause_accepting()
+{
+    refusals_.add(refusal::descriptors);
+    budget_->give_up(max_accepted_at_once);
+    accept_notifier_->setEnabled(false);
+    QTimer::singleShot(accept_pause, accept_notifier_.get(),
+                       [this] { accept_notifier_->setEnabled(true); });
+}
+
 void http_server::remove(int descriptor)
 {
     const auto found = connections_.find(descriptor);
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -85,6 +85,9 @@
     friend class http_server_connection;
 
     void accept_pending();
+    // Stops accepting for a short time and frees descriptors: the listening
+    // socket stays readable, which would keep the event loop busy.
+    void pause_accepting();
     void remove(int descriptor);
 
     http_server_limits limits_;
--- a/src/http/http_server_connection.cpp
+++ b/src/http/http_server_connection.cpp
@@ -33,6 +33,7 @@
         return header_too_large;
     case refusal::memory:
     case refusal::connections:
+    case refusal::descriptors:
         return unavailable;
     case refusal::framing_too_large:
     case refusal::pipelined:
--- a/src/http/refusal.hpp
+++ b/src/http/refusal.hpp
@@ -21,13 +21,16 @@
     // All connections together occupy too much memory.
     memory,
     // There are too many connections.
-    connections
+    connections,
+    // The system has no descriptor or memory for a new connection, which then
+    // waits.
+    descriptors
 };
 
 // As in metrics and log lines.
-inline constexpr std::array<std::string_view, 7> refusal_names = {
+inline constexpr std::array<std::string_view, 8> refusal_names = {
     "malformed", "header_too_large", "body_too_large", "framing_too_large",
-    "pipelined", "memory",           "connections"};
+    "pipelined", "memory",           "connections",    "descriptors"};
 
 class refusal_counts
 {
--- a/tests/http/connection_budget_test.cpp
+++ b/tests/http/connection_budget_test.cpp
@@ -140,6 +140,20 @@
     EXPECT_EQ(given_up, names{});
 }
 
+// Failure: without descriptors, more connections are given up than asked for,
+// or ones in service.
+TEST_F(connection_budget_test, gives_up_as_many_as_asked_for)
+{
+    const auto serving = add("serving", 1);
+    budget.set_stage(serving, connection_stage::serving, at(1));
+    add("oldest", 2);
+    add("newest", 3);
+    budget.give_up(1);
+    EXPECT_EQ(given_up, names{"oldest"});
+    budget.give_up(5);
+    EXPECT_EQ(given_up, (names{"oldest", "newest"}));
+}
+
 // Failure: connections beyond a limit that was lowered stay.
 TEST_F(connection_budget_test, lowered_limit_gives_up_several)
 {
--- a/tests/http/server_limits_test.cpp
+++ b/tests/http/server_limits_test.cpp
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -276,6 +277,29 @@
     EXPECT_EQ(waiting.size(), 1U);
 }
 
+// Failure: a process without free descriptors spends its processor time on
+// failing to accept.
+TEST(server_limits, accepting_pauses_without_descriptors)
+{
+    const auto address = test_address();
+    http_server server(address, {}, ok_service());
+    const raw_client client(address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    rlimit before{};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const int next = dup(0);
+    close(next);
+    const rlimit none{static_cast<rlim_t>(next), before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+    constexpr int watched_ms = 300;
+    run_until([] { return false; }, watched_ms);
+    setrlimit(RLIMIT_NOFILE, &before);
+    const auto failures = server.refusals().of(refusal::descriptors);
+    EXPECT_GE(failures, 1U);
+    EXPECT_LE(failures, 10U);
+    EXPECT_TRUE(run_until(
+        [&] { return client.received().starts_with("HTTP/1.1 200"); }));
+}
+
 // Failure: a chunked request with an extension and trailers inside the limits
 // is refused.
 TEST(server_limits, small_extensions_and_trailers_are_served)
