--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,6 +2,8 @@
 #include "http/http_server.hpp"
 
 #include <algorithm>
+#include <cerrno>
+#include <chrono>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -21,6 +23,14 @@
 {
 
 constexpr int backlog = 512;
+constexpr int max_accepted_at_once = 32;
+constexpr std::chrono::milliseconds accept_pause(50);
+
+bool is_out_of_resources()
+{
+    return errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+           errno == ENOMEM;
+}
 
 int listen_on(const socket_address& address)
 {
@@ -61,8 +71,9 @@
 }
 
 http_server::http_server(const socket_address& address,
-                         http_server_limits limits, http_service service)
-    : limits_(limits), service_(std::move(service)),
+                         http_server_limits limits, http_service service,
+                         std::shared_ptr<connection_budget> budget)
+    : limits_(limits), service_(std::move(service)), budget_(std::move(budget)),
       listener_(listen_on(address))
 {
     accept_notifier_ =
@@ -79,26 +90,40 @@
 
 void http_server::accept_pending()
 {
-    while (true)
+    // Connections that are given up are closed by the event loop.
+    for (int i = 0; i < max_accepted_at_once; ++i)
     {
         const int descriptor =
             accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0)
         {
+            if (is_out_of_resources())
+            {
+                pause_accepting();
+            }
             return;
         }
-        if (connections_.size() >= limits_.connections)
-        {
-            ::close(descriptor);
-            continue;
-        }
+        const bool has_room = budget_->make_room();
         const auto connection =
             std::make_shared<http_server_connection>(*this, descriptor);
         connections_[descriptor] = connection;
         connection->start();
+        if (!has_room)
+        {
+            connection->reject(refusal::connections);
+        }
     }
 }
 
+void http_server::pause_accepting()
+{
+    refusals_.add(refusal::descriptors);
+    budget_->give_up(max_accepted_at_once);
+    accept_notifier_->setEnabled(false);
+    QTimer::singleShot(accept_pause, accept_notifier_.get(),
+                       [this] { accept_notifier_->setEnabled(true); });
+}
+
 void http_server::remove(int descriptor)
 {
     const auto found = connections_.find(descriptor);
--- a/src/http/nonblocking_socket.hpp
+++ b/src/http/nonblocking_socket.hpp
@@ -38,6 +38,11 @@
     // Appends what has arrived to `into`. False when the other side closed the
     // connection or it broke.
     bool receive(std::string& into);
+    // Discards what has arrived and returns the number of bytes; nothing when
+    // the other side closed the connection or it broke.
+    std::optional<std::size_t> discard();
+    // Ends the sending direction; the other side reads an end of stream.
+    void shut_down_sending();
     // True if bytes have arrived that receive() would return.
     bool has_unread() const;
     // Sends the bytes and buffers those that the kernel does not accept.
@@ -48,6 +53,11 @@
     // True once a byte has left this VM, so that the other side may have it.
     bool has_sent() const { return has_sent_; }
     bool has_unsent() const { return sent_ < unsent_.size(); }
+    // Size of the buffer with the bytes that the kernel has not accepted.
+    std::size_t unsent_bytes() const
+    {
+        return has_unsent() ? unsent_.size() : 0;
+    }
 
 private:
     void enable_write_notifier(bool enabled);
