Bound the framing of responses in the HTTP client

Cause: Boost.Beast's header limit does not cover chunk headers, chunk extensions and trailers, and the parser takes each of them only as a whole. http_client_connection kept what the parser had not taken in `received_` without a bound, so a worker or the store whose response has trailers, a chunk extension or a chunk size without end filled the memory of the VM that called it.

Change: bounded_put() gives the parser at most the header limit (16 KB) at a time; a piece of that size from which it can take nothing is header_limit. The call then fails like any other malformed response (outcome unknown, connection closed, counted as a store call without a complete response and logged with the existing rate limit); the reason names the error. The limit holds also for trailers that arrive in one piece.

Ruled out: a check of received_.size() after put(): trailers above the limit would pass or fail depending on how they are split into segments.

--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -2,11 +2,11 @@
 #include "http/http_client_connection.hpp"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
-#include <boost/asio/buffer.hpp>
-
 #include "http/boot_clock.hpp"
+#include "http/bounded_put.hpp"
 
 namespace hemlockdeal
 {
@@ -67,9 +67,9 @@
     count_received(received_.size() - known);
     if (!received_.empty())
     {
-        if (!parse_responses())
+        if (const auto error = parse_responses(); !error.empty())
         {
-            owner_.retire(*this, "malformed or unexpected response");
+            owner_.retire(*this, error);
             return;
         }
     }
@@ -89,54 +89,72 @@
     }
 }
 
-bool http_client_connection::parse_responses()
+std::string http_client_connection::parse_responses()
 {
     while (!received_.empty())
     {
         if (calls_.empty())
         {
-            return false;
-        }
-        if (!parser_)
-        {
-            parser_.emplace();
-            parser_->eager(true);
-            parser_->body_limit(body_limit);
-            parser_->header_limit(header_limit);
+            return "unexpected response";
         }
         boost::beast::error_code error;
-        const auto used = parser_->put(boost::asio::buffer(received_), error);
-        received_.erase(0, used);
-        if (error == boost::beast::http::error::need_more)
-        {
-            return true;
-        }
-        if (error)
+        const auto used = parse_received(error);
+        if (error && error != boost::beast::http::error::need_more)
         {
-            return false;
+            return "malformed response: " + error.message();
         }
-        if (!parser_->is_done())
+        if (parser_->is_done())
         {
-            return true;
+            complete_call();
         }
-        auto message = parser_->release();
-        parser_.reset();
-        http_response response;
-        response.status = message.result_int();
-        for (const auto& field : message)
+        else if (used == 0)
         {
-            response.headers.emplace_back(
-                std::string(field.name_string().data(),
-                            field.name_string().size()),
-                std::string(field.value().data(), field.value().size()));
+            break;
         }
-        response.body = std::move(message.body());
-        auto completed = std::move(calls_.front());
-        calls_.pop_front();
-        owner_.record(completed, {});
-        completed.handler(std::move(response));
     }
-    return true;
+    return {};
+}
+
+std::size_t
+http_client_connection::parse_received(boost::beast::error_code& error)
+{
+    if (!parser_)
+    {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->body_limit(body_limit);
+        parser_->header_limit(header_limit);
+    }
+    std::size_t total = 0;
+    std::size_t used = 0;
+    do
+    {
+        used = bounded_put(*parser_, std::string_view(received_).substr(total),
+                           header_limit, error);
+        total += used;
+    } while (used > 0 && total < received_.size() && !parser_->is_done() &&
+             (!error || error == boost::beast::http::error::need_more));
+    received_.erase(0, total);
+    return total;
+}
+
+void http_client_connection::complete_call()
+{
+    auto message = parser_->release();
+    parser_.reset();
+    http_response response;
+    response.status = message.result_int();
+    for (const auto& field : message)
+    {
+        response.headers.emplace_back(
+            std::string(field.name_string().data(), field.name_string().size()),
+            std::string(field.value().data(), field.value().size()));
+    }
+    response.body = std::move(message.body());
+    auto completed = std::move(calls_.front());
+    calls_.pop_front();
+    owner_.record(completed, {});
+    completed.handler(std::move(response));
 }
 
 } // namespace hemlockdeal
--- a/src/http/http_client_connection.hpp
+++ b/src/http/http_client_connection.hpp
@@ -51,9 +51,14 @@
     // The bytes belong to the response of the first call in flight.
     void count_received(std::size_t bytes);
     // Parses the complete responses in `received_` and passes them to their
-    // handlers. Returns false on malformed input and on a response without a
-    // pending call.
-    bool parse_responses();
+    // handlers. Returns the reason if the input is malformed, exceeds a limit
+    // or belongs to no call.
+    std::string parse_responses();
+    // Parses input of the first response until it is complete or needs more.
+    // Returns the number of bytes parsed.
+    std::size_t parse_received(boost::beast::error_code& error);
+    // Passes the parsed response to the first call in flight.
+    void complete_call();
 
     http_client& owner_;
     std::unique_ptr<nonblocking_socket> socket_;
