Bound the framing of requests and responses in the proxy

Cause: as in the HTTP client, the parser's header limit does not cover chunk headers, chunk extensions and trailers. caller_connection and endpoint_connection kept what the parser had not taken in `input_`, without a bound, so a caller or an endpoint with framing without end filled the memory of hemlockdeald.

Change: both use bounded_put() with the proxy's header limit (16 KB). A caller over the limit gets 431 with outcome not-run, or unknown if its request was reported to the core already; its connection is closed after the linger time. An endpoint's response over the limit is a broken response: outcome unknown, or the caller's connection is reset if the head was forwarded.

One assertion of the response tests was corrected before the commit: an endpoint that sends head and flood at once gives outcome unknown, not a closed connection. All other tests of test_proxy and test_http pass.

--- a/src/http/bounded_put.hpp
+++ b/src/http/bounded_put.hpp
@@ -30,4 +30,21 @@
     return used;
 }
 
+// Calls bounded_put() until the message is complete or the parser needs more.
+// For eager parsers.
+template <typename Parser>
+std::size_t bounded_put_all(Parser& parser, std::string_view input,
+                            std::size_t limit, boost::beast::error_code& error)
+{
+    std::size_t total = 0;
+    std::size_t used = 0;
+    do
+    {
+        used = bounded_put(parser, input.substr(total), limit, error);
+        total += used;
+    } while (used > 0 && total < input.size() && !parser.is_done() &&
+             (!error || error == boost::beast::http::error::need_more));
+    return total;
+}
+
 } // namespace hemlockdeal
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -2,7 +2,6 @@
 #include "http/http_client_connection.hpp"
 
 #include <algorithm>
-#include <string_view>
 #include <utility>
 
 #include "http/boot_clock.hpp"
@@ -125,17 +124,9 @@
         parser_->body_limit(body_limit);
         parser_->header_limit(header_limit);
     }
-    std::size_t total = 0;
-    std::size_t used = 0;
-    do
-    {
-        used = bounded_put(*parser_, std::string_view(received_).substr(total),
-                           header_limit, error);
-        total += used;
-    } while (used > 0 && total < received_.size() && !parser_->is_done() &&
-             (!error || error == boost::beast::http::error::need_more));
-    received_.erase(0, total);
-    return total;
+    const auto used = bounded_put_all(*parser_, received_, header_limit, error);
+    received_.erase(0, used);
+    return used;
 }
 
 void http_client_connection::complete_call()
--- a/src/proxy/caller_connection.cpp
+++ b/src/proxy/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/bounded_put.hpp"
 #include "proxy/socket_options.hpp"
 
 namespace hemlockdeal
@@ -156,9 +157,9 @@
         parser_->body_limit(limits_.body_bytes);
     }
     boost::beast::error_code error;
-    const std::size_t used = parser_->put(
-        boost::asio::const_buffer(input_.data() + input_offset_, unparsed()),
-        error);
+    const std::size_t used =
+        bounded_put(*parser_, std::string_view(input_).substr(input_offset_),
+                    limits_.header_bytes, error);
     input_offset_ += used;
     if (error && error != http::error::need_more)
     {
@@ -360,7 +361,8 @@
 {
     if (error == http::error::header_limit)
     {
-        reject(431, "request headers exceed the size limit");
+        reject(431, "request headers, chunk headers or trailers exceed "
+                    "the size limit");
         return;
     }
     if (error == http::error::body_limit)
--- a/src/proxy/endpoint_connection.cpp
+++ b/src/proxy/endpoint_connection.cpp
@@ -7,6 +7,7 @@
 
 #include <QHostAddress>
 
+#include "http/bounded_put.hpp"
 #include "proxy/socket_options.hpp"
 
 namespace hemlockdeal
@@ -222,8 +223,7 @@
         return true;
     }
     boost::beast::error_code error;
-    used = parser_->put(boost::asio::const_buffer(input.data(), input.size()),
-                        error);
+    used = bounded_put_all(*parser_, input, limits_.header_bytes, error);
     if (error && error != http::error::need_more)
     {
         fail("malformed response from the endpoint: " + error.message());
--- a/tests/proxy/test_bed.hpp
+++ b/tests/proxy/test_bed.hpp
@@ -60,6 +60,8 @@
             request_settings{}.timeout_target_multiple;
         proxy_limits limits;
         endpoint_options endpoint;
+        // Addresses of endpoints that the test runs itself.
+        std::vector<std::string> other_endpoints;
     };
 
     explicit test_bed(const options& o)
@@ -77,7 +79,7 @@
         proxy_ = std::make_unique<server>(settings, outputs(), o.limits);
         EXPECT_TRUE(proxy_->listen("127.0.0.1", 0));
         proxy_->on_configuration(test_configuration(o.target));
-        proxy_->on_membership(list());
+        proxy_->on_membership(list(o.other_endpoints));
     }
 
     server& proxy() { return *proxy_; }
@@ -96,7 +98,7 @@
     std::map<request_id, request_outcome> outcomes;
 
 private:
-    membership_list list() const
+    membership_list list(std::vector<std::string> addresses) const
     {
         membership_list l;
         l.version = 1;
@@ -106,11 +108,13 @@
         self.zone = availability_zone_id("zone-a");
         self.region = region_id("region-1");
         l.members.push_back(self);
-        std::ranges::for_each(endpoints_, [&](const auto& e) {
+        std::ranges::transform(endpoints_, std::back_inserter(addresses),
+                               [](const auto& e) { return e->address(); });
+        std::ranges::for_each(addresses, [&](const std::string& address) {
             member m = self;
             m.id = "instance-" + std::to_string(l.members.size());
             m.kind = member_kind::endpoint;
-            m.address = e->address();
+            m.address = address;
             m.service = service_id("orders");
             m.slots = 8;
             m.connections = 64;
