Accept connections again after descriptors ran out

Callers saw: a hemlockdeald that is out of descriptors once answers nobody on that port any more, or takes a whole core.

Cause: QTcpServer in Qt 6.4. If the first accept call fails with EMFILE, it pauses itself for good. If an earlier call ended with EAGAIN, as after each accepted batch, its socket engine keeps that error, takes EMFILE for temporary too, and repeats the call for as long as the listening socket is readable.

Change: tcp_listener accepts by itself, with a pause of 100 ms after a failed call; connections wait in the kernel's queue. The listeners of callers and of operators use it. Counters hemlockdeal_callers_refused (counted before, but not exported) and hemlockdeal_callers_failed_accepts; one log line a second at most for each, and for failed accepts of operators.

Ruled out: resuming on QTcpServer::acceptError. The signal is emitted only in the first case; this was tried and the test still failed.

--- a/src/hemlockdeald/daemon.cpp
+++ b/src/hemlockdeald/daemon.cpp
@@ -199,6 +199,26 @@
     batch_->tails().post(tails_.tails(lease_clock_now()));
 }
 
+// Called once a second, so that refused callers cannot flood the log.
+void daemon::log_refused_callers(const proxy_counts& counts)
+{
+    const auto before = std::exchange(last_counts_, counts);
+    if (counts.refused_callers > before.refused_callers)
+    {
+        log(log_level::warning, "connections of callers refused",
+            {{"count",
+              std::to_string(counts.refused_callers - before.refused_callers)},
+             {"open", std::to_string(counts.callers)}});
+    }
+    if (counts.failed_accepts > before.failed_accepts)
+    {
+        log(log_level::warning, "cannot accept connections of callers",
+            {{"count",
+              std::to_string(counts.failed_accepts - before.failed_accepts)},
+             {"open", std::to_string(counts.callers)}});
+    }
+}
+
 void daemon::update_gauges()
 {
     auto& registry = recorder_.registry();
@@ -213,6 +233,15 @@
         .set(static_cast<double>(counts.requests_in_progress));
     registry.gauge("hemlockdeal_requests_waiting", "Requests in the queue")
         .set(static_cast<double>(counts.waiting));
+    registry
+        .gauge("hemlockdeal_callers_refused",
+               "Connections of callers closed because there are too many")
+        .set(static_cast<double>(counts.refused_callers));
+    registry
+        .gauge("hemlockdeal_callers_failed_accepts",
+               "Failed attempts to accept a connection of a caller")
+        .set(static_cast<double>(counts.failed_accepts));
+    log_refused_callers(counts);
     const auto ring = [&](const char* name, const auto& mail) {
         registry
             .gauge("hemlockdeal_ring_messages",
--- a/src/hemlockdeald/daemon.hpp
+++ b/src/hemlockdeald/daemon.hpp
@@ -38,6 +38,7 @@
     void request_finished(const finish_request& finished);
     void publish_tails();
     void update_gauges();
+    void log_refused_callers(const proxy_counts& counts);
     operator_callbacks make_callbacks();
 
     daemon_settings settings_;
@@ -52,6 +53,8 @@
     tail_tracker tails_;
     time_point tails_published_{};
     QTimer gauge_timer_;
+    // Values of the last update.
+    proxy_counts last_counts_;
 };
 
 } // namespace hemlockdeal
--- a/src/hemlockdeald/proxy_thread.cpp
+++ b/src/hemlockdeald/proxy_thread.cpp
@@ -124,10 +124,12 @@
     thread_.run_and_wait([&] {
         if (server_)
         {
-            counts = {server_->callers(), server_->refused_callers(),
+            counts = {server_->callers(),
+                      server_->refused_callers(),
                       server_->endpoint_connections(),
                       server_->requests_in_progress(),
-                      server_->core().waiting()};
+                      server_->core().waiting(),
+                      server_->failed_accepts()};
         }
     });
     return counts;
--- a/src/hemlockdeald/proxy_thread.hpp
+++ b/src/hemlockdeald/proxy_thread.hpp
@@ -39,6 +39,7 @@
     std::size_t endpoint_connections = 0;
     std::size_t requests_in_progress = 0;
     std::size_t waiting = 0;
+    std::uint64_t failed_accepts = 0;
 };
 
 class proxy_thread
--- a/src/operators/http_handler.cpp
+++ b/src/operators/http_handler.cpp
@@ -125,7 +125,7 @@
         options_.max_connections, options_.max_body_bytes + max_header_bytes,
         options_.idle_timeout});
     const QHostAddress host(QString::fromStdString(options_.listen.host));
-    if (host.isNull() || !listener->listen(host, options_.listen.port))
+    if (host.isNull() || !listener->start(host, options_.listen.port))
     {
         return error{error_code::unavailable,
                      "cannot listen on " + to_text(options_.listen) + ": " +
--- a/src/operators/limited_listener.cpp
+++ b/src/operators/limited_listener.cpp
@@ -5,6 +5,7 @@
 
 #include <QTcpSocket>
 #include <QTimer>
+#include <unistd.h>
 
 #include "observe/logging.hpp"
 #include "operators/operator_json.hpp"
@@ -15,6 +16,8 @@
 namespace
 {
 
+constexpr qint64 failure_log_interval_ms = 1000;
+
 void reject_oversized_request(QTcpSocket& socket)
 {
     const auto reply = to_http(request_refusal{
@@ -41,6 +44,7 @@
     auto socket = std::make_unique<QTcpSocket>();
     if (!socket->setSocketDescriptor(descriptor))
     {
+        ::close(static_cast<int>(descriptor));
         return;
     }
     if (open_connections_ >= limits_.max_connections)
@@ -57,6 +61,18 @@
     addPendingConnection(socket.release());
 }
 
+void limited_listener::on_failed_accept()
+{
+    if (last_failure_log_.isValid() &&
+        !last_failure_log_.hasExpired(failure_log_interval_ms))
+    {
+        return;
+    }
+    last_failure_log_.start();
+    log(log_level::warning, "operator API cannot accept connections",
+        {{"failures", std::to_string(failed_accepts())}});
+}
+
 void limited_listener::enforce_limits(QTcpSocket* socket)
 {
     auto* const timer = new QTimer(socket);
--- a/src/operators/limited_listener.hpp
+++ b/src/operators/limited_listener.hpp
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <cstdint>
 
-#include <QTcpServer>
+#include <QElapsedTimer>
+
+#include "http/tcp_listener.hpp"
 
 class QTcpSocket;
 
@@ -21,19 +23,21 @@
 
 // QHttpServer buffers a complete request in memory and has no time-out for it.
 // This listener closes connections whose request is too large or too slow.
-class limited_listener final : public QTcpServer
+class limited_listener final : public tcp_listener
 {
 public:
     explicit limited_listener(connection_limits limits);
 
 protected:
     void incomingConnection(qintptr descriptor) override;
+    void on_failed_accept() override;
 
 private:
     void enforce_limits(QTcpSocket* socket);
 
     connection_limits limits_;
     int open_connections_ = 0;
+    QElapsedTimer last_failure_log_;
 };
 
 } // namespace hemlockdeal
--- a/src/proxy/caller_listener.cpp
+++ b/src/proxy/caller_listener.cpp
@@ -6,6 +6,7 @@
 
 #include <QHostAddress>
 #include <QTcpSocket>
+#include <unistd.h>
 
 namespace hemlockdeal
 {
@@ -22,38 +23,37 @@
 caller_listener::caller_listener(const proxy_limits& limits,
                                  caller_handlers handlers)
     : limits_(limits), owner_handlers_(std::move(handlers)),
-      handlers_(owner_handlers_)
+      handlers_(owner_handlers_), server_(*this)
 {
     handlers_.connection_ended = [this](caller_connection& c) {
         owner_handlers_.connection_ended(c);
         remove_connection(c);
     };
     server_.setListenBacklogSize(accept_backlog);
-    server_.setMaxPendingConnections(accept_backlog);
-    QObject::connect(&server_, &QTcpServer::newConnection, &server_,
-                     [this] { accept(); });
 }
 
 bool caller_listener::listen(const std::string& ip, std::uint16_t port)
 {
-    return server_.listen(QHostAddress(QString::fromStdString(ip)), port);
+    return server_.start(QHostAddress(QString::fromStdString(ip)), port);
 }
 
-void caller_listener::accept()
+void caller_listener::accept(qintptr descriptor)
 {
-    while (QTcpSocket* socket = server_.nextPendingConnection())
+    auto socket = std::make_unique<QTcpSocket>();
+    if (!socket->setSocketDescriptor(descriptor))
     {
-        if (connections_.size() >= limits_.callers)
-        {
-            ++refused_;
-            socket->abort();
-            socket->deleteLater();
-            continue;
-        }
-        const std::uint64_t id = ++next_id_;
-        connections_.emplace(id, std::make_unique<caller_connection>(
-                                     id, socket, limits_, handlers_));
+        ::close(static_cast<int>(descriptor));
+        return;
+    }
+    if (connections_.size() >= limits_.callers)
+    {
+        ++refused_;
+        socket->abort();
+        return;
     }
+    const std::uint64_t id = ++next_id_;
+    connections_.emplace(id, std::make_unique<caller_connection>(
+                                 id, socket.release(), limits_, handlers_));
 }
 
 void caller_listener::remove_connection(caller_connection& connection)
--- a/src/proxy/caller_listener.hpp
+++ b/src/proxy/caller_listener.hpp
@@ -7,9 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include <QTcpServer>
-
 #include "core/core.hpp"
+#include "http/tcp_listener.hpp"
 #include "proxy/caller_connection.hpp"
 #include "proxy/proxy_limits.hpp"
 
@@ -30,13 +29,16 @@
     bool listen(const std::string& ip, std::uint16_t port);
     std::uint16_t port() const { return server_.serverPort(); }
     // Stops accepting connections; existing ones stay open.
-    void close() { server_.close(); }
+    void close() { server_.stop(); }
 
     // Returns null if the connection has ended.
     caller_connection* find(std::uint64_t id);
     std::size_t size() const { return connections_.size(); }
     // Number of connections that were rejected because the limit was reached.
     std::uint64_t refused() const { return refused_; }
+    // Number of times that accepting failed, for example for want of
+    // descriptors.
+    std::uint64_t failed_accepts() const { return server_.failed_accepts(); }
 
     void check_time(time_point now);
     // Closes connections without a request and without activity since
@@ -44,7 +46,22 @@
     void close_idle(time_point idle_since);
 
 private:
-    void accept();
+    class listening_socket final : public tcp_listener
+    {
+    public:
+        explicit listening_socket(caller_listener& owner) : owner_(owner) {}
+
+    protected:
+        void incomingConnection(qintptr descriptor) override
+        {
+            owner_.accept(descriptor);
+        }
+
+    private:
+        caller_listener& owner_;
+    };
+
+    void accept(qintptr descriptor);
     void remove_connection(caller_connection& connection);
 
     using connection_map =
@@ -53,7 +70,7 @@
     const proxy_limits& limits_;
     caller_handlers owner_handlers_;
     caller_handlers handlers_;
-    QTcpServer server_;
+    listening_socket server_;
     connection_map connections_;
     // Ended connections, which may still be on the call stack; deleted at the
     // next time check.
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -77,6 +77,7 @@
     const Core& core() const { return core_; }
     std::size_t callers() const { return listener_.size(); }
     std::uint64_t refused_callers() const { return listener_.refused(); }
+    std::uint64_t failed_accepts() const { return listener_.failed_accepts(); }
     std::size_t endpoint_connections() const { return pool_.size(); }
     std::size_t requests_in_progress() const { return exchanges_.size(); }
 
--- a/tests/operators/server_test.cpp
+++ b/tests/operators/server_test.cpp
@@ -7,11 +7,15 @@
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <rapidcheck/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "observe/logging.hpp"
 #include "operators/operators.hpp"
 #include "operators/test_client.hpp"
+#include "support/descriptor_hog.hpp"
 
 using namespace hemlockdeal;
 using namespace std::chrono_literals;
@@ -261,6 +265,34 @@
     EXPECT_TRUE(result);
 }
 
+// Failure: after accepting failed for want of descriptors, the server never
+// accepts again.
+TEST(operator_server, accepting_goes_on_after_descriptors_ran_out)
+{
+    const fake_daemon daemon;
+    const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in remote{};
+    remote.sin_family = AF_INET;
+    remote.sin_port = htons(daemon.port);
+    remote.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    {
+        const descriptor_hog hog;
+        ASSERT_EQ(connect(client, reinterpret_cast<const sockaddr*>(&remote),
+                          sizeof remote),
+                  0);
+        std::this_thread::sleep_for(300ms);
+    }
+    const std::string request = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    ASSERT_GT(send(client, request.data(), request.size(), 0), 0);
+    const timeval wait{5, 0};
+    setsockopt(client, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+    char received[16] = {};
+    EXPECT_GT(recv(client, received, sizeof received - 1, 0), 0);
+    EXPECT_THAT(received, HasSubstr("HTTP/1.1 200"));
+    close(client);
+    EXPECT_EQ(send_request(daemon.port, "GET", "/healthz", "").status, 200);
+}
+
 TEST(operator_server, an_address_in_use_is_an_error)
 {
     const fake_daemon first;
