Bound what the proxy buffers for all callers together

Cause: the proxy's limits hold for each connection, and their product does not fit into a VM: 4,000 callers times a window of 256 KB in each direction, beside as much in the sockets' buffers. Callers whose chunked bodies stop just short of their end and stay are closed only 5 s after their last byte.

Beyond it, requests that have not arrived completely are refused with 503 not-run, the longest-lasting first, down to 7/8 of the limit; then connections that have not read their response for longest are closed. A complete request that finds no room is refused with 503 not-run before it is reported to the core; the health check is exempt. Counter hemlockdeal_callers_refused_for_memory, gauge hemlockdeal_request_buffers_bytes, one log line a second at most.

Ruled out: refusing new requests first. The crowd that stays would keep the memory, and ordinary callers would get no answer.

Not bounded by it: responses kept for repeated keys, QTcpSocket's own objects, and what requests admitted earlier receive until the next check.

--- a/src/hemlockdeald/daemon.cpp
+++ b/src/hemlockdeald/daemon.cpp
@@ -210,6 +210,13 @@
               std::to_string(counts.refused_callers - before.refused_callers)},
              {"open", std::to_string(counts.callers)}});
     }
+    if (counts.refused_for_memory > before.refused_for_memory)
+    {
+        log(log_level::warning, "callers refused for want of memory",
+            {{"count", std::to_string(counts.refused_for_memory -
+                                      before.refused_for_memory)},
+             {"buffered_bytes", std::to_string(counts.buffered_bytes)}});
+    }
     if (counts.failed_accepts > before.failed_accepts)
     {
         log(log_level::warning, "cannot accept connections of callers",
@@ -241,6 +248,15 @@
         .gauge("hemlockdeal_callers_failed_accepts",
                "Failed attempts to accept a connection of a caller")
         .set(static_cast<double>(counts.failed_accepts));
+    registry
+        .gauge("hemlockdeal_callers_refused_for_memory",
+               "Requests refused, and callers closed that did not read their "
+               "response, because the limit of buffered bytes was reached")
+        .set(static_cast<double>(counts.refused_for_memory));
+    registry
+        .gauge("hemlockdeal_request_buffers_bytes",
+               "Bytes of requests and responses that are buffered")
+        .set(static_cast<double>(counts.buffered_bytes));
     log_refused_callers(counts);
     const auto ring = [&](const char* name, const auto& mail) {
         registry
--- a/src/hemlockdeald/proxy_thread.cpp
+++ b/src/hemlockdeald/proxy_thread.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t configuration_ring_capacity = 64;
 constexpr std::size_t peer_ring_capacity = 4096;
+constexpr std::size_t bytes_per_mb = std::size_t{1} << 20U;
 
 } // namespace
 
@@ -53,7 +54,9 @@
         requests.region = settings_.region;
         requests.process = process_;
         requests.seed = stable_hash(settings_.id.value(), process_.value());
-        server_.emplace(requests, make_outputs());
+        proxy_limits limits;
+        limits.buffered_bytes = settings_.request_buffers_mb * bytes_per_mb;
+        server_.emplace(requests, make_outputs(), limits);
         listening =
             server_->listen(settings_.callers.host, settings_.callers.port);
     });
@@ -129,7 +132,9 @@
                       server_->endpoint_connections(),
                       server_->requests_in_progress(),
                       server_->core().waiting(),
-                      server_->failed_accepts()};
+                      server_->failed_accepts(),
+                      server_->refused_for_memory(),
+                      server_->buffered_bytes()};
         }
     });
     return counts;
--- a/src/hemlockdeald/proxy_thread.hpp
+++ b/src/hemlockdeald/proxy_thread.hpp
@@ -40,6 +40,8 @@
     std::size_t requests_in_progress = 0;
     std::size_t waiting = 0;
     std::uint64_t failed_accepts = 0;
+    std::uint64_t refused_for_memory = 0;
+    std::size_t buffered_bytes = 0;
 };
 
 class proxy_thread
--- a/src/proxy/caller_connection.cpp
+++ b/src/proxy/caller_connection.cpp
@@ -31,8 +31,10 @@
 {
     set_connection_options(*socket_);
     socket_->setReadBufferSize(static_cast<qint64>(limits_.window));
-    QObject::connect(socket_, &QTcpSocket::readyRead, socket_,
-                     [this] { read(); });
+    QObject::connect(socket_, &QTcpSocket::readyRead, socket_, [this] {
+        read();
+        handlers_.received(*this);
+    });
     QObject::connect(socket_, &QTcpSocket::bytesWritten, socket_, [this] {
         last_activity_ = monotonic_now();
         if (phase_ == phase::in_progress && can_write_response())
@@ -111,6 +113,15 @@
     while (parse_once())
     {}
     parsing_ = false;
+    if (phase_ == phase::lingering)
+    {
+        release_input();
+    }
+    else if (unparsed() == 0)
+    {
+        release_memory(input_);
+        input_offset_ = 0;
+    }
     if (phase_ == phase::in_progress && head_parsed_)
     {
         handlers_.body_arrived(*this);
@@ -225,6 +236,11 @@
 
 void caller_connection::notify_request_ready()
 {
+    if (!is_health_check() && !handlers_.has_room(*this))
+    {
+        refuse();
+        return;
+    }
     phase_ = phase::in_progress;
     phase_started_ = last_activity_;
     if (!respond_to_health_check())
@@ -233,9 +249,14 @@
     }
 }
 
+bool caller_connection::is_health_check() const
+{
+    return path_of(to_view(head_.target())) == "/healthz";
+}
+
 bool caller_connection::respond_to_health_check()
 {
-    if (path_of(to_view(head_.target())) != "/healthz")
+    if (!is_health_check())
     {
         return false;
     }
@@ -356,6 +377,32 @@
     respond(std::move(head), outcome_body(outcome, reason));
 }
 
+std::size_t caller_connection::buffered() const
+{
+    return input_.capacity() + body_.capacity() + writer_.buffered() +
+           static_cast<std::size_t>(socket_->bytesAvailable() +
+                                    socket_->bytesToWrite());
+}
+
+void caller_connection::refuse()
+{
+    reject(503, "too many requests are being received");
+}
+
+void caller_connection::refuse_for_memory()
+{
+    refuse();
+    release_input();
+}
+
+void caller_connection::release_input()
+{
+    release_memory(input_);
+    input_offset_ = 0;
+    release_memory(body_);
+    parser_.reset();
+}
+
 void caller_connection::reject_parse_error(
     const boost::beast::error_code& error)
 {
--- a/src/proxy/caller_connection.hpp
+++ b/src/proxy/caller_connection.hpp
@@ -34,6 +34,10 @@
     // caller violated a limit while sending the body.
     std::function<void(caller_connection&)> request_failed;
     std::function<bool()> draining;
+    // Input was received and parsed, so that buffered() may have grown.
+    std::function<void(caller_connection&)> received;
+    // False if a complete request must be refused for want of memory.
+    std::function<bool(caller_connection&)> has_room;
 };
 
 class caller_connection
@@ -93,6 +97,24 @@
     // Enforces the time limits.
     void check_time(time_point now);
 
+    // Number of bytes in the buffers of this connection.
+    std::size_t buffered() const;
+    // Value of buffered() that the owner has counted.
+    std::size_t counted_bytes() const { return counted_bytes_; }
+    void set_counted_bytes(std::size_t bytes) { counted_bytes_ = bytes; }
+    // True while a request arrives that is not reported yet.
+    bool is_receiving() const { return phase_ == phase::reading; }
+    // True while the caller has not read all that was written.
+    bool is_sending() const
+    {
+        return phase_ == phase::in_progress && socket_->bytesToWrite() > 0;
+    }
+    // When the current phase began.
+    time_point phase_started() const { return phase_started_; }
+    // Refuses the request that arrives, for want of memory. Requires
+    // is_receiving().
+    void refuse_for_memory();
+
     bool is_idle() const { return phase_ == phase::idle; }
     time_point last_activity() const { return last_activity_; }
 
@@ -112,8 +134,12 @@
     void process_head();
     void process_body();
     void notify_request_ready();
+    bool is_health_check() const;
     bool respond_to_health_check();
     void reject(unsigned status, std::string_view reason);
+    void refuse();
+    // Frees the buffers of a request that is not read further.
+    void release_input();
     void reject_parse_error(const boost::beast::error_code& error);
     void start_next_request();
     void end();
@@ -148,6 +174,7 @@
 
     time_point phase_started_;
     time_point last_activity_;
+    std::size_t counted_bytes_ = 0;
 };
 
 } // namespace hemlockdeal
--- a/src/proxy/caller_listener.cpp
+++ b/src/proxy/caller_listener.cpp
@@ -29,6 +29,16 @@
         owner_handlers_.connection_ended(c);
         remove_connection(c);
     };
+    handlers_.received = [this](caller_connection& c) {
+        count(c);
+        make_room(nullptr);
+    };
+    handlers_.has_room = [this](caller_connection& c) {
+        count(c);
+        make_room(&c);
+        refused_for_memory_ += has_room() ? 0 : 1;
+        return has_room();
+    };
     server_.setListenBacklogSize(accept_backlog);
 }
 
@@ -63,10 +73,82 @@
     {
         return;
     }
+    buffered_ -= connection.counted_bytes();
+    connection.set_counted_bytes(0);
     ended_.push_back(std::move(found->second));
     connections_.erase(found);
 }
 
+void caller_listener::count(caller_connection& connection)
+{
+    if (!connections_.contains(connection.id()))
+    {
+        return;
+    }
+    const auto bytes = connection.buffered();
+    buffered_ += bytes - connection.counted_bytes();
+    connection.set_counted_bytes(bytes);
+}
+
+bool caller_listener::has_room() const
+{
+    return buffered_ + endpoint_bytes_ <= limits_.buffered_bytes;
+}
+
+void caller_listener::make_room(const caller_connection* exempt)
+{
+    if (has_room())
+    {
+        return;
+    }
+    close_oldest(
+        [exempt](const caller_connection& c) {
+            return &c != exempt && c.is_receiving();
+        },
+        &caller_connection::phase_started,
+        [](caller_connection& c) { c.refuse_for_memory(); });
+    close_oldest(
+        [exempt](const caller_connection& c) {
+            return &c != exempt && c.is_sending();
+        },
+        &caller_connection::last_activity,
+        [](caller_connection& c) { c.abort(); });
+}
+
+template <typename Victim, typename Key, typename Close>
+void caller_listener::close_oldest(Victim is_victim, Key key, Close close)
+{
+    if (has_room())
+    {
+        return;
+    }
+    std::vector<caller_connection*> victims;
+    std::ranges::for_each(connections_, [&](const auto& entry) {
+        if (is_victim(*entry.second))
+        {
+            victims.push_back(entry.second.get());
+        }
+    });
+    std::ranges::sort(victims, {}, key);
+    // Frees more than necessary, so that this does not repeat at each read.
+    const auto enough = limits_.buffered_bytes / 8 * 7;
+    for (auto* const victim : victims)
+    {
+        if (buffered_ + endpoint_bytes_ <= enough)
+        {
+            return;
+        }
+        // Closing another one may have ended this one too.
+        if (!is_victim(*victim))
+        {
+            continue;
+        }
+        ++refused_for_memory_;
+        close(*victim);
+        count(*victim);
+    }
+}
+
 caller_connection* caller_listener::find(std::uint64_t id)
 {
     const auto found = connections_.find(id);
@@ -83,8 +165,11 @@
     std::ranges::transform(
         connections_, std::back_inserter(connections),
         [](const auto& entry) { return entry.second.get(); });
-    std::ranges::for_each(connections,
-                          [now](caller_connection* c) { c->check_time(now); });
+    std::ranges::for_each(connections, [this, now](caller_connection* c) {
+        c->check_time(now);
+        count(*c);
+    });
+    make_room(nullptr);
 }
 
 void caller_listener::close_idle(time_point idle_since)
--- a/src/proxy/caller_listener.hpp
+++ b/src/proxy/caller_listener.hpp
@@ -40,6 +40,13 @@
     // descriptors.
     std::uint64_t failed_accepts() const { return server_.failed_accepts(); }
 
+    // Number of connections that were refused or closed because the limit of
+    // buffered bytes was reached.
+    std::uint64_t refused_for_memory() const { return refused_for_memory_; }
+    std::size_t buffered() const { return buffered_; }
+    // Bytes buffered for endpoints, which count towards the same limit.
+    void set_endpoint_bytes(std::size_t bytes) { endpoint_bytes_ = bytes; }
+
     void check_time(time_point now);
     // Closes connections without a request and without activity since
     // `idle_since`.
@@ -63,6 +70,15 @@
 
     void accept(qintptr descriptor);
     void remove_connection(caller_connection& connection);
+    void count(caller_connection& connection);
+    bool has_room() const;
+    // Frees memory if the limit of buffered bytes is exceeded: refuses
+    // incomplete requests, the longest-lasting first, and then closes the
+    // connections that have not read their response for longest. Connections
+    // that send little and stay are thus closed before others.
+    void make_room(const caller_connection* exempt);
+    template <typename Victim, typename Key, typename Close>
+    void close_oldest(Victim is_victim, Key key, Close close);
 
     using connection_map =
         std::unordered_map<std::uint64_t, std::unique_ptr<caller_connection>>;
@@ -77,6 +93,10 @@
     std::vector<std::unique_ptr<caller_connection>> ended_;
     std::uint64_t next_id_ = 0;
     std::uint64_t refused_ = 0;
+    std::uint64_t refused_for_memory_ = 0;
+    // Sum of counted_bytes() of all connections.
+    std::size_t buffered_ = 0;
+    std::size_t endpoint_bytes_ = 0;
 };
 
 } // namespace hemlockdeal
--- a/src/proxy/endpoint_connection.cpp
+++ b/src/proxy/endpoint_connection.cpp
@@ -146,6 +146,13 @@
     socket_->flush();
 }
 
+std::size_t endpoint_connection::buffered() const
+{
+    return input_.capacity() + writer_.buffered() +
+           static_cast<std::size_t>(socket_->bytesAvailable() +
+                                    socket_->bytesToWrite());
+}
+
 void endpoint_connection::resume()
 {
     if (std::exchange(paused_, false))
--- a/src/proxy/endpoint_connection.hpp
+++ b/src/proxy/endpoint_connection.hpp
@@ -89,6 +89,9 @@
     void pause() { paused_ = true; }
     void resume();
 
+    // Number of bytes in the buffers of this connection.
+    std::size_t buffered() const;
+
     bool is_reusable() const { return reusable_; }
 
     // Closes the connection without calling a handler.
--- a/src/proxy/http_codec.hpp
+++ b/src/proxy/http_codec.hpp
@@ -134,6 +134,8 @@
         socket.flush();
     }
 
+    std::size_t buffered() const { return buffer_.capacity(); }
+
 private:
     using message_type = http::message<IsRequest, http::buffer_body>;
 
--- a/src/proxy/proxy_limits.hpp
+++ b/src/proxy/proxy_limits.hpp
@@ -16,6 +16,8 @@
     // Number of body bytes that are buffered in each direction.
     std::size_t window = std::size_t{256} * 1024;
     std::size_t callers = 4000;
+    // Number of bytes of all requests and responses that are buffered at once.
+    std::size_t buffered_bytes = std::size_t{256} * 1024 * 1024;
 
     // Maximum time from the first byte of a request until its headers are
     // complete.
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -77,6 +77,15 @@
     const Core& core() const { return core_; }
     std::size_t callers() const { return listener_.size(); }
     std::uint64_t refused_callers() const { return listener_.refused(); }
+    std::uint64_t refused_for_memory() const
+    {
+        return listener_.refused_for_memory();
+    }
+    // Bytes of requests and responses that are buffered now.
+    std::size_t buffered_bytes() const
+    {
+        return listener_.buffered() + endpoint_bytes();
+    }
     std::uint64_t failed_accepts() const { return listener_.failed_accepts(); }
     std::size_t endpoint_connections() const { return pool_.size(); }
     std::size_t requests_in_progress() const { return exchanges_.size(); }
@@ -91,6 +100,7 @@
     void process_actions();
     void arm_wakeup();
     void tick();
+    std::size_t endpoint_bytes() const;
     void check_drained(time_point now);
 
     void perform(start_attempt& action);
--- a/src/proxy/proxy_server_impl.hpp
+++ b/src/proxy/proxy_server_impl.hpp
@@ -201,6 +201,7 @@
         unsent_commits_.pop_front();
     }
     pool_.check_time(now);
+    listener_.set_endpoint_bytes(endpoint_bytes());
     if (++ticks_ % detail::ticks_per_caller_check == 0)
     {
         listener_.check_time(now);
@@ -208,6 +209,18 @@
     check_drained(now);
 }
 
+template <request_engine Core>
+std::size_t proxy_server<Core>::endpoint_bytes() const
+{
+    std::size_t bytes = 0;
+    std::ranges::for_each(attempts_, [&](const auto& entry) {
+        const request_attempt& a = entry.second;
+        bytes += a.pending.capacity();
+        bytes += a.connection == nullptr ? 0 : a.connection->buffered();
+    });
+    return bytes;
+}
+
 template <request_engine Core>
 void proxy_server<Core>::drain(std::function<void()> drained)
 {
--- a/src/settings/daemon_settings.hpp
+++ b/src/settings/daemon_settings.hpp
@@ -73,6 +73,8 @@
     std::uint32_t shards_per_zone = 4;
     // Whether workers reject commands with a stale epoch (assumption W1).
     bool workers_fence = true;
+    // Memory for requests and responses that the proxy buffers at once.
+    std::uint32_t request_buffers_mb = 256;
 };
 
 } // namespace hemlockdeal
--- a/src/settings/settings_parser.cpp
+++ b/src/settings/settings_parser.cpp
@@ -107,6 +107,9 @@
     {
         settings.workers_fence =
             limits->boolean_value("workers_fence", settings.workers_fence);
+        settings.request_buffers_mb = static_cast<std::uint32_t>(
+            limits->integer("request_buffers_mb", {4, 65'536},
+                            settings.request_buffers_mb));
         limits->check_keys();
     }
 }
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -171,6 +171,19 @@
     EXPECT_EQ(settings.operators.listen, (socket_address{"127.0.0.1", 8081}));
     EXPECT_EQ(settings.shards_per_zone, 4U);
     EXPECT_TRUE(settings.workers_fence);
+    EXPECT_EQ(settings.request_buffers_mb, 256U);
+}
+
+TEST(settings, request_buffers_have_bounds)
+{
+    const auto parsed = parse_settings(
+        valid_settings + "[limits]\nrequest_buffers_mb = 64\n", "s.toml");
+    ASSERT_THAT(finding_texts(parsed), ElementsAre());
+    EXPECT_EQ(std::get<daemon_settings>(parsed).request_buffers_mb, 64U);
+    EXPECT_THAT(
+        finding_texts(parse_settings(
+            valid_settings + "[limits]\nrequest_buffers_mb = 3\n", "s.toml")),
+        ElementsAre(HasSubstr("'limits.request_buffers_mb'")));
 }
 
 TEST(settings, invalid_addresses_keys_and_tables_are_reported)
