Bound the requests on the operators' address together

Cause: limited_listener bounds one request (1 MB and headers) and the number of connections (256), not their product. QHttpServer keeps what has arrived of each request, before the token is checked, until the connection's idle time of 60 s.

Change: `[limits] operator_buffers_mb` (4 to 4,096, 32 if absent) bounds the bytes of all requests without a reply. Beyond it, the connection whose request has lasted longest is closed, with one log line a second at most that has the count. It is closed without a status, since its request may have been passed on already.

Ruled out: a status 503 for these, which would say of some requests that were passed on that they were not; refusing the newest, which leaves the memory to those that stay.

Open: no metric counts these closures (the log line does); replies that a client with the token does not read; the number of connections to the peers' address.

--- a/src/hemlockdeald/daemon.cpp
+++ b/src/hemlockdeald/daemon.cpp
@@ -15,6 +15,7 @@
 constexpr duration tails_interval = std::chrono::seconds(1);
 constexpr duration release_limit = std::chrono::seconds(5);
 constexpr int gauge_interval_ms = 1000;
+constexpr std::int64_t bytes_per_mb = std::int64_t{1} << 20U;
 
 std::string outcome_name(request_outcome outcome)
 {
@@ -79,10 +80,12 @@
                                  [this](platform_reply&& reply) {
                                      proxy_->on_platform(std::move(reply));
                                  });
-    operators_ = std::make_unique<operator_server>(
-        operator_server_options{settings_.operators.listen,
-                                settings_.operators.token},
-        make_callbacks());
+    operator_server_options options{settings_.operators.listen,
+                                    settings_.operators.token};
+    options.max_total_bytes =
+        std::int64_t{settings_.operator_buffers_mb} * bytes_per_mb;
+    operators_ =
+        std::make_unique<operator_server>(std::move(options), make_callbacks());
 }
 
 daemon::~daemon()
--- a/src/operators/http_handler.cpp
+++ b/src/operators/http_handler.cpp
@@ -123,7 +123,7 @@
 {
     auto listener = std::make_unique<limited_listener>(connection_limits{
         options_.max_connections, options_.max_body_bytes + max_header_bytes,
-        options_.idle_timeout});
+        options_.idle_timeout, options_.max_total_bytes});
     const QHostAddress host(QString::fromStdString(options_.listen.host));
     if (host.isNull() || !listener->start(host, options_.listen.port))
     {
--- a/src/operators/limited_listener.cpp
+++ b/src/operators/limited_listener.cpp
@@ -1,7 +1,9 @@
 // Limits on the number of connections and on request size and duration.
 #include "operators/limited_listener.hpp"
 
+#include <algorithm>
 #include <memory>
+#include <utility>
 
 #include <QTcpSocket>
 #include <QTimer>
@@ -82,21 +84,71 @@
 
     // QHttpServer connects its slots later and drains the socket, so these
     // run first and still see the received bytes.
-    auto received_bytes = std::make_shared<qint64>(0);
-    connect(socket, &QTcpSocket::readyRead, socket,
-            [this, socket, received_bytes] {
-                *received_bytes += socket->bytesAvailable();
-                if (*received_bytes > limits_.max_request_bytes)
-                {
-                    reject_oversized_request(*socket);
-                }
-            });
-    connect(socket, &QTcpSocket::bytesWritten, timer,
-            [this, timer, received_bytes] {
-                *received_bytes = 0;
-                timer->start(limits_.idle_timeout);
+    connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+        add_received(socket, socket->bytesAvailable());
+        if (requests_[socket].bytes > limits_.max_request_bytes)
+        {
+            reject_oversized_request(*socket);
+        }
+        enforce_total();
+    });
+    connect(socket, &QTcpSocket::bytesWritten, timer, [this, socket, timer] {
+        forget_request(socket);
+        timer->start(limits_.idle_timeout);
+    });
+    connect(socket, &QTcpSocket::disconnected, this,
+            [this, socket] { forget_request(socket); });
+    connect(socket, &QObject::destroyed, this, [this, socket] {
+        --open_connections_;
+        forget_request(socket);
+    });
+}
+
+void limited_listener::add_received(QTcpSocket* socket, std::int64_t bytes)
+{
+    auto& request = requests_[socket];
+    if (request.number == 0)
+    {
+        request.number = ++last_number_;
+    }
+    request.bytes += bytes;
+    total_bytes_ += bytes;
+}
+
+void limited_listener::forget_request(QTcpSocket* socket)
+{
+    const auto found = requests_.find(socket);
+    if (found == requests_.end())
+    {
+        return;
+    }
+    total_bytes_ -= found->second.bytes;
+    requests_.erase(found);
+}
+
+void limited_listener::enforce_total()
+{
+    while (total_bytes_ > limits_.max_total_bytes)
+    {
+        const auto oldest =
+            std::ranges::min_element(requests_, {}, [](const auto& entry) {
+                return entry.second.number;
             });
-    connect(socket, &QObject::destroyed, this, [this] { --open_connections_; });
+        auto* const socket = oldest->first;
+        forget_request(socket);
+        socket->abort();
+        ++closed_for_memory_;
+    }
+    if (closed_for_memory_ > 0 &&
+        (!last_memory_log_.isValid() ||
+         last_memory_log_.hasExpired(failure_log_interval_ms)))
+    {
+        log(log_level::warning,
+            "operator API connections closed for want of memory",
+            {{"count", std::to_string(std::exchange(closed_for_memory_, 0))},
+             {"limit", std::to_string(limits_.max_total_bytes)}});
+        last_memory_log_.start();
+    }
 }
 
 } // namespace hemlockdeal
--- a/src/operators/limited_listener.hpp
+++ b/src/operators/limited_listener.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 
 #include <QElapsedTimer>
 
@@ -19,6 +20,8 @@
     // Size of one request, including headers.
     std::int64_t max_request_bytes = 0;
     std::chrono::milliseconds idle_timeout{};
+    // Size of the requests of all connections that have no reply yet.
+    std::int64_t max_total_bytes = 0;
 };
 
 // QHttpServer buffers a complete request in memory and has no time-out for it.
@@ -33,10 +36,29 @@
     void on_failed_accept() override;
 
 private:
+    // Request that arrives or waits for its reply.
+    struct unanswered_request
+    {
+        std::int64_t bytes = 0;
+        // Order in which the requests began.
+        std::uint64_t number = 0;
+    };
+
     void enforce_limits(QTcpSocket* socket);
+    void add_received(QTcpSocket* socket, std::int64_t bytes);
+    void forget_request(QTcpSocket* socket);
+    // Closes connections until the total is within the limit, beginning with
+    // the request that has lasted longest.
+    void enforce_total();
 
     connection_limits limits_;
     int open_connections_ = 0;
+    std::map<QTcpSocket*, unanswered_request> requests_;
+    // Sum of the bytes in requests_.
+    std::int64_t total_bytes_ = 0;
+    std::uint64_t last_number_ = 0;
+    std::uint64_t closed_for_memory_ = 0;
+    QElapsedTimer last_memory_log_;
     QElapsedTimer last_failure_log_;
 };
 
--- a/src/operators/operator_server.hpp
+++ b/src/operators/operator_server.hpp
@@ -21,6 +21,8 @@
     // A request without a reply by then fails with outcome_unknown.
     std::chrono::milliseconds reply_timeout = std::chrono::seconds(10);
     std::int64_t max_body_bytes = 1'000'000;
+    // Size of the requests of all connections that have no reply yet.
+    std::int64_t max_total_bytes = 32'000'000;
     int max_connections = 256;
     // A connection is closed if no request completes on it for this long.
     std::chrono::milliseconds idle_timeout = std::chrono::seconds(60);
--- a/src/settings/daemon_settings.hpp
+++ b/src/settings/daemon_settings.hpp
@@ -75,6 +75,8 @@
     bool workers_fence = true;
     // Memory for requests and responses that the proxy buffers at once.
     std::uint32_t request_buffers_mb = 256;
+    // Memory for requests of operators and submitters that have no reply yet.
+    std::uint32_t operator_buffers_mb = 32;
 };
 
 } // namespace hemlockdeal
--- a/src/settings/settings_parser.cpp
+++ b/src/settings/settings_parser.cpp
@@ -110,6 +110,9 @@
         settings.request_buffers_mb = static_cast<std::uint32_t>(
             limits->integer("request_buffers_mb", {4, 65'536},
                             settings.request_buffers_mb));
+        settings.operator_buffers_mb = static_cast<std::uint32_t>(
+            limits->integer("operator_buffers_mb", {4, 4096},
+                            settings.operator_buffers_mb));
         limits->check_keys();
     }
 }
--- a/tests/operators/server_test.cpp
+++ b/tests/operators/server_test.cpp
@@ -293,6 +293,38 @@
     EXPECT_EQ(send_request(daemon.port, "GET", "/healthz", "").status, 200);
 }
 
+// Failure: incomplete requests of many clients exhaust the memory, or another
+// client's request is not served beside them.
+TEST(operator_server, incomplete_requests_of_many_clients_are_bounded)
+{
+    operator_server_options options;
+    options.max_total_bytes = 4'000'000;
+    const fake_daemon daemon(options);
+    const std::string bytes =
+        "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" +
+        std::string(900'000, 'x');
+    std::vector<std::unique_ptr<QTcpSocket>> crowd;
+    for (int i = 0; i < 12; ++i)
+    {
+        crowd.push_back(std::make_unique<QTcpSocket>());
+        crowd.back()->connectToHost("127.0.0.1", daemon.port);
+        ASSERT_TRUE(crowd.back()->waitForConnected(2000));
+        crowd.back()->write(bytes.data(), static_cast<qint64>(bytes.size()));
+        while (crowd.back()->bytesToWrite() > 0 &&
+               crowd.back()->waitForBytesWritten(2000))
+        {}
+    }
+    EXPECT_EQ(send_request(daemon.port, "GET", "/healthz", "").status, 200);
+    // Four requests of 0.9 MB fit.
+    std::size_t open = 0;
+    for (const auto& socket : crowd)
+    {
+        socket->waitForReadyRead(100);
+        open += socket->state() == QAbstractSocket::ConnectedState ? 1U : 0U;
+    }
+    EXPECT_EQ(open, 4U);
+}
+
 TEST(operator_server, an_address_in_use_is_an_error)
 {
     const fake_daemon first;
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -172,18 +172,21 @@
     EXPECT_EQ(settings.shards_per_zone, 4U);
     EXPECT_TRUE(settings.workers_fence);
     EXPECT_EQ(settings.request_buffers_mb, 256U);
+    EXPECT_EQ(settings.operator_buffers_mb, 32U);
 }
 
-TEST(settings, request_buffers_have_bounds)
+TEST(settings, buffers_have_bounds)
 {
     const auto parsed = parse_settings(
         valid_settings + "[limits]\nrequest_buffers_mb = 64\n", "s.toml");
     ASSERT_THAT(finding_texts(parsed), ElementsAre());
     EXPECT_EQ(std::get<daemon_settings>(parsed).request_buffers_mb, 64U);
-    EXPECT_THAT(
-        finding_texts(parse_settings(
-            valid_settings + "[limits]\nrequest_buffers_mb = 3\n", "s.toml")),
-        ElementsAre(HasSubstr("'limits.request_buffers_mb'")));
+    EXPECT_THAT(finding_texts(parse_settings(
+                    valid_settings + "[limits]\nrequest_buffers_mb = 3\n"
+                                     "operator_buffers_mb = 4097\n",
+                    "s.toml")),
+                ElementsAre(HasSubstr("'limits.request_buffers_mb'"),
+                            HasSubstr("'limits.operator_buffers_mb'")));
 }
 
 TEST(settings, invalid_addresses_keys_and_tables_are_reported)
