--- a/src/hemlockdeald/daemon.cpp
+++ b/src/hemlockdeald/daemon.cpp
@@ -15,6 +15,7 @@
 constexpr duration tails_interval = std::chrono::seconds(1);
 constexpr duration release_limit = std::chrono::seconds(5);
 constexpr int gauge_interval_ms = 1000;
+constexpr std::int64_t bytes_per_mb = std::int64_t{1} << 20U;
 
 std::string outcome_name(request_outcome outcome)
 {
@@ -79,10 +80,12 @@
                                  [this](platform_reply&& reply) {
                                      proxy_->on_platform(std::move(reply));
                                  });
-    operators_ = std::make_unique<operator_server>(
-        operator_server_options{settings_.operators.listen,
-                                settings_.operators.token},
-        make_callbacks());
+    operator_server_options options{settings_.operators.listen,
+                                    settings_.operators.token};
+    options.max_total_bytes =
+        std::int64_t{settings_.operator_buffers_mb} * bytes_per_mb;
+    operators_ =
+        std::make_unique<operator_server>(std::move(options), make_callbacks());
 }
 
 daemon::~daemon()
@@ -199,6 +202,33 @@
     batch_->tails().post(tails_.tails(lease_clock_now()));
 }
 
+// Called once a second, so that refused callers cannot flood the log.
+void daemon::log_refused_callers(const proxy_counts& counts)
+{
+    const auto before = std::exchange(last_counts_, counts);
+    if (counts.refused_callers > before.refused_callers)
+    {
+        log(log_level::warning, "connections of callers refused",
+            {{"count",
+              std::to_string(counts.refused_callers - before.refused_callers)},
+             {"open", std::to_string(counts.callers)}});
+    }
+    if (counts.refused_for_memory > before.refused_for_memory)
+    {
+        log(log_level::warning, "callers refused for want of memory",
+            {{"count", std::to_string(counts.refused_for_memory -
+                                      before.refused_for_memory)},
+             {"buffered_bytes", std::to_string(counts.buffered_bytes)}});
+    }
+    if (counts.failed_accepts > before.failed_accepts)
+    {
+        log(log_level::warning, "cannot accept connections of callers",
+            {{"count",
+              std::to_string(counts.failed_accepts - before.failed_accepts)},
+             {"open", std::to_string(counts.callers)}});
+    }
+}
+
 void daemon::update_gauges()
 {
     auto& registry = recorder_.registry();
@@ -213,6 +243,24 @@
         .set(static_cast<double>(counts.requests_in_progress));
     registry.gauge("hemlockdeal_requests_waiting", "Requests in the queue")
         .set(static_cast<double>(counts.waiting));
+    registry
+        .gauge("hemlockdeal_callers_refused",
+               "Connections of callers closed because there are too many")
+        .set(static_cast<double>(counts.refused_callers));
+    registry
+        .gauge("hemlockdeal_callers_failed_accepts",
+               "Failed attempts to accept a connection of a caller")
+        .set(static_cast<double>(counts.failed_accepts));
+    registry
+        .gauge("hemlockdeal_callers_refused_for_memory",
+               "Requests refused, and callers closed that did not read their "
+               "response, because the limit of buffered bytes was reached")
+        .set(static_cast<double>(counts.refused_for_memory));
+    registry
+        .gauge("hemlockdeal_request_buffers_bytes",
+               "Bytes of requests and responses that are buffered")
+        .set(static_cast<double>(counts.buffered_bytes));
+    log_refused_callers(counts);
     const auto ring = [&](const char* name, const auto& mail) {
         registry
             .gauge("hemlockdeal_ring_messages",
--- a/src/proxy/endpoint_connection.cpp
+++ b/src/proxy/endpoint_connection.cpp
@@ -7,6 +7,7 @@
 
 #include <QHostAddress>
 
+#include "http/bounded_put.hpp"
 #include "proxy/socket_options.hpp"
 
 namespace hemlockdeal
@@ -145,6 +146,13 @@
     socket_->flush();
 }
 
+std::size_t endpoint_connection::buffered() const
+{
+    return input_.capacity() + writer_.buffered() +
+           static_cast<std::size_t>(socket_->bytesAvailable() +
+                                    socket_->bytesToWrite());
+}
+
 void endpoint_connection::resume()
 {
     if (std::exchange(paused_, false))
@@ -222,8 +230,7 @@
         return true;
     }
     boost::beast::error_code error;
-    used = parser_->put(boost::asio::const_buffer(input.data(), input.size()),
-                        error);
+    used = bounded_put_all(*parser_, input, limits_.header_bytes, error);
     if (error && error != http::error::need_more)
     {
         fail("malformed response from the endpoint: " + error.message());
@@ -298,7 +305,7 @@
     reusable_ = parser_->keep_alive() && request_finished_ && !more_input &&
                 !remote_closed_;
     const bool healthy = parser_->get().result_int() / 100 == 2;
-    input_ = {};
+    release_memory(input_);
     parser_.reset();
     set_phase(phase::idle);
     if (was_probe)
--- a/src/settings/daemon_settings.hpp
+++ b/src/settings/daemon_settings.hpp
@@ -73,6 +73,10 @@
     std::uint32_t shards_per_zone = 4;
     // Whether workers reject commands with a stale epoch (assumption W1).
     bool workers_fence = true;
+    // Memory for requests and responses that the proxy buffers at once.
+    std::uint32_t request_buffers_mb = 256;
+    // Memory for requests of operators and submitters that have no reply yet.
+    std::uint32_t operator_buffers_mb = 32;
 };
 
 } // namespace hemlockdeal
