Pass one context to the placers of steps and gangs

Change: placement_context holds them; task_placer makes one for both.

Ruled out: a common base class, because the two share data and no behaviour.

--- a/src/jobs/gang_placer.cpp
+++ b/src/jobs/gang_placer.cpp
@@ -42,7 +42,7 @@
     }
     for (const auto& [key, worker] : places)
     {
-        starter_.order(*gang.owner, key, *worker, run, now);
+        context_.starter.order(*gang.owner, key, *worker, run, now);
     }
     return 0;
 }
@@ -56,10 +56,11 @@
     for (std::uint32_t i = 0; i < gang.definition().task_count; ++i)
     {
         const auto key = gang.task(i);
-        auto* worker = reservations_.find(*gang.owner, key, now);
+        auto* worker = context_.reservations.find(*gang.owner, key, now);
         if (worker == nullptr)
         {
-            worker = search_.find(candidates_.usable(), *gang.owner, key, now);
+            worker = context_.search.find(context_.candidates.usable(),
+                                          *gang.owner, key, now);
         }
         if (worker == nullptr)
         {
@@ -86,7 +87,8 @@
     for (const auto& [key, worker] : places)
     {
         may_be_ordered =
-            starter_.prepare(*gang.owner, key, *worker, now) && may_be_ordered;
+            context_.starter.prepare(*gang.owner, key, *worker, now) &&
+            may_be_ordered;
     }
     return may_be_ordered;
 }
@@ -97,7 +99,7 @@
     for (std::uint32_t i = 0; i < gang.definition().task_count; ++i)
     {
         const auto& task = gang.owner->peek(gang.task(i));
-        run = std::max(run, state_.next_run(task));
+        run = std::max(run, context_.state.next_run(task));
     }
     return run;
 }
--- a/src/jobs/gang_placer.hpp
+++ b/src/jobs/gang_placer.hpp
@@ -5,8 +5,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "jobs/task_starter.hpp"
-#include "jobs/worker_search.hpp"
+#include "jobs/placement_context.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -14,11 +13,7 @@
 class gang_placer
 {
 public:
-    gang_placer(scheduler_state& state, const candidate_workers& candidates,
-                const place_reservations& reservations, worker_search& search,
-                task_starter& starter)
-        : state_(state), candidates_(candidates), reservations_(reservations),
-          search_(search), starter_(starter)
+    explicit gang_placer(const placement_context& context) : context_(context)
     {}
 
     // Orders the start of all tasks of the gang if there is room for each.
@@ -41,11 +36,7 @@
     // The run number that all members get.
     std::uint32_t next_run(const waiting_step& gang) const;
 
-    const scheduler_state& state_;
-    const candidate_workers& candidates_;
-    const place_reservations& reservations_;
-    worker_search& search_;
-    task_starter& starter_;
+    placement_context context_;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/step_placer.cpp
+++ b/src/jobs/step_placer.cpp
@@ -24,7 +24,7 @@
     const bool is_full_search =
         step.owner->definition().policy.needs_advice ||
         now - record.searched_at >= full_search_interval;
-    const auto lists = candidates_.lists_for(step, is_full_search, now);
+    const auto lists = context_.candidates.lists_for(step, is_full_search, now);
     const auto result = place_tasks(step, {lists, lists}, now);
     if (result.is_waiting_for_store || result.without_room == 0)
     {
@@ -65,12 +65,13 @@
             ++result.without_room;
             continue;
         }
-        if (!starter_.prepare(*step.owner, key, *worker, now))
+        if (!context_.starter.prepare(*step.owner, key, *worker, now))
         {
             result.is_waiting_for_store = true;
             continue;
         }
-        starter_.order(*step.owner, key, *worker, state_.next_run(task), now);
+        context_.starter.order(*step.owner, key, *worker,
+                               context_.state.next_run(task), now);
     }
     return result;
 }
@@ -79,7 +80,8 @@
                                        const task_key& key, open_lists& lists,
                                        time_point now)
 {
-    if (auto* const reserved = reservations_.find(*step.owner, key, now))
+    if (auto* const reserved =
+            context_.reservations.find(*step.owner, key, now))
     {
         return reserved;
     }
@@ -87,7 +89,8 @@
                                                      : lists.for_others;
     while (!open.empty())
     {
-        auto* const worker = search_.find(open.front(), *step.owner, key, now);
+        auto* const worker =
+            context_.search.find(open.front(), *step.owner, key, now);
         if (worker != nullptr)
         {
             return worker;
--- a/src/jobs/step_placer.hpp
+++ b/src/jobs/step_placer.hpp
@@ -4,8 +4,7 @@
 #include <cstddef>
 #include <deque>
 
-#include "jobs/task_starter.hpp"
-#include "jobs/worker_search.hpp"
+#include "jobs/placement_context.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -13,11 +12,7 @@
 class step_placer
 {
 public:
-    step_placer(scheduler_state& state, const candidate_workers& candidates,
-                const place_reservations& reservations, worker_search& search,
-                task_starter& starter)
-        : state_(state), candidates_(candidates), reservations_(reservations),
-          search_(search), starter_(starter)
+    explicit step_placer(const placement_context& context) : context_(context)
     {}
 
     // Orders a start for each task that may start and for which a worker has
@@ -48,11 +43,7 @@
     fleet_worker* find_worker(const waiting_step& step, const task_key& key,
                               open_lists& lists, time_point now);
 
-    const scheduler_state& state_;
-    const candidate_workers& candidates_;
-    const place_reservations& reservations_;
-    worker_search& search_;
-    task_starter& starter_;
+    placement_context context_;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -6,9 +6,10 @@
 
 task_placer::task_placer(scheduler_state& state)
     : state_(state), candidates_(state), reservations_(state), search_(state),
-      starter_(state, reservations_), advice_(state, candidates_),
-      step_placer_(state, candidates_, reservations_, search_, starter_),
-      gang_placer_(state, candidates_, reservations_, search_, starter_),
+      starter_(state, reservations_),
+      advice_(state, candidates_), context_{state, candidates_, reservations_,
+                                            search_, starter_},
+      step_placer_(context_), gang_placer_(context_),
       mover_(state, candidates_, search_)
 {}
 
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -41,6 +41,7 @@
     worker_search search_;
     task_starter starter_;
     advice_requester advice_;
+    placement_context context_;
     step_placer step_placer_;
     gang_placer gang_placer_;
     slowed_task_mover mover_;
