Let idle callers make way for new ones

Callers saw: at 4,000 connections of callers each new one is closed at once, for as long as the others stay; one that sends nothing may stay for 60 s, and then open another. Callers without a request thus kept ordinary ones out.

Change: at the limit, the connection that has had no request for longest, 1 s at least, is closed for the new one. Otherwise the new one is closed, as before. Both count as hemlockdeal_callers_refused. The limit of 4,000 and the age are constants of proxy_limits as the other times are, not settings.

Before (x86-64): caller_limit.idle_connection_makes_way_for_a_new_one, with a limit of 3, failed: the fourth caller got no response. After: it passes, with all 41 tests of test_proxy; caller_fault.connections_beyond_the_limit_are_closed (connections younger than 1 s) is unchanged.

--- a/src/proxy/caller_listener.cpp
+++ b/src/proxy/caller_listener.cpp
@@ -8,6 +8,8 @@
 #include <QTcpSocket>
 #include <unistd.h>
 
+#include "proxy/socket_options.hpp"
+
 namespace hemlockdeal
 {
 
@@ -55,7 +57,7 @@
         ::close(static_cast<int>(descriptor));
         return;
     }
-    if (connections_.size() >= limits_.callers)
+    if (connections_.size() >= limits_.callers && !close_longest_idle())
     {
         ++refused_;
         socket->abort();
@@ -66,6 +68,28 @@
                                  id, socket.release(), limits_, handlers_));
 }
 
+bool caller_listener::close_longest_idle()
+{
+    const auto idle_since = monotonic_now() - limits_.min_idle_time;
+    caller_connection* longest = nullptr;
+    std::ranges::for_each(connections_, [&](const auto& entry) {
+        auto& c = *entry.second;
+        const bool is_longer =
+            longest == nullptr || c.last_activity() < longest->last_activity();
+        if (c.is_idle() && c.last_activity() < idle_since && is_longer)
+        {
+            longest = &c;
+        }
+    });
+    if (longest == nullptr)
+    {
+        return false;
+    }
+    longest->close_when_sent();
+    ++refused_;
+    return connections_.size() < limits_.callers;
+}
+
 void caller_listener::remove_connection(caller_connection& connection)
 {
     const auto found = connections_.find(connection.id());
--- a/src/proxy/caller_listener.hpp
+++ b/src/proxy/caller_listener.hpp
@@ -34,7 +34,8 @@
     // Returns null if the connection has ended.
     caller_connection* find(std::uint64_t id);
     std::size_t size() const { return connections_.size(); }
-    // Number of connections that were rejected because the limit was reached.
+    // Number of connections that were rejected, or closed while idle, because
+    // the limit was reached.
     std::uint64_t refused() const { return refused_; }
     // Number of times that accepting failed, for example for want of
     // descriptors.
@@ -69,6 +70,9 @@
     };
 
     void accept(qintptr descriptor);
+    // Closes the connection that has had no request for longest, so that a new
+    // one can be accepted; returns whether there is room for it.
+    bool close_longest_idle();
     void remove_connection(caller_connection& connection);
     void count(caller_connection& connection);
     bool has_room() const;
--- a/src/proxy/proxy_limits.hpp
+++ b/src/proxy/proxy_limits.hpp
@@ -27,6 +27,9 @@
     // Maximum time without a request, or without progress of a caller in
     // reading its response.
     duration idle_time = std::chrono::seconds(60);
+    // When there are too many callers, connections that were idle for longer
+    // are closed to accept new ones.
+    duration min_idle_time = std::chrono::seconds(1);
     // Time during which a rejected caller may continue to send until its
     // connection is closed; closing it immediately would reset it and lose the
     // response.
--- a/tests/proxy/memory_limit_test.cpp
+++ b/tests/proxy/memory_limit_test.cpp
@@ -93,3 +93,22 @@
     test_caller small(bed.port());
     EXPECT_TRUE(is_response_to(small.round_trip("GET", "/read", "r2"), "r2"));
 }
+
+// Failure: callers that open connections and send nothing keep all others out.
+TEST(caller_limit, idle_connection_makes_way_for_a_new_one)
+{
+    test_bed::options options;
+    options.limits.callers = 3;
+    test_bed bed(options);
+    std::vector<std::unique_ptr<test_caller>> crowd;
+    crowd.reserve(3);
+    for (int i = 0; i < 3; ++i)
+    {
+        crowd.push_back(std::make_unique<test_caller>(bed.port()));
+    }
+    run_for(1200);
+    test_caller ordinary(bed.port());
+    EXPECT_TRUE(
+        is_response_to(ordinary.round_trip("GET", "/read", "r1"), "r1"));
+    EXPECT_EQ(bed.proxy().callers(), 3U);
+}
