Wait on a seen worker for one lease at most, and store its lease end once

What callers would see: LOST after an unplanned takeover, and a store under constant writes. Cause: a worker that had answered a new leader was waited for as long as an unseen one (up to 15.2 s), although it refuses earlier leaders from its first answer on. And a lease end that cannot be expressed, because the clock of the store or of the worker is not known, counted as a record to be written again each 40 ms. Change: the wait ends one lease after the first answer; only ends that can be expressed are due.

--- a/src/jobs/fleet_recorder.cpp
+++ b/src/jobs/fleet_recorder.cpp
@@ -11,7 +11,9 @@
 
 bool fleet_recorder::needs_bound(const fleet_worker& worker) const
 {
-    return worker.is_closed() && worker.failed_polls > 0 &&
+    const bool can_be_bounded =
+        worker.knows_clock() && state_.clock.latest_at(now_).has_value();
+    return can_be_bounded && worker.is_closed() && worker.failed_polls > 0 &&
            worker.silent_since && !worker.runs().empty() &&
            now_ - *worker.silent_since >= state_.options.lease_bound_delay;
 }
--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -134,6 +134,14 @@
     }
 }
 
+void takeover_recovery::note_earlier_leases(fleet_worker& worker) const
+{
+    // The worker refuses earlier leaders from its first response on.
+    worker.note_earlier_leases(
+        std::min(lease_expiry(worker.entry.id),
+                 worker.responded_at + longest_lease(state_.options)));
+}
+
 void takeover_recovery::on_worker_seen(fleet_worker& worker)
 {
     const auto unseen = unseen_workers_.find(worker.entry.id);
@@ -141,7 +149,7 @@
     {
         return;
     }
-    worker.note_earlier_leases(lease_expiry(worker.entry.id));
+    note_earlier_leases(worker);
     if (unseen->second.runs || unseen->second.leases || stores_bounds_)
     {
         // The store must record the worker as open before other tasks are
@@ -163,7 +171,7 @@
     {
         return;
     }
-    worker.note_earlier_leases(lease_expiry(id));
+    note_earlier_leases(worker);
     if (unseen->second.leases || stores_bounds_)
     {
         worker.may_have_stored_bound = true;
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -82,6 +82,7 @@
     void store_bounds(time_point now);
     // When the leases on an unseen worker expire.
     time_point lease_expiry(const worker_id& id) const;
+    void note_earlier_leases(fleet_worker& worker) const;
     fleet_record with_bound(const fleet_record& record,
                             time_point expiry) const;
     // Marks only those tasks uncertain that may run on workers that have not
--- a/tests/jobs/first_contact_lease_test.cpp
+++ b/tests/jobs/first_contact_lease_test.cpp
@@ -125,3 +125,14 @@
     ASSERT_TRUE(started_at);
     EXPECT_GE(*started_at - responded_at, scheduler_options{}.max_lease);
 }
+
+// Failure: LOST, because a worker that ends after it has answered a new leader
+// is waited for as if an earlier leader could still extend its leases.
+TEST_F(first_contact_lease_test,
+       no_earlier_leader_extends_after_the_first_answer)
+{
+    responds = true;
+    simulate(seconds(12));
+    ASSERT_TRUE(started_at);
+    EXPECT_LT(*started_at - responded_at, seconds(7));
+}
--- a/tests/jobs/hand_over_test.cpp
+++ b/tests/jobs/hand_over_test.cpp
@@ -56,7 +56,10 @@
     void replace_leader(const earlier_leaders& predecessors)
     {
         leader.emplace(scheduler_options{}, ++epoch);
-        leader->set_store_clock(store_clock_at(now));
+        if (knows_store_clock)
+        {
+            leader->set_store_clock(store_clock_at(now));
+        }
         leader->set_services({{service_id("s"), {}}});
         if (progress)
         {
@@ -93,6 +96,7 @@
         {
             progress = text;
         }
+        fleet_writes += changes.fleet.size();
         for (const auto& part : changes.fleet)
         {
             fleet_rows[part.number] = part;
@@ -187,6 +191,8 @@
     bool is_answering = true;
     time_point lost_at{};
     std::size_t lease_extensions = 0;
+    std::size_t fleet_writes = 0;
+    bool knows_store_clock = true;
 };
 
 // The platform counts a long-running task as lost 6 s after its last run, if
@@ -195,6 +201,23 @@
 
 } // namespace
 
+// Failure: the record of a silent worker is written again and again, because
+// the store does not name its clock, or the worker's clock is not known.
+TEST_F(hand_over_test, silence_costs_a_bounded_number_of_writes)
+{
+    for (const bool known : {true, false})
+    {
+        knows_store_clock = known;
+        is_lost = false;
+        replace_leader({});
+        simulate(seconds(1));
+        is_lost = true;
+        fleet_writes = 0;
+        simulate(seconds(6));
+        EXPECT_LE(fleet_writes, 2U) << known;
+    }
+}
+
 // Failure: each planned hand-over restarts the wait for the leases of a worker
 // that was lost before, and its long-running tasks are away for 14 s (LOST).
 TEST_F(hand_over_test, task_of_a_worker_lost_before_runs_again_in_time)
