--- a/tests/processes/clients_at_entry.py
+++ b/tests/processes/clients_at_entry.py
@@ -14,9 +14,11 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "..", "soak"))
 
-import soak  # noqa: E402
+from caller import call  # noqa: E402
 from command_line import add_common_options, run_and_exit  # noqa: E402
-from platform_standin import Store  # noqa: E402
+from configuration import CONFIGURATION, HOST, PREFIX  # noqa: E402
+from entry_vm import EntryVm  # noqa: E402
+from store_standin import Store  # noqa: E402
 
 # The limits in the settings file, which are the bounds of the test.
 MEMORY_MB = 96
@@ -32,8 +34,8 @@
 SENDING_S = 20
 ANSWER_S = 30
 
-POST = (f"POST {soak.PREFIX}{'f' * 16} HTTP/1.1\r\n"
-        f"Host: {soak.HOST}\r\n").encode()
+POST = (f"POST {PREFIX}{'f' * 16} HTTP/1.1\r\n"
+        f"Host: {HOST}\r\n").encode()
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 ORDINARY = {"spec": "x" * 100, "steps": [
     {"count": 1, "cpu": 1000, "mem_mb": 500, "estimate_ms": 600}]}
@@ -124,18 +126,15 @@
 }
 
 
-class Entry(soak.Daemon):
+class Entry(EntryVm):
     """An entry VM with the limits of the test, and with metrics."""
 
     def __init__(self, base, program, folder, max_descriptors):
-        super().__init__(0, base, program, folder)
+        super().__init__(
+            0, base, program, folder,
+            limits={"memory_mb": MEMORY_MB, "max_fds": MAX_FDS})
         self.metrics = base + 3
         self.max_descriptors = max_descriptors
-        with open(self.file, encoding="utf-8") as settings:
-            content = json.load(settings)
-        content["limits"] = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
-        with open(self.file, "w", encoding="utf-8") as settings:
-            json.dump(content, settings)
 
     def limit_descriptors(self):
         if self.max_descriptors is not None:
@@ -226,7 +225,7 @@
 
 
 async def submit(port):
-    response = await soak.call(port, "POST", soak.PREFIX + "1" * 16, ORDINARY)
+    response = await call(port, "POST", PREFIX + "1" * 16, ORDINARY)
     return None if response is None else response[0]
 
 
@@ -254,7 +253,7 @@
     entry = Entry(21000 + os.getpid() % 1500 * 4, options.program, folder,
                   crowd.max_descriptors)
     store = Store()
-    store.put("op", "", "config", json.dumps(soak.CONFIGURATION).encode())
+    store.put("op", "", "config", json.dumps(CONFIGURATION).encode())
     await store.listen(entry.store)
     await entry.start()
     failures = []
