--- a/review/standins-2/table_store.py
+++ b/review/standins-2/table_store.py
@@ -12,7 +12,9 @@
 from http_endpoint import Endpoint, Path
 
 PAGE_ROWS, PAGE_BYTES = 500, 1_000_000
-ANSWER_S = 0.004  # SYSTEM.md: 4 ms an answer
+# SYSTEM.md: 4 ms an answer; a transaction takes tx_ms, and those of one part
+# follow one another.
+ANSWER_S, TRANSACTION_S = 0.004, 0.005
 
 
 def now_ms():
@@ -29,6 +31,9 @@
         self.version = 1
         self.changed = asyncio.Event()
         self.last_writer = {}
+        # How many times as long everything takes.
+        self.slowness = 1.0
+        self.turns = {}
         # Port to the path of the entry VM that uses it.
         self.paths = {}
 
@@ -88,12 +93,16 @@
                 "value": value, "ver": version}
 
     async def handle(self, port, method, target, body):
-        await asyncio.sleep(ANSWER_S)
         url = urlsplit(target)
         query = {k: unquote(v[0]) for k, v in
                  parse_qs(url.query, keep_blank_values=True).items()}
         if url.path == "/rows-tx":
-            return self.transact(port, json.loads(body))
+            call = json.loads(body)
+            part = call["expect"][0]["part"]
+            async with self.turns.setdefault(part, asyncio.Lock()):
+                await asyncio.sleep(TRANSACTION_S * self.slowness)
+                return self.transact(port, call)
+        await asyncio.sleep(ANSWER_S * self.slowness)
         if url.path == "/rows-get":
             return self.read(query)
         if url.path == "/rows-feed":
