--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,67 +1,84 @@
-"""The leading process is killed once, in a deployment that has been in use for a
-while: the store holds the rows of finished jobs. Tasks that last must run on, or
-again in time."""
+"""Two minions are cut off for a while. The leading machine freezes and wakes again,
+and its zone is cut off meanwhile. No task may run on two minions."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 from deployment import run_case  # noqa: E402
-from history import load_history  # noqa: E402
 
-VMS, WORKERS = 3, 6
+VMS, WORKERS = 3, 12
 CAPACITY = {"cpu": 16000, "mem_mb": 64000, "gpu": 0}
-# 24.5 hours of the 10.19 jobs a second of SYSTEM.md, or 60 days of 15,000 jobs.
-FINISHED_JOBS = 900_000
-LASTING = [{"count": 6, "cpu": 1000, "mem_mb": 2000, "estimate_ms": 400,
-            "long_running": True}]
 JOBS = 3
-READY_WITHIN_S, OBSERVED_S, RESTART_AFTER_S = 45, 30, 1.0
-# RULES.md, LOST: calm for 4 s, and then 3 s, at least 6 s after the last run.
-CALM_BEFORE_S, WINDOW_S, AFTER_RUN_S = 4.0, 3.0, 6.0
+STEPS = [{"count": 12, "cpu": 500, "mem_mb": 1000, "estimate_ms": 400,
+          "long_running": True}]
+MINIONS_CUT, FREEZE_AFTER_S = 2, 2.1
+FREEZE_S, CUT_AFTER_S, CUT_S = 3.5, 1.0, 5.0
 
 
-def memory_mb(vm):
-    with open(f"/proc/{vm.process.pid}/status", encoding="utf-8") as status:
-        return max(int(line.split()[1]) / 1024 for line in status
-                   if line.startswith("VmHWM:"))
+def paths_over_the_border(deployment, zone):
+    """The paths between the zone and the others, with the store in another."""
+    out = []
+    for number, vm in enumerate(deployment.vms):
+        if vm.zone == zone:
+            out.append(deployment.store.paths[vm.store_port])
+        out += [worker.paths[number] for worker in deployment.workers
+                if (worker.zone == zone) != (vm.zone == zone)]
+    out += [worker.store_path for worker in deployment.workers
+            if worker.zone == zone]
+    return out
+
+
+async def freeze_as_it_renews(deployment, leader):
+    """As the answer to its renewal is on its way."""
+    store = deployment.store
+    version = store.version_of("lease", "lead", "leader")
+    while store.version_of("lease", "lead", "leader") == version:
+        await asyncio.sleep(0)
+    leader.send(signal.SIGSTOP)
 
 
 async def case(deployment, has_trouble):
-    await load_history(deployment, FINISHED_JOBS)
-    for vm in deployment.vms:
-        await vm.start()
-    await asyncio.sleep(1)
     for i in range(JOBS):
-        await deployment.submit(deployment.vms[i % VMS], LASTING)
+        await deployment.submit(deployment.vms[i % VMS], STEPS)
     await deployment.wait_until(
-        lambda: len(deployment.runs) == JOBS * LASTING[0]["count"],
-        READY_WITHIN_S)
-    await asyncio.sleep(5)
-    calm_since = time.monotonic()
+        lambda: len(deployment.runs) == JOBS * STEPS[0]["count"], 20)
+    await asyncio.sleep(4)
+    leader = deployment.leader()
+    border = paths_over_the_border(deployment, leader.zone)
+    deployment.record.note(f"{leader.name} leads, in zone {leader.zone}")
     if has_trouble:
-        leader = deployment.leader()
-        deployment.record.note(f"{leader.name} leads, "
-                               f"{memory_mb(leader):.0f} MB at most")
-        await leader.kill()
-        await asyncio.sleep(RESTART_AFTER_S)
-        await leader.start()
-        calm_since = time.monotonic()
-    broken = set()
-    while time.monotonic() - calm_since < OBSERVED_S:
-        await asyncio.sleep(0.1)
-        now = time.monotonic()
-        for task, since in deployment.not_running_since.items():
-            waits_from = max(since + AFTER_RUN_S, calm_since + CALM_BEFORE_S)
-            if task not in broken and now - waits_from > WINDOW_S:
-                broken.add(task)
-                deployment.record.break_rule(
-                    f"LOST: {task} lasts and has not run for {now - since:.1f} s; "
-                    f"calm for {now - calm_since:.1f} s; {len(deployment.runs)} "
-                    f"tasks run on {WORKERS} minions of 16 cores")
+        far = [worker for worker in deployment.workers
+               if worker.zone != leader.zone][:MINIONS_CUT]
+        both = [path for worker in far
+                for path in [*worker.paths, worker.store_path]]
+        for path in both:
+            path.cut()
+        deployment.record.note(f"{[w.id for w in far]} are cut off")
+        await asyncio.sleep(FREEZE_AFTER_S)
+        await freeze_as_it_renews(deployment, leader)
+        frozen_at = time.monotonic()
+        await asyncio.sleep(CUT_AFTER_S)
+        for path in border:
+            path.cut()
+        deployment.record.note(f"zone {leader.zone} is cut off")
+        await asyncio.sleep(0.15)
+        for path in both:
+            if path not in border:
+                path.heal()
+        deployment.record.note(f"{[w.id for w in far]} are reached again by the "
+                               f"other zones")
+        await asyncio.sleep(max(0, frozen_at + FREEZE_S - time.monotonic()))
+        leader.send(signal.SIGCONT)
+        await asyncio.sleep(frozen_at + CUT_AFTER_S + CUT_S - time.monotonic())
+        for path in border:
+            path.heal()
+        deployment.record.note(f"zone {leader.zone} is reached again")
+    await asyncio.sleep(8)
 
 
 run_case(FOLDER, case, VMS, WORKERS, CAPACITY)
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -3,6 +3,7 @@
 addresses."""
 
 import asyncio
+import base64
 import json
 import os
 import pathlib
@@ -166,9 +167,11 @@
         self.zone = list(ZONES)[number % len(ZONES)]
         self.machine = f"machine-{number}"
         self.capacity = capacity
-        self.server = None
-        self.path = Path()
-        self.port = 0
+        # Each entry VM has a path and a port of its own.
+        self.servers = []
+        self.paths = [Path() for _ in deployment.vms]
+        self.ports = [0 for _ in deployment.vms]
+        self.store_path = Path()
         self.is_up = False
         self.last_beat = None
 
@@ -180,15 +183,17 @@
         self.fence, self.number, self.lease = 0, 0, None
         self.event = asyncio.Event()
         self.is_up = True
-        self.server = Endpoint(self.handle, self.path)
-        self.port = await self.server.listen(self.port)
+        self.servers = [Endpoint(self.handle, path) for path in self.paths]
+        self.ports = [await server.listen(port)
+                      for server, port in zip(self.servers, self.ports)]
         self.record.note(f"{self.id} up, born {self.born}")
         self.beat()
 
     def crash(self):
         """The process ends; what runs on it ends with it."""
         self.is_up = False
-        self.server.close()
+        for server in self.servers:
+            server.close()
         for task in list(self.running):
             self.deployment.on_gone(task, self)
         self.record.note(f"{self.id} crashes, ends {sorted(self.running)}")
@@ -200,7 +205,7 @@
     def beat(self):
         self.last_beat = time.monotonic()
         self.store.put("servers", "", self.id, json.dumps({
-            "service": SERVICE, "address": f"127.0.0.1:{self.port}",
+            "service": SERVICE, "address": f"127.0.0.1:{self.ports[0]}",
             "zone": self.zone, "version": "v1", "slots": 8, "state": "ready",
             "cold_left_ms": 0, "machine": self.machine,
             "labels": ["a", f"rack-{self.zone}"], "born": self.born,
@@ -214,7 +219,7 @@
                 self.store.remove("servers", "", self.id)
             if not self.is_up:
                 continue
-            if not self.path.is_cut and \
+            if not self.store_path.is_cut and \
                     time.monotonic() - self.last_beat > BEAT_MS / 1000:
                 self.beat()
             if self.lease is not None and self.clock() > self.lease:
@@ -365,15 +370,25 @@
             "services": [{"name": SERVICE, "enforces_capacity": True}],
             "limits": {}}).encode())
 
+    def entry_for(self, port, key, value):
+        """The minion's entry with the address on the path of one entry VM."""
+        entry = json.loads(base64.b64decode(value))
+        number = [vm.store_port for vm in self.vms].index(port)
+        worker = next(w for w in self.workers if w.id == key)
+        entry["address"] = f"127.0.0.1:{worker.ports[number]}"
+        return base64.b64encode(json.dumps(entry).encode()).decode()
+
     async def start(self, ready_within=15):
         self.put_configuration()
+        self.store.view = self.entry_for
         for worker in self.workers:
             await worker.begin()
             asyncio.ensure_future(worker.run())
         for i, vm in enumerate(self.vms):
             port = free_port()
             await self.store.listen(port)
-            vm.write_settings(list(ZONES)[i % len(ZONES)], port)
+            vm.zone = list(ZONES)[i % len(ZONES)]
+            vm.write_settings(vm.zone, port)
             await vm.start()
         await self.wait_until(lambda: self.leader() is not None, ready_within)
 
--- a/review/standins-2/table_store.py
+++ b/review/standins-2/table_store.py
@@ -34,6 +34,9 @@
         # How many times as long everything takes.
         self.slowness = 1.0
         self.turns = {}
+        # `view(port, key, value)` gives an entry of a minion with the address at
+        # which the entry VM with this port reaches the minion.
+        self.view = None
         # Port to the path of the entry VM that uses it.
         self.paths = {}
 
@@ -93,6 +96,13 @@
                 "value": value, "ver": version}
 
     async def handle(self, port, method, target, body):
+        answer = await self.execute(port, method, target, body)
+        for row in answer[1].get("rows", []):
+            if row["table"] == "servers" and "value" in row and self.view:
+                row["value"] = self.view(port, row["key"], row["value"])
+        return answer
+
+    async def execute(self, port, method, target, body):
         url = urlsplit(target)
         query = {k: unquote(v[0]) for k, v in
                  parse_qs(url.query, keep_blank_values=True).items()}
--- a/review/tmp/lasting/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
