--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -8,13 +8,13 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import socket
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
@@ -195,7 +195,7 @@
         for server in self.servers:
             server.close()
         for task in list(self.running):
-            self.deployment.on_gone(task, self)
+            self.deployment.on_crash(task, self)
         self.record.note(f"{self.id} crashes, ends {sorted(self.running)}")
         self.running = {}
 
@@ -256,6 +256,13 @@
             return await self.hold(call)
         return 200, clock
 
+    def percent(self, task, until):
+        """100 while a task that lasts is at work."""
+        if until is None:
+            return 100
+        whole = self.deployment.step_of(task).get("estimate_ms", 500) / 1000
+        return max(0, min(99, int(100 - 100 * (until - time.monotonic()) / whole)))
+
     def extend(self, deadline):
         limit = self.clock() + BOUNDS["hold_max_ms"]
         self.lease = max(self.lease or 0, min(deadline, limit))
@@ -303,7 +310,7 @@
                 pass
         if not self.is_up:
             return None
-        running = [[task, run, "", 100 if until is None else 50, -1]
+        running = [[task, run, "", self.percent(task, until), -1]
                    for task, (run, until) in self.running.items()]
         return 200, {"clock_ms": self.clock(), "born": self.born,
                      "running": running, "ended": self.ended[:500]}
@@ -313,8 +320,8 @@
     """Store, minions, entry VMs and clients of one case."""
 
     def __init__(self, record_path, vms, workers, capacity):
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        self.role = deploy["roles"]["entry"]
+        deploy = (ROOT / "deploy/system.toml").read_text(encoding="utf-8")
+        self.role = dict(re.findall(r'^(run|metrics) = "(.*)"$', deploy, re.M))
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         self.record = Record(record_path)
         self.store = TableStore()
@@ -323,6 +330,8 @@
         self.runs, self.not_running_since = {}, {}
         # Ends that minions have listed, as pairs of task and kind.
         self.ends = []
+        # Task to the number of minions that have crashed under it.
+        self.lost_runs = {}
         # Jobs of which a task has begun.
         self.begun = set()
         self.vms = [EntryVm(self, i) for i in range(vms)]
@@ -353,6 +362,10 @@
         self.ends.append((task, how))
         self.on_gone(task, worker)
 
+    def on_crash(self, task, worker):
+        self.lost_runs[task] = self.lost_runs.get(task, 0) + 1
+        self.on_gone(task, worker)
+
     def on_gone(self, task, worker):
         if self.runs.get(task) is worker:
             del self.runs[task]
@@ -485,8 +498,8 @@
 
     try:
         code = asyncio.run(play())
-    except OSError as error:
-        print(f"cannot run: {error}")
+    except Exception:  # pylint: disable=broad-except
+        traceback.print_exc()
         code = 2
     sys.stdout.flush()
     os._exit(code)
--- a/review/standins-2/table_store.py
+++ b/review/standins-2/table_store.py
@@ -31,6 +31,8 @@
         self.version = 1
         self.changed = asyncio.Event()
         self.last_writer = {}
+        # Table and port to the time of the last call for changes.
+        self.asked_at = {}
         # How many times as long everything takes.
         self.slowness = 1.0
         self.turns = {}
@@ -116,7 +118,7 @@
         if url.path == "/rows-get":
             return self.read(query)
         if url.path == "/rows-feed":
-            return await self.feed(query)
+            return await self.feed(port, query)
         return 404, {}
 
     def answer(self, **members):
@@ -152,8 +154,9 @@
             at += 1
         return 200, self.answer(rows=rows, more_pages=at < end)
 
-    async def feed(self, query):
+    async def feed(self, port, query):
         table, after = query["table"], int(query["after"])
+        self.asked_at[(table, port)] = time.monotonic()
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             changes = self.changes.get(table, [])
