--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -15,12 +15,12 @@
 import sys
 import tempfile
 import time
-
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+import traceback
 
 from http_endpoint import Endpoint, Path
 from table_store import TableStore
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST, PREFIX, SERVICE = "queue.example", "/q/", "svc"
 ZONES = {"z1": "r1", "z2": "r1", "z3": "r2"}
 BOUNDS = {
