--- a/review/7/case.py
+++ b/review/7/case.py
@@ -38,7 +38,7 @@
     store = deployment.store
     version = store.version_of("lease", "lead", "leader")
     while store.version_of("lease", "lead", "leader") == version:
-        await asyncio.sleep(0)
+        await asyncio.sleep(0)  # at most until the case is over
     leader.send(signal.SIGSTOP)
 
 
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -36,6 +36,7 @@
 CONTRACTS = ["base", "drain", "config", "cost", "recover", "sched", "places",
              "platform", "advice", "upkeep", "sharing"]
 BORN_MS, BEAT_MS, BEATS_TO_EXPIRY = 1000, 1500, 3
+CASE_WITHIN_S = 100
 PORTS = {"front": 8161, "ready": 8167, "control": 8166}
 
 
@@ -482,7 +483,7 @@
         deployment = Deployment(record_path, vms, workers, capacity)
         try:
             await deployment.start()
-            await case(deployment, has_trouble)
+            await asyncio.wait_for(case(deployment, has_trouble), CASE_WITHIN_S)
             return 1 if deployment.record.broken else 0
         except CannotRun as error:
             deployment.record.note(f"cannot run: {error}")
