Store the validity of the lead with the lease, and wait for it

A leader that was suspended for 3.5 s while a renewal was answered considered itself valid for 8.2 s after it had sent the renewal. Its zone was cut off, so that neither the store nor the next leader's workers corrected it; it took the leases of two silent workers for expired and started their tasks again, although the next leader had reached these workers and extended their leases.

Cause: the validity was prolonged by twice the time that the response took. That time includes a suspension of the process, and the other VMs, whose own reads were fast, did not wait for it.

Change: each write of the lease row names the validity that its sender will claim: 1.2 s plus twice the recent response time of the store, of which at most 1 s counts. The leader counts it from the sending of the write, however long the response takes. Other VMs take the lease only when the row has not changed for that time and a margin of 0.2 s; a row without the field counts with the longest validity, 3.2 s. A slow store still costs no lead: back-to-back renewals of 1 s keep it valid once the first ones have shown the response time.

Ruled out: the fence of workers (it does not reach a zone that is cut off), and the condition of the next transaction (it cannot be sent behind the cut). A shorter fixed validity without the response time was not taken, because a store that answers in more than 0.6 s would end the lead between two renewals.

--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -22,6 +22,19 @@
     return value == nullptr ? std::nullopt : store_time_of(*value);
 }
 
+// A longer validity is taken for a malformed one: no VM would ever take the
+// lease.
+constexpr duration max_stored_validity = std::chrono::seconds(10);
+
+// Empty if the member is absent or no validity.
+std::optional<duration> validity_in(const boost::json::object& in,
+                                    std::string_view member)
+{
+    const duration value(integer_in(in, member));
+    const bool is_valid = value > duration{} && value <= max_stored_validity;
+    return is_valid ? std::optional(value) : std::nullopt;
+}
+
 } // namespace
 
 std::string encode_lease(const lease_row& row)
@@ -46,6 +59,10 @@
     {
         out["l"] = row.worker_leases_end->time_since_epoch().count();
     }
+    if (row.validity)
+    {
+        out["v"] = row.validity->count();
+    }
     return boost::json::serialize(out);
 }
 
@@ -71,6 +88,7 @@
         std::max<std::int64_t>(integer_in(*in, "b"), 0));
     row.is_released = integer_in(*in, "r") != 0;
     row.worker_leases_end = store_time_in(*in, "l");
+    row.validity = validity_in(*in, "v");
     return row;
 }
 
@@ -82,7 +100,7 @@
 void leadership::on_read(const std::optional<lease_row>& row,
                          row_version version, time_point now, duration elapsed)
 {
-    recent_read_time_ = std::max(elapsed, recent_read_time_ * 3 / 4);
+    note_response_time(elapsed);
     if (leads_)
     {
         return;
@@ -98,6 +116,33 @@
     row_ = row.value_or(lease_row{});
 }
 
+void leadership::note_response_time(duration elapsed)
+{
+    recent_response_time_ =
+        std::max(std::min(elapsed, options_.max_response_time),
+                 recent_response_time_ * 3 / 4);
+}
+
+duration leadership::current_validity() const
+{
+    return options_.validity +
+           recent_response_time_ * options_.validity_factor;
+}
+
+duration leadership::longest_validity() const
+{
+    return options_.validity +
+           options_.max_response_time * options_.validity_factor;
+}
+
+duration leadership::required_silence() const
+{
+    const auto validity = row_.validity.value_or(longest_validity());
+    return std::max(options_.takeover_after +
+                        recent_response_time_ * options_.takeover_factor,
+                    validity + options_.validity_margin);
+}
+
 void leadership::on_read_failed()
 {
     unchanged_since_.reset();
@@ -115,10 +160,8 @@
         row_.holder == self_ && row_.process != process_;
     const bool is_free =
         row_.epoch == 0 || row_.is_released || is_own_earlier_process;
-    const auto required_silence =
-        options_.takeover_after + recent_read_time_ * options_.takeover_factor;
     const auto required_wait =
-        (is_free ? duration{} : required_silence) + extra_wait;
+        (is_free ? duration{} : required_silence()) + extra_wait;
     if (now - *unchanged_since_ < required_wait)
     {
         return std::nullopt;
@@ -133,6 +176,7 @@
     next.bounds_since = row_.bounds_since > 0 ? row_.bounds_since : next.epoch;
     // Holds until this leader has read the jobs.
     next.job_memory = row_.job_memory;
+    next.validity = current_validity();
     return lease_write{version_, next};
 }
 
@@ -155,6 +199,7 @@
 {
     auto next = row_;
     ++next.count;
+    next.validity = current_validity();
     return {version_, next};
 }
 
@@ -170,13 +215,14 @@
 void leadership::on_written(const lease_write& write, row_version version,
                             time_point sent_at, duration elapsed)
 {
+    note_response_time(elapsed);
     row_ = write.row;
     version_ = version;
     has_read_ = true;
     leads_ = !write.row.is_released;
-    valid_until_ = leads_ ? sent_at + options_.validity +
-                                elapsed * options_.validity_factor
-                          : time_point{};
+    valid_until_ =
+        leads_ ? sent_at + write.row.validity.value_or(options_.validity)
+               : time_point{};
     if (!leads_)
     {
         unchanged_since_.reset();
--- a/src/jobs/leadership.hpp
+++ b/src/jobs/leadership.hpp
@@ -37,6 +37,9 @@
     // From this epoch on, all leaders have kept the invariant of lease bounds;
     // 0 if the holder does not.
     std::uint64_t bounds_since = 0;
+    // The holder considers itself the leader for this long after it sent the
+    // row. Empty if the row does not say.
+    std::optional<duration> validity{};
 
     friend bool operator==(const lease_row&, const lease_row&) = default;
 };
@@ -47,14 +50,20 @@
 struct leadership_options
 {
     // A lease is valid for this long after its last successful write was sent,
-    // plus `validity_factor` times the duration of that write.
+    // plus `validity_factor` times the recent response time of the store. The
+    // sum is part of the write, so that other VMs wait for at least as long.
     duration validity = std::chrono::milliseconds(1200);
     int validity_factor = 2;
+    // A response that took longer counts with this time, which bounds the
+    // validity: the VM may have been suspended meanwhile.
+    duration max_response_time = std::chrono::milliseconds(1000);
     // Other VMs take over when they have seen no write for this long plus
     // `takeover_factor` times the duration of their reads, so that a slow
-    // store does not cost the leader its lease.
+    // store does not cost the leader its lease, and not before the validity
+    // and this margin for clock rates have passed.
     duration takeover_after = std::chrono::milliseconds(1400);
     int takeover_factor = 4;
+    duration validity_margin = std::chrono::milliseconds(200);
     // Share of a processor core available to this VM.
     double processor_share = 0.0;
     // Reads further apart than this do not show that the leader was inactive
@@ -102,6 +111,7 @@
 
     // The lease update for the leader's next transaction.
     lease_write renewal() const;
+    // A renewal that ends the lead.
     lease_write release(std::optional<store_time> worker_leases_end) const;
 
     void on_written(const lease_write& write, row_version version,
@@ -115,6 +125,8 @@
     bool leads() const { return leads_; }
     // False after the lease has expired: the leader must not start anything.
     bool is_valid(time_point now) const;
+    // Invariant: no later than the sending of the last successful write plus
+    // the validity in it. The time that its response took does not count.
     time_point valid_until() const { return valid_until_; }
     std::uint64_t epoch() const { return row_.epoch; }
     // The leader as far as this VM knows.
@@ -126,6 +138,11 @@
 
 private:
     earlier_leaders find_predecessors() const;
+    void note_response_time(duration elapsed);
+    duration current_validity() const;
+    duration longest_validity() const;
+    // How long the row must have been unchanged before this VM takes the lease.
+    duration required_silence() const;
 
     vm_id self_;
     std::uint64_t process_;
@@ -138,9 +155,9 @@
     // Start of the period in which uninterrupted reads showed this version.
     std::optional<time_point> unchanged_since_;
     time_point last_read_{};
-    // Decaying maximum of the read duration: falls by at most a quarter with
-    // each faster read.
-    duration recent_read_time_{};
+    // Decaying maximum of the store's response time: falls by at most a quarter
+    // with each faster response.
+    duration recent_response_time_{};
     time_point valid_until_{};
     time_point abstains_until_{};
 };
--- a/tests/jobs/leadership_test.cpp
+++ b/tests/jobs/leadership_test.cpp
@@ -7,6 +7,7 @@
 using namespace hemlockdeal;
 using namespace hemlockdeal::jobs;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace
 {
@@ -152,6 +153,75 @@
     EXPECT_TRUE(polls_until_leading(b, milliseconds(2000)));
 }
 
+// Failure: a leader that is suspended while a renewal is answered considers
+// itself valid for twice that time, and acts beside the next leader.
+TEST_F(leadership_test, suspension_during_a_renewal_does_not_prolong_the_lead)
+{
+    auto a = make("a");
+    auto b = make("b");
+    ASSERT_TRUE(polls_until_leading(a, poll_interval));
+    b.on_read(store.row, store.version, now, milliseconds(5));
+    const auto sent_at = now;
+    const auto write = a.renewal();
+    ASSERT_TRUE(store.write(write));
+    const auto version = store.version;
+    ASSERT_TRUE(polls_until_leading(b, seconds(3)));
+    const auto taken_at = now;
+    now = sent_at + milliseconds(3500);
+    a.on_written(write, version, sent_at, now - sent_at);
+    EXPECT_LE(a.valid_until(), taken_at);
+    EXPECT_FALSE(a.is_valid(now));
+}
+
+// Failure: a leader that the store answers slowly is replaced while its lease
+// is valid, because other VMs get faster answers.
+TEST_F(leadership_test, other_vms_wait_for_the_validity_in_the_row)
+{
+    auto a = make("a");
+    auto b = make("b");
+    ASSERT_TRUE(polls_until_leading(a, poll_interval));
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto write = a.renewal();
+        ASSERT_TRUE(store.write(write));
+        a.on_written(write, store.version, now, milliseconds(900));
+        b.on_read(store.row, store.version, now, milliseconds(5));
+        now += milliseconds(900);
+    }
+    ASSERT_TRUE(polls_until_leading(b, seconds(6)));
+    EXPECT_GE(now, a.valid_until());
+}
+
+// Failure: a leader whose renewals take long is not valid in between.
+TEST_F(leadership_test, slow_renewals_keep_the_lead_valid)
+{
+    constexpr duration write_time = milliseconds(1000);
+    auto a = make("a");
+    ASSERT_TRUE(polls_until_leading(a, poll_interval));
+    for (int i = 0; i < 10; ++i)
+    {
+        const auto sent_at = now;
+        const auto write = a.renewal();
+        ASSERT_TRUE(store.write(write));
+        now += write_time;
+        a.on_written(write, store.version, sent_at, write_time);
+        // The first renewals do not know yet how slow the store is.
+        EXPECT_TRUE(i < 2 || a.is_valid(now + write_time));
+    }
+}
+
+// Failure: the lease of a VM that stored no validity is taken while it is
+// valid.
+TEST_F(leadership_test, unknown_validity_counts_as_the_longest)
+{
+    auto a = make("a");
+    auto b = make("b");
+    ASSERT_TRUE(polls_until_leading(a, poll_interval));
+    store.row->validity.reset();
+    EXPECT_FALSE(polls_until_leading(b, milliseconds(3000)));
+    EXPECT_TRUE(polls_until_leading(b, milliseconds(2000)));
+}
+
 // Failure: a small VM takes the lease although larger ones are available.
 TEST_F(leadership_test, smaller_vms_report_their_processor_deficit)
 {
@@ -236,6 +306,9 @@
     const lease_row row{
         7, 31, vm_id("edge \"1\""), 1234567890123456ULL, true, true, 0.25};
     EXPECT_EQ(decode_lease(encode_lease(row)), row);
+    auto with_validity = row;
+    with_validity.validity = milliseconds(1450);
+    EXPECT_EQ(decode_lease(encode_lease(with_validity)), with_validity);
     EXPECT_FALSE(decode_lease("[1]"));
     EXPECT_FALSE(decode_lease("{"));
 }
