Count the extension of leases from the end of the lead

What callers would see: a task that runs on two workers. A leader without a valid lead extends leases for 2 s without conditions, so that workers have time to respond. It counted this time from its first decision without the lead; a leader that is suspended while its lead ends decides for the first time when it resumes. The next leader expects the extension to end 3 s after its own takeover, and starts the tasks of workers that it cannot reach again while the earlier leader still extends their leases.

Change: the leader passes the end of its lead with the permission, and the extension counts from there.

Evidence: two_leaders_test.suspended_leader_extends_leases_no_longer fails for 7 of 7 numbers of followers before, and passes after.

--- a/src/jobs/lease_extension.cpp
+++ b/src/jobs/lease_extension.cpp
@@ -22,7 +22,7 @@
     }
     if (!lead_invalid_since_)
     {
-        lead_invalid_since_ = now;
+        lead_invalid_since_ = permission.lead_ended_at.value_or(now);
         record_followers();
     }
     const bool may_extend =
--- a/src/jobs/lease_extension.hpp
+++ b/src/jobs/lease_extension.hpp
@@ -19,6 +19,9 @@
     bool may_extend_leases = true;
     // False once another VM may have become leader.
     bool lead_is_valid = true;
+    // When the lead ended, if it is not valid and this is known. The process
+    // may have been suspended since.
+    std::optional<time_point> lead_ended_at{};
 };
 
 // A leader whose lead is no longer valid extends leases only while most workers
@@ -29,7 +32,8 @@
     explicit lease_extension(const scheduler_state& state) : state_(state) {}
 
     // To be called on each decision: the first call without a valid lead
-    // determines the followers.
+    // determines the followers. Leases are extended for a time that counts from
+    // the end of the lead, not from this call.
     poll_permission permission_for(time_point now,
                                    leader_permission permission);
     // Extends nothing from now on, so that the next leader can be told when the
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -191,6 +191,10 @@
     jobs::leader_permission permission;
     permission.lead_is_valid = lead_.is_valid(now);
     permission.may_start = permission.lead_is_valid && !is_stepping_down_;
+    if (!permission.lead_is_valid)
+    {
+        permission.lead_ended_at = lead_.valid_until();
+    }
     permission.may_extend_leases =
         now < lead_.valid_until() + options.lease_extension_time;
     const auto orders = scheduler_->decide(now, clock_.unix_now(), permission);
--- a/tests/jobs/two_leaders_test.cpp
+++ b/tests/jobs/two_leaders_test.cpp
@@ -151,7 +151,10 @@
         for (const auto end = now + time; now < end;)
         {
             now += tick;
-            play(earlier, 1, of_earlier);
+            if (!earlier_is_suspended)
+            {
+                play(earlier, 1, of_earlier);
+            }
             if (has_later_leader)
             {
                 play(later, 2, {});
@@ -229,6 +232,7 @@
     std::map<worker_id, fenced_worker> workers;
     time_point now{seconds(100)};
     bool earlier_has_store = true;
+    bool earlier_is_suspended = false;
     bool later_start = false;
     bool was_doubled = false;
 };
@@ -288,5 +292,23 @@
     expect_no_doubled_task();
 }
 
+// Failure: a leader that is suspended while its lead ends extends leases for as
+// long after it resumes as if the lead had ended then.
+TEST_P(two_leaders_test, suspended_leader_extends_leases_no_longer)
+{
+    ASSERT_NO_FATAL_FAILURE(start_task());
+    begin_later_leader();
+    auto permission = without_lead();
+    permission.lead_ended_at = now;
+    earlier_is_suspended = true;
+    simulate(milliseconds(2200 + 300 * GetParam()), permission);
+    earlier_is_suspended = false;
+    simulate(seconds(4), permission);
+    permission.may_extend_leases = false;
+    simulate(seconds(8), permission);
+    EXPECT_TRUE(later_start);
+    EXPECT_FALSE(was_doubled);
+}
+
 INSTANTIATE_TEST_SUITE_P(followers, two_leaders_test,
                          testing::Range(0, first_cut_off));
