Check the lead before each start is sent

What callers would see: a task that runs on two workers. The leader checked its lead once for a decision and then sent all its orders, up to 16 starts and as many stops and polls. A process that is suspended between two of them sends the rest with a permission that has ended, beside the next leader.

Workers refuse such a start if they follow the next leader, or 2.5 s after the decision; neither holds for a shorter suspension behind a cut.

Change: a start is sent only while the lead is valid at that moment. Otherwise its task waits again, and the log names the answer not_sent. Polls need no such check: they name the end of the leases on the worker's clock as computed by the decision.

Evidence: leader_role_test.leader_suspended_between_two_orders_sends_no_more fails before (15 further starts after the suspension) and passes after.

--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -125,8 +125,7 @@
 
 duration leadership::current_validity() const
 {
-    return options_.validity +
-           recent_response_time_ * options_.validity_factor;
+    return options_.validity + recent_response_time_ * options_.validity_factor;
 }
 
 duration leadership::longest_validity() const
--- a/src/jobs/order_response_handler.cpp
+++ b/src/jobs/order_response_handler.cpp
@@ -47,7 +47,10 @@
         record->is_unresolved = true;
         return;
     }
-    worker.responded_at = now;
+    if (response != start_answer::not_sent)
+    {
+        worker.responded_at = now;
+    }
     const bool was_current = is_current_run(state_, worker, key, run);
     const auto ordered_at = record->ordered_at;
     worker.erase_run(key);
--- a/src/jobs/worker_report.cpp
+++ b/src/jobs/worker_report.cpp
@@ -8,10 +8,10 @@
 
 std::string_view to_text(start_answer response)
 {
-    constexpr std::array<std::string_view, 10> names = {
+    constexpr std::array<std::string_view, 11> names = {
         "accepted",        "no_room",   "superseded", "run_too_low",
         "deadline_passed", "no_ticket", "unhealthy",  "malformed",
-        "other_worker",    "unknown"};
+        "other_worker",    "not_sent",  "unknown"};
     return names.at(static_cast<std::size_t>(response));
 }
 
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -118,6 +118,8 @@
     malformed,
     // The address now belongs to another worker.
     other_worker,
+    // The order was not sent: the lead had ended by then.
+    not_sent,
     // No response: the task may run, now or later.
     unknown
 };
--- a/src/node/leader_orders.ipp
+++ b/src/node/leader_orders.ipp
@@ -15,6 +15,13 @@
     {
         return;
     }
+    if (!lead_.is_valid(clock_.now()))
+    {
+        // The process may have been suspended since the decision.
+        scheduler_->on_start_answer(order.worker, order.task, order.run,
+                                    jobs::start_answer::not_sent, clock_.now());
+        return;
+    }
     ++stats_.starts;
     workers_.start(*worker, order, epoch_,
                    [this, epoch = epoch_, id = order.worker, key = order.task,
--- a/tests/node/leader_fixture.hpp
+++ b/tests/node/leader_fixture.hpp
@@ -1,6 +1,7 @@
 // A leader over a store in memory and workers that respond at once.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -28,11 +29,14 @@
     std::uint64_t ends = 0;
     // Workers follow a later leader.
     bool is_superseded = false;
+    // Called before each start.
+    std::function<void()> on_start = [] {};
 
     void start(const jobs::worker_entry&, const jobs::start_order& order,
                std::uint64_t,
                const std::function<void(jobs::start_answer)>& callback)
     {
+        on_start();
         ++starts;
         accepted.push_back(order);
         callback(jobs::start_answer::accepted);
--- a/tests/node/leader_role_test.cpp
+++ b/tests/node/leader_role_test.cpp
@@ -91,6 +91,26 @@
     }
 }
 
+// Failure: a leader that is suspended between two orders of one decision sends
+// the rest of them with an expired permission.
+TEST_F(leader_role_test, leader_suspended_between_two_orders_sends_no_more)
+{
+    auto a = make_leader("a");
+    ASSERT_NO_FATAL_FAILURE(start_some_tasks(a));
+    const auto before = workers.starts;
+    workers.on_start = [&] { clock.advance(milliseconds(3500)); };
+    for (int i = 0; i < 50 && workers.starts == before; ++i)
+    {
+        clock.advance(step_time);
+        a.tick();
+    }
+    EXPECT_EQ(workers.starts, before + 1);
+    // The orders that were not sent are decided again later.
+    workers.on_start = [] {};
+    run_for(a, seconds(20));
+    EXPECT_EQ(workers.starts, 500U);
+}
+
 // Failure: one unreadable row terminates the leader, runs its job again, or
 // keeps other jobs from being scheduled.
 TEST_F(leader_role_test, unreadable_rows_do_not_affect_other_jobs)
