Keep the number of the placed run apart from the highest known one

Cause: task_record::last_run was both the highest known number, from which the next one follows, and the number of the run that is placed. In the trace, the leader has adopted run 2001 and finds run 2002 of an earlier leader on another worker. It stops run 2002; when its end arrives, last_run becomes 2002, so that run 2001 counts as no longer needed and is stopped, too. The end of run 2001 is not that of run 2002, so that the task stays placed without a run for good.

Change: task_record::current_run holds the number of the placed run. An adopted run does not lower the highest known number any more.

--- a/src/jobs/current_run.cpp
+++ b/src/jobs/current_run.cpp
@@ -13,7 +13,7 @@
     }
     const auto& task = owner->peek(key);
     return task.phase == task_phase::placed && task.worker == worker.entry.id &&
-           task.last_run == run;
+           task.current_run == run;
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -161,6 +161,7 @@
 {
     auto& record = set_phase(key, task_phase::placed);
     record.worker = worker;
+    record.current_run = run;
     record.last_run = std::max(record.last_run, run);
     record.may_run_elsewhere = false;
     record.is_announced = true;
--- a/src/jobs/reported_run_handler.cpp
+++ b/src/jobs/reported_run_handler.cpp
@@ -86,7 +86,6 @@
         return;
     }
     owner->set_placed(reported.task, worker.entry.id, reported.run);
-    owner->task(reported.task).last_run = reported.run;
     adopted_tasks_ +=
         (adopted_tasks_.empty() ? "" : ",") + to_text(reported.task);
 }
--- a/src/jobs/run_end_handler.cpp
+++ b/src/jobs/run_end_handler.cpp
@@ -63,7 +63,7 @@
     auto& task = owner->task(end.task);
     const bool is_current = task.phase == task_phase::placed &&
                             task.worker == worker.entry.id &&
-                            task.last_run == end.run;
+                            task.current_run == end.run;
     task.last_run = std::max(task.last_run, end.run);
     state_.log_event("run ended", {{"task", to_text(end.task)},
                                    {"run", std::to_string(end.run)},
--- a/src/jobs/task_record.hpp
+++ b/src/jobs/task_record.hpp
@@ -26,6 +26,9 @@
     task_phase phase = task_phase::waiting;
     // Highest known number of a run that was ordered.
     std::uint32_t last_run = 0;
+    // Number of the run that is placed. Another run of the task, left over from
+    // an earlier leader, may have a higher number.
+    std::uint32_t current_run = 0;
     std::vector<std::uint32_t> failed_runs;
     // Checkpoint from which the next run resumes.
     std::string checkpoint;
