Blame a crash on the runs of the process that has ended only

Cause: a leader that learns of the restart of a worker from a report took every run in its ledger for one that was on the process before. A run that the worker had accepted after its restart was blamed for the crash; with one earlier crash of its own the task counted as the cause of two, and its job was given up.

Change: runs that the first report of the later process lists, as running or ended, are no evidence, whether the worker was silent before or not. They stay in the ledger instead of being requeued and adopted again by the same report. A run that the report does not list stays a suspect as before.

Ruled out: comparing the time of the order with the start time of the process, which needs clocks that agree; and the uptime in the report, which clears runs that restart_evidence_test.run_of_the_earlier_process_is_a_suspect rightly blames.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -80,8 +80,7 @@
     }
 }
 
-void crash_attribution::on_unnoticed_restart(fleet_worker& worker,
-                                             time_point now)
+void crash_attribution::on_unnoticed_end(fleet_worker& worker, time_point now)
 {
     if (!worker.silent_since)
     {
@@ -89,6 +88,19 @@
     }
 }
 
+void crash_attribution::on_restart(fleet_worker& worker,
+                                   const worker_report& first_report,
+                                   time_point now)
+{
+    on_unnoticed_end(worker, now);
+    const auto later =
+        std::ranges::partition(worker.interrupted_runs, [&](const auto& run) {
+            return !first_report.lists(run.task, run.run);
+        });
+    clear_suspicion(worker.entry.id, {later.begin(), later.end()});
+    worker.interrupted_runs.erase(later.begin(), later.end());
+}
+
 void crash_attribution::note_runs(fleet_worker& worker, time_point alive_at,
                                   time_point now)
 {
@@ -97,9 +109,9 @@
     {
         const bool in_start_up = alive_at - run.ordered_at < start_up_time;
         const bool is_suspect = in_start_up || run.is_trial;
-        worker.interrupted_runs.push_back({key, now - run.ordered_at,
-                                           in_start_up, is_suspect,
-                                           run.confirmed_at.has_value()});
+        worker.interrupted_runs.push_back(
+            {key, now - run.ordered_at, in_start_up, is_suspect,
+             run.confirmed_at.has_value(), run.run});
         if (auto* const task = is_suspect ? find_task(key) : nullptr)
         {
             task->suspected_on.insert(worker.entry.id);
--- a/src/jobs/crash_attribution.hpp
+++ b/src/jobs/crash_attribution.hpp
@@ -31,8 +31,12 @@
     void on_response(fleet_worker& worker);
     // The tasks of a worker that may have crashed are started elsewhere.
     void on_requeue(const fleet_worker& worker, time_point now) const;
-    // A worker that responded until now has restarted unnoticed.
-    void on_unnoticed_restart(fleet_worker& worker, time_point now);
+    // A worker that responded until now has ended unnoticed.
+    void on_unnoticed_end(fleet_worker& worker, time_point now);
+    // The first report of a later process of the worker: the runs that it lists
+    // were not on the process that has ended.
+    void on_restart(fleet_worker& worker, const worker_report& first_report,
+                    time_point now);
     // The worker process has ended. `life` identifies it.
     void on_end(fleet_worker& worker, const worker_id& life, time_point now);
     // Takes over the suspects on a worker that has not been seen yet, and adds
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -47,6 +47,7 @@
     // The worker confirmed the run. Otherwise it may have ended before the
     // start order arrived.
     bool is_confirmed = true;
+    std::uint32_t run = 0;
 };
 
 // A run that is, or may be, on a worker. It counts against the worker's
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -12,7 +12,7 @@
 {
     if (report.incarnation != worker.entry.incarnation)
     {
-        worker_ends_.on_restart(worker, report.incarnation, sent_at, now);
+        worker_ends_.on_restart(worker, report, sent_at, now);
     }
     else
     {
--- a/src/jobs/worker_end_handler.cpp
+++ b/src/jobs/worker_end_handler.cpp
@@ -13,18 +13,19 @@
 {
 
 void worker_end_handler::on_restart(fleet_worker& worker,
-                                    worker_incarnation incarnation,
+                                    const worker_report& report,
                                     time_point sent_at, time_point now)
 {
     const worker_id life(worker.entry.id.value() + ':' +
                          std::to_string(worker.entry.incarnation));
-    crashes_.on_unnoticed_restart(worker, now);
+    crashes_.on_restart(worker, report, now);
     // A start that was in transit may have reached the new process. It stays
     // in the ledger until a stop and a poll have resolved it.
     std::vector<std::pair<task_key, run_record>> open_starts;
     for (const auto& [key, run] : worker.runs())
     {
-        if (!run.confirmed_at || run.ordered_at >= sent_at)
+        if (!run.confirmed_at || run.ordered_at >= sent_at ||
+            report.lists(key, run.run))
         {
             open_starts.emplace_back(key, run);
         }
@@ -32,7 +33,7 @@
     std::ranges::for_each(
         open_starts, [&](const auto& entry) { worker.erase_run(entry.first); });
     drop_runs(worker, "worker restarted");
-    worker.restart(incarnation);
+    worker.restart(report.incarnation);
     crashes_.on_end(worker, life, now);
     worker.vm_crashed_at = now;
     worker.silent_since.reset();
@@ -129,7 +130,7 @@
 void worker_end_handler::on_replaced(fleet_worker& worker, fleet_worker& later,
                                      time_point now)
 {
-    crashes_.on_unnoticed_restart(worker, now);
+    crashes_.on_unnoticed_end(worker, now);
     worker.has_ended = true;
     state_.log_event("worker has ended",
                      {{"worker", worker.entry.id.value()},
--- a/src/jobs/worker_end_handler.hpp
+++ b/src/jobs/worker_end_handler.hpp
@@ -17,8 +17,8 @@
         : state_(state), crashes_(crashes)
     {}
 
-    // A report requested at `sent_at` shows a new process of the worker.
-    void on_restart(fleet_worker& worker, worker_incarnation incarnation,
+    // The report, requested at `sent_at`, shows a new process of the worker.
+    void on_restart(fleet_worker& worker, const worker_report& report,
                     time_point sent_at, time_point now);
     // Handles the end of a worker process that `later` has replaced on its VM.
     void on_replaced(fleet_worker& worker, fleet_worker& later, time_point now);
--- a/src/jobs/worker_report.cpp
+++ b/src/jobs/worker_report.cpp
@@ -1,6 +1,8 @@
-// Names of start responses and run ends in logs.
+// Names of start responses and run ends in logs, and look-up of runs in a
+// report.
 #include "jobs/worker_report.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace hemlockdeal::jobs
@@ -23,4 +25,13 @@
     return names.at(static_cast<std::size_t>(how));
 }
 
+bool worker_report::lists(const task_key& task, std::uint32_t run) const
+{
+    const auto is_listed = [&](const auto& entry) {
+        return entry.task == task && entry.run == run;
+    };
+    return std::ranges::any_of(running, is_listed) ||
+           std::ranges::any_of(ended, is_listed);
+}
+
 } // namespace hemlockdeal::jobs
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -102,6 +102,9 @@
     std::size_t unreadable_ended = 0;
     // Place and beginning of the first of these rows.
     std::string first_unreadable;
+
+    // True if the worker process that made the report has, or has had, the run.
+    bool lists(const task_key& task, std::uint32_t run) const;
 };
 
 enum class start_answer
