Raise the fencing token with each restart of a worker

Workers had started again under their ids and were cut off, or silent, soon after.

Cause: a worker that is back under its id executes orders that were sent to its former process; their id, epoch and run number do not tell the processes apart, and their deadline is a time of the former clock, far ahead of the new one. The leader reckoned without that in three places: - When a report showed the restart, it forgot all deadlines. If the end of the leases was stored, the next polls extended nothing, so that the leases counted as expired at once, while a late start ran in the later process. - Late polls and starts to the former process extended the leases of the later one, up to the longest that a worker grants, after the end that the leader had worked out. - A start that the worker accepted after a restart that the leader had not noticed yet had its lease counted by the former clock.

Change: all orders carry a fencing token that rises with the epoch and, for one leader and worker, with each restart that the leader notices: in a report, in the list, or by the clock in the response to a start. From the first order with the higher token on, the later process refuses those to the former one. Until that order is confirmed, leases count for as long as a late order may bring them about; then for one lease of the worker's maximum. A worker that refuses an order because a later one has reached it no longer ends the lead.

Ruled out: (1) the start is not taken for void by a later `born`: it stays in the ledger. (3) an end or empty list of the later process applied to an earlier run: not seen in the traces. Only waiting longer after each unanswered order was not taken: lasting tasks have to run again within 9 s.

Without the raised token, restarted_worker_test fails in 4 of 6 cases, and jobs_fleet.raised_token_stops_starts_that_outlive_restarts fails.

The expected tokens of codec_test follow the new form (7 << 16).

--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -212,6 +212,36 @@
            std::chrono::duration_cast<worker_clock>(now - clock_read_at_);
 }
 
+worker_clock fleet_worker::least_clock_at(time_point now,
+                                          double clock_error) const
+{
+    if (!clock_known_)
+    {
+        return {};
+    }
+    const auto passed = std::chrono::duration_cast<worker_clock>(
+        (now - clock_read_at_) * (1.0 - clock_error));
+    // The worker truncates its clock to whole milliseconds.
+    return clock_ + passed - worker_clock(1);
+}
+
+void fleet_worker::note_restart(time_point leases_end)
+{
+    ++restarts_;
+    accepts_earlier_orders_ = true;
+    earlier_leases_end_ = std::max(earlier_leases_end_, leases_end);
+}
+
+void fleet_worker::on_order_executed(std::uint32_t restarts,
+                                     time_point leases_end)
+{
+    if (accepts_earlier_orders_ && restarts == restarts_)
+    {
+        accepts_earlier_orders_ = false;
+        earlier_leases_end_ = leases_end;
+    }
+}
+
 void fleet_worker::note_deadline(worker_clock deadline)
 {
     latest_deadline_ = std::max(latest_deadline_, deadline);
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -71,6 +71,11 @@
     // The start order got no response.
     bool is_unresolved = false;
     worker_clock start_deadline{};
+    // Number of restarts of the worker that the order named.
+    std::uint32_t restarts = 0;
+    // The clock of the worker process for which the order was meant had reached
+    // this when it was sent.
+    worker_clock least_clock{};
     std::optional<time_point> stop_ordered_at;
     std::optional<time_point> stop_confirmed_at;
     // Time of the last report that contained the run.
@@ -220,6 +225,8 @@
     std::optional<time_point> vm_crashed_at;
 
     std::optional<time_point> poll_sent_at;
+    // Number of restarts of the worker that the poll in progress names.
+    std::uint32_t poll_restarts = 0;
     // How long the poll in progress may wait for a run to end.
     duration poll_wait{};
     time_point next_poll{};
@@ -300,6 +307,18 @@
     // is slow by at most `clock_error`.
     time_point leases_expire_at(double clock_error) const;
 
+    // Lower bound of the worker's clock at `now`.
+    worker_clock least_clock_at(time_point now, double clock_error) const;
+    // Restarts of the worker that this leader has noticed. All orders name it.
+    std::uint32_t restarts() const { return restarts_; }
+    // The worker has restarted. Orders to its former process may still be
+    // executed, which extend leases until `leases_end` at most.
+    void note_restart(time_point leases_end);
+    // The worker has executed an order that names `restarts`: from now on, it
+    // refuses those to its former process, which have extended leases until
+    // `leases_end` at most.
+    void on_order_executed(std::uint32_t restarts, time_point leases_end);
+
     // Resets the state after a restart of the worker, which keeps no runs and
     // no state.
     void restart(worker_incarnation incarnation);
@@ -333,6 +352,10 @@
     time_point clock_read_at_{};
     worker_clock latest_deadline_{};
     time_point earlier_leases_end_{};
+    std::uint32_t restarts_ = 0;
+    // The worker may still execute orders that were sent before the last
+    // restart was noticed.
+    bool accepts_earlier_orders_ = false;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/membership_tracker.cpp
+++ b/src/jobs/membership_tracker.cpp
@@ -38,6 +38,10 @@
     }
     if (entry.incarnation > worker.entry.incarnation)
     {
+        if (!worker.has_restarted)
+        {
+            state_.note_restart(worker, now, "list");
+        }
         // Only a report shows which runs the new process has.
         worker.has_restarted = true;
         worker.next_poll = now;
--- a/src/jobs/order.hpp
+++ b/src/jobs/order.hpp
@@ -1,5 +1,6 @@
-// Orders to workers. The caller adds the leader's epoch, which workers compare
-// with the highest epoch they have seen.
+// Orders to workers. The caller adds the leader's epoch, from which and from
+// `restarts` the fencing token follows: workers refuse an order with a lower
+// token than the highest that they have seen.
 #pragma once
 
 #include <cstdint>
@@ -14,6 +15,12 @@
 namespace hemlockdeal::jobs
 {
 
+// The token rises with each leader and, for one leader, with each restart of
+// the worker that it has noticed. Orders to the former process of a worker that
+// has restarted under its id are refused by the later one, which cannot tell
+// them apart otherwise, from its first order with the higher token on.
+std::uint64_t fencing_token(std::uint64_t epoch, std::uint32_t restarts);
+
 struct start_order
 {
     worker_id worker;
@@ -24,6 +31,7 @@
     // The worker refuses the start after this time.
     worker_clock deadline{};
     std::string ticket;
+    std::uint32_t restarts = 0;
 };
 
 struct stop_order
@@ -31,6 +39,7 @@
     worker_id worker;
     task_key task;
     std::uint32_t run = 0;
+    std::uint32_t restarts = 0;
 };
 
 // Limits a task to a percentage of its full speed.
@@ -40,6 +49,7 @@
     task_key task;
     std::uint32_t run = 0;
     int percent = 100;
+    std::uint32_t restarts = 0;
 };
 
 // Extends the leases of all runs on a worker and requests a report of active
@@ -53,6 +63,7 @@
     std::uint64_t acknowledged = 0;
     // The worker may delay its response this long until a run ends.
     std::chrono::milliseconds wait{};
+    std::uint32_t restarts = 0;
 };
 
 using order = std::variant<start_order, stop_order, pace_order, poll_order,
--- a/src/jobs/order_response_handler.cpp
+++ b/src/jobs/order_response_handler.cpp
@@ -16,19 +16,20 @@
 
 } // namespace
 
-void order_response_handler::on_start_answer(fleet_worker& worker,
-                                             const task_key& key,
-                                             std::uint32_t run,
-                                             start_answer response,
-                                             time_point now)
+void order_response_handler::on_start_answer(
+    fleet_worker& worker, const task_key& key, std::uint32_t run,
+    const start_response& full_response, time_point now)
 {
     auto* const record = worker.find_run(key);
     if (record == nullptr || record->run != run || record->confirmed_at)
     {
         return;
     }
+    const auto response = full_response.answer;
+    note_clock(worker, *record, full_response, now);
     if (response == start_answer::accepted)
     {
+        state_.note_executed_order(worker, record->restarts, now);
         record->confirmed_at = now;
         record->progressed_at = now;
         record->is_unresolved = false;
@@ -53,6 +54,7 @@
     }
     const bool was_current = is_current_run(state_, worker, key, run);
     const auto ordered_at = record->ordered_at;
+    const auto named_restarts = record->restarts;
     worker.erase_run(key);
     if (response == start_answer::no_room)
     {
@@ -70,7 +72,10 @@
     {
         state_.advice.forget_worker(worker.entry.id);
     }
-    if (response == start_answer::superseded)
+    // An order that was sent before a restart was noticed may be refused for
+    // its token, too.
+    if (response == start_answer::superseded &&
+        named_restarts == worker.restarts())
     {
         state_.is_superseded = true;
     }
@@ -86,6 +91,23 @@
     }
 }
 
+void order_response_handler::note_clock(fleet_worker& worker,
+                                        const run_record& run,
+                                        const start_response& response,
+                                        time_point now)
+{
+    const bool is_of_later_process =
+        response.clock && *response.clock < run.least_clock;
+    if (!is_of_later_process || worker.has_restarted ||
+        run.restarts != worker.restarts())
+    {
+        return;
+    }
+    worker.has_restarted = true;
+    worker.next_poll = std::min(worker.next_poll, now);
+    state_.note_restart(worker, now, "response to a start");
+}
+
 void order_response_handler::on_stop_confirmed(fleet_worker& worker,
                                                const task_key& key,
                                                std::uint32_t run,
--- a/src/jobs/order_response_handler.hpp
+++ b/src/jobs/order_response_handler.hpp
@@ -15,12 +15,15 @@
     explicit order_response_handler(scheduler_state& state) : state_(state) {}
 
     void on_start_answer(fleet_worker& worker, const task_key& key,
-                         std::uint32_t run, start_answer response,
+                         std::uint32_t run, const start_response& response,
                          time_point now);
     void on_stop_confirmed(fleet_worker& worker, const task_key& key,
                            std::uint32_t run, time_point now);
 
 private:
+    void note_clock(fleet_worker& worker, const run_record& run,
+                    const start_response& response, time_point now);
+
     scheduler_state& state_;
     worker_avoidance avoidance_{state_};
 };
--- a/src/jobs/poll_planner.cpp
+++ b/src/jobs/poll_planner.cpp
@@ -79,6 +79,7 @@
                       : state_.options.poll_wait);
     }
     worker.poll_sent_at = now;
+    worker.poll_restarts = worker.restarts();
     worker.poll_wait = poll.wait;
     state_.orders.emplace_back(poll);
 }
--- a/src/jobs/report_intake.cpp
+++ b/src/jobs/report_intake.cpp
@@ -21,6 +21,7 @@
             std::max(worker.acknowledged_ends, worker.acknowledging);
     }
     worker.note_clock(report.clock, now);
+    state_.note_executed_order(worker, worker.poll_restarts, now);
     worker.contact_at = sent_at;
     worker.responded_at = now;
     worker.failed_polls = 0;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -69,8 +69,14 @@
 {
     lease_extension_.end();
     recorder_.hand_over(now);
-    const auto leases_end = std::max(now + longest_lease(state_.options),
-                                     recovery_.leases_expire_at());
+    auto leases_end = std::max(now + longest_lease(state_.options),
+                               recovery_.leases_expire_at());
+    for (const auto& [id, worker] : state_.fleet)
+    {
+        // Later than the first one on workers that have restarted.
+        leases_end = std::max(
+            leases_end, worker.leases_expire_at(state_.options.clock_error));
+    }
     state_.log_event(
         "leadership handed over",
         {{"workers_not_seen",
@@ -217,9 +223,22 @@
                   std::min(worker->failed_polls, max_poll_backoff);
 }
 
+void scheduler::on_poll_refused(const worker_id& id, time_point now)
+{
+    auto* const worker = state_.find_worker(id);
+    if (worker == nullptr || worker->poll_restarts == worker->restarts())
+    {
+        state_.is_superseded = true;
+        return;
+    }
+    // The token is that of an order sent after a restart was noticed.
+    worker->poll_sent_at.reset();
+    worker->next_poll = now;
+}
+
 void scheduler::on_start_answer(const worker_id& id, const task_key& key,
-                                std::uint32_t run, start_answer response,
-                                time_point now)
+                                std::uint32_t run,
+                                const start_response& response, time_point now)
 {
     if (auto* const worker = state_.find_worker(id))
     {
@@ -280,7 +299,27 @@
                        permission.lead_is_valid,
                        recovery_.unseen_workers().size()});
     log_load(now);
-    return std::exchange(state_.orders, {});
+    return take_orders();
+}
+
+std::vector<order> scheduler::take_orders()
+{
+    auto orders = std::exchange(state_.orders, {});
+    for (auto& o : orders)
+    {
+        std::visit(
+            [this](auto& to_worker) {
+                if constexpr (requires { to_worker.restarts; })
+                {
+                    const auto* const worker =
+                        state_.find_worker(to_worker.worker);
+                    to_worker.restarts =
+                        worker == nullptr ? 0 : worker->restarts();
+                }
+            },
+            o);
+    }
+    return orders;
 }
 
 void scheduler::log_load(time_point now)
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -87,7 +87,7 @@
                    time_point sent_at, time_point now);
     void on_poll_failed(const worker_id& id, time_point now);
     void on_start_answer(const worker_id& id, const task_key& key,
-                         std::uint32_t run, start_answer response,
+                         std::uint32_t run, const start_response& response,
                          time_point now);
     void on_stop_confirmed(const worker_id& id, const task_key& key,
                            std::uint32_t run, time_point now);
@@ -100,8 +100,8 @@
     {
         state_.advice.on_failure(request, now);
     }
-    // A worker responded that it follows a later leader.
-    void on_superseded() { state_.is_superseded = true; }
+    // The worker refused a poll because it has seen a higher fencing token.
+    void on_poll_refused(const worker_id& id, time_point now);
     bool is_superseded() const { return state_.is_superseded; }
 
     std::vector<order> decide(time_point now,
@@ -143,6 +143,8 @@
     // on its VM when the poll was sent have ended.
     void end_earlier_workers(fleet_worker& later, time_point sent_at,
                              time_point now);
+    // The orders of a decision, with the restarts of their workers.
+    std::vector<order> take_orders();
     // Logs a summary of the load every few seconds.
     void log_load(time_point now);
 
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -10,8 +10,10 @@
 
 struct scheduler_options
 {
-    // Longest lease that a worker grants.
+    // Longest lease that the leader asks for.
     duration max_lease = std::chrono::milliseconds(6000);
+    // Longest lease that a worker grants, whatever deadline an order names.
+    duration worker_max_lease = std::chrono::milliseconds(6000);
     // Maximum relative error of a worker's clock.
     double clock_error = 0.02;
     // The end of the leases on a worker that has been silent for this long is
@@ -82,6 +84,14 @@
         options.max_lease * (1.0 + 2 * options.clock_error));
 }
 
+// Longest duration of the lease that an order may bring about which names a
+// deadline by the clock of an earlier process of the worker.
+inline duration longest_granted_lease(const scheduler_options& options)
+{
+    return std::chrono::duration_cast<duration>(
+        options.worker_max_lease * (1.0 + 2 * options.clock_error));
+}
+
 // Until when earlier leaders may have granted leases, if the last one took the
 // lead before `now` and may still be alive.
 inline time_point latest_lease_end(const scheduler_options& options,
--- a/src/jobs/scheduler_state.cpp
+++ b/src/jobs/scheduler_state.cpp
@@ -43,6 +43,29 @@
     events.push_back({std::move(message), std::move(fields)});
 }
 
+void scheduler_state::note_restart(fleet_worker& worker, time_point now,
+                                   std::string_view source)
+{
+    if (!worker.has_been_seen())
+    {
+        // It has got no order that extends a lease.
+        return;
+    }
+    worker.note_restart(now + options.max_order_delay +
+                        longest_granted_lease(options));
+    log_event("restart of worker noticed",
+              {{"worker", worker.entry.id.value()},
+               {"source", std::string(source)},
+               {"restarts", std::to_string(worker.restarts())}});
+}
+
+void scheduler_state::note_executed_order(fleet_worker& worker,
+                                          std::uint32_t restarts,
+                                          time_point now) const
+{
+    worker.on_order_executed(restarts, now + longest_granted_lease(options));
+}
+
 void scheduler_state::requeue(const task_key& key, std::string_view reason)
 {
     auto* const owner = registry.find(key.job);
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -67,6 +67,13 @@
     log_event(std::string message,
               std::vector<std::pair<std::string_view, std::string>> fields);
 
+    // Raises the fencing token of the worker, whose restart the source shows.
+    void note_restart(fleet_worker& worker, time_point now,
+                      std::string_view source);
+    // The worker has executed an order that names `restarts`.
+    void note_executed_order(fleet_worker& worker, std::uint32_t restarts,
+                             time_point now) const;
+
     // Removes a placed task from its worker and returns it to the waiting
     // tasks.
     void requeue(const task_key& key, std::string_view reason);
--- a/src/jobs/task_starter.cpp
+++ b/src/jobs/task_starter.cpp
@@ -46,6 +46,8 @@
         {key.job, key.occurrence, key.step}, worker.entry.id, now);
     auto record = make_run(owner.step_of(key), run, now);
     record.start_deadline = deadline;
+    record.restarts = worker.restarts();
+    record.least_clock = worker.least_clock_at(now, state_.options.clock_error);
     set_evidence(record, owner.task(key));
     record.checkpoint = owner.task(key).checkpoint;
     record.checkpoint_at_start = record.checkpoint;
--- a/src/jobs/worker_end_handler.cpp
+++ b/src/jobs/worker_end_handler.cpp
@@ -34,6 +34,7 @@
         open_starts, [&](const auto& entry) { worker.erase_run(entry.first); });
     drop_runs(worker, "worker restarted");
     worker.restart(report.incarnation);
+    state_.note_restart(worker, now, "report");
     crashes_.on_end(worker, life, now);
     worker.vm_crashed_at = now;
     worker.silent_since.reset();
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -127,6 +128,20 @@
     unknown
 };
 
+// The response to a start.
+struct start_response
+{
+    // NOLINTNEXTLINE(google-explicit-constructor): most have no clock.
+    start_response(start_answer a) : answer(a) {}
+    start_response(start_answer a, std::optional<worker_clock> c)
+        : answer(a), clock(c)
+    {}
+
+    start_answer answer;
+    // The worker's clock when it responded; empty if the response names none.
+    std::optional<worker_clock> clock;
+};
+
 std::string_view to_text(start_answer response);
 std::string_view to_text(run_end how);
 
--- a/src/node/concepts.hpp
+++ b/src/node/concepts.hpp
@@ -33,18 +33,19 @@
 struct poll_response
 {
     std::optional<jobs::worker_report> report;
-    // The worker has accepted a later leader.
+    // The worker has seen a higher fencing token.
     bool is_superseded = false;
 };
 
-// Sends orders to workers. `epoch` is the fencing token: workers refuse orders
-// of an earlier leader.
+// Sends orders to workers. The fencing token follows from `epoch` and the order
+// (`jobs::fencing_token`): workers refuse orders of an earlier leader, and
+// those to a former process of theirs.
 template <typename Workers>
 concept worker_port = requires(
     Workers& workers, const jobs::worker_entry& worker, std::uint64_t epoch,
     jobs::start_order start, jobs::stop_order stop, jobs::pace_order pace,
     jobs::poll_order poll, jobs::advice_request request,
-    std::function<void(jobs::start_answer)> on_start,
+    std::function<void(jobs::start_response)> on_start,
     std::function<void(bool)> on_done,
     std::function<void(poll_response)> on_poll,
     std::function<void(std::optional<jobs::advice_answer>)> on_advice)
--- a/src/node/leader_orders.ipp
+++ b/src/node/leader_orders.ipp
@@ -23,19 +23,19 @@
         return;
     }
     ++stats_.starts;
-    workers_.start(*worker, order, epoch_,
-                   [this, epoch = epoch_, id = order.worker, key = order.task,
-                    run = order.run](jobs::start_answer response) {
-                       if (!is_current(epoch))
-                       {
-                           return;
-                       }
-                       stats_.starts_refused +=
-                           response == jobs::start_answer::accepted ? 0 : 1;
-                       scheduler_->on_start_answer(id, key, run, response,
-                                                   clock_.now());
-                       request_decision();
-                   });
+    workers_.start(
+        *worker, order, epoch_,
+        [this, epoch = epoch_, id = order.worker, key = order.task,
+         run = order.run](const jobs::start_response& response) {
+            if (!is_current(epoch))
+            {
+                return;
+            }
+            stats_.starts_refused +=
+                response.answer == jobs::start_answer::accepted ? 0 : 1;
+            scheduler_->on_start_answer(id, key, run, response, clock_.now());
+            request_decision();
+        });
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
@@ -92,7 +92,7 @@
                       request_decision();
                       if (response.is_superseded)
                       {
-                          scheduler_->on_superseded();
+                          scheduler_->on_poll_refused(id, clock_.now());
                           return;
                       }
                       if (!response.report)
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -353,8 +353,8 @@
     EXPECT_EQ(decode_refusal(R"({"reason":"?"})"), start_answer::unknown);
 }
 
-// Failure: an order lacks its epoch, run or deadline.
-TEST(worker_codec, orders_carry_epoch_run_and_deadline)
+// Failure: an order lacks its fencing token, run or deadline.
+TEST(worker_codec, orders_carry_token_run_and_deadline)
 {
     const jobs::task_key key{job_id("5c0e"), 0, 1, 17};
     const auto start = encode(jobs::start_order{worker_id("w"),
@@ -365,15 +365,33 @@
                                                 jobs::worker_clock(486000),
                                                 {}},
                               7);
-    EXPECT_EQ(start, R"({"task":"5c0e.0.1.17","run":2,"fencing_token":7,)"
+    EXPECT_EQ(start, R"({"task":"5c0e.0.1.17","run":2,"fencing_token":458752,)"
                      R"("spec":"text","deadline_ms":486000,)"
                      R"("checkpoint":"ck"})");
     EXPECT_EQ(
         encode(jobs::poll_order{worker_id("w"), jobs::worker_clock(486000), 57,
                                 milliseconds(1000)},
                7),
-        R"({"fencing_token":7,"seen_upto":57,"deadline_ms":486000,)"
+        R"({"fencing_token":458752,"seen_upto":57,"deadline_ms":486000,)"
         R"("wait_ms":1000})");
+    EXPECT_EQ(encode(jobs::stop_order{worker_id("w"), key, 2, 3}, 7),
+              R"({"task":"5c0e.0.1.17","run":2,"fencing_token":458755})");
+    EXPECT_EQ(
+        encode(jobs::pace_order{worker_id("w"), key, 2, 40, 3}, 7),
+        R"({"task":"5c0e.0.1.17","run":2,"fencing_token":458755,"percent":40})");
+}
+
+// Failure: the clock in the response to a start is not read.
+TEST(worker_codec, clock_of_a_response_is_decoded)
+{
+    EXPECT_EQ(decode_clock(R"({"clock_ms":482113})"),
+              jobs::worker_clock(482113));
+    EXPECT_EQ(decode_clock(R"({"clock_ms":17,"reason":"room"})"),
+              jobs::worker_clock(17));
+    for (const auto* const body : {"", "{}", R"({"clock_ms":"17"})", "[1]"})
+    {
+        EXPECT_EQ(decode_clock(body), std::nullopt) << body;
+    }
 }
 
 // Failure: a value does not survive the store's encoding.
--- a/tests/adapter/worker_calls_test.cpp
+++ b/tests/adapter/worker_calls_test.cpp
@@ -126,8 +126,8 @@
                    [&](const node::poll_response& response) {
                        on_done(response.report.has_value());
                    });
-        calls.start(worker, {}, 1, [&](jobs::start_answer answer) {
-            on_done(answer == jobs::start_answer::accepted);
+        calls.start(worker, {}, 1, [&](const jobs::start_response& response) {
+            on_done(response.answer == jobs::start_answer::accepted);
         });
     }
     flush_log();
--- a/tests/jobs/fake_worker.hpp
+++ b/tests/jobs/fake_worker.hpp
@@ -1,6 +1,6 @@
 // Fake worker with the behaviour that the platform specifies: leases by its
-// own clock, the highest epoch it has seen, refusal of runs that were stopped
-// before they arrived, and ended runs that it lists until they are
+// own clock, the highest fencing token it has seen, refusal of runs that were
+// stopped before they arrived, and ended runs that it lists until they are
 // acknowledged.
 #pragma once
 
@@ -84,11 +84,10 @@
                        const task_size& size, duration work, bool will_fail,
                        time_point now)
     {
-        if (epoch < epoch_)
+        if (!take_token(epoch, order.restarts))
         {
             return {start_answer::superseded, false};
         }
-        epoch_ = epoch;
         const auto active = running_.find(order.task);
         if (active != running_.end() && active->second.run == order.run)
         {
@@ -108,14 +107,13 @@
         return {start_answer::accepted, true};
     }
 
-    // False if the worker follows a later leader.
+    // False if the worker has seen a higher fencing token.
     bool stop(const stop_order& order, std::uint64_t epoch)
     {
-        if (epoch < epoch_)
+        if (!take_token(epoch, order.restarts))
         {
             return false;
         }
-        epoch_ = epoch;
         auto& highest = highest_ended_run_[order.task];
         highest = std::max(highest, order.run);
         const auto active = running_.find(order.task);
@@ -126,16 +124,15 @@
         return true;
     }
 
-    // Empty if the worker follows a later leader.
+    // Empty if the worker has seen a higher fencing token.
     std::optional<worker_report> poll(const poll_order& order,
                                       std::uint64_t epoch, time_point now,
                                       std::vector<ended_run>& acknowledged)
     {
-        if (epoch < epoch_)
+        if (!take_token(epoch, order.restarts))
         {
             return std::nullopt;
         }
-        epoch_ = epoch;
         if (order.deadline)
         {
             extend_lease(*order.deadline, now);
@@ -180,7 +177,7 @@
         running_.clear();
         ended_.clear();
         highest_ended_run_.clear();
-        epoch_ = 0;
+        token_ = 0;
         number_ = 0;
         last_end_before_expiry_ = 0;
         lease_.reset();
@@ -204,6 +201,18 @@
     // Low, so that reports often leave out ends.
     static constexpr std::size_t max_listed_ends = 3;
 
+    // False if the worker has seen a higher fencing token.
+    bool take_token(std::uint64_t epoch, std::uint32_t restarts)
+    {
+        const auto token = fencing_token(epoch, restarts);
+        if (token < token_)
+        {
+            return false;
+        }
+        token_ = token;
+        return true;
+    }
+
     void extend_lease(worker_clock deadline, time_point now)
     {
         const auto until = std::min(deadline, clock(now) + max_lease);
@@ -222,7 +231,7 @@
     std::map<task_key, active_run> running_;
     std::deque<ended_run> ended_;
     std::map<task_key, std::uint32_t> highest_ended_run_;
-    std::uint64_t epoch_ = 0;
+    std::uint64_t token_ = 0;
     std::uint64_t number_ = 0;
     std::uint64_t last_end_before_expiry_ = 0;
     std::optional<worker_clock> lease_;
--- a/tests/jobs/fleet_property_test.cpp
+++ b/tests/jobs/fleet_property_test.cpp
@@ -2,7 +2,7 @@
 // are acknowledged before they are stored, workers beyond their capacity, and
 // jobs that never end. The faults are kills of the leader, restarted, replaced
 // and disconnected workers, and orders that are lost or executed up to 12 s
-// late.
+// late, also by a later process of the worker.
 #include <string>
 
 #include <gmock/gmock.h>
@@ -19,13 +19,12 @@
 // A removed safeguard shows in only a few of a thousand seeds.
 constexpr std::uint32_t max_seeds = 3000;
 
-bool is_detected(removed_safeguard removed, std::uint32_t seeds = max_seeds,
-                 bool crashes = false, bool capacity_changes = false,
-                 bool hand_overs = false)
+bool is_detected(removed_safeguard removed, fleet_faults faults = {},
+                 std::uint32_t seeds = max_seeds)
 {
     for (std::uint32_t seed = 0; seed < seeds; ++seed)
     {
-        fleet_world world(seed, removed, crashes, capacity_changes, hand_overs);
+        fleet_world world(seed, removed, faults);
         world.simulate();
         if (!world.violations().empty())
         {
@@ -35,12 +34,10 @@
     return false;
 }
 
-bool guarantees_hold(bool crashes, bool capacity_changes = false,
-                     bool hand_overs = false)
+bool guarantees_hold(fleet_faults faults)
 {
     return rc::check([=](std::uint32_t seed) {
-        fleet_world world(seed, removed_safeguard::none, crashes,
-                          capacity_changes, hand_overs);
+        fleet_world world(seed, removed_safeguard::none, faults);
         const bool all_over = world.simulate();
         if (!world.violations().empty())
         {
@@ -59,35 +56,71 @@
 // Failure: some order of faults breaks one of the guarantees above.
 TEST(jobs_fleet, guarantees_hold_under_random_faults)
 {
-    EXPECT_TRUE(guarantees_hold(false));
+    EXPECT_TRUE(guarantees_hold({}));
 }
 
 // Failure: tasks of a crashed worker are started elsewhere while one of its
 // runs may still be active.
 TEST(jobs_fleet, guarantees_hold_while_crashed_workers_are_replaced)
 {
-    EXPECT_TRUE(guarantees_hold(true));
+    EXPECT_TRUE(guarantees_hold({.crashes = true}));
 }
 
 // Failure: a start brings a worker over a capacity that has shrunk, or a job
 // does not end although the capacity has grown back.
 TEST(jobs_fleet, guarantees_hold_while_capacities_change)
 {
-    EXPECT_TRUE(guarantees_hold(false, true));
+    EXPECT_TRUE(guarantees_hold({.capacity_changes = true}));
 }
 
 // Failure: the same with a worker that takes the place of a crashed one.
 TEST(jobs_fleet, guarantees_hold_while_workers_crash_and_capacities_change)
 {
-    EXPECT_TRUE(guarantees_hold(true, true));
+    EXPECT_TRUE(guarantees_hold({.crashes = true, .capacity_changes = true}));
 }
 
 // Failure: a leader that takes over in a planned way starts tasks while they
 // may still run on workers that it has not seen.
 TEST(jobs_fleet, guarantees_hold_across_hand_overs)
 {
-    EXPECT_TRUE(guarantees_hold(false, false, true));
-    EXPECT_TRUE(guarantees_hold(true, false, true));
+    EXPECT_TRUE(guarantees_hold({.hand_overs = true}));
+    EXPECT_TRUE(guarantees_hold({.crashes = true, .hand_overs = true}));
+}
+
+// Failure: a worker that has restarted under its id executes a poll to its
+// former process, which extends leases beyond their expected end or makes it
+// forget an end.
+TEST(jobs_fleet, guarantees_hold_while_polls_outlive_restarts)
+{
+    EXPECT_TRUE(guarantees_hold({.restarts = true}));
+    EXPECT_TRUE(guarantees_hold({.hand_overs = true, .restarts = true}));
+}
+
+// Failure: the same with starts, which run beside the run on another worker, or
+// after one that is done.
+TEST(jobs_fleet, guarantees_hold_while_starts_outlive_restarts)
+{
+    EXPECT_TRUE(
+        guarantees_hold({.restarts = true, .starts_outlive_restarts = true}));
+}
+
+// Failure: the fencing token does not keep a restarted worker from executing
+// orders to its former process; the seeds are some that need it.
+TEST(jobs_fleet, raised_token_stops_starts_that_outlive_restarts)
+{
+    const fleet_faults faults{.restarts = true,
+                              .starts_outlive_restarts = true};
+    for (const std::uint32_t seed : {37U, 102U, 188U, 202U, 311U, 332U})
+    {
+        fleet_world world(seed, removed_safeguard::none, faults);
+        EXPECT_TRUE(world.simulate()) << seed;
+        EXPECT_THAT(world.violations(), testing::IsEmpty()) << seed;
+        fleet_world unguarded(seed, removed_safeguard::restarts_in_token,
+                              faults);
+        unguarded.simulate();
+        EXPECT_THAT(unguarded.violations(), testing::Not(testing::IsEmpty()))
+            << seed;
+    }
 }
 
 // Failure with seed 26814: a start on a worker that had restarted unnoticed
@@ -121,8 +154,8 @@
 
 TEST(jobs_fleet, leases_that_outlast_their_stored_bound_are_detected)
 {
-    EXPECT_TRUE(is_detected(removed_safeguard::leases_of_hand_over, max_seeds,
-                            false, false, true));
+    EXPECT_TRUE(is_detected(removed_safeguard::leases_of_hand_over,
+                            {.hand_overs = true}));
 }
 
 TEST(jobs_fleet, live_workers_that_name_one_vm_are_detected)
@@ -132,8 +165,8 @@
 
 TEST(jobs_fleet, starts_by_an_outdated_capacity_are_detected)
 {
-    EXPECT_TRUE(is_detected(removed_safeguard::published_capacity, max_seeds,
-                            false, true));
+    EXPECT_TRUE(is_detected(removed_safeguard::published_capacity,
+                            {.capacity_changes = true}));
 }
 
 // Failure: only the deadline protects against late starts. The epoch is the
@@ -141,7 +174,7 @@
 // late starts take effect.
 TEST(jobs_fleet, an_epoch_prevents_late_starts)
 {
-    EXPECT_FALSE(is_detected(removed_safeguard::short_start_validity, 300));
+    EXPECT_FALSE(is_detected(removed_safeguard::short_start_validity, {}, 300));
 }
 
 TEST(jobs_fleet, late_starts_under_one_epoch_are_detected)
--- a/tests/jobs/fleet_world.cpp
+++ b/tests/jobs/fleet_world.cpp
@@ -26,6 +26,7 @@
 constexpr double leader_kills = 0.004;
 constexpr double hand_overs = 0.006;
 constexpr double worker_restarts = 0.002;
+constexpr double frequent_worker_restarts = 0.004;
 constexpr double worker_crashes = 0.0015;
 constexpr double disconnections = 0.006;
 constexpr double capacity_changes = 0.006;
@@ -49,9 +50,8 @@
 } // namespace
 
 fleet_world::fleet_world(std::uint32_t seed, removed_safeguard removed,
-                         bool crashes, bool capacity_changes, bool hand_overs)
-    : random_(seed), removed_(removed), crashes_(crashes),
-      capacity_changes_(capacity_changes), hand_overs_(hand_overs)
+                         fleet_faults faults)
+    : random_(seed), removed_(removed), faults_(faults)
 {
     for (int i = 0; i < worker_count; ++i)
     {
@@ -105,6 +105,21 @@
     });
 }
 
+void fleet_world::restart_worker(const worker_id& id)
+{
+    workers_.at(id).restart(now_);
+    if (!faults_.restarts)
+    {
+        return;
+    }
+    schedule(milliseconds(random_() % 2000), [this, id] {
+        if (leader_ && listed_.contains(id))
+        {
+            leader_->set_worker(workers_.at(id).entry, now_);
+        }
+    });
+}
+
 void fleet_world::change_capacity(const worker_id& id,
                                   const task_size& capacity)
 {
@@ -125,7 +140,7 @@
 
 void fleet_world::change_capacities()
 {
-    if (!capacity_changes_)
+    if (!faults_.capacity_changes)
     {
         return;
     }
@@ -149,7 +164,7 @@
 
 void fleet_world::restore_capacities()
 {
-    if (!capacity_changes_)
+    if (!faults_.capacity_changes)
     {
         return;
     }
@@ -264,7 +279,7 @@
     {
         kill_leader();
     }
-    if (hand_overs_ && happens(hand_overs))
+    if (faults_.hand_overs && happens(hand_overs))
     {
         hand_over();
     }
@@ -274,11 +289,12 @@
         {
             continue;
         }
-        if (happens(worker_restarts))
+        if (happens(faults_.restarts ? frequent_worker_restarts
+                                     : worker_restarts))
         {
-            w.restart(now_);
+            restart_worker(id);
         }
-        if (crashes_ && happens(worker_crashes))
+        if (faults_.crashes && happens(worker_crashes))
         {
             crash_worker(id);
             continue;
--- a/tests/jobs/fleet_world.hpp
+++ b/tests/jobs/fleet_world.hpp
@@ -39,18 +39,33 @@
     // The leader is not told of changed capacities.
     published_capacity,
     // A hand-over names leases as expired that are not.
-    leases_of_hand_over
+    leases_of_hand_over,
+    // The fencing token does not rise with the restarts of a worker.
+    restarts_in_token
+};
+
+// Faults beside kills of the leader, disconnected workers, and orders that are
+// lost or late.
+struct fleet_faults
+{
+    // Workers crash, and their VMs run new ones later.
+    bool crashes = false;
+    // The capacity of workers shrinks and grows back.
+    bool capacity_changes = false;
+    // Leaders hand over to the next one.
+    bool hand_overs = false;
+    // Workers often restart under their ids, and execute late polls, also those
+    // that were sent to their former processes.
+    bool restarts = false;
+    // They execute late starts to their former processes, too.
+    bool starts_outlive_restarts = false;
 };
 
 class fleet_world
 {
 public:
-    // With `crashes`, workers also crash, and their VMs run new ones later.
-    // With `capacity_changes`, the capacity of workers shrinks and grows back.
-    // With `hand_overs`, leaders also hand over to the next one.
     fleet_world(std::uint32_t seed, removed_safeguard removed,
-                bool crashes = false, bool capacity_changes = false,
-                bool hand_overs = false);
+                fleet_faults faults = {});
 
     // Runs a period with faults and then one without; true if every job ended.
     bool simulate();
@@ -63,6 +78,7 @@
                     time_point started_at);
     // Ends the worker; its VM runs a new one after a while.
     void crash_worker(const worker_id& id);
+    void restart_worker(const worker_id& id);
     void change_capacity(const worker_id& id, const task_size& capacity);
     void change_capacities();
     void restore_capacities();
@@ -79,10 +95,13 @@
     void store(const change_set& changes);
     void flush();
     void store_progress(const job_id& id, const std::string& text);
-    void execute(const order& o);
+    void execute(order o);
     void execute_start(const start_order& o, std::uint64_t epoch);
     void execute_stop(const stop_order& o, std::uint64_t epoch);
     void execute_poll(const poll_order& o, std::uint64_t epoch);
+    // Delivers a poll, perhaps to a later process of its worker.
+    void receive_poll(const poll_order& o, std::uint64_t epoch,
+                      time_point sent_at, bool has_response);
     void check_started_run(fake_worker& w, const start_order& o);
     void check_acknowledged(const ended_run& end);
     void schedule(duration delay, std::function<void()> call);
@@ -97,9 +116,7 @@
 
     std::mt19937 random_;
     removed_safeguard removed_;
-    bool crashes_;
-    bool capacity_changes_;
-    bool hand_overs_;
+    fleet_faults faults_;
     time_point now_{std::chrono::seconds(100)};
     emulation::event_queue events_;
     std::map<worker_id, fake_worker> workers_;
--- a/tests/jobs/fleet_world_orders.cpp
+++ b/tests/jobs/fleet_world_orders.cpp
@@ -16,14 +16,26 @@
 // Probabilities per order.
 constexpr double lost_responses = 0.04;
 constexpr double late_orders = 0.03;
+constexpr double frequent_late_orders = 0.1;
 constexpr double failing_runs = 0.08;
 // A larger capacity counts for this long after it has been replaced.
 constexpr duration shrinking_grace = milliseconds(3500);
 
 } // namespace
 
-void fleet_world::execute(const order& o)
+void fleet_world::execute(order o)
 {
+    if (removed_ == removed_safeguard::restarts_in_token)
+    {
+        std::visit(
+            [](auto& sent) {
+                if constexpr (requires { sent.restarts; })
+                {
+                    sent.restarts = 0;
+                }
+            },
+            o);
+    }
     if (const auto* const start = std::get_if<start_order>(&o))
     {
         execute_start(*start, epoch_);
@@ -41,24 +53,25 @@
 void fleet_world::execute_start(const start_order& o, std::uint64_t epoch)
 {
     const std::weak_ptr<scheduler> sender = leader_;
-    const bool is_late = happens(late_orders);
+    const bool is_late =
+        happens(faults_.restarts ? frequent_late_orders : late_orders);
     const bool is_response_lost = is_late || happens(lost_responses);
     const duration network_delay =
         is_late ? duration(milliseconds(2000 + random_() % 10000))
                 : duration(milliseconds(1 + random_() % 30));
-    const auto respond = [this, sender, o](start_answer a) {
+    const auto respond = [this, sender, o](const start_response& a) {
         if (const auto alive = sender.lock(); alive && alive == leader_)
         {
             alive->on_start_answer(o.worker, o.task, o.run, a, now_);
         }
     };
-    // A worker that defers an order loses it on a restart.
     const auto sent_incarnation = workers_.at(o.worker).entry.incarnation;
     schedule(network_delay, [this, o, epoch, sent_incarnation, is_late,
                              is_response_lost, respond] {
         auto& w = workers_.at(o.worker);
         if (is_disconnected(o.worker) ||
-            (is_late && w.entry.incarnation != sent_incarnation))
+            (is_late && !faults_.starts_outlive_restarts &&
+             w.entry.incarnation != sent_incarnation))
         {
             if (!is_response_lost)
             {
@@ -76,7 +89,7 @@
         }
         if (!is_response_lost)
         {
-            respond(result.response);
+            respond({result.response, w.clock(now_)});
         }
     });
     if (is_response_lost)
@@ -107,44 +120,71 @@
 {
     const std::weak_ptr<scheduler> sender = leader_;
     const auto sent_at = now_;
-    const bool is_response_lost = happens(lost_responses);
-    schedule(milliseconds(1 + random_() % 30), [=, this] {
-        const auto alive = sender.lock();
-        const bool is_sender_leading = alive && alive == leader_;
-        if (is_disconnected(o.worker))
+    const bool is_late = faults_.restarts && happens(frequent_late_orders);
+    const bool has_response = !happens(lost_responses);
+    if (!is_late)
+    {
+        schedule(milliseconds(1 + random_() % 30),
+                 [=, this] { receive_poll(o, epoch, sent_at, has_response); });
+        return;
+    }
+    schedule(milliseconds(400), [=, this] {
+        if (const auto alive = sender.lock(); alive && alive == leader_)
         {
-            if (is_sender_leading)
-            {
-                alive->on_poll_failed(o.worker, now_);
-            }
-            return;
+            alive->on_poll_failed(o.worker, now_);
         }
-        auto& w = workers_.at(o.worker);
-        std::vector<ended_run> acknowledged;
-        const auto report = w.poll(o, epoch, now_, acknowledged);
-        std::ranges::for_each(acknowledged, [this](const ended_run& end) {
-            check_acknowledged(end);
-        });
-        if (!report)
+    });
+    schedule(milliseconds(2000 + random_() % 10000), [=, this] {
+        if (!is_disconnected(o.worker))
         {
-            return;
+            std::vector<ended_run> acknowledged;
+            workers_.at(o.worker).poll(o, epoch, now_, acknowledged);
         }
-        for (const auto& end : report->ended)
+    });
+}
+
+void fleet_world::receive_poll(const poll_order& o, std::uint64_t epoch,
+                               time_point sent_at, bool has_response)
+{
+    // A leader that has been replaced does not learn of the response.
+    const auto to = epoch == epoch_ ? leader_ : nullptr;
+    if (is_disconnected(o.worker))
+    {
+        if (to)
         {
-            if (end.how == run_end::done)
-            {
-                done_on_worker_.insert(end.task);
-            }
+            to->on_poll_failed(o.worker, now_);
         }
-        if (is_sender_leading && is_response_lost)
+        return;
+    }
+    auto& w = workers_.at(o.worker);
+    std::vector<ended_run> acknowledged;
+    const auto report = w.poll(o, epoch, now_, acknowledged);
+    std::ranges::for_each(acknowledged, [this](const ended_run& end) {
+        check_acknowledged(end);
+    });
+    if (!report)
+    {
+        if (to)
         {
-            alive->on_poll_failed(o.worker, now_);
+            to->on_poll_refused(o.worker, now_);
         }
-        else if (is_sender_leading)
+        return;
+    }
+    for (const auto& end : report->ended)
+    {
+        if (end.how == run_end::done)
         {
-            alive->on_report(o.worker, *report, sent_at, now_);
+            done_on_worker_.insert(end.task);
         }
-    });
+    }
+    if (to && !has_response)
+    {
+        to->on_poll_failed(o.worker, now_);
+    }
+    else if (to)
+    {
+        to->on_report(o.worker, *report, sent_at, now_);
+    }
 }
 
 void fleet_world::check_started_run(fake_worker& w, const start_order& o)
--- /dev/null
+++ b/tests/jobs/restarted_worker_test.cpp
@@ -0,0 +1,165 @@
+// Guards against tasks that run twice because a worker that has restarted under
+// its id executes orders that were sent to its former process.
+#include <algorithm>
+#include <variant>
+
+#include "scheduler_fixture.hpp"
+#include "store_clock_fixture.hpp"
+
+using namespace hemlockdeal;
+using namespace hemlockdeal::jobs;
+using namespace hemlockdeal::jobs::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+// An order to the former process may still be executed within this time. It is
+// twice as long as a lease.
+constexpr duration late_order_time = seconds(12);
+
+class restarted_worker_test : public scheduler_test
+{
+protected:
+    // The only run is ordered to worker "a", which responds to no poll; "b" has
+    // room for it.
+    start_order order_to_a()
+    {
+        const auto order = order_to_unresponsive_worker();
+        leader.set_store_clock(store_clock_at(now));
+        add_worker("b");
+        return order;
+    }
+
+    void report_restart(const start_order& order)
+    {
+        jobs::worker_report report;
+        report.incarnation = 2;
+        report.clock = worker_clock(800);
+        report.running = {{order.task, order.run, "", 50, -1}};
+        leader.on_report(worker_id("a"), report, now - milliseconds(10), now);
+    }
+
+    static std::vector<start_order> starts_in(const std::vector<order>& orders)
+    {
+        return orders_of<start_order>(orders);
+    }
+
+    static std::vector<poll_order> polls_of_a(const std::vector<order>& orders)
+    {
+        auto polls = orders_of<poll_order>(orders);
+        std::erase_if(polls, [](const poll_order& poll) {
+            return poll.worker != worker_id("a");
+        });
+        return polls;
+    }
+};
+
+} // namespace
+
+// Failure: the leader takes the leases on a worker for expired as soon as it
+// learns of its restart, although the later process has executed a late start.
+TEST_F(restarted_worker_test, run_of_a_late_start_keeps_its_lease)
+{
+    const auto order = order_to_a();
+    leader.on_start_answer(worker_id("a"), order.task, order.run,
+                           start_answer::unknown, now);
+    // Long enough for the end of the leases to be stored, after which no poll
+    // extends them.
+    simulate(seconds(4));
+    report_restart(order);
+    EXPECT_TRUE(starts_in(simulate(late_order_time)).empty());
+}
+
+// Failure: a worker accepts a start after a restart that the leader has not
+// noticed, and grants a longer lease than the deadline says by the clock of its
+// former process.
+TEST_F(restarted_worker_test, clock_in_a_start_response_shows_the_restart)
+{
+    const auto order = order_to_a();
+    leader.on_start_answer(worker_id("a"), order.task, order.run,
+                           {start_answer::accepted, worker_clock(500)}, now);
+    EXPECT_TRUE(starts_in(simulate(late_order_time)).empty());
+}
+
+// Failure: the same, for the run of a worker that has not restarted, so that
+// its task waits longer than its lease.
+TEST_F(restarted_worker_test, clock_of_the_same_process_shows_no_restart)
+{
+    const auto order = order_to_a();
+    const auto clock =
+        std::chrono::duration_cast<worker_clock>(now.time_since_epoch());
+    leader.on_start_answer(worker_id("a"), order.task, order.run,
+                           {start_answer::accepted, clock}, now);
+    EXPECT_EQ(starts_in(simulate(milliseconds(6800))).size(), 1U);
+}
+
+// Failure: tasks on a restarted worker that falls silent later wait for orders
+// which it refuses.
+TEST_F(restarted_worker_test, leases_are_bounded_once_an_order_was_executed)
+{
+    const auto order = order_to_a();
+    leader.on_start_answer(worker_id("a"), order.task, order.run,
+                           start_answer::unknown, now);
+    simulate(seconds(1));
+    running[worker_id("a")] = {{order.task, order.run, "", 50, -1}};
+    report_incarnation = 2;
+    unresponsive.clear();
+    simulate(seconds(2));
+    unresponsive.insert(worker_id("a"));
+    EXPECT_EQ(starts_in(simulate(seconds(7))).size(), 1U);
+}
+
+// Failure: a restarted worker cannot tell orders to it from those to its former
+// process, because their fencing tokens are equal.
+TEST_F(restarted_worker_test, orders_name_the_restarts)
+{
+    add_worker("a");
+    leader.begin(now);
+    for (const auto& poll : polls_of_a(simulate()))
+    {
+        EXPECT_EQ(poll.restarts, 0U);
+    }
+    auto later = entry("a");
+    later.incarnation = 2;
+    leader.set_worker(later, now);
+    report_incarnation = 2;
+    const auto polls = polls_of_a(simulate());
+    ASSERT_FALSE(polls.empty());
+    EXPECT_TRUE(std::ranges::all_of(
+        polls, [](const poll_order& poll) { return poll.restarts > 0; }));
+    leader.add_job(make_job("j", short_step(1)));
+    const auto starts = starts_in(simulate());
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_GE(starts[0].restarts, polls.back().restarts);
+}
+
+// Failure: a leader gives up the lead when a worker refuses an order that was
+// sent before its restart was noticed.
+TEST_F(restarted_worker_test, refusal_of_an_earlier_order_does_not_end_the_lead)
+{
+    const auto order = order_to_a();
+    simulate(milliseconds(40));
+    auto later = entry("a");
+    later.incarnation = 2;
+    leader.set_worker(later, now);
+    leader.on_poll_refused(worker_id("a"), now);
+    leader.on_start_answer(worker_id("a"), order.task, order.run,
+                           start_answer::superseded, now);
+    EXPECT_FALSE(leader.is_superseded());
+    simulate(milliseconds(40));
+    leader.on_poll_refused(worker_id("a"), now);
+    EXPECT_TRUE(leader.is_superseded());
+}
+
+// Failure: a token does not exceed those of earlier leaders and processes.
+TEST(fencing_token, rises_with_the_epoch_and_with_restarts)
+{
+    EXPECT_LT(fencing_token(7, 0), fencing_token(7, 1));
+    EXPECT_LT(fencing_token(7, 1000), fencing_token(8, 0));
+    EXPECT_LT(fencing_token(7, ~std::uint32_t{0}), fencing_token(8, 0));
+    // The largest whole number that JSON parsers keep exactly.
+    constexpr std::uint64_t max_exact = 1ULL << 53U;
+    EXPECT_LT(fencing_token(1ULL << 36U, ~std::uint32_t{0}), max_exact);
+}
