--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -92,6 +92,43 @@
     EXPECT_EQ(client.connections_opened(), 2U);
 }
 
+// Failure: a connection that goes silent after it was used holds its next call
+// beyond the time limit, has it sent a second time, or is used again.
+TEST(http, connection_that_goes_silent_after_use_is_replaced)
+{
+    const auto address = test_address();
+    int requests = 0;
+    http_server server(
+        address, {}, [&](const http_request&, const http_responder& responder) {
+            if (++requests != 2)
+            {
+                responder({200, {}, std::to_string(requests)});
+            }
+        });
+    http_client client(address, {1, 1});
+    constexpr duration limit = milliseconds(200);
+    const auto call = [&] {
+        std::optional<call_result> result;
+        client.send({"POST", "/", {}, {}, "x"}, limit,
+                    [&](call_result r) { result = std::move(r); });
+        EXPECT_TRUE(run_until([&] {
+            client.expire(boot_now());
+            return result.has_value();
+        }));
+        return *result;
+    };
+    EXPECT_EQ(body_of(call()), "1");
+    const auto sent_at = boot_now();
+    const auto silent = call();
+    EXPECT_LT(boot_now() - sent_at, 5 * limit);
+    const auto* const failure = std::get_if<call_failure>(&silent);
+    ASSERT_NE(failure, nullptr);
+    EXPECT_TRUE(failure->maybe_executed);
+    EXPECT_EQ(requests, 2);
+    EXPECT_EQ(body_of(call()), "3");
+    EXPECT_EQ(client.connections_opened(), 2U);
+}
+
 // Failure: a call on a refused connection is reported as possibly executed.
 TEST(http, refused_connection_is_reported_as_not_executed)
 {
