Split the silences of workers off crash_attribution

crash_attribution.cpp had over 400 lines and two jobs: what a task is suspected of, and whether many workers fell silent together. The second one is now silence_history.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -26,16 +26,6 @@
 // of them after a crash without suspects.
 constexpr duration unreliable_time = std::chrono::seconds(60);
 
-// Workers that fall silent within this time of each other may have a common
-// cause; an unanswered poll ends up to 1.9 s after the failure.
-constexpr duration common_cause_time = std::chrono::seconds(1);
-constexpr duration silence_history = std::chrono::seconds(60);
-constexpr std::size_t min_mass_failure = 6;
-constexpr std::size_t mass_failure_divisor = 10;
-constexpr std::size_t min_domain_failure = 3;
-// A job with suspects on this part of the workers may have crashed them all.
-constexpr std::size_t common_suspect_divisor = 3;
-
 } // namespace
 
 void crash_attribution::on_silence(fleet_worker& worker, time_point now)
@@ -45,9 +35,6 @@
     const bool is_connection_lost =
         worker.poll_sent_at && now - *worker.poll_sent_at < worker.poll_wait;
     worker.silent_since = now;
-    std::erase_if(silences_, [&](const silence& entry) {
-        return now - entry.since > silence_history;
-    });
     note_runs(worker, is_connection_lost ? now : worker.responded_at, now);
     std::set<job_id> suspects;
     for (const auto& run : worker.interrupted_runs)
@@ -57,14 +44,13 @@
             suspects.insert(run.task.job);
         }
     }
-    silences_.push_back({worker.entry.id, worker.entry.zone,
-                         worker.entry.labels, std::move(suspects), now});
+    silences_.add(worker, std::move(suspects), now);
 }
 
 void crash_attribution::on_requeue(const fleet_worker& worker,
                                    time_point now) const
 {
-    const bool is_mass_failure = is_part_of_mass_failure(worker);
+    const bool is_mass_failure = silences_.is_part_of_mass_failure(worker);
     for (const auto& run : worker.interrupted_runs)
     {
         auto* const task = find_task(run.task);
@@ -73,7 +59,8 @@
             continue;
         }
         task->suspected_at = now;
-        if (is_mass_failure && !is_common_suspect(worker, run.task.job))
+        if (is_mass_failure &&
+            !silences_.is_common_suspect(worker, run.task.job))
         {
             task->suspected_on.erase(worker.entry.id);
         }
@@ -126,9 +113,7 @@
         return;
     }
     worker.silent_since.reset();
-    std::erase_if(silences_, [&](const silence& entry) {
-        return entry.worker == worker.entry.id;
-    });
+    silences_.forget(worker.entry.id);
     clear_suspicion(worker.entry.id,
                     std::exchange(worker.interrupted_runs, {}));
 }
@@ -155,7 +140,7 @@
         return;
     }
     ++crashes_;
-    const bool is_mass_failure = is_part_of_mass_failure(worker);
+    const bool is_mass_failure = silences_.is_part_of_mass_failure(worker);
     const auto suspects =
         std::ranges::count_if(runs, &interrupted_run::is_suspect);
     const auto is_recent = [&](const std::optional<time_point>& at) {
@@ -186,7 +171,8 @@
         // So is the crash of a worker that never confirmed the run.
         const bool is_explained_otherwise =
             !run.is_confirmed ||
-            (is_mass_failure && !is_common_suspect(worker, run.task.job));
+            (is_mass_failure &&
+             !silences_.is_common_suspect(worker, run.task.job));
         count_crash(life, run,
                     {suspects == 1, is_reliable, is_explained_otherwise}, now);
     }
@@ -326,75 +312,4 @@
     return owner != nullptr && owner->has(key) ? &owner->task(key) : nullptr;
 }
 
-std::vector<const crash_attribution::silence*>
-crash_attribution::simultaneous(const fleet_worker& worker) const
-{
-    std::vector<const silence*> out;
-    for (const auto& other : silences_)
-    {
-        if (std::chrono::abs(other.since - *worker.silent_since) <=
-            common_cause_time)
-        {
-            out.push_back(&other);
-        }
-    }
-    return out;
-}
-
-bool crash_attribution::is_common_suspect(const fleet_worker& worker,
-                                          const job_id& job) const
-{
-    const auto together = simultaneous(worker);
-    const auto with_job =
-        std::ranges::count_if(together, [&](const silence* other) {
-            return other->suspects.contains(job);
-        });
-    return static_cast<std::size_t>(with_job) * common_suspect_divisor >=
-           together.size();
-}
-
-template <typename IsInDomain>
-bool crash_attribution::fails_with_most_of(const fleet_worker& worker,
-                                           IsInDomain is_in_domain) const
-{
-    const auto silent =
-        std::ranges::count_if(simultaneous(worker), [&](const silence* other) {
-            return is_in_domain(other->zone, other->labels);
-        });
-    const auto members =
-        std::ranges::count_if(state_.fleet, [&](const auto& other) {
-            const auto& entry = other.second.entry;
-            return !other.second.has_ended && !other.second.is_unlisted &&
-                   is_in_domain(entry.zone, entry.labels);
-        });
-    return silent >= static_cast<std::ptrdiff_t>(min_domain_failure) &&
-           2 * silent >= members;
-}
-
-bool crash_attribution::is_part_of_mass_failure(
-    const fleet_worker& worker) const
-{
-    if (!worker.silent_since)
-    {
-        return false;
-    }
-    if (simultaneous(worker).size() >=
-        std::max(min_mass_failure, state_.fleet.size() / mass_failure_divisor))
-    {
-        return true;
-    }
-    const bool is_with_zone = fails_with_most_of(
-        worker, [&](const availability_zone_id& zone, const auto& /*labels*/) {
-            return zone == worker.entry.zone;
-        });
-    return is_with_zone ||
-           std::ranges::any_of(
-               worker.entry.labels, [&](const std::string& label) {
-                   return fails_with_most_of(worker, [&](const auto& /*zone*/,
-                                                         const auto& labels) {
-                       return std::ranges::find(labels, label) != labels.end();
-                   });
-               });
-}
-
 } // namespace hemlockdeal::jobs
--- a/src/jobs/crash_attribution.hpp
+++ b/src/jobs/crash_attribution.hpp
@@ -11,6 +11,7 @@
 
 #include "jobs/fleet_record.hpp"
 #include "jobs/scheduler_state.hpp"
+#include "jobs/silence_history.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -52,16 +53,6 @@
     std::size_t crashes() const { return crashes_; }
 
 private:
-    struct silence
-    {
-        worker_id worker;
-        availability_zone_id zone;
-        std::vector<std::string> labels;
-        // Jobs with suspects on the worker.
-        std::set<job_id> suspects;
-        time_point since{};
-    };
-
     struct crash_circumstances
     {
         bool is_only_suspect = false;
@@ -71,19 +62,8 @@
         bool is_explained_otherwise = false;
     };
 
-    // The workers that fell silent together with this one, which included.
-    std::vector<const silence*> simultaneous(const fleet_worker& worker) const;
-    // True if the job had suspects on a large part of the workers that fell
-    // silent together, so that it may be their common cause.
-    bool is_common_suspect(const fleet_worker& worker, const job_id& job) const;
     // `alive_at` is the last time at which the worker certainly was up.
     void note_runs(fleet_worker& worker, time_point alive_at, time_point now);
-    // True if many workers, or most of a rack or an availability zone, fell
-    // silent together: no task is to blame for that.
-    bool is_part_of_mass_failure(const fleet_worker& worker) const;
-    template <typename IsInDomain>
-    bool fails_with_most_of(const fleet_worker& worker,
-                            IsInDomain is_in_domain) const;
     void count_crash(const worker_id& life, const interrupted_run& run,
                      const crash_circumstances& circumstances, time_point now);
     static bool is_convicted(const crash_history& crashes,
@@ -94,8 +74,7 @@
     task_record* find_task(const task_key& key) const;
 
     scheduler_state& state_;
-    // Workers that have been silent since the given times, oldest first.
-    std::vector<silence> silences_;
+    silence_history silences_{state_};
     // Tasks that an earlier leader was trying, by worker.
     std::optional<std::map<worker_id, std::vector<task_key>>> recovered_trials_;
     // Latest crash of a worker without suspects: workers crash for another
