Keep a start in transit when its worker reports an older run of the task

What callers would see: a task that never runs again. A worker starts an older run of a task late, while a newer start of the same task is on its way to it. The report of the older run replaced the record of the newer start; the worker refused that start because the older run was active, and the refusal found no record. The task stayed placed without a run.

Change: a record of the placed run with a higher number stays. The reported run is stopped, repeatedly until the worker confirms it.

Evidence: scheduler_test.refused_start_beside_a_late_run_is_repeated fails before and passes after.

--- a/src/jobs/reported_run_handler.cpp
+++ b/src/jobs/reported_run_handler.cpp
@@ -41,6 +41,14 @@
                                           time_point now)
 {
     auto* run = worker.find_run(reported.task);
+    if (run != nullptr && run->run > reported.run &&
+        is_current_run(state_, worker, reported.task, run->run))
+    {
+        // A late start. The later one stays in the ledger, so that its task is
+        // started again if the worker refuses it.
+        stop_earlier_run(worker, reported, now);
+        return;
+    }
     if (run == nullptr || run->run != reported.run)
     {
         adopt_run(worker, reported, now);
@@ -63,6 +71,29 @@
     crashes_.on_run_reported(worker, reported.task, *run, now);
 }
 
+void reported_run_handler::stop_earlier_run(fleet_worker& worker,
+                                            const running_task& reported,
+                                            time_point now)
+{
+    const bool is_being_stopped =
+        std::ranges::any_of(worker.given_up, [&](const given_up_start& start) {
+            return start.task == reported.task && start.run == reported.run;
+        });
+    if (is_being_stopped)
+    {
+        return;
+    }
+    state_.log_event("stopping run",
+                     {{"task", to_text(reported.task)},
+                      {"run", std::to_string(reported.run)},
+                      {"worker", worker.entry.id.value()},
+                      {"why", "a later run of the task was ordered"}});
+    // Repeated until the worker confirms it.
+    worker.given_up.push_back({reported.task, reported.run, now, now});
+    state_.orders.emplace_back(
+        stop_order{worker.entry.id, reported.task, reported.run});
+}
+
 void reported_run_handler::adopt_run(fleet_worker& worker,
                                      const running_task& reported,
                                      time_point now)
--- a/src/jobs/reported_run_handler.hpp
+++ b/src/jobs/reported_run_handler.hpp
@@ -23,6 +23,9 @@
 private:
     void handle_running(fleet_worker& worker, const running_task& reported,
                         time_point now);
+    // Stops a run that is older than the one in the ledger.
+    void stop_earlier_run(fleet_worker& worker, const running_task& reported,
+                          time_point now);
     // Adds a run that this leader has not ordered to the worker's ledger.
     void adopt_run(fleet_worker& worker, const running_task& reported,
                    time_point now);
--- a/tests/jobs/superseded_run_test.cpp
+++ b/tests/jobs/superseded_run_test.cpp
@@ -63,3 +63,44 @@
     // Workers refuse a number that they have seen.
     EXPECT_GT(starts[0].run, 2U);
 }
+
+// Failure: a worker reports an older run of a task, which it has started late,
+// while a start of the task is on its way to it. The worker refuses that start,
+// and the task stays placed without a run.
+TEST_F(scheduler_test, refused_start_beside_a_late_run_is_repeated)
+{
+    const auto late = order_to_unresponsive_worker();
+    const worker_id a("a");
+    leader.on_start_answer(a, late.task, late.run, start_answer::unknown, now);
+    unresponsive.clear();
+    simulate();
+    leader.on_stop_confirmed(a, late.task, late.run, now);
+    std::vector<start_order> starts;
+    for (int i = 0; i < 100 && starts.empty(); ++i)
+    {
+        now += milliseconds(20);
+        for (const auto& o : leader.decide(now, milliseconds(0), {}))
+        {
+            if (const auto* const start = std::get_if<start_order>(&o))
+            {
+                starts.push_back(*start);
+                continue;
+            }
+            respond(o);
+        }
+        leader.take_changes();
+        leader.on_changes_stored(now);
+    }
+    ASSERT_EQ(starts.size(), 1U);
+    running[a] = {{late.task, late.run, "", 10, -1}};
+    const auto stops = orders_of<stop_order>(simulate());
+    ASSERT_FALSE(stops.empty());
+    EXPECT_EQ(stops[0].run, late.run);
+    leader.on_start_answer(a, starts[0].task, starts[0].run,
+                           start_answer::run_too_low, now);
+    running[a].clear();
+    ended[a] = {{1, late.task, late.run, run_end::stopped, ""}};
+    const auto restarts = orders_of<start_order>(simulate());
+    ASSERT_EQ(restarts.size(), 1U);
+    EXPECT_GT(restarts[0].run, starts[0].run);
+}
