--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -80,12 +80,13 @@
                                    time_point now)
 {
     on_unnoticed_end(worker, now);
-    const auto later =
-        std::ranges::partition(worker.interrupted_runs, [&](const auto& run) {
+    auto& runs = worker.interrupted_runs;
+    const auto later = std::partition(
+        runs.begin(), runs.end(), [&](const interrupted_run& run) {
             return !first_report.lists(run.task, run.run);
         });
-    clear_suspicion(worker.entry.id, {later.begin(), later.end()});
-    worker.interrupted_runs.erase(later.begin(), later.end());
+    clear_suspicion(worker.entry.id, {later, runs.end()});
+    runs.erase(later, runs.end());
 }
 
 void crash_attribution::note_runs(fleet_worker& worker, time_point alive_at,
