--- a/tests/jobs/restarted_worker_test.cpp
+++ b/tests/jobs/restarted_worker_test.cpp
@@ -26,7 +26,7 @@
     // room for it.
     start_order order_to_a()
     {
-        const auto order = order_to_unresponsive_worker();
+        auto order = order_to_unresponsive_worker();
         leader.set_store_clock(store_clock_at(now));
         add_worker("b");
         return order;
