Count only leases of workers with runs at a planned hand-over

By reading: the time until which leases count at a hand-over covered idle workers that had restarted, too, so that the next leader could wait up to 19 s for nothing (a trade with LOST). It counts workers with runs only. The wait of a withdrawn start leaves other delays of its task alone.

--- a/src/jobs/missing_run_check.cpp
+++ b/src/jobs/missing_run_check.cpp
@@ -45,7 +45,7 @@
         }
         if (has_certainly_ended(run, report, sent_at))
         {
-            requeue_absent(worker, key, now);
+            requeue_absent(worker, key);
             continue;
         }
         if (run.is_unresolved)
@@ -64,7 +64,7 @@
 }
 
 void missing_run_check::requeue_absent(fleet_worker& worker,
-                                       const task_key& key, time_point now)
+                                       const task_key& key)
 {
     const auto run = *worker.find_run(key);
     const bool was_current = is_current_run(state_, worker, key, run.run);
@@ -76,9 +76,11 @@
     state_.requeue(key, "run missing from the worker's reports");
     // This process of the worker refuses the late start, but a later one may
     // execute it. Long-running tasks have to run again sooner.
-    const bool may_start_late = run.is_unresolved && !run.is_long_running;
-    state_.registry.find(key.job)->task(key).not_before =
-        may_start_late ? run.ordered_at + state_.options.max_order_delay : now;
+    if (run.is_unresolved && !run.is_long_running)
+    {
+        state_.registry.find(key.job)->task(key).not_before =
+            run.ordered_at + state_.options.max_order_delay;
+    }
 }
 
 bool missing_run_check::has_certainly_ended(const run_record& run,
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -74,8 +74,12 @@
     for (const auto& [id, worker] : state_.fleet)
     {
         // Later than the first one on workers that have restarted.
-        leases_end = std::max(
-            leases_end, worker.leases_expire_at(state_.options.clock_error));
+        if (!worker.runs().empty() && !worker.has_ended)
+        {
+            leases_end =
+                std::max(leases_end,
+                         worker.leases_expire_at(state_.options.clock_error));
+        }
     }
     state_.log_event(
         "leadership handed over",
