--- a/src/jobs/order.cpp
+++ b/src/jobs/order.cpp
@@ -6,7 +6,7 @@
 namespace hemlockdeal::jobs
 {
 
-std::uint64_t fencing_token(std::uint64_t epoch, std::uint32_t restarts)
+std::uint64_t order_fence(std::uint64_t epoch, std::uint32_t restarts)
 {
     constexpr unsigned restart_bits = 16;
     constexpr std::uint32_t max_restarts = (1U << restart_bits) - 1;
--- a/src/jobs/order.hpp
+++ b/src/jobs/order.hpp
@@ -19,7 +19,7 @@
 // the worker that it has noticed. Orders to the former process of a worker that
 // has restarted under its id are refused by the later one, which cannot tell
 // them apart otherwise, from its first order with the higher token on.
-std::uint64_t fencing_token(std::uint64_t epoch, std::uint32_t restarts);
+std::uint64_t order_fence(std::uint64_t epoch, std::uint32_t restarts);
 
 struct start_order
 {
--- a/src/node/concepts.hpp
+++ b/src/node/concepts.hpp
@@ -38,7 +38,7 @@
 };
 
 // Sends orders to workers. The fencing token follows from `epoch` and the order
-// (`jobs::fencing_token`): workers refuse orders of an earlier leader, and
+// (`jobs::order_fence`): workers refuse orders of an earlier leader, and
 // those to a former process of theirs.
 template <typename Workers>
 concept worker_port = requires(
--- a/tests/jobs/fake_worker.hpp
+++ b/tests/jobs/fake_worker.hpp
@@ -204,7 +204,7 @@
     // False if the worker has seen a higher fencing token.
     bool take_token(std::uint64_t epoch, std::uint32_t restarts)
     {
-        const auto token = fencing_token(epoch, restarts);
+        const auto token = order_fence(epoch, restarts);
         if (token < token_)
         {
             return false;
--- a/tests/jobs/restarted_worker_test.cpp
+++ b/tests/jobs/restarted_worker_test.cpp
@@ -201,12 +201,12 @@
 }
 
 // Failure: a token does not exceed those of earlier leaders and processes.
-TEST(fencing_token, rises_with_the_epoch_and_with_restarts)
+TEST(order_fence, rises_with_the_epoch_and_with_restarts)
 {
-    EXPECT_LT(fencing_token(7, 0), fencing_token(7, 1));
-    EXPECT_LT(fencing_token(7, 1000), fencing_token(8, 0));
-    EXPECT_LT(fencing_token(7, ~std::uint32_t{0}), fencing_token(8, 0));
+    EXPECT_LT(order_fence(7, 0), order_fence(7, 1));
+    EXPECT_LT(order_fence(7, 1000), order_fence(8, 0));
+    EXPECT_LT(order_fence(7, ~std::uint32_t{0}), order_fence(8, 0));
     // The largest whole number that JSON parsers keep exactly.
     constexpr std::uint64_t max_exact = 1ULL << 53U;
-    EXPECT_LT(fencing_token(1ULL << 36U, ~std::uint32_t{0}), max_exact);
+    EXPECT_LT(order_fence(1ULL << 36U, ~std::uint32_t{0}), max_exact);
 }
