Count noticed restarts for all workers together

What callers would see: a leader that gives up the lead without need, while tasks wait for the next one. A worker that had restarted under its id, left the list, was forgotten and joined again got orders with the token of a new worker. It had seen a higher one, refused them, and the leader took that for a later leader.

Change: the restarts in the token are counted for all workers of a leader, and a worker that joins starts with that count, so that its token never falls.

Evidence: restarted_worker_test.token_does_not_fall_when_a_worker_joins_again fails before and passes after.

--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -225,9 +225,9 @@
     return clock_ + passed - worker_clock(1);
 }
 
-void fleet_worker::note_restart(time_point leases_end)
+void fleet_worker::note_restart(std::uint32_t restarts, time_point leases_end)
 {
-    ++restarts_;
+    restarts_ = restarts;
     accepts_earlier_orders_ = true;
     earlier_leases_end_ = std::max(earlier_leases_end_, leases_end);
 }
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -309,11 +309,14 @@
 
     // Lower bound of the worker's clock at `now`.
     worker_clock least_clock_at(time_point now, double clock_error) const;
-    // Restarts of the worker that this leader has noticed. All orders name it.
+    // Restarts of any worker that this leader had noticed when it last noticed
+    // one of this worker, or learnt of the worker. All orders name it.
     std::uint32_t restarts() const { return restarts_; }
-    // The worker has restarted. Orders to its former process may still be
-    // executed, which extend leases until `leases_end` at most.
-    void note_restart(time_point leases_end);
+    void set_restarts(std::uint32_t restarts) { restarts_ = restarts; }
+    // The worker has restarted, which makes `restarts` of all workers. Orders
+    // to its former process may still be executed, which extend leases until
+    // `leases_end` at most.
+    void note_restart(std::uint32_t restarts, time_point leases_end);
     // The worker has executed an order that names `restarts`: from now on, it
     // refuses those to its former process, which have extended leases until
     // `leases_end` at most.
--- a/src/jobs/membership_tracker.cpp
+++ b/src/jobs/membership_tracker.cpp
@@ -30,6 +30,7 @@
     if (is_new)
     {
         worker.joined_at = now;
+        worker.set_restarts(state_.restarts);
         state_.log_event("worker joined", {{"worker", entry.id.value()},
                                            {"vm", entry.vm.value()},
                                            {"zone", entry.zone.value()}});
--- a/src/jobs/scheduler_state.cpp
+++ b/src/jobs/scheduler_state.cpp
@@ -52,8 +52,8 @@
         return;
     }
     restart_noticed_at = now;
-    worker.note_restart(now + options.max_order_delay +
-                        longest_granted_lease(options));
+    worker.note_restart(++restarts, now + options.max_order_delay +
+                                        longest_granted_lease(options));
     log_event("restart of worker noticed",
               {{"worker", worker.entry.id.value()},
                {"source", std::string(source)},
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -48,7 +48,11 @@
     std::uint64_t stored_set = recovered_set;
     // A worker follows a later leader.
     bool is_superseded = false;
-    // When this leader last noticed that a worker had restarted under its id.
+    // Restarts of workers under their ids that this leader has noticed. They
+    // are counted for all workers together, so that the token of a worker that
+    // is forgotten and joins again does not fall.
+    std::uint32_t restarts = 0;
+    // When it noticed the last one.
     std::optional<time_point> restart_noticed_at;
 
     // Parts of the stored fleet list that are out of date.
--- a/tests/jobs/restarted_worker_test.cpp
+++ b/tests/jobs/restarted_worker_test.cpp
@@ -182,6 +182,29 @@
     EXPECT_GE(starts[0].restarts, polls.back().restarts);
 }
 
+// Failure: a worker that was forgotten after a restart and joins again gets
+// orders with a lower token than before, refuses them, and the leader gives up
+// the lead.
+TEST_F(restarted_worker_test, token_does_not_fall_when_a_worker_joins_again)
+{
+    add_worker("a");
+    leader.begin(now);
+    simulate();
+    report_incarnation = 2;
+    auto later = entry("a");
+    later.incarnation = 2;
+    leader.set_worker(later, now);
+    const auto polls = polls_of_a(simulate());
+    ASSERT_FALSE(polls.empty());
+    leader.remove_worker(worker_id("a"), now);
+    simulate(seconds(20));
+    ASSERT_FALSE(leader.fleet().contains(worker_id("a")));
+    leader.set_worker(later, now);
+    const auto later_polls = polls_of_a(simulate());
+    ASSERT_FALSE(later_polls.empty());
+    EXPECT_GE(later_polls[0].restarts, polls.back().restarts);
+}
+
 // Failure: a leader gives up the lead when a worker refuses an order that was
 // sent before its restart was noticed.
 TEST_F(restarted_worker_test, refusal_of_an_earlier_order_does_not_end_the_lead)
