--- a/cmake/hemlockdeal.cmake
+++ b/cmake/hemlockdeal.cmake
@@ -1,9 +1,10 @@
 # Helper functions, so that each folder's CMakeLists.txt names only its
-# library and what it links to. Sources are globbed: a class a file.
+# library and what it links to. Sources are globbed, also one level of
+# subfolders: a class a file.
 
 function(hemlockdeal_library name)
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp
-         ${CMAKE_CURRENT_SOURCE_DIR}/generated/*.cc)
+         ${CMAKE_CURRENT_SOURCE_DIR}/*/*.cpp ${CMAKE_CURRENT_SOURCE_DIR}/generated/*.cc)
     list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
     add_library(hemlockdeal_${name} STATIC ${sources})
     target_include_directories(hemlockdeal_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -56,6 +56,7 @@
 using rack_id = text_id<struct rack_tag>;
 using class_id = text_id<struct class_tag>;
 using team_id = text_id<struct team_tag>;
+using account_id = text_id<struct account_tag>;
 using service_id = text_id<struct service_tag>;
 using job_id = text_id<struct job_tag>;
 using commit_id = text_id<struct commit_tag>;
--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -72,13 +72,25 @@
     return record;
 }
 
+run_record make_run(const job& owner, const step& s, std::uint32_t run,
+                    time_point now)
+{
+    auto record = make_run(s, run, now);
+    if (owner.account)
+    {
+        record.account = owner.account->id;
+    }
+    return record;
+}
+
 bool is_over_target(const run_record& run)
 {
     return run.is_serving() &&
            std::chrono::milliseconds(run.measurement) > run.tail_target;
 }
 
-fleet_worker::fleet_worker(worker_entry e) : entry(std::move(e))
+fleet_worker::fleet_worker(worker_entry e, account_ledger* account_usage)
+    : entry(std::move(e)), account_usage_(account_usage)
 {}
 
 bool fleet_worker::is_reachable(time_point now, duration limit) const
@@ -182,6 +194,14 @@
 void fleet_worker::account(const run_record& run, int sign)
 {
     cached_pressures.is_stale = true;
+    if (account_usage_ != nullptr && sign > 0)
+    {
+        account_usage_->add(run.account, run.size);
+    }
+    else if (account_usage_ != nullptr)
+    {
+        account_usage_->remove(run.account, run.size);
+    }
     used_.processor_millis += run.fills ? 0 : sign * run.size.processor_millis;
     used_.memory_mb += sign * run.size.memory_mb;
     used_.accelerators += sign * run.size.accelerators;
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/quota/account_ledger.hpp"
 #include "jobs/scheduler_options.hpp"
 #include "jobs/worker_report.hpp"
 
@@ -56,6 +57,8 @@
 {
     std::uint32_t run = 0;
     task_size size;
+    // Owner of the job; empty if it has none.
+    account_id account;
     // The run of a job that is not known.
     bool has_unknown_size = false;
     bool fills = false;
@@ -123,10 +126,16 @@
     time_point ordered_at{};
     // When the worker was last told to refuse it.
     std::optional<time_point> stop_ordered_at;
+    // For the cap of the account; empty if the job has none.
+    account_id account{};
+    task_size size{};
 };
 
 // Returns the record of a run of this step that is ordered at `now`.
 run_record make_run(const step& s, std::uint32_t run, time_point now);
+// The same for a step of this job, whose account the run counts against.
+run_record make_run(const job& owner, const step& s, std::uint32_t run,
+                    time_point now);
 
 // True if the last reported tail latency is above the target.
 bool is_over_target(const run_record& run);
@@ -157,7 +166,10 @@
 class fleet_worker
 {
 public:
-    explicit fleet_worker(worker_entry entry);
+    // Each change of the runs is passed on to the account ledger, if there is
+    // one.
+    explicit fleet_worker(worker_entry entry,
+                          account_ledger* account_usage = nullptr);
 
     worker_entry entry;
     // When this leader learnt of the worker.
@@ -347,6 +359,7 @@
 private:
     void account(const run_record& run, int sign);
 
+    account_ledger* account_usage_ = nullptr;
     // Invariant: the sums below match the runs.
     std::map<task_key, run_record> runs_;
     task_size used_;
--- a/src/jobs/gang_placer.cpp
+++ b/src/jobs/gang_placer.cpp
@@ -30,6 +30,10 @@
         return 0;
     }
     const auto count = gang.definition().task_count;
+    if (!context_.quota.admits(*gang.owner, gang.definition(), count, now))
+    {
+        return count;
+    }
     const auto run = next_run(gang);
     const auto places = find_places(gang, now);
     if (places.size() < count)
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "accounts/accounts.hpp"
 #include "core/core.hpp"
 
 namespace hemlockdeal::jobs
@@ -20,6 +21,28 @@
     std::int64_t memory_mb = 0;
     std::int64_t accelerators = 0;
 
+    task_size& operator+=(const task_size& other)
+    {
+        processor_millis += other.processor_millis;
+        memory_mb += other.memory_mb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+    task_size& operator-=(const task_size& other) { return *this += -other; }
+
+    friend task_size operator-(const task_size& size)
+    {
+        return {-size.processor_millis, -size.memory_mb, -size.accelerators};
+    }
+    friend task_size operator+(task_size a, const task_size& b)
+    {
+        return a += b;
+    }
+    friend task_size operator*(const task_size& size, std::int64_t count)
+    {
+        return {size.processor_millis * count, size.memory_mb * count,
+                size.accelerators * count};
+    }
     friend bool operator==(const task_size&, const task_size&) = default;
 };
 
@@ -87,6 +110,10 @@
     std::vector<step> steps;
     repetition repeats;
     queue_policy policy;
+    // The account that owns the job, as it was when the job was accepted: the
+    // account may leave the configuration while the job runs. Empty for a job
+    // without an owner.
+    std::optional<accounts::account_policy> account;
     // Unix time at which the job was accepted.
     std::chrono::milliseconds accepted_at{};
 
@@ -130,6 +157,13 @@
 std::uint64_t number_of(const job& j, std::uint32_t occurrence,
                         std::uint32_t step, std::uint32_t index);
 
+// True if a task of the job, or a gang as a whole, exceeds the cap of the job's
+// account, so that it can never start.
+bool exceeds_cap(const job& j);
+
+// The account in the stored form of a job; empty if it has none.
+account_id account_of_row(std::string_view text);
+
 // Stored form of a job. Decoding returns nothing for text that is not a job or
 // for a job with too many tasks.
 std::string encode_job(const job& j);
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include "jobs/json_value.hpp"
+#include "jobs/quota/account_limits.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -142,6 +143,29 @@
     return t;
 }
 
+json::object to_json(const accounts::account_policy& policy)
+{
+    json::object out;
+    out["i"] = policy.id.value();
+    put(out, "w", policy.weight);
+    put(out, "p", policy.cap.processor_millis);
+    put(out, "m", policy.cap.memory_mb);
+    put(out, "g", policy.cap.accelerators);
+    return out;
+}
+
+// Empty if the account has no name.
+std::optional<accounts::account_policy> to_account(const json::object& in)
+{
+    accounts::account_policy policy;
+    policy.id = account_id(text_in(in, "i"));
+    policy.weight = std::max<std::int64_t>(integer_in(in, "w"), 1);
+    policy.cap = {std::max<std::int64_t>(integer_in(in, "p"), 0),
+                  std::max<std::int64_t>(integer_in(in, "m"), 0),
+                  std::max<std::int64_t>(integer_in(in, "g"), 0)};
+    return policy.id.empty() ? std::nullopt : std::optional(std::move(policy));
+}
+
 } // namespace
 
 std::uint64_t count_tasks(const job& j)
@@ -172,12 +196,35 @@
     return occurrence * per_occurrence + before_step + index;
 }
 
+bool exceeds_cap(const job& j)
+{
+    return j.account && std::ranges::any_of(j.steps, [&](const step& s) {
+               const std::int64_t together = s.is_gang ? s.task_count : 1;
+               return !is_within(j.account->cap, {}, s.size * together);
+           });
+}
+
+account_id account_of_row(std::string_view text)
+{
+    json::error_code error;
+    const auto parsed = json::parse({text.data(), text.size()}, error);
+    const auto* const in = error ? nullptr : parsed.if_object();
+    const auto* const account = in == nullptr ? nullptr : in->if_contains("a");
+    return account == nullptr || !account->is_object()
+               ? account_id()
+               : account_id(text_in(account->get_object(), "i"));
+}
+
 std::string encode_job(const job& j)
 {
     json::object out;
     out["q"] = to_json(j.policy);
     out["d"] = j.payload;
     out["u"] = j.accepted_at.count();
+    if (j.account)
+    {
+        out["a"] = to_json(*j.account);
+    }
     json::array steps;
     for (const auto& s : j.steps)
     {
@@ -210,6 +257,11 @@
     {
         j.policy = to_policy(policy->get_object());
     }
+    if (const auto* const account = in->if_contains("a");
+        account != nullptr && account->is_object())
+    {
+        j.account = to_account(account->get_object());
+    }
     for (const auto& entry : list_in(*in, "s"))
     {
         if (!entry.is_object())
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -72,6 +72,26 @@
     return true;
 }
 
+// Leaves out the runs that do not fit: the cap of the account may then be
+// exceeded during a takeover, but the final state of the job is stored.
+void add_ending(json::object& out, const job_progress& progress,
+                std::size_t max_bytes)
+{
+    if (progress.ending.empty())
+    {
+        return;
+    }
+    if (progress.ended_at)
+    {
+        out["t"] = progress.ended_at->time_since_epoch().count();
+    }
+    out["x"] = encode_by_step(progress.ending);
+    if (json::serialize(out).size() > max_bytes)
+    {
+        out.erase("x");
+    }
+}
+
 std::optional<json::object> parse_row(std::string_view text)
 {
     json::error_code error;
@@ -114,6 +134,7 @@
     // The task states of a finished job are no longer needed.
     if (is_final(progress.state))
     {
+        add_ending(out, progress, max_bytes);
         return json::serialize(out);
     }
     if (progress.has_started)
@@ -159,6 +180,15 @@
     {
         return std::nullopt;
     }
+    const auto* const ending = in->if_contains("x");
+    if (ending != nullptr && !read_positions(*ending, {}, progress.ending))
+    {
+        return std::nullopt;
+    }
+    if (const auto* const at = in->if_contains("t"))
+    {
+        progress.ended_at = store_time_of(*at);
+    }
     const auto* const done = in->if_contains("d");
     if (done != nullptr &&
         !read_positions(*done, progress.step_sizes, progress.done))
--- a/src/jobs/job_progress.hpp
+++ b/src/jobs/job_progress.hpp
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/core.hpp"
 #include "jobs/crash_history.hpp"
 #include "jobs/row_limit.hpp"
 
@@ -69,6 +70,10 @@
     // without a row. If the list is absent, any task may have been ordered.
     std::optional<std::vector<task_position>> ordered{};
     history_map histories{};
+    // Of a client account's job that has ended: tasks whose runs may still be
+    // on workers, and when the job ended by the store's clock, if it is known.
+    std::vector<task_position> ending{};
+    std::optional<store_time> ended_at{};
     // Numbers of the stored rows that hold histories beside the main row.
     std::set<std::uint32_t> history_rows{};
 };
--- a/src/jobs/job_registry.cpp
+++ b/src/jobs/job_registry.cpp
@@ -1,6 +1,8 @@
 // Registry of jobs.
 #include "jobs/job_registry.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -9,6 +11,27 @@
 namespace hemlockdeal::jobs
 {
 
+namespace
+{
+
+ended_job make_ended(const job& definition)
+{
+    ended_job out;
+    out.account = definition.account->id;
+    std::ranges::transform(definition.steps, std::back_inserter(out.step_sizes),
+                           &step::size);
+    return out;
+}
+
+bool has_task(const job& definition, const job_progress::task_position& p)
+{
+    return p.occurrence < definition.repeats_count() &&
+           p.step < definition.steps.size() &&
+           p.index < definition.steps[p.step].task_count;
+}
+
+} // namespace
+
 std::uint32_t history_row_of(const job& owner,
                              const job_progress::task_position& position)
 {
@@ -35,6 +58,16 @@
     if (progress && is_final(progress->state))
     {
         over_[id] = progress->state;
+        if (definition.account && !progress->ending.empty())
+        {
+            auto& ended = ended_[id] = make_ended(definition);
+            ended.at = progress->ended_at;
+            std::ranges::copy_if(progress->ending,
+                                 std::back_inserter(ended.ending),
+                                 [&](const auto& position) {
+                                     return has_task(definition, position);
+                                 });
+        }
         if (!progress->history_rows.empty())
         {
             mark_changed(id);
@@ -61,13 +94,47 @@
     return live_.contains(id) || over_.contains(id);
 }
 
-void job_registry::finish(const job_id& id, job_state state)
+void job_registry::finish(const job_id& id, job_state state,
+                          std::optional<store_time> at)
 {
+    const auto* const owner = find(id);
+    if (owner != nullptr && owner->definition().account)
+    {
+        auto& ended = ended_[id] = make_ended(owner->definition());
+        ended.ending = owner->unfinished_runs();
+        ended.at = at;
+    }
     live_.erase(id);
     over_[id] = state;
     changed_.insert(id);
 }
 
+void job_registry::forget_ended(time_point now, duration age)
+{
+    for (auto& [id, ended] : ended_)
+    {
+        ended.noticed_at = ended.noticed_at.value_or(now);
+    }
+    std::erase_if(ended_, [&](const auto& known) {
+        // The row with the runs may not be stored yet.
+        return now - *known.second.noticed_at >= age &&
+               !changed_.contains(known.first);
+    });
+}
+
+std::optional<account_run> job_registry::adopt_ended(const task_key& key)
+{
+    const auto found = ended_.find(key.job);
+    if (found == ended_.end() || key.step >= found->second.step_sizes.size())
+    {
+        return std::nullopt;
+    }
+    std::erase(found->second.ending, job_progress::task_position{
+                                         key.occurrence, key.step, key.index});
+    return account_run{found->second.account,
+                       found->second.step_sizes[key.step]};
+}
+
 job_changes job_registry::take_changes(change_limits limits,
                                        std::uint64_t number)
 {
@@ -90,6 +157,11 @@
         else if (const auto over = over_.find(id); over != over_.end())
         {
             progress.state = over->second;
+            if (const auto ended = ended_.find(id); ended != ended_.end())
+            {
+                progress.ending = ended->second.ending;
+                progress.ended_at = ended->second.at;
+            }
             remove_history_rows(id, out);
         }
         else
@@ -174,6 +246,19 @@
                            });
 }
 
+std::map<account_id, std::size_t> job_registry::memory_by_account() const
+{
+    std::map<account_id, std::size_t> out;
+    for (const auto& [id, owner] : live_)
+    {
+        if (const auto& account = owner->definition().account)
+        {
+            out[account->id] += memory_of(*owner);
+        }
+    }
+    return out;
+}
+
 std::map<std::string, std::size_t> job_registry::pending() const
 {
     std::map<std::string, std::size_t> counts;
--- a/src/jobs/job_registry.hpp
+++ b/src/jobs/job_registry.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/core.hpp"
 #include "jobs/live_job.hpp"
 
 namespace hemlockdeal::jobs
@@ -51,6 +52,28 @@
     std::size_t rows() const { return progress.size() + histories.size(); }
 };
 
+// What is still needed of a client account's job that has ended: its runs may
+// be on workers for a while.
+struct ended_job
+{
+    account_id account;
+    // Sizes of the tasks of each step.
+    std::vector<task_size> step_sizes;
+    // Tasks whose runs may not have ended with the job.
+    std::vector<job_progress::task_position> ending;
+    // When the job ended; empty if the store's clock was not known.
+    std::optional<store_time> at;
+    // When this leader learnt that the job has ended.
+    std::optional<time_point> noticed_at;
+};
+
+// What a run counts against the cap of its account.
+struct account_run
+{
+    account_id account;
+    task_size size;
+};
+
 class job_registry
 {
 public:
@@ -74,10 +97,23 @@
     bool has_changes() const { return !changed_.empty(); }
 
     // Finishes the job: drops its tasks and keeps its final state.
-    void finish(const job_id& id, job_state state);
+    void finish(const job_id& id, job_state state,
+                std::optional<store_time> at = {});
+
+    // Jobs of client accounts that ended a short time ago.
+    const std::map<job_id, ended_job>& ended() const { return ended_; }
+    // Forgets the ended jobs that have been known for longer than `age`.
+    void forget_ended(time_point now, duration age);
+    // The run of a task whose job has ended is in a worker's ledger from now
+    // on. Empty if the job is not known or belongs to no account.
+    std::optional<account_run> adopt_ended(const task_key& key);
 
     // Removes a finished job.
-    void forget(const job_id& id) { over_.erase(id); }
+    void forget(const job_id& id)
+    {
+        over_.erase(id);
+        ended_.erase(id);
+    }
 
     // Rows of changed jobs for change set `number`, within the limits. Jobs all
     // of whose rows are among them no longer count as changed.
@@ -86,6 +122,9 @@
     // Estimate of the memory that the unfinished jobs take, in bytes.
     std::size_t memory() const;
 
+    // The same for the jobs of each account.
+    std::map<account_id, std::size_t> memory_by_account() const;
+
     // By queue, the number of non-repeating jobs of which no task has started.
     std::map<std::string, std::size_t> pending() const;
 
@@ -105,6 +144,7 @@
 
     std::map<job_id, std::unique_ptr<live_job>> live_;
     std::map<job_id, job_state> over_;
+    std::map<job_id, ended_job> ended_;
     std::set<job_id> changed_;
     std::map<job_id, taken_rows> taken_histories_;
 };
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -10,6 +10,7 @@
 #include "jobs/leadership.hpp"
 #include "jobs/order.hpp"
 #include "jobs/queue_directory.hpp"
+#include "jobs/quota/account_limits.hpp"
 #include "jobs/scheduler.hpp"
 #include "jobs/scheduler_options.hpp"
 #include "jobs/store_clock.hpp"
--- a/src/jobs/leadership.cpp
+++ b/src/jobs/leadership.cpp
@@ -35,6 +35,39 @@
     return is_valid ? std::optional(value) : std::nullopt;
 }
 
+boost::json::object
+encode_account_memory(const std::map<account_id, std::uint64_t>& bytes)
+{
+    boost::json::object out;
+    for (const auto& [account, memory] : bytes)
+    {
+        out[account.value()] = memory;
+    }
+    return out;
+}
+
+// Members that are no numbers are left out.
+std::map<account_id, std::uint64_t>
+account_memory_in(const boost::json::object& in, std::string_view member)
+{
+    std::map<account_id, std::uint64_t> out;
+    const auto* const found = in.if_contains(member);
+    if (found == nullptr || !found->is_object())
+    {
+        return out;
+    }
+    for (const auto& entry : found->get_object())
+    {
+        boost::json::error_code error;
+        const auto bytes = entry.value().to_number<std::uint64_t>(error);
+        if (!error)
+        {
+            out.emplace(std::string(entry.key()), bytes);
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 std::string encode_lease(const lease_row& row)
@@ -63,6 +96,14 @@
     {
         out["v"] = row.validity->count();
     }
+    if (row.configuration.value() > 0)
+    {
+        out["k"] = row.configuration.value();
+    }
+    if (!row.account_memory.empty())
+    {
+        out["n"] = encode_account_memory(row.account_memory);
+    }
     return boost::json::serialize(out);
 }
 
@@ -89,6 +130,9 @@
     row.is_released = integer_in(*in, "r") != 0;
     row.worker_leases_end = store_time_in(*in, "l");
     row.validity = validity_in(*in, "v");
+    row.configuration = configuration_version(static_cast<std::uint64_t>(
+        std::max<std::int64_t>(integer_in(*in, "k"), 0)));
+    row.account_memory = account_memory_in(*in, "n");
     return row;
 }
 
@@ -175,7 +219,9 @@
     next.bounds_since = row_.bounds_since > 0 ? row_.bounds_since : next.epoch;
     // Holds until this leader has read the jobs.
     next.job_memory = row_.job_memory;
+    next.account_memory = row_.account_memory;
     next.validity = current_validity();
+    next.configuration = row_.configuration;
     return lease_write{version_, next};
 }
 
--- a/src/jobs/leadership.hpp
+++ b/src/jobs/leadership.hpp
@@ -2,11 +2,14 @@
 // leader renews.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "core/core.hpp"
 #include "jobs/earlier_leases.hpp"
@@ -40,6 +43,12 @@
     // The holder considers itself the leader for this long after it sent the
     // row. Empty if the row does not say.
     std::optional<duration> validity{};
+    // Highest version of a configuration with client accounts that a leader has
+    // used; 0 if there was none.
+    configuration_version configuration{};
+    // While the memory for jobs is short, the memory in bytes that the jobs of
+    // accounts above their share take.
+    std::map<account_id, std::uint64_t> account_memory{};
 
     friend bool operator==(const lease_row&, const lease_row&) = default;
 };
@@ -108,6 +117,26 @@
     // published with the lease.
     std::uint64_t job_memory() const { return row_.job_memory; }
     void set_job_memory(std::uint64_t bytes) { row_.job_memory = bytes; }
+    // The same for the jobs of accounts above their share.
+    const std::map<account_id, std::uint64_t>& account_memory() const
+    {
+        return row_.account_memory;
+    }
+    void set_account_memory(std::map<account_id, std::uint64_t> bytes)
+    {
+        row_.account_memory = std::move(bytes);
+    }
+
+    // The leader uses this version of a configuration with client accounts.
+    void use_configuration(configuration_version version)
+    {
+        row_.configuration = std::max(row_.configuration, version);
+    }
+    // The highest version that a leader has used, as far as this VM knows.
+    configuration_version used_configuration() const
+    {
+        return row_.configuration;
+    }
 
     // The lease update for the leader's next transaction.
     lease_write renewal() const;
--- a/src/jobs/lease_extension.hpp
+++ b/src/jobs/lease_extension.hpp
@@ -15,6 +15,8 @@
 struct leader_permission
 {
     bool may_start = true;
+    // False while an earlier leader may have used a newer configuration.
+    bool may_start_account_tasks = true;
     // False when the leases of running tasks must expire.
     bool may_extend_leases = true;
     // False once another VM may have become leader.
--- a/src/jobs/live_job.cpp
+++ b/src/jobs/live_job.cpp
@@ -358,4 +358,43 @@
         [](task_record& record) { record.may_run_elsewhere = false; });
 }
 
+task_size live_job::uncertain_size() const
+{
+    task_size sum;
+    for (const auto& [k, occurrence] : active_)
+    {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s)
+        {
+            const auto& step = occurrence.steps[s];
+            const auto count =
+                are_all_uncertain_
+                    ? std::int64_t{step.waiting}
+                    : std::ranges::count_if(step.tasks, [](const auto& task) {
+                          return task.second.may_run_elsewhere;
+                      });
+            sum += job_.steps[s].size * count;
+        }
+    }
+    return sum;
+}
+
+std::vector<job_progress::task_position> live_job::unfinished_runs() const
+{
+    std::vector<job_progress::task_position> out;
+    for (const auto& [k, occurrence] : active_)
+    {
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
+        {
+            for (const auto& [i, task] : occurrence.steps[s].tasks)
+            {
+                if (task.phase == task_phase::placed || task.may_run_elsewhere)
+                {
+                    out.push_back({k, s, i});
+                }
+            }
+        }
+    }
+    return out;
+}
+
 } // namespace hemlockdeal::jobs
--- a/src/jobs/live_job.hpp
+++ b/src/jobs/live_job.hpp
@@ -131,6 +131,10 @@
     // The same for one task, if it is waiting.
     void mark_uncertain(const task_key& key);
     void clear_uncertain_tasks();
+    // Sum of the sizes of the tasks that an earlier leader may have started.
+    task_size uncertain_size() const;
+    // Tasks that are placed, or that an earlier leader may have started.
+    std::vector<job_progress::task_position> unfinished_runs() const;
 
 private:
     occurrence_record& activate(std::uint32_t occurrence);
--- a/src/jobs/membership_tracker.cpp
+++ b/src/jobs/membership_tracker.cpp
@@ -21,8 +21,8 @@
 
 void membership_tracker::set_worker(const worker_entry& entry, time_point now)
 {
-    const auto [found, is_new] =
-        state_.fleet.try_emplace(entry.id, fleet_worker(entry));
+    const auto [found, is_new] = state_.fleet.try_emplace(
+        entry.id, fleet_worker(entry, &state_.account_usage));
     auto& worker = found->second;
     worker.is_unlisted = false;
     worker.has_malformed_entry = false;
--- a/src/jobs/missing_run_check.cpp
+++ b/src/jobs/missing_run_check.cpp
@@ -72,20 +72,27 @@
     const auto run = *worker.find_run(key);
     const bool was_current = is_current_run(state_, worker, key, run.run);
     worker.erase_run(key);
+    // This process of the worker refuses a late start, but a later one may
+    // execute it.
+    const auto& noticed_at = state_.restart_noticed_at;
+    const bool may_start_late =
+        run.is_unresolved && noticed_at && now - *noticed_at < restart_memory;
+    const auto latest_start = run.ordered_at + state_.options.max_order_delay;
+    if (may_start_late)
+    {
+        state_.note_withdrawn_start(run.account, run.size,
+                                    latest_start +
+                                        longest_granted_lease(state_.options));
+    }
     if (!was_current)
     {
         return;
     }
     state_.requeue(key, "run missing from the worker's reports");
-    // This process of the worker refuses the late start, but a later one may
-    // execute it. Long-running tasks have to run again sooner.
-    const auto& noticed_at = state_.restart_noticed_at;
-    const bool are_restarts_likely =
-        noticed_at && now - *noticed_at < restart_memory;
-    if (run.is_unresolved && !run.is_long_running && are_restarts_likely)
+    // Long-running tasks have to run again sooner.
+    if (may_start_late && !run.is_long_running)
     {
-        state_.registry.find(key.job)->task(key).not_before =
-            run.ordered_at + state_.options.max_order_delay;
+        state_.registry.find(key.job)->task(key).not_before = latest_start;
     }
 }
 
--- a/src/jobs/order_response_handler.cpp
+++ b/src/jobs/order_response_handler.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr duration no_room_backoff = std::chrono::milliseconds(150);
+// Longer than a worker takes to end a run after it has confirmed the stop.
+constexpr duration max_stop_time = std::chrono::seconds(2);
 
 } // namespace
 
@@ -119,7 +121,15 @@
                                                time_point now)
 {
     std::erase_if(worker.given_up, [&](const given_up_start& start) {
-        return start.task == key && start.run == run && start.stop_ordered_at;
+        const bool is_confirmed =
+            start.task == key && start.run == run && start.stop_ordered_at;
+        if (is_confirmed)
+        {
+            // The run may take a while to stop.
+            state_.note_withdrawn_start(start.account, start.size,
+                                        now + max_stop_time);
+        }
+        return is_confirmed;
     });
     auto* const record = worker.find_run(key);
     if (record != nullptr && record->run == run && !record->stop_confirmed_at)
--- a/src/jobs/place_reservations.cpp
+++ b/src/jobs/place_reservations.cpp
@@ -47,7 +47,7 @@
 void place_reservations::reserve(live_job& owner, const task_key& key,
                                  fleet_worker& worker, time_point now)
 {
-    auto reserved = make_run(owner.step_of(key), 0, now);
+    auto reserved = make_run(owner.definition(), owner.step_of(key), 0, now);
     set_evidence(reserved, owner.task(key));
     worker.add_run(key, reserved);
     reservations_[key] = {worker.entry.id, true};
--- a/src/jobs/placement_context.hpp
+++ b/src/jobs/placement_context.hpp
@@ -3,6 +3,7 @@
 
 #include "jobs/candidate_workers.hpp"
 #include "jobs/place_reservations.hpp"
+#include "jobs/quota/quota_gate.hpp"
 #include "jobs/task_starter.hpp"
 #include "jobs/worker_search.hpp"
 
@@ -16,6 +17,7 @@
     const place_reservations& reservations;
     worker_search& search;
     task_starter& starter;
+    const quota_gate& quota;
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/queue_directory.hpp
+++ b/src/jobs/queue_directory.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "accounts/accounts.hpp"
 #include "core/core.hpp"
 #include "jobs/job.hpp"
 
@@ -21,6 +22,8 @@
     std::string path_prefix;
     // Time limit of a caller's request.
     duration timeout{};
+    // Callers need no key of an account.
+    bool is_public = false;
     queue_policy policy;
 };
 
@@ -46,6 +49,7 @@
         configuration_version version;
         std::vector<queue_route> routes;
         std::map<service_id, service_policy> services;
+        accounts::account_directory accounts;
     };
 
     // Returns false without any change if the version is not newer.
--- /dev/null
+++ b/src/jobs/quota/share_order.hpp
@@ -0,0 +1,86 @@
+// Order in which the waiting steps of client accounts are placed.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "jobs/quota/quota_gate.hpp"
+#include "jobs/waiting_steps.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+// Weighted fair sharing: when the workers do not have room for all, steps of
+// accounts that run less than their share go first. An account's share of the
+// fleet is its weight in proportion to those of all accounts that have work;
+// what it runs is measured by its dominant resource. Jobs without an account
+// count as one account with the mean weight.
+class share_order
+{
+public:
+    // `steps` are in the order in which they would be placed without accounts.
+    share_order(std::vector<waiting_step> steps, const scheduler_state& state,
+                time_point now);
+
+    // The step to be placed next, or null if there is none left. What its
+    // account has running by then counts in the choice of the following ones.
+    const waiting_step* next();
+
+private:
+    // Waiting steps of one account, the first to be placed first.
+    struct account_queue
+    {
+        account_id id;
+        double weight = 1.0;
+        std::vector<std::size_t> steps;
+        std::size_t next = 0;
+    };
+
+    enum class rank_group
+    {
+        // Long-running tasks that have waited for long. An account that uses
+        // half of its cap or more has no claim to this.
+        delayed_long_running,
+        under_share,
+        over_share,
+        // Work that is too late to be of use: it takes what the others leave.
+        expired
+    };
+
+    // Steps with a lower rank are placed first.
+    struct rank
+    {
+        rank_group group = rank_group::under_share;
+        // What the account runs in proportion to its weight; zero for accounts
+        // under their share.
+        double use = 0.0;
+        placing_position position;
+        std::size_t queue = 0;
+
+        friend auto operator<=>(const rank&, const rank&) = default;
+    };
+
+    void add_to_queues(time_point now);
+    void add_weights_of_running();
+    rank rank_of_first(std::size_t queue) const;
+    // Share of the fleet that the account has running.
+    double dominant_share(const account_id& account) const;
+
+    const scheduler_state& state_;
+    quota_gate quota_;
+    time_point now_;
+    std::vector<waiting_step> steps_;
+    task_size fleet_capacity_;
+    double total_weight_ = 0.0;
+    std::vector<account_queue> queues_;
+    // One for each queue with steps that are left.
+    std::set<rank> first_steps_;
+    // The queue whose step was returned last.
+    std::size_t last_queue_ = 0;
+    bool has_returned_step_ = false;
+};
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/reported_run_handler.cpp
+++ b/src/jobs/reported_run_handler.cpp
@@ -89,7 +89,11 @@
                       {"worker", worker.entry.id.value()},
                       {"why", "a later run of the task was ordered"}});
     // Repeated until the worker confirms it.
-    worker.given_up.push_back({reported.task, reported.run, now, now});
+    given_up_start earlier{reported.task, reported.run, now, now};
+    const auto& later = *worker.find_run(reported.task);
+    earlier.account = later.account;
+    earlier.size = later.size;
+    worker.given_up.push_back(earlier);
     state_.orders.emplace_back(
         stop_order{worker.entry.id, reported.task, reported.run});
 }
@@ -103,10 +107,19 @@
     const step unknown_step;
     const auto& step = is_known ? owner->step_of(reported.task) : unknown_step;
     // The run is past its start-up as far as is known.
-    auto adopted = make_run(step, reported.run, now - start_up_time);
+    auto adopted = is_known ? make_run(owner->definition(), step, reported.run,
+                                       now - start_up_time)
+                            : make_run(step, reported.run, now - start_up_time);
     adopted.is_adopted = true;
     // The job is over, so nothing is started beside the run until it has ended.
     adopted.has_unknown_size = !is_known;
+    if (const auto ended = is_known
+                               ? std::nullopt
+                               : state_.registry.adopt_ended(reported.task))
+    {
+        adopted.account = ended->account;
+        adopted.size = ended->size;
+    }
     if (is_known)
     {
         set_evidence(adopted, owner->task(reported.task));
--- a/src/jobs/run_end_handler.cpp
+++ b/src/jobs/run_end_handler.cpp
@@ -120,7 +120,8 @@
     if (owner.is_complete())
     {
         state_.log_event("job completed", {{"job", key.job.value()}});
-        state_.registry.finish(key.job, job_state::completed);
+        state_.registry.finish(key.job, job_state::completed,
+                               state_.clock.latest_at(now));
     }
 }
 
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -23,10 +23,11 @@
 
 scheduler::scheduler(scheduler_options options, std::uint64_t epoch)
     : crashes_(state_), recovery_(state_, crashes_),
-      membership_(state_, crashes_, recovery_), worker_ends_(state_, crashes_),
-      intake_(state_, crashes_, worker_ends_), order_responses_(state_),
-      recorder_(state_, recovery_), placer_(state_), lease_extension_(state_),
-      polls_(state_), suspender_(state_), speeds_(state_), long_waits_(state_)
+      in_doubt_(state_, recovery_), membership_(state_, crashes_, recovery_),
+      worker_ends_(state_, crashes_), intake_(state_, crashes_, worker_ends_),
+      order_responses_(state_), recorder_(state_, recovery_), placer_(state_),
+      lease_extension_(state_), polls_(state_), suspender_(state_),
+      speeds_(state_), long_waits_(state_)
 {
     state_.options = options;
     state_.interference.set_policy(options.policy);
@@ -143,7 +144,8 @@
     }
     state_.log_event("job cancelled", {{"job", id.value()}});
     state_.stop_job(*live, now, "job cancelled");
-    state_.registry.finish(id, job_state::cancelled);
+    state_.registry.finish(id, job_state::cancelled,
+                           state_.clock.latest_at(now));
 }
 
 bool scheduler::give_up_job(const job_id& id, time_point now)
@@ -154,7 +156,7 @@
         return false;
     }
     state_.stop_job(*live, now, "progress of the job cannot be stored");
-    state_.registry.finish(id, job_state::failed);
+    state_.registry.finish(id, job_state::failed, state_.clock.latest_at(now));
     return true;
 }
 
@@ -293,8 +295,10 @@
         membership_.forget_gone_workers(now);
         recorder_.mark_outdated_parts(now);
     }
+    state_.may_start_account_tasks = permission.may_start_account_tasks;
     if (permission.may_start && permission.lead_is_valid)
     {
+        in_doubt_.update(now);
         placer_.place(now, unix_now);
         placer_.move_slowed(now);
     }
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -19,6 +19,7 @@
 #include "jobs/membership_tracker.hpp"
 #include "jobs/order_response_handler.hpp"
 #include "jobs/poll_planner.hpp"
+#include "jobs/quota/in_doubt_runs.hpp"
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
 #include "jobs/speed_monitor.hpp"
@@ -70,6 +71,10 @@
 
     void set_services(std::map<service_id, service_policy> services);
     void set_closed_zones(std::set<availability_zone_id> zones);
+    void set_account_limits(account_limits limits)
+    {
+        state_.limits = std::move(limits);
+    }
     void set_worker(const worker_entry& entry, time_point now);
     // Starts nothing on the worker until set_worker() is called for it. Its
     // runs go on: the list alone ends nothing.
@@ -151,6 +156,7 @@
     scheduler_state state_;
     crash_attribution crashes_;
     takeover_recovery recovery_;
+    in_doubt_runs in_doubt_;
     membership_tracker membership_;
     worker_end_handler worker_ends_;
     report_intake intake_;
--- a/src/jobs/scheduler_options.hpp
+++ b/src/jobs/scheduler_options.hpp
@@ -71,6 +71,10 @@
     double fill_limit = 1.1;
     // Maximum size in bytes of a row value in the store.
     std::size_t row_limit = default_row_limit;
+    // A change of the configuration is in force on every VM after this long.
+    duration configuration_delay = std::chrono::seconds(3);
+    // Switches on the decisions under load.
+    bool overload_control = false;
     // Average share of their reserved processors that serving tasks use.
     double serving_use = 0.5;
     policy_switches policy;
--- a/src/jobs/scheduler_state.cpp
+++ b/src/jobs/scheduler_state.cpp
@@ -30,6 +30,16 @@
     return found == fleet.end() ? nullptr : &found->second;
 }
 
+void scheduler_state::note_withdrawn_start(const account_id& account,
+                                           const task_size& size,
+                                           time_point may_run_until)
+{
+    if (!account.empty())
+    {
+        withdrawn_starts.push_back({account, size, may_run_until});
+    }
+}
+
 std::uint32_t scheduler_state::next_run(const task_record& task) const
 {
     const auto first = (epoch - 1) * max_runs_per_epoch + 1;
@@ -122,7 +132,7 @@
                {"crashes", std::to_string(task.crashes.workers.size())}});
     stop_job(owner, now, "job failed");
     // `key` may refer to the job that is removed here.
-    registry.finish(job_id(key.job), job_state::failed);
+    registry.finish(job_id(key.job), job_state::failed, clock.latest_at(now));
 }
 
 void scheduler_state::stop_job(const live_job& ended, time_point now,
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -15,6 +15,8 @@
 #include "jobs/job_registry.hpp"
 #include "jobs/order.hpp"
 #include "jobs/queue_directory.hpp"
+#include "jobs/quota/account_ledger.hpp"
+#include "jobs/quota/account_limits.hpp"
 #include "jobs/scheduler_options.hpp"
 #include "jobs/store_clock.hpp"
 
@@ -28,6 +30,15 @@
     std::vector<std::pair<std::string_view, std::string>> fields;
 };
 
+// A start of a client account's task that was withdrawn. A worker may still
+// execute it late.
+struct withdrawn_start
+{
+    account_id account;
+    task_size size;
+    time_point may_run_until{};
+};
+
 // Copies to the run what its task is suspected of.
 void set_evidence(run_record& run, const task_record& task);
 
@@ -37,9 +48,17 @@
     std::uint64_t epoch = 0;
     store_clock clock;
     job_registry registry;
-    std::map<worker_id, fleet_worker> fleet;
     std::map<service_id, service_policy> services;
     std::set<availability_zone_id> closed_zones;
+    account_limits limits;
+    // What client accounts have running. The workers' ledgers keep it up to
+    // date, so that it must outlive them.
+    account_ledger account_usage;
+    std::map<worker_id, fleet_worker> fleet;
+    std::vector<withdrawn_start> withdrawn_starts;
+    // False while an earlier leader may have used a newer configuration, whose
+    // caps may be lower.
+    bool may_start_account_tasks = true;
     interference_model interference;
     advice_cache advice;
     // Numbers of the most recently taken and the most recently stored change
@@ -66,6 +85,9 @@
         changed_fleet_parts.insert(fleet_part_of(id));
     }
     fleet_worker* find_worker(const worker_id& id);
+    // Counts a withdrawn start against its account until the time.
+    void note_withdrawn_start(const account_id& account, const task_size& size,
+                              time_point may_run_until);
     // Number of the task's next run. Each leader has its own block of numbers,
     // so that unrecorded runs of an earlier leader have lower ones.
     std::uint32_t next_run(const task_record& task) const;
--- a/src/jobs/step_placer.cpp
+++ b/src/jobs/step_placer.cpp
@@ -26,7 +26,8 @@
         now - record.searched_at >= full_search_interval;
     const auto lists = context_.candidates.lists_for(step, is_full_search, now);
     const auto result = place_tasks(step, {lists, lists}, now);
-    if (result.is_waiting_for_store || result.without_room == 0)
+    if (result.is_waiting_for_store || result.is_held_by_cap ||
+        result.without_room == 0)
     {
         record.searched_at = {};
     }
@@ -59,6 +60,13 @@
         {
             continue;
         }
+        // All tasks of a step have the same size.
+        if (!context_.quota.admits(*step.owner, step.definition(), 1, now))
+        {
+            result.without_room += waiting + 1 - std::min(waiting, evaluated);
+            result.is_held_by_cap = true;
+            break;
+        }
         auto* const worker = find_worker(step, key, lists, now);
         if (worker == nullptr)
         {
--- a/src/jobs/step_placer.hpp
+++ b/src/jobs/step_placer.hpp
@@ -34,6 +34,8 @@
         std::size_t without_room = 0;
         // Some tasks wait until their announcement is stored.
         bool is_waiting_for_store = false;
+        // The cap of the account lets no further task start.
+        bool is_held_by_cap = false;
     };
 
     outcome place_tasks(const waiting_step& step, open_lists lists,
--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -108,6 +108,14 @@
     });
 }
 
+bool takeover_recovery::may_run_on_unseen_worker(const task_key& key) const
+{
+    return std::ranges::any_of(unseen_workers_, [&](const auto& unseen) {
+        const auto& runs = unseen.second.runs;
+        return !runs || std::ranges::find(*runs, key) != runs->end();
+    });
+}
+
 void takeover_recovery::check(time_point now)
 {
     if (!has_begun_ || leases_expire_at_ == time_point{})
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -68,6 +68,8 @@
     {
         return unseen_workers_;
     }
+    // True if a run of the task may be on a worker that has not been seen.
+    bool may_run_on_unseen_worker(const task_key& key) const;
 
 private:
     // Brings the expected expiry of all leases forward once most workers
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -35,11 +35,14 @@
     bool has_reservations() const { return !reservations_.empty(); }
 
 private:
+    void place_step(const waiting_step& step, time_point now);
+
     scheduler_state& state_;
     candidate_workers candidates_;
     place_reservations reservations_;
     worker_search search_;
     task_starter starter_;
+    quota_gate quota_;
     advice_requester advice_;
     placement_context context_;
     step_placer step_placer_;
--- a/src/jobs/task_starter.cpp
+++ b/src/jobs/task_starter.cpp
@@ -44,7 +44,7 @@
         std::chrono::duration_cast<worker_clock>(state_.options.start_validity);
     const auto ticket = state_.advice.ticket(
         {key.job, key.occurrence, key.step}, worker.entry.id, now);
-    auto record = make_run(owner.step_of(key), run, now);
+    auto record = make_run(owner.definition(), owner.step_of(key), run, now);
     record.start_deadline = deadline;
     record.restarts = worker.restarts();
     record.least_clock = worker.least_clock_at(now, state_.options.clock_error);
--- a/src/jobs/worker_end_handler.cpp
+++ b/src/jobs/worker_end_handler.cpp
@@ -69,8 +69,17 @@
                                             time_point now)
 {
     std::erase_if(worker.given_up, [&](const given_up_start& start) {
-        return start.stop_ordered_at &&
-               now - start.ordered_at >= state_.options.max_order_delay;
+        const bool is_over =
+            start.stop_ordered_at &&
+            now - start.ordered_at >= state_.options.max_order_delay;
+        if (is_over)
+        {
+            // It may have been executed just before on a silent worker.
+            state_.note_withdrawn_start(
+                start.account, start.size,
+                now + longest_granted_lease(state_.options));
+        }
+        return is_over;
     });
     if (worker.failed_polls > 0 || worker.has_ended)
     {
@@ -119,7 +128,8 @@
             pending_starts.emplace_back(key, run);
             continue;
         }
-        worker.given_up.push_back({key, run.run, run.ordered_at, {}});
+        worker.given_up.push_back(
+            {key, run.run, run.ordered_at, {}, run.account, run.size});
     }
     std::ranges::for_each(pending_starts, [&](const auto& entry) {
         worker.erase_run(entry.first);
--- a/src/node/job_frontend.hpp
+++ b/src/node/job_frontend.hpp
@@ -37,6 +37,8 @@
     // Estimated memory of accepted jobs, in bytes, up to which further ones are
     // accepted.
     std::size_t max_job_memory = std::size_t{64} << 20U;
+    // Switches on the decisions under load.
+    bool overload_control = false;
 };
 
 // State known to the leader on this VM, available without a call to the store.
@@ -49,6 +51,10 @@
     // Memory in bytes that the accepted jobs take, as the leader has published
     // it.
     std::function<std::uint64_t()> job_memory;
+    // What the leader has published of the memory of an account's jobs. Not set
+    // where there are no accounts.
+    std::function<account_memory(const accounts::account_policy&)>
+        memory_of_account{};
 };
 
 template <row_store Store, typename Timer>
@@ -75,6 +81,7 @@
     {}
 
     // Stores the job. `deadline` is the time at which the caller stops waiting.
+    // The account of the job has the cap that is in force.
     void submit(const jobs::job& j, time_point deadline,
                 on_request_result callback)
     {
@@ -83,56 +90,66 @@
             callback(request_result::refused);
             return;
         }
-        const auto bytes = jobs::memory_of(j);
-        if (!admission_.admits(bytes, leader_view_.job_memory(), now_()))
+        if (const auto refusal = refusal_of(j))
         {
-            refuse_unless_stored(j.id, callback);
+            refuse_unless_stored(j.id, *refusal, callback);
             return;
         }
-        admission_.add(bytes, now_());
+        admission_.add(jobs::memory_of(j), account_of(j), now_());
         const transaction t{inbox_part(j.id),
                             {{inbox_table, j.id.value(), row_version(0)}},
                             {{inbox_table, j.id.value(), jobs::encode_job(j)}},
                             {}};
-        inserter_.insert(t, deadline,
-                         [this, id = j.id, callback = std::move(callback)](
-                             request_result result) {
-                             if (result == request_result::done)
-                             {
-                                 known_.add_stored(id);
-                             }
-                             callback(result);
-                         });
+        inserter_.insert(
+            t, deadline,
+            [this, id = j.id, account = account_of(j),
+             callback = std::move(callback)](request_result result) {
+                if (result == request_result::done)
+                {
+                    known_.add_stored(id, account);
+                }
+                callback(result);
+            });
     }
 
-    // Stores the cancellation if there is such a job.
-    void cancel(const job_id& id, time_point deadline,
+    // Stores the cancellation if there is such a job. `caller` is the account
+    // of the caller, empty if it has shown none; the jobs of other accounts do
+    // not exist for it.
+    void cancel(const job_id& id, const account_id& caller, time_point deadline,
                 on_request_result callback)
     {
         if (known_.is_stored(id))
         {
-            store_cancellation(id, deadline, callback);
+            cancel_stored(id, caller, deadline, callback);
             return;
         }
-        find_in_inbox(id, [this, id, deadline, callback = std::move(callback)](
-                              std::variant<bool, not_done> found) {
-            if (std::holds_alternative<not_done>(found))
-            {
-                callback(request_result::refused);
-                return;
-            }
-            if (!std::get<bool>(found))
-            {
-                callback(request_result::no_such_job);
-                return;
-            }
-            store_cancellation(id, deadline, callback);
-        });
+        find_in_inbox(
+            id, [this, id, caller, deadline, callback = std::move(callback)](
+                    std::variant<bool, not_done> found) {
+                if (std::holds_alternative<not_done>(found))
+                {
+                    callback(request_result::refused);
+                    return;
+                }
+                if (!std::get<bool>(found))
+                {
+                    callback(request_result::no_such_job);
+                    return;
+                }
+                cancel_stored(id, caller, deadline, callback);
+            });
     }
 
-    // Looks the job's state up, in memory if it is known there.
-    void state_of(const job_id& id, on_state callback)
+    // Looks the job's state up, in memory if it is known there. `caller` is the
+    // account of the caller, empty if it has shown none; the jobs of other
+    // accounts do not exist for it where this VM knows their owners.
+    void state_of(const job_id& id, const account_id& caller, on_state callback)
     {
+        if (!known_.may_be_shown_to(id, caller))
+        {
+            callback(std::optional<jobs::job_state>());
+            return;
+        }
         if (const auto state = known_.final_state(id))
         {
             callback(state);
@@ -190,9 +207,38 @@
 private:
     using on_inbox_lookup = std::function<void(std::variant<bool, not_done>)>;
 
+    static account_id account_of(const jobs::job& j)
+    {
+        return j.account ? j.account->id : account_id();
+    }
+
+    // Why the job is not accepted; empty if nothing speaks against it.
+    std::optional<request_result> refusal_of(const jobs::job& j)
+    {
+        if (jobs::exceeds_cap(j))
+        {
+            return request_result::over_account_cap;
+        }
+        const auto owner = j.account && leader_view_.memory_of_account
+                               ? leader_view_.memory_of_account(*j.account)
+                               : account_memory{};
+        const auto result = admission_.admit(
+            jobs::memory_of(j), leader_view_.job_memory(), owner, now_());
+        switch (result)
+        {
+        case admission_result::no_memory:
+            return request_result::no_memory;
+        case admission_result::no_account_memory:
+            return request_result::no_account_memory;
+        case admission_result::admitted:
+            break;
+        }
+        return std::nullopt;
+    }
+
     // An earlier attempt with the same id may have stored the job: then it will
     // run, and its caller must not be told otherwise.
-    void refuse_unless_stored(const job_id& id,
+    void refuse_unless_stored(const job_id& id, request_result refusal,
                               const on_request_result& callback)
     {
         if (known_.is_stored(id))
@@ -200,17 +246,28 @@
             callback(request_result::done);
             return;
         }
-        find_in_inbox(id, [callback](std::variant<bool, not_done> found) {
+        find_in_inbox(id, [callback,
+                           refusal](std::variant<bool, not_done> found) {
             if (std::holds_alternative<not_done>(found))
             {
                 callback(request_result::unknown);
                 return;
             }
-            callback(std::get<bool>(found) ? request_result::done
-                                           : request_result::no_memory);
+            callback(std::get<bool>(found) ? request_result::done : refusal);
         });
     }
 
+    void cancel_stored(const job_id& id, const account_id& caller,
+                       time_point deadline, const on_request_result& callback)
+    {
+        if (!known_.may_be_shown_to(id, caller))
+        {
+            callback(request_result::no_such_job);
+            return;
+        }
+        store_cancellation(id, deadline, callback);
+    }
+
     void store_cancellation(const job_id& id, time_point deadline,
                             const on_request_result& callback)
     {
@@ -239,7 +296,8 @@
                     !rows.empty() && rows.front().key == id.value();
                 if (exists)
                 {
-                    known_.add_stored(id);
+                    known_.add_stored(id,
+                                      jobs::account_of_row(rows.front().value));
                 }
                 on_found(exists);
             });
--- a/src/node/known_jobs.hpp
+++ b/src/node/known_jobs.hpp
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
+#include <utility>
 
 #include "jobs/jobs.hpp"
 
@@ -17,14 +17,22 @@
 public:
     explicit known_jobs(std::size_t max_jobs) : max_jobs_(max_jobs) {}
 
-    // The job's row is in the store.
-    void add_stored(const job_id& id)
+    // The job's row is in the store. `owner` is empty for a job without an
+    // account.
+    void add_stored(const job_id& id, account_id owner)
     {
         if (stored_.size() >= max_jobs_)
         {
             stored_.clear();
         }
-        stored_.insert(id);
+        stored_.insert_or_assign(id, std::move(owner));
+    }
+    // False if the job is known to belong to another account than the caller's.
+    bool may_be_shown_to(const job_id& id, const account_id& caller) const
+    {
+        const auto found = stored_.find(id);
+        return found == stored_.end() || found->second.empty() ||
+               caller.empty() || found->second == caller;
     }
     bool is_stored(const job_id& id) const { return stored_.contains(id); }
 
@@ -47,7 +55,8 @@
 
 private:
     std::size_t max_jobs_;
-    std::set<job_id> stored_;
+    // Owners by job.
+    std::map<job_id, account_id> stored_;
     std::map<job_id, jobs::job_state> finished_;
 };
 
--- a/src/node/leader_intake.ipp
+++ b/src/node/leader_intake.ipp
@@ -18,6 +18,7 @@
     scheduler_ = std::make_unique<jobs::scheduler>(options_.scheduler, epoch_);
     scheduler_->set_store_clock(store_clock_);
     scheduler_->set_services(services_);
+    scheduler_->set_account_limits(limits_);
     scheduler_->set_closed_zones(closed_zones_);
     recovered_progress_.clear();
     jobs_left_out_.clear();
--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -18,6 +18,7 @@
 #include "jobs/jobs.hpp"
 #include "node/change_part.hpp"
 #include "node/concepts.hpp"
+#include "node/job_admission.hpp"
 #include "node/leader_stats.hpp"
 #include "node/lease_record.hpp"
 #include "node/response_time.hpp"
@@ -33,6 +34,9 @@
 struct leader_options
 {
     jobs::scheduler_options scheduler;
+    // Estimated memory of accepted jobs, in bytes, up to which further ones are
+    // accepted.
+    std::size_t max_job_memory = std::size_t{64} << 20U;
     // Between two reads of the lease row while another VM leads.
     duration lease_poll_interval = std::chrono::milliseconds(400);
     // Bounds the delay that a dead connection can cause.
@@ -84,6 +88,14 @@
     // Memory in bytes that the accepted jobs take in the leader, as far as this
     // VM knows.
     std::uint64_t job_memory() const { return lead_.job_memory(); }
+    // What this VM knows of the memory of an account's jobs.
+    account_memory memory_of(const accounts::account_policy& policy) const
+    {
+        const auto& published = lead_.account_memory();
+        const auto found = published.find(policy.id);
+        return {policy.id, found == published.end() ? 0 : found->second,
+                share_of(policy)};
+    }
     // Fraction by which this VM's processor share is below the last leader's.
     double processor_deficit() const { return lead_.processor_deficit(); }
 
@@ -98,6 +110,23 @@
         }
     }
 
+    // The client accounts of a version of the configuration that this VM has
+    // adopted.
+    void set_accounts(const accounts::account_directory& accounts,
+                      configuration_version version)
+    {
+        has_accounts_ = !accounts.empty();
+        total_weight_ = accounts.total_weight();
+        configuration_ = version;
+        limits_.adopt(accounts, clock_.now(),
+                      options_.scheduler.configuration_delay);
+        if (scheduler_)
+        {
+            scheduler_->set_account_limits(limits_);
+            request_decision();
+        }
+    }
+
     void set_closed_zones(const std::set<availability_zone_id>& zones)
     {
         closed_zones_ = zones;
@@ -219,6 +248,15 @@
     void execute(const jobs::advice_request& request);
     const jobs::worker_entry* entry_of(const worker_id& id) const;
     void log_events();
+    // Weight of the account in proportion to the weights of all accounts.
+    double share_of(const accounts::account_policy& policy) const
+    {
+        return total_weight_ <= 0 ? 1.0
+                                  : static_cast<double>(policy.weight) /
+                                        static_cast<double>(total_weight_);
+    }
+    // Publishes the memory of accounts above their share while it is short.
+    void update_account_memory(std::size_t job_memory);
     void request_decision() { is_decision_requested_ = true; }
     // False for responses to calls of an earlier epoch, which are discarded.
     bool is_current(std::uint64_t epoch) const
@@ -236,6 +274,10 @@
     duration takeover_delay_{};
     std::map<service_id, jobs::service_policy> services_;
     std::set<availability_zone_id> closed_zones_;
+    jobs::account_limits limits_;
+    bool has_accounts_ = false;
+    std::int64_t total_weight_ = 0;
+    configuration_version configuration_;
 
     std::unique_ptr<jobs::scheduler> scheduler_;
     std::uint64_t epoch_ = 0;
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -195,6 +195,9 @@
     {
         permission.lead_ended_at = lead_.valid_until();
     }
+    // Caps in a configuration that a predecessor used may be lower.
+    permission.may_start_account_tasks =
+        configuration_ >= lead_.used_configuration();
     permission.may_extend_leases =
         now < lead_.valid_until() + options.lease_extension_time;
     const auto orders = scheduler_->decide(now, clock_.unix_now(), permission);
--- a/src/node/leader_transactions.ipp
+++ b/src/node/leader_transactions.ipp
@@ -293,6 +293,10 @@
     {
         update_job_memory(now);
     }
+    if (is_active && has_accounts_)
+    {
+        lead_.use_configuration(configuration_);
+    }
     const bool has_changes = is_active && scheduler_->has_changes();
     lead_.set_recovery_complete(is_active &&
                                 scheduler_->is_recovery_complete());
@@ -336,7 +340,32 @@
         return;
     }
     job_memory_updated_at_ = now;
-    lead_.set_job_memory(scheduler_->registry().memory());
+    const auto memory = scheduler_->registry().memory();
+    lead_.set_job_memory(memory);
+    update_account_memory(memory);
+}
+
+template <row_store Store, worker_port Workers, worker_list List>
+void leader_role<Store, Workers, List>::update_account_memory(
+    std::size_t job_memory)
+{
+    std::map<account_id, std::uint64_t> above_share;
+    if (has_accounts_ && job_memory > options_.max_job_memory / 2)
+    {
+        const auto max_bytes = static_cast<double>(options_.max_job_memory);
+        for (const auto& [id, bytes] :
+             scheduler_->registry().memory_by_account())
+        {
+            const auto policy = limits_.policies().find(id);
+            if (policy != limits_.policies().end() &&
+                static_cast<double>(bytes) >
+                    max_bytes * share_of(policy->second))
+            {
+                above_share.emplace(id, bytes);
+            }
+        }
+    }
+    lead_.set_account_memory(std::move(above_share));
 }
 
 template <row_store Store, worker_port Workers, worker_list List>
--- a/src/node/operator_watch.hpp
+++ b/src/node/operator_watch.hpp
@@ -97,6 +97,11 @@
     // How old this VM's knowledge of the declarations is. Later changes may be
     // in the store, earlier ones are in force here.
     duration age() const { return now_() - known_at_; }
+    // False while a declaration may be in force that this VM does not know.
+    bool is_up_to_date() const
+    {
+        return age() <= options_.budget.apply_within();
+    }
 
 private:
     void handle_outcome(const operator_outcome& outcome, time_point asked_at)
@@ -137,7 +142,7 @@
     // goes on serving.
     void log_overdue()
     {
-        if (is_overdue_ || age() <= options_.budget.apply_within())
+        if (is_overdue_ || is_up_to_date())
         {
             return;
         }
--- a/src/node/request_result.hpp
+++ b/src/node/request_result.hpp
@@ -14,6 +14,12 @@
     rejected,
     // Nothing was stored: the accepted jobs leave no memory for this one.
     no_memory,
+    // Nothing was stored: memory is short, and the jobs of the account take
+    // more than its share.
+    no_account_memory,
+    // Nothing was stored: a task or a gang of the job exceeds the cap of its
+    // account, so that it could never start.
+    over_account_cap,
     // No job has this id.
     no_such_job,
     // The outcome of the store call is not known; the rows may have been
--- a/tests/node/job_frontend_test.cpp
+++ b/tests/node/job_frontend_test.cpp
@@ -52,14 +52,14 @@
     void cancel()
     {
         result.reset();
-        frontend.cancel(id, clock.now + seconds(3),
+        frontend.cancel(id, {}, clock.now + seconds(3),
                         [this](request_result a) { result = a; });
     }
 
     std::optional<jobs::job_state> state()
     {
         std::optional<jobs::job_state> found;
-        frontend.state_of(id, [&](const frontend_type::state_result& a) {
+        frontend.state_of(id, {}, [&](const frontend_type::state_result& a) {
             if (const auto* const s =
                     std::get_if<std::optional<jobs::job_state>>(&a))
             {
