Show client accounts to operators

Cause: nobody saw what an account runs, waits for or is refused.

Change: metrics by account on the leader and on each entry VM, a log line of the accounts with the most waiting tasks, and two reasons of waiting tasks: the cap of the account, and no room above its share.

--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -11,6 +11,7 @@
 #include "jobs/order.hpp"
 #include "jobs/queue_directory.hpp"
 #include "jobs/quota/account_limits.hpp"
+#include "jobs/quota/account_report.hpp"
 #include "jobs/scheduler.hpp"
 #include "jobs/scheduler_options.hpp"
 #include "jobs/store_clock.hpp"
--- /dev/null
+++ b/src/jobs/quota/account_shares.hpp
@@ -0,0 +1,37 @@
+// Shares of the fleet that client accounts are entitled to and use.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "jobs/scheduler_state.hpp"
+
+namespace hemlockdeal::jobs
+{
+
+// An account's share is its weight in proportion to those of all accounts that
+// have jobs or runs. What it uses is measured by its dominant resource. Jobs
+// without an account count as one account with the mean weight.
+class account_shares
+{
+public:
+    explicit account_shares(const scheduler_state& state);
+
+    // What the account uses in relation to its share: 1 is just the share.
+    double use_of_share(const account_id& account) const;
+    bool
+    is_over_share(const std::optional<accounts::account_policy>& account) const
+    {
+        return use_of_share(account ? account->id : account_id()) >= 1.0;
+    }
+
+private:
+    double dominant_share(const account_id& account) const;
+
+    const scheduler_state& state_;
+    task_size fleet_capacity_;
+    std::map<account_id, double> weights_;
+    double total_weight_ = 0.0;
+};
+
+} // namespace hemlockdeal::jobs
--- a/src/jobs/quota/share_order.hpp
+++ b/src/jobs/quota/share_order.hpp
@@ -3,10 +3,10 @@
 
 #include <compare>
 #include <cstddef>
-#include <map>
 #include <set>
 #include <vector>
 
+#include "jobs/quota/account_shares.hpp"
 #include "jobs/quota/quota_gate.hpp"
 #include "jobs/waiting_steps.hpp"
 
@@ -14,10 +14,7 @@
 {
 
 // Weighted fair sharing: when the workers do not have room for all, steps of
-// accounts that run less than their share go first. An account's share of the
-// fleet is its weight in proportion to those of all accounts that have work;
-// what it runs is measured by its dominant resource. Jobs without an account
-// count as one account with the mean weight.
+// accounts that use less than their share of the fleet go first.
 class share_order
 {
 public:
@@ -34,7 +31,6 @@
     struct account_queue
     {
         account_id id;
-        double weight = 1.0;
         std::vector<std::size_t> steps;
         std::size_t next = 0;
     };
@@ -54,8 +50,7 @@
     struct rank
     {
         rank_group group = rank_group::under_share;
-        // What the account runs in proportion to its weight; zero for accounts
-        // under their share.
+        // Use in relation to the share; zero for accounts below it.
         double use = 0.0;
         placing_position position;
         std::size_t queue = 0;
@@ -63,18 +58,13 @@
         friend auto operator<=>(const rank&, const rank&) = default;
     };
 
-    void add_to_queues(time_point now);
-    void add_weights_of_running();
+    void add_to_queues();
     rank rank_of_first(std::size_t queue) const;
-    // Share of the fleet that the account has running.
-    double dominant_share(const account_id& account) const;
 
-    const scheduler_state& state_;
     quota_gate quota_;
+    account_shares shares_;
     time_point now_;
     std::vector<waiting_step> steps_;
-    task_size fleet_capacity_;
-    double total_weight_ = 0.0;
     std::vector<account_queue> queues_;
     // One for each queue with steps that are left.
     std::set<rank> first_steps_;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -6,6 +6,7 @@
 
 #include "jobs/load_summary.hpp"
 #include "jobs/placing_order.hpp"
+#include "jobs/quota/account_report.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -337,6 +338,10 @@
         load_logged_at_ = now;
         state_.events.push_back(
             load_summary(state_, placer_.tasks_without_room()));
+        if (state_.limits.has_accounts())
+        {
+            state_.events.push_back(account_summary(state_, now));
+        }
     }
 }
 
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -19,6 +19,7 @@
 #include "jobs/membership_tracker.hpp"
 #include "jobs/order_response_handler.hpp"
 #include "jobs/poll_planner.hpp"
+#include "jobs/quota/account_report.hpp"
 #include "jobs/quota/in_doubt_runs.hpp"
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
@@ -139,6 +140,11 @@
     {
         return placer_.tasks_without_room();
     }
+    // Figures by client account; empty without accounts.
+    std::vector<account_report> accounts(time_point now) const
+    {
+        return account_reports(state_, now);
+    }
     std::size_t worker_crashes() const { return crashes_.crashes(); }
     // True if no run of an earlier leader is uncertain any more.
     bool is_recovery_complete() const { return recovery_.is_complete(); }
--- a/src/jobs/wait_diagnosis.cpp
+++ b/src/jobs/wait_diagnosis.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "jobs/quota/account_shares.hpp"
+#include "jobs/quota/quota_gate.hpp"
 #include "jobs/suspect_trial.hpp"
 
 namespace hemlockdeal::jobs
@@ -63,7 +65,17 @@
     {
         return {wait_reason::after_rejection, {}, {}};
     }
+    const auto& step = owner.step_of(key);
+    if (!quota_gate(state_).admits(
+            owner, step, step.is_gang ? step.task_count : 1, circumstances.now))
+    {
+        return {wait_reason::account_cap, {}, {}};
+    }
     auto found = evaluate_workers(owner, key, task, circumstances.now);
+    if (found.reason == wait_reason::no_room && is_over_share(owner))
+    {
+        found.reason = wait_reason::account_share;
+    }
     if (found.reason != wait_reason::worker_found)
     {
         return found;
@@ -81,6 +93,12 @@
     return found;
 }
 
+bool wait_diagnosis::is_over_share(const live_job& owner) const
+{
+    return state_.limits.has_accounts() &&
+           account_shares(state_).is_over_share(owner.definition().account);
+}
+
 wait_finding wait_diagnosis::find_for_placed(const task_key& key,
                                              const task_record& task,
                                              time_point now) const
--- a/src/jobs/wait_diagnosis.hpp
+++ b/src/jobs/wait_diagnosis.hpp
@@ -48,6 +48,8 @@
                       const wait_circumstances& circumstances);
 
 private:
+    // The account of the job runs more than its share of the fleet.
+    bool is_over_share(const live_job& owner) const;
     wait_finding find_for_placed(const task_key& key, const task_record& task,
                                  time_point now) const;
     // Evaluates workers for the task; the result holds for all tasks of the
--- a/src/jobs/wait_reason.cpp
+++ b/src/jobs/wait_reason.cpp
@@ -24,6 +24,8 @@
         return "in doubt after a takeover";
     case wait_reason::after_rejection:
         return "start rejected a moment ago";
+    case wait_reason::account_cap:
+        return "cap of the account reached";
     case wait_reason::no_suitable_worker:
         return "constraints not satisfied";
     case wait_reason::no_room:
@@ -54,6 +56,8 @@
         return "store does not list the task yet";
     case wait_reason::gang_incomplete:
         return "gang cannot start as a whole";
+    case wait_reason::account_share:
+        return "no room, and the account is above its share";
     case wait_reason::not_examined:
         break;
     }
--- a/src/jobs/wait_reason.hpp
+++ b/src/jobs/wait_reason.hpp
@@ -28,6 +28,9 @@
     in_doubt_after_takeover,
     // Its start was rejected a moment ago.
     after_rejection,
+    // The task or its gang does not fit into what the cap of its account
+    // leaves, or an earlier leader may have used a newer configuration.
+    account_cap,
 
     no_suitable_worker,
     no_room,
@@ -51,6 +54,8 @@
     not_stored,
     // Some tasks of the gang have room, but not all, or not all of them wait.
     gang_incomplete,
+    // No worker has room, and the account runs more than its share.
+    account_share,
     // Too many tasks wait for each one to be examined on all workers.
     not_examined
 };
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -277,6 +277,7 @@
         out.job_memory = lead_.job_memory();
         out.workers = scheduler_->fleet().size();
         out.tasks_without_room = scheduler_->tasks_without_room();
+        out.accounts = scheduler_->accounts(clock_.now());
     }
     return out;
 }
--- a/src/node/leader_stats.hpp
+++ b/src/node/leader_stats.hpp
@@ -3,6 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
+
+#include "jobs/jobs.hpp"
 
 namespace hemlockdeal::node
 {
@@ -28,6 +31,8 @@
     // Jobs that ended as failed because the store did not accept their
     // progress.
     std::uint64_t jobs_not_storable = 0;
+    // By client account; empty if this VM does not lead.
+    std::vector<jobs::account_report> accounts;
 };
 
 } // namespace hemlockdeal::node
