Soak: client accounts whose keys and caps change beside killed leaders

--accounts ROUNDS adds three accounts to the configuration; one sends ten times its share. Checks from the workers' and callers' point of view that no start exceeds the highest cap in force within the last 4 s, that removed keys get 401 and added ones are served on each VM 4 s after a change, that jobs of the other accounts complete, and that no key appears in a log or a row. Without the option, the configuration and the random sequences are unchanged.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -11,8 +11,9 @@
 ANSWER_WITHIN_S = 15
 
 
-def encode_call(method, path, timeout, data=b""):
-    return (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+def encode_call(method, path, timeout, data=b"", key=None):
+    key_line = "" if key is None else f"Api-Key: {key}\r\n"
+    return (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{key_line}"
             f"X-Deadline-Ms: {int(timeout * 1000)}\r\n"
             f"Content-Length: {len(data)}\r\n\r\n").encode() + data
 
@@ -26,14 +27,14 @@
     return int(lines[0].split(" ")[1]), json.loads(content or b"null")
 
 
-async def call(port, method, path, body=None, timeout=3.0):
+async def call(port, method, path, body=None, timeout=3.0, key=None):
     """Returns status and body, or None if no complete response was received."""
     data = b"" if body is None else json.dumps(body).encode()
     writer = None
     try:
         reader, writer = await asyncio.wait_for(
             asyncio.open_connection("127.0.0.1", port), timeout)
-        writer.write(encode_call(method, path, timeout, data))
+        writer.write(encode_call(method, path, timeout, data, key))
         return await asyncio.wait_for(read_response(reader), timeout)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
             StopIteration):
--- a/soak/run_record.py
+++ b/soak/run_record.py
@@ -19,6 +19,8 @@
         self.starts = 0
         # Number of workers that crashed under each task.
         self.crashes = {}
+        # Called with each task that starts.
+        self.start_checks = []
 
     def note(self, text):
         self.events.append(
@@ -69,3 +71,5 @@
                     self.record_violation(f"{task} starts before step "
                                           f"{predecessor} is done")
         self.running[task] = worker
+        for check in self.start_checks:
+            check(task)
--- a/soak/series.py
+++ b/soak/series.py
@@ -30,6 +30,7 @@
         self.rng, lasting, losses, stops, crowds, restarts = (
             random.Random(seeds.getrandbits(64)) for _ in range(6))
         vms, record, calm = soak.vms, soak.record, Calm()
+        self.calm = calm
         self.watch = ProcessWatch(vms, record, calm, MEMORY_MB)
         self.lasting = LastingTasks(lasting, vms, soak.workers, record, calm)
         self.losses = WorkerLosses(losses, soak.workers, record, calm,
@@ -52,6 +53,8 @@
             await self.stops.run_round()
         for _ in range(self.options.restarts):
             await self.restarts.run_round()
+        for _ in range(self.options.accounts):
+            await self.soak.accounts.run_round(self.calm)
         for _ in range(self.options.crowds):
             await self.send_crowd()
         is_over.set()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -4,7 +4,8 @@
 and workers.
 
 Usage: soak/soak.py --seed N --seconds S [--planned-stops ROUNDS]
-    [--crowds N] [--daemons D] [--program PATH]
+    [--crowds N] [--restarts ROUNDS] [--accounts ROUNDS] [--daemons D]
+    [--program PATH]
 """
 
 import argparse
@@ -17,10 +18,11 @@
 import socket
 import time
 
+from accounts import Accounts
 from caller import call
 from command_line import add_common_options, run_and_exit
-from configuration import (APPLY_WITHIN_S, CONFIGURATION, PREFIX, ZONES,
-                           large_configuration, last_added_prefix)
+from configuration import (APPLY_WITHIN_S, PREFIX, ZONES, large_configuration,
+                           last_added_prefix)
 from entry_vm import EntryVm
 from malformed_entries import malformed_entries
 from run_record import Record
@@ -62,7 +64,7 @@
         base = free_ports(11000 + (os.getpid() * 37 + options.seed) % 7000)
         self.record, self.store = Record(), Store()
         has_series = (options.planned_stops or options.crowds
-                      or options.restarts)
+                      or options.restarts or options.accounts)
         self.vms = [EntryVm(i, base + 3 * i, options.program, folder,
                             limits=LIMITS if has_series else None)
                     for i in range(options.daemons)]
@@ -80,12 +82,14 @@
         self.fault_count = 0
         # Jobs that ended as failed after two crashes of workers.
         self.given_up = 0
+        self.accounts = (Accounts(random.Random(options.seed + 3), self)
+                         if options.accounts else None)
         self.series = Series(self) if has_series else None
 
     async def start(self):
         for daemon in self.vms:
             await self.store.listen(daemon.store)
-        self.store.put("op", "", "config", json.dumps(CONFIGURATION).encode())
+        self.write_configuration()
         for worker in self.workers:
             await self.start_worker(worker)
         await self.decoy.server.listen(self.decoy.port)
@@ -219,13 +223,21 @@
 
     def grow_configuration(self):
         self.version += 1
-        self.store.put("op", "", "config",
-                       json.dumps(large_configuration(self.version)).encode())
+        self.write_configuration()
+
+    def write_configuration(self):
+        self.store.put("op", "", "config", self.configuration(self.version))
+
+    def configuration(self, version):
+        content = large_configuration(version)
+        if self.accounts:
+            content = self.accounts.extend(content)
+        return json.dumps(content).encode()
 
     async def check_configuration(self):
         """Checks that a change is in force in time when its transfer takes its
         share of the time, also while an earlier change is in transfer."""
-        encoded = json.dumps(large_configuration(self.version + 1))
+        encoded = self.configuration(self.version + 1)
         bytes_in_response = len(encoded) * 4 / 3
         for daemon in self.vms:
             self.store.servers[daemon.store].rate = (
@@ -294,7 +306,12 @@
         asyncio.ensure_future(self.rewrite_malformed_entries())
         await asyncio.sleep(2.5)
         end = time.monotonic() + self.options.seconds
-        await asyncio.gather(self.load(lambda: time.monotonic() >= end),
+
+        def is_over():
+            return time.monotonic() >= end
+
+        hot = [self.accounts.send_hot(is_over)] if self.accounts else []
+        await asyncio.gather(self.load(is_over), *hot,
                              self.inject_faults(self.options.seconds),
                              self.slow_paths(self.options.seconds))
         await self.check_configuration()
@@ -305,6 +322,8 @@
             vm.send(signal.SIGTERM)
         for vm in self.vms:
             await asyncio.wait_for(vm.process.wait(), 8)
+        if self.accounts:
+            self.accounts.check_secrecy()
         self.report(accepted, rejected)
         return 1 if self.record.violations or accepted == 0 else 0
 
@@ -324,6 +343,8 @@
               f"{len(self.record.violations)} guarantees violated")
         if self.series:
             print("  " + self.series.summary())
+        if self.accounts:
+            print("  " + self.accounts.summary())
         with open(os.path.join(self.folder, "events.log"), "w",
                   encoding="utf-8") as events:
             events.writelines(self.record.events)
@@ -345,6 +366,9 @@
     parser.add_argument("--restarts", type=int, default=0, metavar="ROUNDS",
                         help="rounds of workers that restart under their ids "
                         "while orders to them are late")
+    parser.add_argument("--accounts", type=int, default=0, metavar="ROUNDS",
+                        help="rounds of client accounts whose keys and caps "
+                        "change beside a killed leading VM")
     parser.add_argument("--daemons", type=int, default=3)
     add_common_options(parser)
     options = parser.parse_args()
