--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -96,7 +96,6 @@
                               self.rng.choice(self.keys[account]), body)
 
     async def submit(self, account):
-        """Returns the job if it was accepted."""
         job, is_hot = f"{self.rng.getrandbits(64):016x}", account == HOT
         body = {"spec": account, "steps": [{
             "count": 12 if is_hot else self.rng.randint(1, 3), "mem_mb": 500,
@@ -105,14 +104,13 @@
         for _ in range(8):
             status, _ = await self.ask_any(account, "POST", job, body)
             if status == 200:
-                return job
+                return None if is_hot else await self.check_completion(job)
             await asyncio.sleep(self.rng.uniform(0.2, 1.0))
-        return None
 
-    async def submit_and_follow(self, account):
-        job = await self.submit(account)
-        end, response = time.monotonic() + COMPLETION_TIMEOUT_S, None
-        while job and time.monotonic() < end:
+    async def check_completion(self, job):
+        account, response = self.owners[job], None
+        end = time.monotonic() + COMPLETION_TIMEOUT_S
+        while time.monotonic() < end:
             response = await self.ask_any(account, "GET", job)
             if response == (200, {"state": "completed"}):
                 self.completed[account] += 1
@@ -121,14 +119,13 @@
                 await self.ask(self.rng.choice(self.vms), "GET", "",
                                self.rng.choice(list(self.removed_at)))
             await asyncio.sleep(0.3)
-        if job:
-            self.record.record_violation(
-                f"accepted job {job} of {account} did not complete: {response}")
+        self.record.record_violation(
+            f"accepted job {job} of {account} did not complete: {response}")
 
-    async def send(self, account, submit, is_over):
+    async def send(self, account, is_over):
         tasks = []
         while not is_over():
-            tasks.append(asyncio.ensure_future(submit(account)))
+            tasks.append(asyncio.ensure_future(self.submit(account)))
             await asyncio.sleep(self.rng.uniform(0.5, 1.5)
                                 * JOB_INTERVAL_S[account])
         await asyncio.gather(*tasks)
@@ -137,17 +134,13 @@
         while (await self.ask_any(HOT, "DELETE", job))[0] not in (200, 410):
             await asyncio.sleep(self.rng.uniform(0.2, 1.0))
 
-    def send_hot(self, is_over):
-        return asyncio.ensure_future(self.send(HOT, self.submit, is_over))
-
     async def run_round(self, calm):
         """The hot account sends until the jobs of the others have completed."""
         small_is_over, hot_is_over = asyncio.Event(), asyncio.Event()
         with calm.disruption():
-            hot = self.send_hot(hot_is_over.is_set)
-            small = [asyncio.ensure_future(self.send(
-                name, self.submit_and_follow, small_is_over.is_set))
-                for name in self.completed]
+            hot = asyncio.ensure_future(self.send(HOT, hot_is_over.is_set))
+            small = [asyncio.ensure_future(self.send(name, small_is_over.is_set))
+                     for name in self.completed]
             for divisor in (2, 1):
                 await asyncio.sleep(self.rng.uniform(1.0, 4.0))
                 await self.change_beside_a_kill(divisor)
@@ -155,8 +148,8 @@
             await asyncio.gather(*small)
             hot_is_over.set()
             await hot
-            await asyncio.gather(*[self.cancel(job) for job, account
-                                   in self.owners.items() if account == HOT])
+            await asyncio.gather(*[self.cancel(job) for job in self.owners
+                                   if self.owners[job] == HOT])
 
     async def change_beside_a_kill(self, divisor):
         """Divides each cap and replaces a key of some accounts."""
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -18,7 +18,7 @@
 import socket
 import time
 
-from accounts import Accounts
+from accounts import HOT, Accounts
 from caller import call
 from command_line import add_common_options, run_and_exit
 from configuration import (APPLY_WITHIN_S, PREFIX, ZONES, large_configuration,
@@ -310,7 +310,7 @@
         def is_over():
             return time.monotonic() >= end
 
-        hot = [self.accounts.send_hot(is_over)] if self.accounts else []
+        hot = [self.accounts.send(HOT, is_over)] if self.accounts else []
         await asyncio.gather(self.load(is_over), *hot,
                              self.inject_faults(self.options.seconds),
                              self.slow_paths(self.options.seconds))
--- a/tests/processes/soak_checks_test.py
+++ b/tests/processes/soak_checks_test.py
@@ -1,15 +1,21 @@
 """Failure: the soak's check of long-running tasks takes an absence that breaks
-the platform's rule for an allowed one, or the other way round."""
+the platform's rule for an allowed one, or the other way round. Or its check of
+client accounts misses a start above the cap or a key in a log, or takes a start
+within a cap that was lowered just before for one above it."""
 
 import os
 import random
 import sys
+import tempfile
 import time
+from types import SimpleNamespace
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "..", "soak"))
 
+from accounts import HOT, Accounts  # noqa: E402
 from calm import Calm  # noqa: E402
+from configuration import APPLY_WITHIN_S  # noqa: E402
 from lasting_tasks import STEP, LastingTasks  # noqa: E402
 from run_record import Record  # noqa: E402
 from store_standin import Store  # noqa: E402
@@ -92,6 +98,63 @@
     assert len(record.violations) == 1
 
 
+def accounts(log=None):
+    """Those of a soak in which the hot account has a job of five tasks, which
+    need more than half of its cap together."""
+    soak = SimpleNamespace(record=Record(), store=Store(),
+                           vms=[SimpleNamespace(log=log)] if log else [])
+    soak.record.jobs[JOB] = {"steps": [
+        {"count": 5, "cpu": 2000, "mem_mb": 500}]}
+    out = Accounts(random.Random(1), soak)
+    out.owners[JOB] = HOT
+    return out
+
+
+def start_tasks(checked, first, last):
+    for index in range(first, last + 1):
+        checked.record.on_start(f"{JOB}.0.0.{index}", "w1")
+    return len(checked.record.violations)
+
+
+def lower_caps(checked, seconds_ago):
+    checked.caps.append((time.monotonic() - seconds_ago, {
+        name: {"cpu": 4000} for name in checked.keys}))
+
+
+def test_start_above_the_cap_of_the_account():
+    checked = accounts()
+    assert start_tasks(checked, 0, 3) == 0
+    assert start_tasks(checked, 4, 4) == 1
+
+
+def test_start_within_a_cap_lowered_just_before():
+    checked = accounts()
+    lower_caps(checked, APPLY_WITHIN_S - 1.0)
+    assert start_tasks(checked, 0, 3) == 0
+
+
+def test_start_above_a_cap_lowered_earlier():
+    checked = accounts()
+    assert start_tasks(checked, 0, 2) == 0
+    lower_caps(checked, APPLY_WITHIN_S + 1.0)
+    assert not checked.record.violations
+    assert start_tasks(checked, 3, 3) == 1
+
+
+def test_key_in_a_log_or_row():
+    with tempfile.NamedTemporaryFile() as log:
+        checked = accounts(log)
+        key = checked.keys[HOT][0].encode()
+        checked.soak.store.put("op", "", "config", key)
+        checked.check_secrecy()
+        assert not checked.record.violations
+        checked.soak.store.put("inbox", "", JOB, b"a" + key)
+        log.write(b"call with " + key)
+        log.flush()
+        checked.check_secrecy()
+        assert len(checked.record.violations) == 2
+
+
 def main():
     for name, test in list(globals().items()):
         if name.startswith("test_"):
