--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -104,7 +104,9 @@
         for _ in range(8):
             status, _ = await self.ask_any(account, "POST", job, body)
             if status == 200:
-                return None if is_hot else await self.check_completion(job)
+                if not is_hot:
+                    await self.check_completion(job)
+                return
             await asyncio.sleep(self.rng.uniform(0.2, 1.0))
 
     async def check_completion(self, job):
@@ -150,6 +152,9 @@
             await hot
             await asyncio.gather(*[self.cancel(job) for job in self.owners
                                    if self.owners[job] == HOT])
+        if not all(self.completed.values()):
+            self.record.record_violation(
+                f"an account completed no job: {self.completed}")
 
     async def change_beside_a_kill(self, divisor):
         """Divides each cap and replaces a key of some accounts."""
