Exercise client accounts in the random model of the fleet

Cause: caps were tested in chosen orders of events only.

Change: the fault `accounts` gives three accounts caps that change and that each VM adopts at another time, and cancels jobs just before takeovers. At each start on a worker, the running total of the account must be within the highest cap of the last configuration_delay, extended by the validity of a start order, since a start may have been decided that long before. Random numbers for accounts have a source of their own, so that the seeds of other faults stay the same.

--- a/tests/jobs/fleet_property_test.cpp
+++ b/tests/jobs/fleet_property_test.cpp
@@ -136,6 +136,17 @@
     }
 }
 
+// Failure: a start brings an account above its cap, because a run does not
+// count after a takeover, after its start was withdrawn or after its job has
+// ended; or a job of an account does not end.
+TEST(jobs_fleet, accounts_stay_within_their_caps)
+{
+    EXPECT_TRUE(guarantees_hold({.accounts = true}));
+    EXPECT_TRUE(guarantees_hold({.crashes = true, .accounts = true}));
+    EXPECT_TRUE(guarantees_hold(
+        {.hand_overs = true, .restarts = true, .accounts = true}));
+}
+
 // Failure with seed 26814: a start on a worker that had restarted unnoticed
 // was executed after its task had been placed elsewhere. With the other two:
 // tasks were started beside a run of a finished job, whose size is unknown.
@@ -182,6 +193,18 @@
                             {.capacity_changes = true}));
 }
 
+TEST(jobs_fleet, uncounted_runs_of_recovered_jobs_are_detected)
+{
+    EXPECT_TRUE(is_detected(removed_safeguard::owners_of_recovered_jobs,
+                            {.accounts = true}));
+}
+
+TEST(jobs_fleet, caps_that_are_not_adopted_are_detected)
+{
+    EXPECT_TRUE(
+        is_detected(removed_safeguard::published_caps, {.accounts = true}));
+}
+
 // Failure: only the deadline protects against late starts. The epoch is the
 // second safeguard: either one alone is sufficient, and without both of them
 // late starts take effect.
--- a/tests/jobs/fleet_world.cpp
+++ b/tests/jobs/fleet_world.cpp
@@ -21,6 +21,8 @@
 constexpr duration step_time = milliseconds(20);
 constexpr duration faulty_time = seconds(16);
 constexpr duration calm_time = seconds(60);
+// The lowest cap lets the tasks of an account run one after the other.
+constexpr duration calm_time_with_accounts = seconds(500);
 constexpr duration takeover_time = milliseconds(2600);
 // Probabilities per time step.
 constexpr double leader_kills = 0.004;
@@ -51,8 +53,16 @@
 
 fleet_world::fleet_world(std::uint32_t seed, removed_safeguard removed,
                          fleet_faults faults)
-    : random_(seed), removed_(removed), faults_(faults)
+    : random_(seed), removed_(removed), faults_(faults), account_random_(seed)
 {
+    if (faults_.accounts)
+    {
+        publish_caps();
+        for (std::size_t vm = 0; vm < entry_vms_.size(); ++vm)
+        {
+            adopt_caps(vm, 0);
+        }
+    }
     for (int i = 0; i < worker_count; ++i)
     {
         const bool shares_vm = removed == removed_safeguard::one_worker_per_vm;
@@ -193,6 +203,7 @@
         first.after = {0};
         j.steps.push_back(first);
     }
+    set_owner(j);
     submitted_.emplace(j.id, j);
     if (leader_)
     {
@@ -230,7 +241,8 @@
     }
     has_faults_ = false;
     restore_capacities();
-    const auto end = now_ + calm_time;
+    const auto end =
+        now_ + (faults_.accounts ? calm_time_with_accounts : calm_time);
     while (now_ < end && violations_.empty())
     {
         advance();
@@ -265,7 +277,7 @@
     }
     const auto unix_now =
         std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
-    for (const auto& o : leader_->decide(now_, unix_now, {}))
+    for (const auto& o : leader_->decide(now_, unix_now, permission()))
     {
         execute(o);
     }
@@ -306,6 +318,8 @@
         }
     }
     change_capacities();
+    change_caps();
+    cancel_before_kill();
     if (happens(0.01) && submitted_.size() < 12)
     {
         add_job();
@@ -333,12 +347,19 @@
     is_flushing_ = false;
     leader_->set_store_clock(store_clock_at(now_));
     leader_->set_services({{service_id("s"), {}}});
+    if (faults_.accounts)
+    {
+        const auto& vm = entry_vms_.at(leading_vm());
+        leader_->set_account_limits(vm.limits);
+        used_caps_version_ = std::max(used_caps_version_, vm.version);
+    }
     for (const auto& [id, definition] : submitted_)
     {
         const auto row = progress_rows_.find(id);
-        leader_->recover_job(definition, row == progress_rows_.end()
-                                             ? std::nullopt
-                                             : decode_progress(row->second));
+        leader_->recover_job(recovered(definition),
+                             row == progress_rows_.end()
+                                 ? std::nullopt
+                                 : decode_progress(row->second));
     }
     for (const auto& id : cancelled_)
     {
--- a/tests/jobs/fleet_world.hpp
+++ b/tests/jobs/fleet_world.hpp
@@ -3,6 +3,8 @@
 // guarantees from the workers' point of view.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -41,7 +43,11 @@
     // A hand-over names leases as expired that are not.
     leases_of_hand_over,
     // The fencing token does not rise with the restarts of a worker.
-    restarts_in_token
+    restarts_in_token,
+    // A new leader does not learn who owns the jobs of its predecessors.
+    owners_of_recovered_jobs,
+    // The VMs do not adopt changed caps.
+    published_caps
 };
 
 // Faults beside kills of the leader, disconnected workers, and orders that are
@@ -59,6 +65,9 @@
     bool restarts = false;
     // They execute late starts to their former processes, too.
     bool starts_outlive_restarts = false;
+    // Jobs belong to client accounts, whose caps change. VMs adopt a change
+    // late, each at another time.
+    bool accounts = false;
 };
 
 class fleet_world
@@ -103,9 +112,26 @@
     void receive_poll(const poll_order& o, std::uint64_t epoch,
                       time_point sent_at, bool has_response);
     void check_started_run(fake_worker& w, const start_order& o);
+    void check_account(const start_order& o);
+    // Sometimes publishes other caps, which each VM adopts some time later.
+    void change_caps();
+    void publish_caps();
+    void adopt_caps(std::size_t vm, std::size_t version);
+    // The VM of the present leader.
+    std::size_t leading_vm() const { return epoch_ % entry_vms_.size(); }
+    // What the leader's VM knows of caps, and whether it may start tasks.
+    leader_permission permission() const;
+    // Cancels a job whose runs cannot be stopped, just before the leader is
+    // killed.
+    void cancel_before_kill();
+    void set_owner(job& j);
+    // What recover_job() gets to know of the job.
+    job recovered(const job& definition) const;
     void check_acknowledged(const ended_run& end);
     void schedule(duration delay, std::function<void()> call);
     bool happens(double share);
+    // The same by the random numbers for accounts.
+    bool happens_to_accounts(double share);
     bool is_disconnected(const worker_id& id) const;
     job_progress stored_progress(const job_id& id) const;
     const step& step_of(const task_key& key) const;
@@ -143,6 +169,26 @@
     earlier_leaders predecessors_{false, 1, {}};
     bool is_flushing_ = false;
 
+    // The only source of random numbers for accounts, so that the other
+    // decisions of a seed do not depend on them.
+    std::mt19937 account_random_;
+    struct caps_version
+    {
+        time_point published_at{};
+        // By account, in processor millis.
+        std::map<account_id, std::int64_t> caps;
+    };
+    std::vector<caps_version> caps_versions_;
+    struct entry_vm
+    {
+        account_limits limits;
+        // Position in the list of versions.
+        std::size_t version = 0;
+    };
+    std::array<entry_vm, 3> entry_vms_;
+    // The highest version that a leader has used, as in the lease row.
+    std::size_t used_caps_version_ = 0;
+
     // Observations from the workers' point of view.
     std::set<task_key> done_and_acknowledged_;
     std::map<task_key, std::set<std::uint32_t>> failures_acknowledged_;
--- a/tests/jobs/fleet_world_orders.cpp
+++ b/tests/jobs/fleet_world_orders.cpp
@@ -218,6 +218,7 @@
             }
         }
     }
+    check_account(o);
     const auto used = w.used();
     const auto capacity = tolerated_capacity(w.entry.id);
     if (used.processor_millis > capacity.processor_millis ||
