Keep the owner of a job that another account submits again

A conflicting insert made the later submitter the owner on that VM, which could then cancel the job, while the owner was told that it does not exist. The owner that the inbox row or the leader's memory names is now checked as well.

--- a/src/node/job_frontend.hpp
+++ b/src/node/job_frontend.hpp
@@ -55,6 +55,9 @@
     // where there are no accounts.
     std::function<account_memory(const accounts::account_policy&)>
         memory_of_account{};
+    // The account that owns the job. Empty if this VM does not lead or does not
+    // know the job, or if the job has no owner.
+    std::function<account_id(const job_id&)> owner{};
 };
 
 template <row_store Store, typename Timer>
@@ -100,16 +103,19 @@
                             {{inbox_table, j.id.value(), row_version(0)}},
                             {{inbox_table, j.id.value(), jobs::encode_job(j)}},
                             {}};
-        inserter_.insert(
-            t, deadline,
-            [this, id = j.id, account = account_of(j),
-             callback = std::move(callback)](request_result result) {
-                if (result == request_result::done)
-                {
-                    known_.add_stored(id, account);
-                }
-                callback(result);
-            });
+        inserter_.insert(t, deadline,
+                         [this, id = j.id, account = account_of(j),
+                          callback = std::move(callback)](request_result result,
+                                                          bool was_there) {
+                             // A row that was there may be the job of another
+                             // account: its owner is read when it is needed.
+                             if (result == request_result::done &&
+                                 (!was_there || account.empty()))
+                             {
+                                 known_.add_stored(id, account);
+                             }
+                             callback(result);
+                         });
     }
 
     // Stores the cancellation if there is such a job. `caller` is the account
@@ -145,7 +151,7 @@
     // accounts do not exist for it where this VM knows their owners.
     void state_of(const job_id& id, const account_id& caller, on_state callback)
     {
-        if (!known_.may_be_shown_to(id, caller))
+        if (!may_be_shown_to(id, caller))
         {
             callback(std::optional<jobs::job_state>());
             return;
@@ -162,17 +168,19 @@
         }
         row_range range{progress_table, lead_part, id.value(),
                         end_of_job_keys(id), 1};
-        store_.read(
-            range, options_.call_timeout,
-            [this, id, callback = std::move(callback)](read_outcome outcome) {
-                record_outcome(health_, outcome, now_());
-                if (const auto* const failed = std::get_if<not_done>(&outcome))
-                {
-                    callback(*failed);
-                    return;
-                }
-                handle_progress(id, std::get<read_rows>(outcome), callback);
-            });
+        store_.read(range, options_.call_timeout,
+                    [this, id, caller,
+                     callback = std::move(callback)](read_outcome outcome) {
+                        record_outcome(health_, outcome, now_());
+                        if (const auto* const failed =
+                                std::get_if<not_done>(&outcome))
+                        {
+                            callback(*failed);
+                            return;
+                        }
+                        handle_progress(id, caller,
+                                        std::get<read_rows>(outcome), callback);
+                    });
     }
 
     // Counts the waiting jobs of the queue.
@@ -212,6 +220,18 @@
         return j.account ? j.account->id : account_id();
     }
 
+    // False if the job is known to belong to another account than the caller's.
+    bool may_be_shown_to(const job_id& id, const account_id& caller) const
+    {
+        if (!known_.may_be_shown_to(id, caller))
+        {
+            return false;
+        }
+        const auto owner =
+            leader_view_.owner ? leader_view_.owner(id) : account_id();
+        return owner.empty() || caller.empty() || owner == caller;
+    }
+
     // Why the job is not accepted; empty if nothing speaks against it.
     std::optional<request_result> refusal_of(const jobs::job& j)
     {
@@ -260,7 +280,7 @@
     void cancel_stored(const job_id& id, const account_id& caller,
                        time_point deadline, const on_request_result& callback)
     {
-        if (!known_.may_be_shown_to(id, caller))
+        if (!may_be_shown_to(id, caller))
         {
             callback(request_result::no_such_job);
             return;
@@ -275,7 +295,9 @@
                             {{inbox_table, cancel_key(id), row_version(0)}},
                             {{inbox_table, cancel_key(id), "{}"}},
                             {}};
-        inserter_.insert(t, deadline, callback);
+        inserter_.insert(t, deadline, [callback](request_result result, bool) {
+            callback(result);
+        });
     }
 
     void find_in_inbox(const job_id& id, on_inbox_lookup on_found)
@@ -303,8 +325,8 @@
             });
     }
 
-    void handle_progress(const job_id& id, const read_rows& read,
-                         const on_state& callback)
+    void handle_progress(const job_id& id, const account_id& caller,
+                         const read_rows& read, const on_state& callback)
     {
         const auto progress =
             read.rows.empty() ? std::nullopt
@@ -323,13 +345,15 @@
             callback(std::optional(jobs::job_state::queued));
             return;
         }
-        find_in_inbox(id, [callback](std::variant<bool, not_done> found) {
+        find_in_inbox(id, [this, id, caller,
+                           callback](std::variant<bool, not_done> found) {
             if (const auto* const failed = std::get_if<not_done>(&found))
             {
                 callback(*failed);
                 return;
             }
-            callback(std::get<bool>(found)
+            // The row has told the owner.
+            callback(std::get<bool>(found) && may_be_shown_to(id, caller)
                          ? std::optional(jobs::job_state::queued)
                          : std::nullopt);
         });
--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -155,6 +155,9 @@
 
     std::optional<jobs::job_state> state_of(const job_id& id) const;
     std::optional<std::size_t> pending_of(const std::string& queue) const;
+    // The account that owns the job; empty if the job has none or this VM does
+    // not know it.
+    account_id owner_of(const job_id& id) const;
     leader_stats stats() const;
 
 private:
--- a/src/node/leader_role.ipp
+++ b/src/node/leader_role.ipp
@@ -252,6 +252,25 @@
                : std::nullopt;
 }
 
+template <row_store Store, worker_port Workers, worker_list List>
+account_id leader_role<Store, Workers, List>::owner_of(const job_id& id) const
+{
+    if (!scheduler_)
+    {
+        return {};
+    }
+    const auto& registry = scheduler_->registry();
+    if (const auto found = registry.live().find(id);
+        found != registry.live().end())
+    {
+        const auto& account = found->second->definition().account;
+        return account ? account->id : account_id();
+    }
+    const auto ended = registry.ended().find(id);
+    return ended == registry.ended().end() ? account_id()
+                                           : ended->second.account;
+}
+
 template <row_store Store, worker_port Workers, worker_list List>
 std::optional<std::size_t>
 leader_role<Store, Workers, List>::pending_of(const std::string& queue) const
--- a/src/node/row_inserter.hpp
+++ b/src/node/row_inserter.hpp
@@ -31,7 +31,9 @@
 class row_inserter
 {
 public:
-    using on_result = std::function<void(request_result)>;
+    // `was_there` is true if another attempt had stored a row before, possibly
+    // one of another caller with another value.
+    using on_result = std::function<void(request_result, bool was_there)>;
 
     // `timer(delay, call)` runs `call` after `delay`; `now()` reads the clock
     // that leases are measured with.
@@ -103,7 +105,8 @@
         if (std::holds_alternative<committed>(outcome) ||
             std::holds_alternative<conflict>(outcome))
         {
-            finish(p, request_result::done);
+            finish(p, request_result::done,
+                   std::holds_alternative<conflict>(outcome));
             return;
         }
         p->maybe_stored =
@@ -141,11 +144,12 @@
         finish(p, p->maybe_stored ? request_result::unknown : result);
     }
 
-    void finish(const shared_insert& p, request_result result)
+    void finish(const shared_insert& p, request_result result,
+                bool was_there = false)
     {
         if (!std::exchange(p->is_complete, true))
         {
-            p->callback(result);
+            p->callback(result, was_there);
         }
     }
 
