--- a/src/jobs/queue_directory.hpp
+++ b/src/jobs/queue_directory.hpp
@@ -50,6 +50,15 @@
         std::vector<queue_route> routes;
         std::map<service_id, service_policy> services;
         accounts::account_directory accounts;
+        // The configuration lists client accounts, perhaps none that can be
+        // used: invalid entries must not open the queues to callers without a
+        // key.
+        bool lists_accounts = false;
+
+        bool requires_keys() const
+        {
+            return lists_accounts || !accounts.empty();
+        }
     };
 
     // Returns false without any change if the version is not newer.
--- a/tests/adapter/store_fixture.hpp
+++ b/tests/adapter/store_fixture.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include <QByteArray>
 #include <QCoreApplication>
@@ -60,6 +61,10 @@
                     [this](const http_request& request,
                            const http_responder& responder) {
                         ++calls;
+                        if (request.target == names::transact_path)
+                        {
+                            transactions.push_back(request.body);
+                        }
                         responder({status, {}, respond(request.target)});
                     });
             }
@@ -163,6 +168,8 @@
     // By key: what stands in a response instead of the row.
     std::map<std::string, std::string> raw_entries;
     std::size_t calls = 0;
+    // Bodies of the transactions.
+    std::vector<std::string> transactions;
     std::unique_ptr<http_server> server;
     socket_address store_address;
     store_port store;
