--- a/src/jobs/quota/account_report.cpp
+++ b/src/jobs/quota/account_report.cpp
@@ -43,7 +43,9 @@
            std::to_string(cap.processor_millis) + ", in doubt " +
            std::to_string(report.in_doubt.processor_millis) + ", memory_mb " +
            std::to_string(report.running.memory_mb) + " of " +
-           std::to_string(cap.memory_mb) + ", weight " +
+           std::to_string(cap.memory_mb) + ", accelerators " +
+           std::to_string(report.running.accelerators) + " of " +
+           std::to_string(cap.accelerators) + ", weight " +
            std::to_string(report.policy.weight) + ", jobs " +
            std::to_string(report.jobs) + ", waiting " +
            std::to_string(report.waiting_tasks) + ", held by cap " +
