Bound what shares of accounts cost a pass of the leader

Cause: each pass visited all workers twice more and all jobs once more for the shares and the withdrawn starts.

Change: the capacity of the fleet is summed when the fleet is checked, every 40 ms; workers are visited for withdrawn starts only while there may be some; weights come from the accounts with runs or waiting steps.

--- a/src/jobs/quota/account_shares.cpp
+++ b/src/jobs/quota/account_shares.cpp
@@ -20,43 +20,33 @@
 
 account_shares::account_shares(const scheduler_state& state) : state_(state)
 {
-    for (const auto& [id, worker] : state.fleet)
-    {
-        if (!worker.is_unlisted && !worker.has_ended)
-        {
-            fleet_capacity_ += worker.entry.capacity;
-        }
-    }
-    const auto others = state.limits.weight_of_others();
-    const auto& policies = state.limits.policies();
-    const auto weight_of = [&](const account_id& id, double otherwise) {
-        const auto known = policies.find(id);
-        return known == policies.end()
-                   ? otherwise
-                   : static_cast<double>(known->second.weight);
-    };
-    for (const auto& [id, owner] : state.registry.live())
-    {
-        const auto& account = owner->definition().account;
-        if (!account)
-        {
-            weights_.emplace(account_id(), others);
-            continue;
-        }
-        weights_.emplace(
-            account->id,
-            weight_of(account->id, static_cast<double>(account->weight)));
-    }
     for (const auto& [id, size] : state.account_usage.all_running())
     {
-        weights_.emplace(id, weight_of(id, others));
-    }
-    for (const auto& [id, weight] : weights_)
-    {
+        const auto weight = weight_of(id, state.limits.weight_of_others());
+        weights_.emplace(id, weight);
         total_weight_ += weight;
     }
 }
 
+void account_shares::add(const std::optional<accounts::account_policy>& account)
+{
+    const auto others = state_.limits.weight_of_others();
+    const auto weight =
+        account ? weight_of(account->id, static_cast<double>(account->weight))
+                : others;
+    const bool is_new =
+        weights_.emplace(account ? account->id : account_id(), weight).second;
+    total_weight_ += is_new ? weight : 0.0;
+}
+
+double account_shares::weight_of(const account_id& id, double otherwise) const
+{
+    const auto& policies = state_.limits.policies();
+    const auto known = policies.find(id);
+    return known == policies.end() ? otherwise
+                                   : static_cast<double>(known->second.weight);
+}
+
 double account_shares::use_of_share(const account_id& account) const
 {
     return use_of_share(account, state_.account_usage.total(account));
@@ -74,9 +64,10 @@
 double account_shares::dominant_share(const task_size& used) const
 {
     return std::max(
-        {share_of(used.processor_millis, fleet_capacity_.processor_millis),
-         share_of(used.memory_mb, fleet_capacity_.memory_mb),
-         share_of(used.accelerators, fleet_capacity_.accelerators)});
+        {share_of(used.processor_millis,
+                  state_.fleet_capacity.processor_millis),
+         share_of(used.memory_mb, state_.fleet_capacity.memory_mb),
+         share_of(used.accelerators, state_.fleet_capacity.accelerators)});
 }
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/quota/account_shares.hpp
+++ b/src/jobs/quota/account_shares.hpp
@@ -10,13 +10,16 @@
 {
 
 // An account's share is its weight in proportion to those of all accounts that
-// have jobs or runs. What it uses is measured by its dominant resource. Jobs
-// without an account count as one account with the mean weight.
+// have runs or were added as waiting. What it uses is measured by its dominant
+// resource. Jobs without an account count as one account with the mean weight.
 class account_shares
 {
 public:
     explicit account_shares(const scheduler_state& state);
 
+    // The owner of waiting work; empty for jobs without an account.
+    void add(const std::optional<accounts::account_policy>& account);
+
     // What the account uses in relation to its share: 1 is just the share.
     double use_of_share(const account_id& account) const;
     // What a run of this size adds to it, if its dominant resource is the
@@ -31,8 +34,10 @@
 private:
     double dominant_share(const task_size& used) const;
 
+    // Weight in force, or `otherwise` for an account that this VM has not read.
+    double weight_of(const account_id& id, double otherwise) const;
+
     const scheduler_state& state_;
-    task_size fleet_capacity_;
     std::map<account_id, double> weights_;
     double total_weight_ = 0.0;
 };
--- a/src/jobs/quota/in_doubt_runs.cpp
+++ b/src/jobs/quota/in_doubt_runs.cpp
@@ -38,8 +38,14 @@
     {
         to[start.account] += start.size;
     }
+    if (!state_.may_have_given_up_starts)
+    {
+        return;
+    }
+    state_.may_have_given_up_starts = false;
     for (const auto& [id, worker] : state_.fleet)
     {
+        state_.may_have_given_up_starts |= !worker.given_up.empty();
         for (const auto& start : worker.given_up)
         {
             // On a silent worker, starts are kept until it responds.
--- a/src/jobs/quota/share_order.cpp
+++ b/src/jobs/quota/share_order.cpp
@@ -35,12 +35,15 @@
     std::map<account_id, std::size_t> numbers;
     for (std::size_t i = 0; i < steps_.size(); ++i)
     {
+        static const account_id none;
         const auto& account = steps_[i].owner->definition().account;
-        const auto id = account ? account->id : account_id();
-        const auto [found, is_new] = numbers.emplace(id, queues_.size());
-        if (is_new)
+        const auto& id = account ? account->id : none;
+        auto found = numbers.find(id);
+        if (found == numbers.end())
         {
+            found = numbers.emplace(id, queues_.size()).first;
             queues_.push_back({id, {}, 0, {}});
+            shares_.add(account);
         }
         queues_[found->second].steps.push_back(i);
     }
--- a/src/jobs/reported_run_handler.cpp
+++ b/src/jobs/reported_run_handler.cpp
@@ -93,6 +93,7 @@
     const auto& later = *worker.find_run(reported.task);
     earlier.account = later.account;
     earlier.size = later.size;
+    state_.may_have_given_up_starts = true;
     worker.given_up.push_back(earlier);
     state_.orders.emplace_back(
         stop_order{worker.entry.id, reported.task, reported.run});
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -288,9 +288,14 @@
     if (now - fleet_checked_at_ >= fleet_check_interval)
     {
         fleet_checked_at_ = now;
+        state_.fleet_capacity = {};
         for (auto& [id, worker] : state_.fleet)
         {
             worker_ends_.check_lease_expiry(worker, now);
+            if (!worker.is_unlisted && !worker.has_ended)
+            {
+                state_.fleet_capacity += worker.entry.capacity;
+            }
         }
         membership_.forget_gone_workers(now);
         recorder_.mark_outdated_parts(now);
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -55,6 +55,10 @@
     // date, so that it must outlive them.
     account_ledger account_usage;
     std::map<worker_id, fleet_worker> fleet;
+    // Of the workers in the membership list, as of the last check of the fleet.
+    task_size fleet_capacity;
+    // Workers may hold starts that were given up.
+    bool may_have_given_up_starts = false;
     std::vector<withdrawn_start> withdrawn_starts;
     // False while an earlier leader may have used a newer configuration, whose
     // caps may be lower.
--- a/src/jobs/wait_diagnosis.cpp
+++ b/src/jobs/wait_diagnosis.cpp
@@ -95,8 +95,13 @@
 
 bool wait_diagnosis::is_over_share(const live_job& owner) const
 {
-    return state_.limits.has_accounts() &&
-           account_shares(state_).is_over_share(owner.definition().account);
+    if (!state_.limits.has_accounts())
+    {
+        return false;
+    }
+    account_shares shares(state_);
+    shares.add(owner.definition().account);
+    return shares.is_over_share(owner.definition().account);
 }
 
 wait_finding wait_diagnosis::find_for_placed(const task_key& key,
--- a/src/jobs/worker_end_handler.cpp
+++ b/src/jobs/worker_end_handler.cpp
@@ -128,6 +128,7 @@
             pending_starts.emplace_back(key, run);
             continue;
         }
+        state_.may_have_given_up_starts = true;
         worker.given_up.push_back(
             {key, run.run, run.ordered_at, {}, run.account, run.size});
     }
