--- a/tests/adapter/caller_accounts_test.cpp
+++ b/tests/adapter/caller_accounts_test.cpp
@@ -276,7 +276,7 @@
         for (const bool current : {true, false})
         {
             is_up_to_date = current;
-            for (const std::string body :
+            for (const std::string& body :
                  {small_job, std::string("{"),
                   std::string(R"({"steps":[{"count":1,)"
                               R"("cpu":9000}]})")})
