Order waiting work by what a delay costs callers

Cause: the priority of a queue was read by no decision. Under overload, work at a counter waited behind work that may wait.

Change: with overload control, work that can still count goes before work that cannot; among it, lower numbers of priority go first, then work whose delay loses most value per core-second (apparent tardiness cost). Off by default; the order is unchanged then.

--- a/src/jobs/placing_order.hpp
+++ b/src/jobs/placing_order.hpp
@@ -33,10 +33,26 @@
 constexpr int starvation_factor = 10;
 constexpr duration max_long_running_wait = std::chrono::seconds(4);
 
-// Position of a waiting step; steps with a lower one are placed first.
+// Which steps go first under overload, whatever their priority.
+enum class overload_class
+{
+    first,
+    useful,
+    // Can no longer finish within the time in which a late job counts.
+    useless
+};
+
+// Position of a waiting step; steps with a lower one are placed first. The
+// members that only overload control sets are equal for all steps without it.
 struct placing_position
 {
+    overload_class load_class = overload_class::first;
+    // Of the queue, with overload control.
+    int priority = 0;
     priority_group group = priority_group::on_time;
+    // With overload control, what the job still needs in relation to the value
+    // that a delay would lose.
+    double cost = 0.0;
     // Within a group: the latest start, or for fill tasks the remaining path.
     std::chrono::milliseconds rank{};
 
@@ -54,4 +70,12 @@
                     std::uint32_t step, std::chrono::milliseconds unix_now,
                     duration waited, const policy_switches& policy = {});
 
+// The same with overload control: among the work that still counts, queues of a
+// lower number of priority go first, and then work for which a delay costs
+// callers most per core-second.
+placing_position
+overload_position_of(const live_job& owner, std::uint32_t occurrence,
+                     std::uint32_t step, std::chrono::milliseconds unix_now,
+                     duration waited, const policy_switches& policy = {});
+
 } // namespace hemlockdeal::jobs
--- a/src/jobs/waiting_steps.cpp
+++ b/src/jobs/waiting_steps.cpp
@@ -24,8 +24,11 @@
             continue;
         }
         since = since.value_or(now);
-        const auto position = placing_position_of(
-            owner, occurrence, s, unix_now, now - *since, state.options.policy);
+        const auto position_of = state.options.overload_control
+                                     ? overload_position_of
+                                     : placing_position_of;
+        const auto position = position_of(owner, occurrence, s, unix_now,
+                                          now - *since, state.options.policy);
         out.push_back({&owner, occurrence, s, position});
     }
 }
