Do nothing for accounts where there are none

Cause: each adopted configuration read the clock once more, also without accounts.

Change: the limits are left alone as long as there has never been an account.

--- a/src/node/leader_role.hpp
+++ b/src/node/leader_role.hpp
@@ -115,9 +115,13 @@
     void set_accounts(const accounts::account_directory& accounts,
                       configuration_version version)
     {
+        configuration_ = version;
+        if (accounts.empty() && !has_accounts_ && limits_.policies().empty())
+        {
+            return;
+        }
         has_accounts_ = !accounts.empty();
         total_weight_ = accounts.total_weight();
-        configuration_ = version;
         limits_.adopt(accounts, clock_.now(),
                       options_.scheduler.configuration_delay);
         if (scheduler_)
