Run the tests of jobs in four shards

Change: four runs of the program with a quarter of the tests each, side by side; the limit and the tests are the same. A vector of a fixture is reserved, as the linter asks.

--- a/cmake/hemlockdeal.cmake
+++ b/cmake/hemlockdeal.cmake
@@ -30,3 +30,20 @@
     # Fixed seeds: the same cases, and so the same verdict, on every run.
     set_tests_properties(${folder} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=2000")
 endfunction()
+
+# Divides the tests of a program among `count` runs, so that each of them stays
+# within the time limit on a busy machine, and so that they run side by side.
+function(hemlockdeal_test_shards folder count)
+    get_test_property(${folder} ENVIRONMENT environment)
+    math(EXPR last "${count} - 1")
+    foreach(index RANGE ${last})
+        set(name ${folder}_${index})
+        if(index EQUAL 0)
+            set(name ${folder})
+        else()
+            add_test(NAME ${name} COMMAND test_${folder})
+        endif()
+        set_tests_properties(${name} PROPERTIES TIMEOUT 300
+                             ENVIRONMENT "${environment};GTEST_TOTAL_SHARDS=${count};GTEST_SHARD_INDEX=${index}")
+    endforeach()
+endfunction()
--- a/tests/jobs/account_fixture.hpp
+++ b/tests/jobs/account_fixture.hpp
@@ -23,6 +23,7 @@
 make_accounts(const std::vector<accounts::account_policy>& policies)
 {
     std::vector<accounts::account_directory::entry> entries;
+    entries.reserve(policies.size());
     for (const auto& policy : policies)
     {
         entries.push_back({policy, {}});
