--- a/review/14/play.py
+++ b/review/14/play.py
@@ -1,72 +1,68 @@
-"""A minion crashes and begins again under its id as another kind. Tasks that
-require its former kind start on it."""
+"""A client hands a job in at a machine that is frozen, leaves, and cancels the job
+at another machine. The cancelling is acknowledged (410), and yet the job starts as
+the machine wakes."""
 
 import asyncio
 import os
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
-from platform_3 import new_id, run  # noqa: E402
+from platform_3 import BOUNDS, new_id, run  # noqa: E402
 
-# One of eight minions at a time, within srv_crash's share of .14 and 4.5 s.
-MINIONS, CRASHES, PAUSE_S, DOWN_S = 8, 12, 4.0, 0.2
-PER_S, TASKS = 4, 12
-WORK_S = 0.8
+# One of ten machines, for as long as the site's node_freeze (share .11, 3.5 s).
+VMS, FROZEN_S = 10, 3.5
+# The client leaves after this, well within half its objective (give_up).
+PATIENCE_S = 0.15
+WATCH_S = 12.0
 
 
 def plan(task):
-    return WORK_S, "done"
-
-
-async def traffic(world):
-    """Jobs for both kinds of minions, more than these have room for."""
-    number = 0
-    while True:
-        number += 1
-        kind = "ab"[number % 2]
-        body = {"spec": "receipt", "steps": [{
-            "count": TASKS, "cpu": 3000, "mem_mb": 2000, "requirements": kind,
-            "estimate_ms": int(WORK_S * 1000)}]}
-        asyncio.ensure_future(world.call(world.vms[number % len(world.vms)],
-                                         "POST", "checkin", new_id(), body))
-        await asyncio.sleep(1 / PER_S)
+    return None, "failed"
 
 
 async def play(world):
-    wrong = []
-    noted = world.on_start
-
-    def on_start(task, minion):
-        noted(task, minion)
-        required = world.step_of(task)["requirements"]
-        if required != minion.kind:
-            wrong.append(f"ROUTE: {task} requires {required} and starts on "
-                         f"{minion.id} of kind {minion.kind}")
-
-    world.on_start = on_start
-    sending = asyncio.ensure_future(traffic(world))
-    await asyncio.sleep(PAUSE_S)
-    for number in range(CRASHES):
-        if world.is_troubled:
-            minion = world.minions[number % MINIONS]
-            minion.crash()
-            await asyncio.sleep(DOWN_S)
-            minion.kind = "b" if minion.kind == "a" else "a"
-            await minion.begin()
-        await asyncio.sleep(PAUSE_S - DOWN_S)
-    sending.cancel()
-    await asyncio.sleep(2.0)
-    # The record names all of them.
-    for text in wrong[3:]:
-        world.record.note(text)
-    return wrong[:3] + ([f"ROUTE: {len(wrong)} starts in all"] if len(wrong) > 3 else [])
-
+    body = {"spec": "roster", "steps": [{
+        "count": 2, "cpu": 3200, "mem_mb": 6400, "estimate_ms": 400,
+        "long_running": True, "image": "watch-1", "target_ms": 18}]}
+    # A job before shows that all is well.
+    sound = new_id()
+    answer = await world.call(world.vms[0], "POST", "watch", sound, body)
+    if answer is None or answer[0] != 200:
+        raise RuntimeError("a job was not accepted")
+    frozen, other = world.followers()[:2]
+    await asyncio.sleep(3.0)
 
-def deploy(world):
-    for i, minion in enumerate(world.minions):
-        minion.kind = "ab"[i % 2]
+    job = new_id()
+    if world.is_troubled:
+        frozen.send(signal.SIGSTOP)
+        world.record.note(f"{frozen.name} freezes; {world.leader().name} leads")
+    frozen_at = world.record.now()
+    await world.call(frozen, "POST", "watch", job, body, patience=PATIENCE_S)
+    answer = None
+    while answer is None or answer[0] not in (200, 410):
+        answer = await world.call(other, "DELETE", "watch", job)
+    cancelled_at = world.record.now()
+    world.record.note(f"the cancelling of {job} is acknowledged with {answer[0]}")
+    await asyncio.sleep(max(0.0, FROZEN_S - (world.record.now() - frozen_at)))
+    if world.is_troubled:
+        frozen.send(signal.SIGCONT)
+        world.record.note(f"{frozen.name} wakes")
+    await asyncio.sleep(WATCH_S)
+    state = await world.call(other, "GET", "watch", job)
+    late = [s for s in world.starts if s[1].startswith(job)
+            and s[0] - cancelled_at > BOUNDS["cancel_ms"] / 1000]
+    broken = [f"UNASKED: {task} starts on {minion} {at - cancelled_at:.2f} s after "
+              f"the cancelling was acknowledged, by {world.leader().name}"
+              for at, task, minion in late]
+    running = [t for t in world.at_work if t.startswith(job)]
+    if running:
+        broken.append(f"UNASKED: {' '.join(sorted(running))} still at work "
+                      f"{world.record.now() - cancelled_at:.1f} s after it; the job "
+                      f"is shown as {state}")
+    return broken
 
 
 if __name__ == "__main__":
-    sys.exit(run(FOLDER, play, vms=3, minions=MINIONS, plan=plan, deploy=deploy))
+    sys.exit(run(FOLDER, play, vms=VMS, minions=4, plan=plan))
--- a/review/standins-3/platform_3.py
+++ b/review/standins-3/platform_3.py
@@ -111,15 +111,18 @@
     async def begin(self):
         """A new life under the same id, which knows nothing of before. Its entry
         is written as it begins to listen."""
+        self.reset()
+        self.server = await asyncio.start_server(self.serve, *self.address)
+        self.write_entry()
+        self.world.record.note(f"{self.id} is up, born {self.born}, kind {self.kind}")
+
+    def reset(self):
         self.born, self.started = int(time.time() * 1000), time.monotonic()
         self.running, self.ended, self.highest = {}, [], {}
         self.fence = self.number = self.seq = 0
         self.lease = None
         self.event = asyncio.Event()
         self.is_up = True
-        self.server = await asyncio.start_server(self.serve, *self.address)
-        self.write_entry()
-        self.world.record.note(f"{self.id} is up, born {self.born}, kind {self.kind}")
 
     def crash(self):
         """All that runs here is gone; connections are reset."""
