Repeat unanswered starts at their workers and bind their tasks to them

Cause: a start without an answer was withdrawn by a stop, and its task was placed anywhere once a report did not list the run, 2 to 3 s later. The stop binds the living process only. A later process of the worker, behind a cut, executes the start up to 12 s after the order. What waited then waited only after a restart had been noticed, which is too late here. The next leader did not learn of such starts on workers that responded.

Change: unanswered_starts holds the orders that a worker may still execute, with the rule. The order is repeated at its worker with the same run number, which is idempotent, four times at most. start_binding answers where a task may run: until 13 s after the last order on this worker only, and if the worker is silent for one lease longer. Long-running tasks leave a worker that responds and cannot take them, or that has left the list. The end of such a task is not acknowledged before. The store names such starts at once, and at a hand-over those that are under way. has_certainly_ended and the wait after a noticed restart are replaced by it. Metrics for unanswered and repeated starts.

--- a/src/jobs/fleet_record.cpp
+++ b/src/jobs/fleet_record.cpp
@@ -42,8 +42,13 @@
     json::array out;
     std::ranges::transform(
         starts, std::back_inserter(out), [](const unanswered_start& start) {
-            return json::array{to_text(start.task),
-                               start.until.time_since_epoch().count()};
+            json::array out{to_text(start.task),
+                            start.until.time_since_epoch().count()};
+            if (start.run > 0)
+            {
+                out.emplace_back(start.run);
+            }
+            return out;
         });
     return out;
 }
@@ -110,36 +115,30 @@
 
 std::optional<unanswered_start> to_unanswered_start(const json::value& in)
 {
-    const auto* const pair = in.if_array();
-    if (pair == nullptr || pair->size() != 2)
+    const auto* const fields = in.if_array();
+    if (fields == nullptr || fields->size() < 2 || fields->size() > 3)
     {
         return std::nullopt;
     }
-    auto task = parse_task_key(to_string((*pair)[0]));
-    const auto until = store_time_of((*pair)[1]);
-    if (!task || !until)
+    auto task = parse_task_key(to_string((*fields)[0]));
+    const auto until = store_time_of((*fields)[1]);
+    json::error_code error;
+    const auto run =
+        fields->size() > 2 ? (*fields)[2].to_number<std::uint32_t>(error) : 0;
+    if (!task || !until || error)
     {
         return std::nullopt;
     }
-    return unanswered_start{std::move(*task), *until};
+    return unanswered_start{std::move(*task), *until, run};
 }
 
-// Leaves the bound out if any part of it is malformed: the longest possible one
-// holds then.
-void read_leases(const json::object& in, fleet_record& record)
+// False if the starts are malformed.
+bool read_unanswered_starts(const json::object& in, fleet_record& record)
 {
-    const auto& pair = list_in(in, "t");
-    if (pair.size() != 2)
-    {
-        return;
-    }
-    json::error_code error;
-    const auto epoch = pair[0].to_number<std::uint64_t>(error);
-    const auto ends_at = store_time_of(pair[1]);
     const auto* const starts = in.if_contains("u");
-    if (error || !ends_at || (starts != nullptr && !starts->is_array()))
+    if (starts != nullptr && !starts->is_array())
     {
-        return;
+        return false;
     }
     std::vector<unanswered_start> unanswered;
     for (const auto& value : list_in(in, "u"))
@@ -147,12 +146,30 @@
         auto start = to_unanswered_start(value);
         if (!start)
         {
-            return;
+            return false;
         }
         unanswered.push_back(std::move(*start));
     }
-    record.leases = lease_bound{epoch, *ends_at};
     record.unanswered_starts = std::move(unanswered);
+    return true;
+}
+
+// Leaves the bound out if any part of it is malformed: the longest possible one
+// holds then.
+void read_leases(const json::object& in, fleet_record& record)
+{
+    const auto& pair = list_in(in, "t");
+    if (pair.size() != 2)
+    {
+        return;
+    }
+    json::error_code error;
+    const auto epoch = pair[0].to_number<std::uint64_t>(error);
+    const auto ends_at = store_time_of(pair[1]);
+    if (!error && ends_at)
+    {
+        record.leases = lease_bound{epoch, *ends_at};
+    }
 }
 
 std::optional<fleet_record> to_record(const json::value& value)
@@ -186,8 +203,11 @@
     {
         return std::nullopt;
     }
-    read_leases(*in, record);
-    if (!record.runs && !record.leases)
+    if (read_unanswered_starts(*in, record))
+    {
+        read_leases(*in, record);
+    }
+    if (!record.runs && !record.leases && record.unanswered_starts.empty())
     {
         return std::nullopt;
     }
@@ -209,7 +229,8 @@
     auto length = json::serialize(out).size();
     for (std::size_t i = 0; i < fleet.size(); ++i)
     {
-        if (!fleet[i].runs && !fleet[i].leases)
+        if (!fleet[i].runs && !fleet[i].leases &&
+            fleet[i].unanswered_starts.empty())
         {
             continue;
         }
--- a/src/jobs/fleet_record.hpp
+++ b/src/jobs/fleet_record.hpp
@@ -15,13 +15,15 @@
 namespace hemlockdeal::jobs
 {
 
-// A start without a response that may still take effect after all leases have
-// expired.
+// A start without a response that may still take effect, also after all leases
+// have expired or a restart of the worker.
 struct unanswered_start
 {
     task_key task;
     // When it can no longer take effect.
     store_time until{};
+    // Number of the run, if only one order was sent for it; otherwise 0.
+    std::uint32_t run = 0;
 
     friend bool operator==(const unanswered_start&,
                            const unanswered_start&) = default;
@@ -42,7 +44,6 @@
     std::vector<task_key> late_suspects{};
     // For a worker that does not respond, or has not been seen for some time.
     std::optional<lease_bound> leases{};
-    // Only with `leases`.
     std::vector<unanswered_start> unanswered_starts{};
 
     friend bool operator==(const fleet_record&, const fleet_record&) = default;
--- a/src/jobs/fleet_recorder.cpp
+++ b/src/jobs/fleet_recorder.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <utility>
 
+#include "jobs/start_binding.hpp"
+
 namespace hemlockdeal::jobs
 {
 
@@ -41,7 +43,11 @@
     is_handed_over_ = true;
     for (const auto& [id, worker] : state_.fleet)
     {
-        if (worker.is_closed() && !worker.runs().empty())
+        const bool has_open_starts =
+            std::ranges::any_of(worker.runs(), [](const auto& run) {
+                return !run.second.confirmed_at;
+            });
+        if (has_open_starts || (worker.is_closed() && !worker.runs().empty()))
         {
             state_.mark_fleet_changed(id);
         }
@@ -117,7 +123,9 @@
     {
         workers_being_recorded_.push_back(id);
         worker.is_being_recorded = true;
-        return {id, std::nullopt, worker.entry.vm};
+        fleet_record open{id, std::nullopt, worker.entry.vm};
+        open.unanswered_starts = unanswered_on(worker);
+        return open;
     }
     // No task may be started here before the store records the worker as open
     // again.
@@ -126,6 +134,7 @@
     std::ranges::transform(worker.runs(), std::back_inserter(runs),
                            [](const auto& run) { return run.first; });
     fleet_record record{id, std::move(runs), worker.entry.vm};
+    record.unanswered_starts = unanswered_on(worker);
     for (const auto& run : worker.interrupted_runs)
     {
         if (run.is_suspect)
@@ -159,16 +168,44 @@
         return;
     }
     record.leases = lease_bound{state_.epoch, *ends_at};
+}
+
+std::vector<unanswered_start>
+fleet_recorder::unanswered_on(const fleet_worker& worker) const
+{
+    std::vector<unanswered_start> out;
+    const auto add = [&](const task_key& key, time_point latest_start,
+                         std::uint32_t run) {
+        const auto until = state_.clock.latest_at(latest_start);
+        if (until && now_ < latest_start)
+        {
+            out.push_back({key, *until, run});
+        }
+    };
+    for (const auto& [key, order] : worker.unanswered.orders())
+    {
+        if (bound_until(state_, worker, key, now_))
+        {
+            // The order may have been repeated.
+            add(key, order.latest_start, 0);
+        }
+    }
+    if (!worker.is_closed() && !is_handed_over_)
+    {
+        return out;
+    }
+    // Responses to these orders are still awaited.
     for (const auto& [key, run] : worker.runs())
     {
-        const auto limit =
-            worker.late_start_limit(run, options.max_order_delay);
-        if (!run.confirmed_at && now_ < limit)
+        const auto latest_start =
+            run.ordered_at + state_.options.max_order_delay;
+        if (!run.confirmed_at && worker.unanswered.find(key) == nullptr &&
+            bound_until(state_, worker, key, latest_start, now_))
         {
-            record.unanswered_starts.push_back(
-                {key, *state_.clock.latest_at(limit)});
+            add(key, latest_start, run.orders == 1 ? run.run : 0);
         }
     }
+    return out;
 }
 
 void fleet_recorder::note_bound(const fleet_record& record)
--- a/src/jobs/fleet_recorder.hpp
+++ b/src/jobs/fleet_recorder.hpp
@@ -38,6 +38,8 @@
     // Adds what the next leader has to wait for, if the clock of the worker is
     // known.
     void bound_leases(fleet_record& record, const fleet_worker& worker) const;
+    std::vector<unanswered_start>
+    unanswered_on(const fleet_worker& worker) const;
     // Keeps track of the workers whose leases must not be extended.
     void note_bound(const fleet_record& record);
 
--- a/src/jobs/fleet_worker.cpp
+++ b/src/jobs/fleet_worker.cpp
@@ -62,6 +62,15 @@
            longest_granted_lease(options);
 }
 
+void note_found(fleet_worker& worker, const task_key& key,
+                const run_record& run)
+{
+    if (run.orders == 1)
+    {
+        worker.unanswered.on_run_found(key, run.run);
+    }
+}
+
 run_record make_run(const step& s, std::uint32_t run, time_point now)
 {
     run_record record;
@@ -284,15 +293,13 @@
                     earlier_leases_end_);
 }
 
-time_point fleet_worker::late_start_limit(const run_record& run,
-                                          duration max_order_delay) const
+std::uint64_t fleet_worker::acknowledgeable_ends(time_point now)
 {
-    // A long-running task must run again within seconds. A worker that has
-    // left the list and is silent is taken for gone: it would be listed again
-    // after a restart.
-    const bool is_gone = is_unlisted && !has_malformed_entry;
-    return run.is_long_running && is_gone ? run.ordered_at
-                                          : run.ordered_at + max_order_delay;
+    std::erase_if(held_ends,
+                  [now](const auto& held) { return held.second <= now; });
+    return held_ends.empty()
+               ? stored_ends
+               : std::min(stored_ends, held_ends.begin()->first - 1);
 }
 
 void fleet_worker::restart(worker_incarnation incarnation)
@@ -304,6 +311,7 @@
     }
     health = {};
     taken_ends = 0;
+    held_ends.clear();
     sent_to_store = 0;
     stored_ends = 0;
     acknowledged_ends = 0;
--- a/src/jobs/fleet_worker.hpp
+++ b/src/jobs/fleet_worker.hpp
@@ -11,6 +11,7 @@
 
 #include "jobs/quota/account_ledger.hpp"
 #include "jobs/scheduler_options.hpp"
+#include "jobs/unanswered_starts.hpp"
 #include "jobs/worker_report.hpp"
 
 namespace hemlockdeal::jobs
@@ -71,8 +72,10 @@
     time_point ordered_at{};
     // When the worker confirmed the run, in a response or a report.
     std::optional<time_point> confirmed_at;
-    // The start order got no response.
+    // The last start order got no response.
     bool is_unresolved = false;
+    // Start orders for this run.
+    unsigned orders = 1;
     worker_clock start_deadline{};
     // Number of restarts of the worker that the order named.
     std::uint32_t restarts = 0;
@@ -140,6 +143,13 @@
 time_point latest_end(const given_up_start& start,
                       const scheduler_options& options);
 
+class fleet_worker;
+
+// The worker has, or had, the run. If only one order for it was sent, this one
+// was executed and cannot be executed again.
+void note_found(fleet_worker& worker, const task_key& key,
+                const run_record& run);
+
 // Returns the record of a run of this step that is ordered at `now`.
 run_record make_run(const step& s, std::uint32_t run, time_point now);
 // The same for a step of this job, whose account the run counts against.
@@ -254,6 +264,13 @@
     // The last report may have left out ends.
     bool has_more_ends = false;
 
+    // Start orders that the worker, or a later process of it, may still
+    // execute.
+    unanswered_starts unanswered;
+    // Ends that the worker must not forget yet: by number, until when a late
+    // start of the task may be executed. A later process would run the task
+    // again after its end was acknowledged.
+    std::map<std::uint64_t, time_point> held_ends;
     // Starts without a response that were abandoned after all leases had ended.
     // A worker that has restarted in the meantime knows neither the deadline
     // nor the stop, so it is told to refuse them as soon as it responds, and
@@ -296,14 +313,12 @@
     // True if the worker responds to polls.
     bool is_reachable(time_point now, duration limit) const;
     bool has_unstored_ends() const { return taken_ends > stored_ends; }
+    // Highest number of a run end that may be acknowledged.
+    std::uint64_t acknowledgeable_ends(time_point now);
 
     // The runs that are, or may be, on the worker.
     const std::map<task_key, run_record>& runs() const { return runs_; }
     run_record* find_run(const task_key& key);
-    // Until when a start without a response may take effect on a silent worker
-    // whose leases have expired, because the worker may have restarted.
-    time_point late_start_limit(const run_record& run,
-                                duration max_order_delay) const;
     run_record& add_run(const task_key& key, const run_record& run);
     void erase_run(const task_key& key);
     std::size_t runs_of_step(const task_key& key) const;
--- a/src/jobs/gang_placer.cpp
+++ b/src/jobs/gang_placer.cpp
@@ -84,6 +84,10 @@
                                     const std::deque<worker_list>& lists,
                                     time_point now)
 {
+    if (auto* const bound_to = context_.bindings.worker_for(key, now))
+    {
+        return context_.find_on(*bound_to, *gang.owner, key, now);
+    }
     auto place = context_.reservations.find(*gang.owner, key, now);
     for (auto list = lists.begin();
          place.worker == nullptr && list != lists.end(); ++list)
--- a/src/jobs/job_registry.cpp
+++ b/src/jobs/job_registry.cpp
@@ -83,6 +83,12 @@
     return true;
 }
 
+const live_job* job_registry::find(const job_id& id) const
+{
+    const auto found = live_.find(id);
+    return found == live_.end() ? nullptr : found->second.get();
+}
+
 live_job* job_registry::find(const job_id& id)
 {
     const auto found = live_.find(id);
--- a/src/jobs/job_registry.hpp
+++ b/src/jobs/job_registry.hpp
@@ -81,6 +81,7 @@
     bool add(job definition, const std::optional<job_progress>& progress);
 
     live_job* find(const job_id& id);
+    const live_job* find(const job_id& id) const;
     // Unfinished jobs by id.
     std::map<job_id, std::unique_ptr<live_job>>& live() { return live_; }
     const std::map<job_id, std::unique_ptr<live_job>>& live() const
--- a/src/jobs/membership_tracker.cpp
+++ b/src/jobs/membership_tracker.cpp
@@ -155,7 +155,8 @@
     const bool may_be_listed_again =
         worker.has_malformed_entry &&
         now - worker.listed_at < malformed_entry_time;
-    return worker.is_unlisted && worker.runs().empty() && !may_have_crashed &&
+    return worker.is_unlisted && worker.runs().empty() &&
+           worker.unanswered.empty() && !may_have_crashed &&
            !may_be_listed_again && !worker.poll_sent_at &&
            !recovery_.unseen_workers().contains(worker.entry.id);
 }
--- a/src/jobs/missing_run_check.cpp
+++ b/src/jobs/missing_run_check.cpp
@@ -16,9 +16,6 @@
 constexpr unsigned missing_report_threshold = 2;
 // Longer than a worker takes to end a run after it has confirmed the stop.
 constexpr duration max_stop_time = std::chrono::seconds(2);
-// Workers are taken for likely to restart under their ids for this long after
-// one did.
-constexpr duration restart_memory = std::chrono::seconds(60);
 
 } // namespace
 
@@ -46,6 +43,11 @@
         {
             ++run.missing;
         }
+        if (run.is_unresolved && repeater_.may_repeat(worker, key, run, now))
+        {
+            state_.starts_to_repeat.insert({worker.entry.id, key});
+            continue;
+        }
         if (has_certainly_ended(run, report, sent_at))
         {
             requeue_absent(worker, key, now);
@@ -72,27 +74,15 @@
     const auto run = *worker.find_run(key);
     const bool was_current = is_current_run(state_, worker, key, run.run);
     worker.erase_run(key);
-    // This process of the worker refuses a late start, but a later one may
-    // execute it.
-    const auto& noticed_at = state_.restart_noticed_at;
-    const bool may_start_late =
-        run.is_unresolved && noticed_at && now - *noticed_at < restart_memory;
-    const auto latest_start = run.ordered_at + state_.options.max_order_delay;
-    if (may_start_late)
-    {
-        state_.note_withdrawn_start(run.account, run.size,
-                                    latest_start +
-                                        longest_granted_lease(state_.options));
-    }
-    if (!was_current)
+    state_.note_start_in_doubt(worker, key, run, now);
+    if (was_current)
     {
-        return;
-    }
-    state_.requeue(key, "run missing from the worker's reports");
-    // Long-running tasks have to run again sooner.
-    if (may_start_late && !run.is_long_running)
-    {
-        state_.registry.find(key.job)->task(key).not_before = latest_start;
+        if (!worker.unanswered.may_order_again(key))
+        {
+            auto& owner = *state_.registry.find(key.job);
+            owner.task(key).failed_on.add(worker.entry.id);
+        }
+        state_.requeue(key, "run missing from the worker's reports");
     }
 }
 
--- a/src/jobs/missing_run_check.hpp
+++ b/src/jobs/missing_run_check.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jobs/scheduler_state.hpp"
+#include "jobs/start_repeater.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -18,8 +19,8 @@
                    time_point sent_at, time_point now);
 
 private:
-    // Removes the run, and lets its task wait while a late start of it may
-    // still be executed by a later process of the worker.
+    // Removes the run and requeues its task, which stays bound to the worker
+    // while a later process may execute an order for it.
     void requeue_absent(fleet_worker& worker, const task_key& key,
                         time_point now);
     // True if the run can neither be on the worker nor start there any more.
@@ -27,6 +28,7 @@
                              time_point sent_at) const;
 
     scheduler_state& state_;
+    start_repeater repeater_{state_};
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/order.hpp
+++ b/src/jobs/order.hpp
@@ -32,6 +32,8 @@
     worker_clock deadline{};
     std::string ticket;
     std::uint32_t restarts = 0;
+    // An earlier order for the same run got no response.
+    bool is_repeated = false;
 };
 
 struct stop_order
--- a/src/jobs/order_response_handler.cpp
+++ b/src/jobs/order_response_handler.cpp
@@ -23,10 +23,18 @@
     const start_response& full_response, time_point now)
 {
     auto* const record = worker.find_run(key);
-    if (record == nullptr || record->run != run || record->confirmed_at)
+    if (record == nullptr || record->run != run)
     {
         return;
     }
+    if (record->confirmed_at)
+    {
+        if (full_response.answer == start_answer::unknown && record->orders > 1)
+        {
+            repeater_.note_unanswered(worker, key, *record);
+        }
+        return;
+    }
     const auto response = full_response.answer;
     note_clock(worker, key, full_response, now);
     if (response == start_answer::accepted)
@@ -47,7 +55,7 @@
     worker.next_poll = std::min(worker.next_poll, now);
     if (response == start_answer::unknown)
     {
-        record->is_unresolved = true;
+        repeater_.on_unanswered(worker, key, *record, now);
         return;
     }
     if (response != start_answer::not_sent)
@@ -57,7 +65,15 @@
     const bool was_current = is_current_run(state_, worker, key, run);
     const auto ordered_at = record->ordered_at;
     const auto named_restarts = record->restarts;
-    worker.erase_run(key);
+    const bool is_in_doubt = worker.unanswered.may_start(key, now);
+    if (is_in_doubt)
+    {
+        keep_in_doubt(worker, *record, response, now);
+    }
+    else
+    {
+        worker.erase_run(key);
+    }
     if (response == start_answer::no_room)
     {
         worker.full_until = now + no_room_backoff;
@@ -87,12 +103,27 @@
     {
         worker.is_unlisted = true;
     }
-    if (was_current)
+    if (was_current && !is_in_doubt)
     {
         state_.requeue(key, to_text(response));
     }
 }
 
+void order_response_handler::keep_in_doubt(fleet_worker& worker,
+                                           run_record& run, start_answer answer,
+                                           time_point now)
+{
+    run.is_unresolved = true;
+    if (answer == start_answer::run_too_low)
+    {
+        // The run has ended there. Unless the next report lists the end, the
+        // task needs a run with a higher number.
+        run.stop_ordered_at = now;
+        run.stop_confirmed_at = now;
+    }
+    worker.next_poll = std::min(worker.next_poll, now);
+}
+
 void order_response_handler::note_clock(fleet_worker& worker,
                                         const task_key& key,
                                         const start_response& response,
--- a/src/jobs/order_response_handler.hpp
+++ b/src/jobs/order_response_handler.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "jobs/scheduler_state.hpp"
+#include "jobs/start_repeater.hpp"
 #include "jobs/worker_avoidance.hpp"
 
 namespace hemlockdeal::jobs
@@ -25,8 +26,14 @@
     void note_clock(fleet_worker& worker, const task_key& key,
                     const start_response& response, time_point now);
 
+    // The worker refused an order for a run that an earlier order may still
+    // start.
+    void keep_in_doubt(fleet_worker& worker, run_record& run,
+                       start_answer answer, time_point now);
+
     scheduler_state& state_;
     worker_avoidance avoidance_{state_};
+    start_repeater repeater_{state_};
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/jobs/poll_planner.cpp
+++ b/src/jobs/poll_planner.cpp
@@ -1,6 +1,8 @@
 // Decides which workers to poll, and with which contents.
 #include "jobs/poll_planner.hpp"
 
+#include <algorithm>
+
 namespace hemlockdeal::jobs
 {
 
@@ -20,6 +22,15 @@
     }
 }
 
+bool poll_planner::needs_report(const fleet_worker& worker, time_point now)
+{
+    return std::ranges::any_of(
+        worker.unanswered.orders(), [&](const auto& entry) {
+            return entry.second.latest_start <= now &&
+                   worker.contact_at < entry.second.latest_start;
+        });
+}
+
 bool poll_planner::is_due(const fleet_worker& worker, time_point now,
                           poll_permission permission) const
 {
@@ -37,7 +48,8 @@
     return !worker.has_been_seen() || worker.has_restarted ||
            worker.accepts_earlier_orders() || !worker.knows_clock() ||
            worker.failed_polls > 0 || !worker.runs().empty() ||
-           worker.has_unstored_ends() || worker.has_more_ends;
+           worker.has_unstored_ends() || worker.has_more_ends ||
+           !worker.held_ends.empty() || needs_report(worker, now);
 }
 
 void poll_planner::order_poll(fleet_worker& worker, time_point now,
@@ -49,10 +61,10 @@
     // would make it discard ends that the leader has not received. So ends are
     // acknowledged only if there is something new and the last poll was
     // answered.
-    if (worker.failed_polls == 0 &&
-        worker.stored_ends > worker.acknowledged_ends)
+    const auto acknowledgeable = worker.acknowledgeable_ends(now);
+    if (worker.failed_polls == 0 && acknowledgeable > worker.acknowledged_ends)
     {
-        poll.acknowledged = worker.stored_ends;
+        poll.acknowledged = acknowledgeable;
     }
     worker.acknowledging = poll.acknowledged;
     // An unanswered poll may have been carried out. If polls to a silent worker
@@ -67,6 +79,7 @@
     }
     const bool may_wait = !permission.must_poll_all && worker.knows_clock() &&
                           !worker.has_unstored_ends() &&
+                          worker.held_ends.empty() &&
                           worker.unreadable_ends == 0 &&
                           worker.failed_polls == 0 && !worker.runs().empty();
     if (may_wait)
--- a/src/jobs/poll_planner.hpp
+++ b/src/jobs/poll_planner.hpp
@@ -26,6 +26,9 @@
     void plan(time_point now, poll_permission permission);
 
 private:
+    // True if only a report shows whether an unanswered start was executed at
+    // the last moment.
+    static bool needs_report(const fleet_worker& worker, time_point now);
     bool is_due(const fleet_worker& worker, time_point now,
                 poll_permission permission) const;
     void order_poll(fleet_worker& worker, time_point now,
--- a/src/jobs/quota/quota_gate.hpp
+++ b/src/jobs/quota/quota_gate.hpp
@@ -16,6 +16,10 @@
     bool admits(const live_job& owner, const step& s, std::uint32_t count,
                 time_point now) const;
 
+    // The same for one task that is in the ledger of its worker already.
+    bool admits_counted(const live_job& owner, const step& s,
+                        time_point now) const;
+
     // True if the job has no account, or if its account uses less than half of
     // its cap in each resource.
     bool uses_under_half(const live_job& owner, time_point now) const;
--- a/src/jobs/reported_run_handler.cpp
+++ b/src/jobs/reported_run_handler.cpp
@@ -54,6 +54,7 @@
         adopt_run(worker, reported, now);
         run = worker.find_run(reported.task);
     }
+    note_found(worker, reported.task, *run);
     run->missing = 0;
     run->last_reported_at = now;
     run->is_unresolved = false;
--- a/src/jobs/run_end_handler.cpp
+++ b/src/jobs/run_end_handler.cpp
@@ -55,11 +55,14 @@
     if (run != nullptr && run->run == end.run)
     {
         judged.ordered_at = run->ordered_at;
+        note_found(worker, end.task, *run);
+        state_.note_start_in_doubt(worker, end.task, *run, now);
         worker.erase_run(end.task);
     }
     auto* const owner = state_.registry.find(end.task.job);
     if (owner == nullptr || !owner->has(end.task))
     {
+        hold_end(worker, end, now);
         return;
     }
     auto& task = owner->task(end.task);
@@ -74,6 +77,7 @@
     const bool is_long_running = owner->step_of(end.task).is_long_running;
     if (end.how == run_end::done && !is_long_running)
     {
+        hold_end(worker, end, now);
         handle_done(worker, *owner, judged, now);
         return;
     }
@@ -99,6 +103,17 @@
     }
 }
 
+void run_end_handler::hold_end(fleet_worker& worker, const ended_run& end,
+                               time_point now)
+{
+    const bool counts = end.how == run_end::done || end.how == run_end::failed;
+    if (counts && end.number > 0 && worker.unanswered.may_start(end.task, now))
+    {
+        worker.held_ends[end.number] =
+            worker.unanswered.find(end.task)->latest_start;
+    }
+}
+
 void run_end_handler::handle_done(fleet_worker& worker, live_job& owner,
                                   const judged_run& run, time_point now)
 {
@@ -157,6 +172,7 @@
     }
     if (owner.has_failed(end.task) && task.phase != task_phase::done)
     {
+        hold_end(worker, end, now);
         state_.fail_job(owner, end.task, now);
     }
 }
--- a/src/jobs/run_end_handler.hpp
+++ b/src/jobs/run_end_handler.hpp
@@ -20,6 +20,9 @@
     // An end without a number is new if its effect has not been recorded.
     bool is_new_end(fleet_worker& worker, const ended_run& end);
     void handle_end(fleet_worker& worker, const ended_run& end, time_point now);
+    // Keeps the end listed while a late start of its task may be executed.
+    static void hold_end(fleet_worker& worker, const ended_run& end,
+                         time_point now);
     void handle_done(fleet_worker& worker, live_job& owner,
                      const judged_run& run, time_point now);
     void complete_gang(live_job& owner, const task_key& key);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -26,9 +26,9 @@
     : crashes_(state_), recovery_(state_, crashes_),
       in_doubt_(state_, recovery_), membership_(state_, crashes_, recovery_),
       worker_ends_(state_, crashes_), intake_(state_, crashes_, worker_ends_),
-      order_responses_(state_), recorder_(state_, recovery_), placer_(state_),
-      lease_extension_(state_), polls_(state_), suspender_(state_),
-      speeds_(state_), long_waits_(state_)
+      order_responses_(state_), repeater_(state_), bindings_(state_),
+      recorder_(state_, recovery_), placer_(state_), lease_extension_(state_),
+      polls_(state_), suspender_(state_), speeds_(state_), long_waits_(state_)
 {
     state_.options = options;
     state_.interference.set_policy(options.policy);
@@ -182,6 +182,10 @@
         return;
     }
     const bool is_first_contact = !worker->has_been_seen();
+    if (is_first_contact)
+    {
+        recovery_.adopt_unanswered_starts(*worker);
+    }
     intake_.on_report(*worker, report, sent_at, now);
     if (is_first_contact)
     {
@@ -193,8 +197,9 @@
     speeds_.offload(*worker, now);
     // A worker answers at once while it lists an end that is not acknowledged,
     // and one that cannot be decoded may never be.
-    const bool must_not_wait =
-        worker->has_unstored_ends() || worker->unreadable_ends > 0;
+    const bool must_not_wait = worker->has_unstored_ends() ||
+                               worker->unreadable_ends > 0 ||
+                               !worker->held_ends.empty();
     worker->next_poll =
         now + (must_not_wait ? state_.options.unstored_poll_interval
                              : state_.options.min_poll_interval);
@@ -297,6 +302,7 @@
                 state_.fleet_capacity += worker.entry.capacity;
             }
         }
+        bindings_.forget_void(now);
         membership_.forget_gone_workers(now);
         recorder_.mark_outdated_parts(now);
     }
@@ -304,6 +310,7 @@
     if (permission.may_start && permission.lead_is_valid)
     {
         in_doubt_.update(now);
+        repeater_.repeat_due(now);
         placer_.place(now, unix_now);
         placer_.move_slowed(now);
     }
--- a/src/jobs/scheduler.hpp
+++ b/src/jobs/scheduler.hpp
@@ -24,6 +24,8 @@
 #include "jobs/report_intake.hpp"
 #include "jobs/scheduler_state.hpp"
 #include "jobs/speed_monitor.hpp"
+#include "jobs/start_binding.hpp"
+#include "jobs/start_repeater.hpp"
 #include "jobs/takeover_recovery.hpp"
 #include "jobs/task_placer.hpp"
 #include "jobs/worker_end_handler.hpp"
@@ -167,6 +169,8 @@
     worker_end_handler worker_ends_;
     report_intake intake_;
     order_response_handler order_responses_;
+    start_repeater repeater_;
+    start_binding bindings_;
     fleet_recorder recorder_;
     task_placer placer_;
     lease_extension lease_extension_;
--- a/src/jobs/scheduler_state.cpp
+++ b/src/jobs/scheduler_state.cpp
@@ -2,6 +2,7 @@
 #include "jobs/scheduler_state.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <set>
 
 namespace hemlockdeal::jobs
@@ -42,6 +43,19 @@
     }
 }
 
+void scheduler_state::note_start_in_doubt(const fleet_worker& worker,
+                                          const task_key& key,
+                                          const run_record& run, time_point now)
+{
+    const auto* const order = worker.unanswered.find(key);
+    if (order != nullptr && now < order->latest_start)
+    {
+        note_withdrawn_start(run.account, run.size,
+                             order->latest_start +
+                                 longest_granted_lease(options));
+    }
+}
+
 std::uint32_t scheduler_state::next_run(const task_record& task) const
 {
     const auto first = (epoch - 1) * max_runs_per_epoch + 1;
@@ -63,7 +77,6 @@
         // It has got no order that extends a lease.
         return;
     }
-    restart_noticed_at = now;
     worker.note_restart(++restarts, now + options.max_order_delay +
                                         longest_granted_lease(options));
     log_event("restart of worker noticed",
@@ -89,6 +102,30 @@
     worker.on_order_executed(restarts, now + longest_granted_lease(options));
 }
 
+void scheduler_state::order_start(const live_job& owner, const task_key& key,
+                                  fleet_worker& worker, run_record& run,
+                                  time_point now)
+{
+    const auto ticket = advice.ticket({key.job, key.occurrence, key.step},
+                                      worker.entry.id, now);
+    run.ordered_at = now;
+    run.start_deadline =
+        worker.clock_at(now) +
+        std::chrono::duration_cast<worker_clock>(options.start_validity);
+    run.restarts = worker.restarts();
+    run.least_clock = worker.least_clock_at(now, options.clock_error);
+    worker.note_deadline(run.start_deadline);
+    start_order start{worker.entry.id,
+                      key,
+                      run.run,
+                      owner.definition().payload,
+                      run.checkpoint_at_start,
+                      run.start_deadline,
+                      ticket.value_or("")};
+    start.is_repeated = run.orders > 1;
+    orders.emplace_back(std::move(start));
+}
+
 void scheduler_state::requeue(const task_key& key, std::string_view reason)
 {
     auto* const owner = registry.find(key.job);
--- a/src/jobs/scheduler_state.hpp
+++ b/src/jobs/scheduler_state.hpp
@@ -75,8 +75,9 @@
     // are counted for all workers together, so that the token of a worker that
     // is forgotten and joins again does not fall.
     std::uint32_t restarts = 0;
-    // When it noticed the last one.
-    std::optional<time_point> restart_noticed_at;
+    // Tasks whose unanswered start orders are to be repeated, with their
+    // workers.
+    std::set<std::pair<worker_id, task_key>> starts_to_repeat;
 
     // Parts of the stored fleet list that are out of date.
     std::set<std::uint32_t> changed_fleet_parts;
@@ -91,6 +92,10 @@
     fleet_worker* find_worker(const worker_id& id);
     // Finishes the job in the registry.
     void finish_job(const job_id& id, job_state state, time_point now);
+    // Counts the start that the worker may still execute although its ledger
+    // no longer contains the run against the account of the run.
+    void note_start_in_doubt(const fleet_worker& worker, const task_key& key,
+                             const run_record& run, time_point now);
     // Counts a withdrawn start against its account until the time.
     void note_withdrawn_start(const account_id& account, const task_size& size,
                               time_point may_run_until);
@@ -113,6 +118,9 @@
     void note_executed_order(fleet_worker& worker, std::uint32_t restarts,
                              time_point now) const;
 
+    // Orders the start of the run, which the ledger of the worker contains.
+    void order_start(const live_job& owner, const task_key& key,
+                     fleet_worker& worker, run_record& run, time_point now);
     // Removes a placed task from its worker and returns it to the waiting
     // tasks.
     void requeue(const task_key& key, std::string_view reason);
--- a/src/jobs/slowed_task_mover.cpp
+++ b/src/jobs/slowed_task_mover.cpp
@@ -70,6 +70,11 @@
     const bool is_slowed =
         run.fills && run.slowed_since &&
         now - *run.slowed_since > state_.options.slowed_limit;
+    // A task with a start in doubt may not run elsewhere.
+    if (worker.unanswered.may_start(key, now))
+    {
+        return false;
+    }
     if (!is_slowed || !loses_little_progress(run) || run.stop_ordered_at)
     {
         return false;
--- a/src/jobs/speed_monitor.cpp
+++ b/src/jobs/speed_monitor.cpp
@@ -137,7 +137,8 @@
         auto* const owner = state_.registry.find(key.job);
         // Each start of a suspect may crash a worker.
         if (owner == nullptr || !owner->has(key) || run.stop_ordered_at ||
-            run.is_long_running || run.is_suspect || !run.confirmed_at)
+            worker.unanswered.may_start(key, now) || run.is_long_running ||
+            run.is_suspect || !run.confirmed_at)
         {
             continue;
         }
--- a/src/jobs/step_placer.cpp
+++ b/src/jobs/step_placer.cpp
@@ -116,6 +116,10 @@
                                     const task_key& key, open_lists& lists,
                                     time_point now)
 {
+    if (auto* const bound_to = context_.bindings.worker_for(key, now))
+    {
+        return context_.find_on(*bound_to, *step.owner, key, now);
+    }
     if (const auto reserved = context_.reservations.find(*step.owner, key, now);
         reserved.worker != nullptr)
     {
--- a/src/jobs/takeover_recovery.cpp
+++ b/src/jobs/takeover_recovery.cpp
@@ -150,6 +150,32 @@
                  worker.responded_at + longest_lease(state_.options)));
 }
 
+time_point takeover_recovery::latest_start(const unanswered_start& start) const
+{
+    const auto latest = begun_at_ + state_.options.max_order_delay;
+    return std::min(state_.clock.reached_by(start.until).value_or(latest),
+                    latest);
+}
+
+void takeover_recovery::adopt_unanswered_starts(fleet_worker& worker)
+{
+    const auto unseen = unseen_workers_.find(worker.entry.id);
+    if (unseen == unseen_workers_.end())
+    {
+        return;
+    }
+    for (const auto& start : unseen->second.unanswered_starts)
+    {
+        // Also for a task that is done, whose end the worker may still list.
+        worker.unanswered.add(start.task, start.run, latest_start(start));
+        auto* const owner = state_.registry.find(start.task.job);
+        if (owner != nullptr && owner->has(start.task))
+        {
+            owner->task(start.task).bound_to = worker.entry.id;
+        }
+    }
+}
+
 void takeover_recovery::on_worker_seen(fleet_worker& worker)
 {
     const auto unseen = unseen_workers_.find(worker.entry.id);
@@ -295,10 +321,6 @@
         return out;
     }
     out.leases = lease_bound{state_.epoch, *ends_at};
-    if (!has_bound(record))
-    {
-        out.unanswered_starts.clear();
-    }
     return out;
 }
 
@@ -345,9 +367,12 @@
     {
         return false;
     }
-    const auto until =
-        state_.clock.reached_by(start.until)
-            .value_or(begun_at_ + state_.options.max_order_delay);
+    auto until = latest_start(start);
+    if (!owner->step_of(start.task).is_long_running)
+    {
+        // It may have been executed at the last moment.
+        until += longest_granted_lease(state_.options);
+    }
     return now < until;
 }
 
@@ -355,7 +380,7 @@
                                                  time_point now)
 {
     std::erase_if(record.unanswered_starts, [&](const auto& start) {
-        return !has_bound(record) || !awaits_start(record, start, now);
+        return !awaits_start(record, start, now);
     });
     if (record.unanswered_starts.empty())
     {
--- a/src/jobs/takeover_recovery.hpp
+++ b/src/jobs/takeover_recovery.hpp
@@ -30,6 +30,9 @@
     // them.
     void begin(time_point now, const earlier_leaders& predecessors);
     void check(time_point now);
+    // The worker responds for the first time: its recorded starts without a
+    // response count from now on as those of this leader do.
+    void adopt_unanswered_starts(fleet_worker& worker);
     void on_worker_seen(fleet_worker& worker);
     // The worker has responded, but its report does not list all ends. Tasks
     // whose end it left out must not count as not running.
@@ -101,6 +104,8 @@
     // list, because its VM may never run another one. If it was only cut off,
     // a run that lasts clears its tasks. A malformed entry shows nothing.
     void on_leases_expired(fleet_record& record, time_point now);
+    // By this VM's clock.
+    time_point latest_start(const unanswered_start& start) const;
     // True if the start may still take effect on a worker that has restarted,
     // and its task must not run elsewhere.
     bool awaits_start(const fleet_record& record, const unanswered_start& start,
--- a/src/jobs/task_placer.cpp
+++ b/src/jobs/task_placer.cpp
@@ -8,9 +8,11 @@
 
 task_placer::task_placer(scheduler_state& state)
     : state_(state), candidates_(state), reservations_(state), search_(state),
-      starter_(state, reservations_), quota_(state),
-      advice_(state, candidates_), context_{state,   candidates_, reservations_,
-                                            search_, starter_,    quota_},
+      starter_(state, reservations_), quota_(state), bindings_(state),
+      advice_(state, candidates_), context_{state,         candidates_,
+                                            reservations_, search_,
+                                            starter_,      quota_,
+                                            bindings_},
       step_placer_(context_), gang_placer_(context_),
       mover_(state, candidates_, search_)
 {}
--- a/src/jobs/task_placer.hpp
+++ b/src/jobs/task_placer.hpp
@@ -43,6 +43,7 @@
     worker_search search_;
     task_starter starter_;
     quota_gate quota_;
+    start_binding bindings_;
     advice_requester advice_;
     placement_context context_;
     step_placer step_placer_;
--- a/src/jobs/task_record.hpp
+++ b/src/jobs/task_record.hpp
@@ -42,6 +42,9 @@
     // Total duration of a run at full speed, extrapolated from its progress.
     duration projected_duration{};
     time_point not_before{};
+    // The worker that got the last start order without a response; the task may
+    // be bound to it.
+    worker_id bound_to;
     // The stored row of the job lists the task as possibly ordered, or its
     // next version will.
     bool is_announced = false;
--- a/src/jobs/task_starter.cpp
+++ b/src/jobs/task_starter.cpp
@@ -2,7 +2,6 @@
 #include "jobs/task_starter.hpp"
 
 #include <algorithm>
-#include <chrono>
 
 namespace hemlockdeal::jobs
 {
@@ -40,20 +39,11 @@
                          fleet_worker& worker, std::uint32_t run,
                          time_point now)
 {
-    const auto deadline =
-        worker.clock_at(now) +
-        std::chrono::duration_cast<worker_clock>(state_.options.start_validity);
-    const auto ticket = state_.advice.ticket(
-        {key.job, key.occurrence, key.step}, worker.entry.id, now);
     auto record = make_run(owner.definition(), owner.step_of(key), run, now);
-    record.start_deadline = deadline;
-    record.restarts = worker.restarts();
-    record.least_clock = worker.least_clock_at(now, state_.options.clock_error);
     set_evidence(record, owner.task(key));
     record.checkpoint = owner.task(key).checkpoint;
     record.checkpoint_at_start = record.checkpoint;
-    worker.add_run(key, record);
-    worker.note_deadline(deadline);
+    auto& ordered = worker.add_run(key, record);
     worker.next_poll =
         std::min(worker.next_poll, now + state_.options.min_poll_interval);
     const bool is_first = owner.state() == job_state::queued;
@@ -64,10 +54,8 @@
         // it.
         state_.registry.mark_changed(key.job);
     }
-    log_start(owner, key, worker, record);
-    state_.orders.emplace_back(
-        start_order{worker.entry.id, key, run, owner.definition().payload,
-                    record.checkpoint, deadline, ticket.value_or("")});
+    log_start(owner, key, worker, ordered);
+    state_.order_start(owner, key, worker, ordered, now);
 }
 
 void task_starter::log_start(const live_job& owner, const task_key& key,
--- a/src/jobs/wait_diagnosis.cpp
+++ b/src/jobs/wait_diagnosis.cpp
@@ -5,6 +5,7 @@
 
 #include "jobs/quota/account_shares.hpp"
 #include "jobs/quota/quota_gate.hpp"
+#include "jobs/start_binding.hpp"
 #include "jobs/suspect_trial.hpp"
 
 namespace hemlockdeal::jobs
@@ -61,6 +62,12 @@
     {
         return {wait_reason::in_doubt_after_takeover, {}, {}};
     }
+    if (const auto worker = state_.fleet.find(task.bound_to);
+        worker != state_.fleet.end() &&
+        bound_until(state_, worker->second, key, circumstances.now))
+    {
+        return {wait_reason::bound_to_worker, task.bound_to, {}};
+    }
     if (task.not_before > circumstances.now)
     {
         return {wait_reason::after_rejection, {}, {}};
--- a/src/jobs/wait_reason.cpp
+++ b/src/jobs/wait_reason.cpp
@@ -22,6 +22,8 @@
         return "preceding steps not done";
     case wait_reason::in_doubt_after_takeover:
         return "in doubt after a takeover";
+    case wait_reason::bound_to_worker:
+        return "bound to a worker that may execute an earlier start";
     case wait_reason::after_rejection:
         return "start rejected a moment ago";
     case wait_reason::account_cap:
--- a/src/jobs/wait_reason.hpp
+++ b/src/jobs/wait_reason.hpp
@@ -26,6 +26,9 @@
     // An earlier leader may have started the task on a worker that has not been
     // seen.
     in_doubt_after_takeover,
+    // The worker, which cannot take the task, may still execute an earlier
+    // start of it.
+    bound_to_worker,
     // Its start was rejected a moment ago.
     after_rejection,
     // The task or its gang does not fit into what the cap of its account
--- a/src/jobs/worker_eligibility.cpp
+++ b/src/jobs/worker_eligibility.cpp
@@ -116,18 +116,29 @@
                                  const live_job& owner, const task_key& key,
                                  time_point now) const
 {
-    if (!satisfies_constraints(worker, owner, key))
-    {
-        return false;
-    }
+    return satisfies_constraints(worker, owner, key) &&
+           has_ticket(worker, owner, key, now);
+}
+
+bool worker_eligibility::suits(const fleet_worker& worker,
+                               const live_job& owner, const task_key& key,
+                               time_point now) const
+{
+    return is_of_kind(worker, owner, key) &&
+           has_ticket(worker, owner, key, now);
+}
+
+bool worker_eligibility::has_ticket(const fleet_worker& worker,
+                                    const live_job& owner, const task_key& key,
+                                    time_point now) const
+{
     const step_key step{key.job, key.occurrence, key.step};
     return !owner.definition().policy.needs_advice ||
            state_.advice.ticket(step, worker.entry.id, now).has_value();
 }
 
-bool worker_eligibility::satisfies_constraints(const fleet_worker& worker,
-                                               const live_job& owner,
-                                               const task_key& key) const
+bool worker_eligibility::is_of_kind(const fleet_worker& worker,
+                                    const live_job& owner, const task_key& key)
 {
     const auto& s = owner.step_of(key);
     const auto& policy = owner.definition().policy;
@@ -141,7 +152,14 @@
     {
         return false;
     }
-    if (!s.required_label.empty() && !worker.entry.has_label(s.required_label))
+    return s.required_label.empty() || worker.entry.has_label(s.required_label);
+}
+
+bool worker_eligibility::satisfies_constraints(const fleet_worker& worker,
+                                               const live_job& owner,
+                                               const task_key& key) const
+{
+    if (!is_of_kind(worker, owner, key))
     {
         return false;
     }
@@ -151,6 +169,7 @@
     {
         return false;
     }
+    const auto& s = owner.step_of(key);
     return s.max_per_worker == 0 || worker.runs_of_step(key) < s.max_per_worker;
 }
 
--- a/src/jobs/worker_eligibility.hpp
+++ b/src/jobs/worker_eligibility.hpp
@@ -36,12 +36,21 @@
     // True if the job's constraints and an advice ticket permit the task.
     bool may_run(const fleet_worker& worker, const live_job& owner,
                  const task_key& key, time_point now) const;
+    // The same for a task that may be in the ledger of the worker already.
+    bool suits(const fleet_worker& worker, const live_job& owner,
+               const task_key& key, time_point now) const;
     // Like may_run(), but without the check for an advice ticket.
     bool satisfies_constraints(const fleet_worker& worker,
                                const live_job& owner,
                                const task_key& key) const;
 
 private:
+    bool has_ticket(const fleet_worker& worker, const live_job& owner,
+                    const task_key& key, time_point now) const;
+    // True if the worker is of the kind that the task requires.
+    static bool is_of_kind(const fleet_worker& worker, const live_job& owner,
+                           const task_key& key);
+
     const scheduler_state& state_;
 };
 
--- a/src/jobs/worker_end_handler.cpp
+++ b/src/jobs/worker_end_handler.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jobs/current_run.hpp"
+#include "jobs/start_binding.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -32,7 +33,7 @@
     }
     std::ranges::for_each(
         open_starts, [&](const auto& entry) { worker.erase_run(entry.first); });
-    drop_runs(worker, "worker restarted");
+    drop_runs(worker, "worker restarted", now);
     worker.restart(report.incarnation);
     state_.note_restart(worker, now, "report");
     crashes_.on_end(worker, life, now);
@@ -44,8 +45,11 @@
     state_.advice.forget_worker(worker.entry.id);
     for (auto& [key, run] : open_starts)
     {
-        run.is_unresolved = !run.confirmed_at;
-        worker.add_run(key, run);
+        auto& open = worker.add_run(key, run);
+        if (!run.confirmed_at && !run.is_unresolved)
+        {
+            repeater_.on_unanswered(worker, key, open, now);
+        }
         if (report.lists(key, run.run))
         {
             state_.stop_run_with_longer_lease(worker, key, now);
@@ -123,20 +127,20 @@
         {
             continue;
         }
-        if (now < worker.late_start_limit(run, state_.options.max_order_delay))
+        if (!worker.unanswered.find(key))
+        {
+            repeater_.note_unanswered(worker, key, run);
+        }
+        if (bound_until(state_, worker, key, now))
         {
             pending_starts.emplace_back(key, run);
-            continue;
         }
-        state_.may_have_given_up_starts = true;
-        worker.given_up.push_back(
-            {key, run.run, run.ordered_at, {}, run.account, run.size});
     }
     std::ranges::for_each(pending_starts, [&](const auto& entry) {
         worker.erase_run(entry.first);
     });
     crashes_.on_requeue(worker, now);
-    drop_runs(worker, "leases on the worker expired");
+    drop_runs(worker, "leases on the worker expired", now);
     for (const auto& [key, run] : pending_starts)
     {
         worker.add_run(key, run);
@@ -148,11 +152,12 @@
 {
     crashes_.on_unnoticed_end(worker, now);
     worker.has_ended = true;
+    worker.unanswered.clear();
     state_.log_event("worker has ended",
                      {{"worker", worker.entry.id.value()},
                       {"vm", worker.entry.vm.value()},
                       {"later_worker", later.entry.id.value()}});
-    drop_runs(worker, "a later worker runs on its VM");
+    drop_runs(worker, "a later worker runs on its VM", now);
     if (worker.has_been_seen())
     {
         crashes_.on_end(worker, worker.entry.id, now);
@@ -163,8 +168,27 @@
     }
 }
 
+void worker_end_handler::give_up_start(fleet_worker& worker,
+                                       const task_key& key,
+                                       const run_record& run, time_point now)
+{
+    const auto* const order = worker.unanswered.find(key);
+    if (order == nullptr || bound_until(state_, worker, key, now))
+    {
+        return;
+    }
+    state_.may_have_given_up_starts = true;
+    worker.given_up.push_back(
+        {key,
+         run.run,
+         order->latest_start - state_.options.max_order_delay,
+         {},
+         run.account,
+         run.size});
+}
+
 void worker_end_handler::drop_runs(fleet_worker& worker,
-                                   std::string_view reason)
+                                   std::string_view reason, time_point now)
 {
     while (!worker.runs().empty())
     {
@@ -172,6 +196,9 @@
         const auto run = worker.runs().begin()->second.run;
         const auto checkpoint = worker.runs().begin()->second.checkpoint;
         const bool was_current = is_current_run(state_, worker, key, run);
+        state_.note_start_in_doubt(worker, key, worker.runs().begin()->second,
+                                   now);
+        give_up_start(worker, key, worker.runs().begin()->second, now);
         worker.erase_run(key);
         if (!was_current)
         {
--- a/src/jobs/worker_end_handler.hpp
+++ b/src/jobs/worker_end_handler.hpp
@@ -6,6 +6,7 @@
 
 #include "jobs/crash_attribution.hpp"
 #include "jobs/scheduler_state.hpp"
+#include "jobs/start_repeater.hpp"
 
 namespace hemlockdeal::jobs
 {
@@ -35,10 +36,16 @@
                        time_point now);
     // Removes all runs of a worker that certainly runs nothing, and requeues
     // their tasks.
-    void drop_runs(fleet_worker& worker, std::string_view reason);
+    void drop_runs(fleet_worker& worker, std::string_view reason,
+                   time_point now);
+    // Orders the worker to refuse the start as soon as it responds, if its task
+    // may run elsewhere.
+    void give_up_start(fleet_worker& worker, const task_key& key,
+                       const run_record& run, time_point now);
 
     scheduler_state& state_;
     crash_attribution& crashes_;
+    start_repeater repeater_{state_};
 };
 
 } // namespace hemlockdeal::jobs
--- a/src/node/leader_orders.ipp
+++ b/src/node/leader_orders.ipp
@@ -23,6 +23,7 @@
         return;
     }
     ++stats_.starts;
+    stats_.starts_repeated += order.is_repeated ? 1 : 0;
     workers_.start(
         *worker, order, epoch_,
         [this, epoch = epoch_, id = order.worker, key = order.task,
@@ -33,6 +34,8 @@
             }
             stats_.starts_refused +=
                 response.answer == jobs::start_answer::accepted ? 0 : 1;
+            stats_.starts_unanswered +=
+                response.answer == jobs::start_answer::unknown ? 1 : 0;
             scheduler_->on_start_answer(id, key, run, response, clock_.now());
             request_decision();
         });
--- a/src/node/leader_stats.hpp
+++ b/src/node/leader_stats.hpp
@@ -21,6 +21,8 @@
     std::size_t tasks_without_room = 0;
     std::uint64_t starts = 0;
     std::uint64_t starts_refused = 0;
+    std::uint64_t starts_unanswered = 0;
+    std::uint64_t starts_repeated = 0;
     std::uint64_t stops = 0;
     std::uint64_t paces = 0;
     std::uint64_t polls = 0;
--- a/tests/jobs/superseded_run_test.cpp
+++ b/tests/jobs/superseded_run_test.cpp
@@ -73,8 +73,12 @@
     const worker_id a("a");
     leader.on_start_answer(a, late.task, late.run, start_answer::unknown, now);
     unresponsive.clear();
+    // Otherwise the start would be repeated.
+    leader.set_closed_zones({entry("a").zone});
     simulate();
     leader.on_stop_confirmed(a, late.task, late.run, now);
+    simulate();
+    leader.set_closed_zones({});
     std::vector<start_order> starts;
     for (int i = 0; i < 700 && starts.empty(); ++i)
     {
