--- a/src/jobs/start_binding.cpp
+++ b/src/jobs/start_binding.cpp
@@ -130,8 +130,9 @@
 
 void start_binding::forget_void(time_point now)
 {
-    for (auto& [id, worker] : state_.fleet)
+    for (auto& entry : state_.fleet)
     {
+        auto& worker = entry.second;
         if (!worker.unanswered.empty())
         {
             worker.unanswered.forget_if(
