--- a/tests/emulation/crash_loop_test.cpp
+++ b/tests/emulation/crash_loop_test.cpp
@@ -263,6 +263,17 @@
     return options;
 }
 
+// Plays the options with the seeds from `first` to `last`.
+void expect_none_with_seeds(std::uint32_t first, std::uint32_t last,
+                            crash_options options, crash_check check)
+{
+    for (options.seed = first; options.seed <= last; ++options.seed)
+    {
+        const auto result = crash_simulation(options).simulate();
+        expect_none({{options.seed, result}}, check);
+    }
+}
+
 } // namespace
 
 // Failure: on a small fleet whose workers crash again and again, all workers
@@ -279,12 +290,8 @@
         options.same_id_share = 0.5;
         // Room for the task twice over.
         options.limits.workers_with_room = 2;
-        for (options.seed = 1; options.seed <= seeds; ++options.seed)
-        {
-            const auto result = crash_simulation(options).simulate();
-            expect_none({{options.seed, result}},
-                        crash_check::lasting_task_away);
-        }
+        expect_none_with_seeds(1, seeds, options,
+                               crash_check::lasting_task_away);
     }
 }
 
@@ -304,12 +311,8 @@
                 options.crashing_jobs = 2;
                 options.target = target;
                 options.crash_delay = std::chrono::milliseconds(delay);
-                for (options.seed = 1; options.seed <= seeds; ++options.seed)
-                {
-                    const auto result = crash_simulation(options).simulate();
-                    expect_none({{options.seed, result}},
-                                crash_check::repeated_start);
-                }
+                expect_none_with_seeds(1, seeds, options,
+                                       crash_check::repeated_start);
             }
         }
     }
@@ -325,9 +328,5 @@
     options.target = crash_target::lasting_task;
     options.crash_delay = std::chrono::seconds(3);
     options.leader_kills = 2;
-    for (options.seed = 501; options.seed <= 510; ++options.seed)
-    {
-        const auto result = crash_simulation(options).simulate();
-        expect_none({{options.seed, result}}, crash_check::repeated_start);
-    }
+    expect_none_with_seeds(501, 510, options, crash_check::repeated_start);
 }
--- a/tests/jobs/crash_evidence_test.cpp
+++ b/tests/jobs/crash_evidence_test.cpp
@@ -135,9 +135,7 @@
     simulate(run_time);
     crash(worker_of("a"));
     simulate(restart_time + milliseconds(300));
-    const auto& live = leader->registry().live();
-    ASSERT_TRUE(live.contains(task.job));
-    EXPECT_EQ(live.at(task.job)->peek(task).crashes.workers.size(), 2U);
+    EXPECT_EQ(crashes_of(task), 2U);
 }
 
 // Failure: a leader takes a late crash that it finds in the stored list of
@@ -167,7 +165,5 @@
     simulate(run_time);
     crash(worker_of("a"));
     simulate(restart_time + milliseconds(300));
-    const auto& live = leader->registry().live();
-    ASSERT_TRUE(live.contains(task.job));
-    EXPECT_EQ(live.at(task.job)->peek(task).crashes.workers.size(), 3U);
+    EXPECT_EQ(crashes_of(task), 3U);
 }
--- a/tests/jobs/crash_fixture.hpp
+++ b/tests/jobs/crash_fixture.hpp
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -264,6 +265,17 @@
                                    : std::optional(found->second);
     }
 
+    // Crashes that count against the task; empty if its job is over.
+    std::optional<std::size_t> crashes_of(const task_key& task) const
+    {
+        const auto& live = leader->registry().live();
+        const auto owner = live.find(task.job);
+        return owner == live.end()
+                   ? std::nullopt
+                   : std::optional(
+                         owner->second->peek(task).crashes.workers.size());
+    }
+
     worker_id worker_of(const std::string& job) const
     {
         for (const auto& [id, tasks] : running)
